--- /dev/null
+++ b/crates/rookpulley-wirehost/src/main.rs
@@ -0,0 +1,147 @@
+//! The bench adapter: reads batches on standard input, hosts one isolated controller per
+//! instance, writes one reply per batch. It decides nothing.
+
+mod boot;
+mod wire;
+
+use rookpulley::facts::Input;
+use rookpulley::rules::Controller;
+use std::collections::BTreeMap;
+use std::io::{BufReader, BufWriter, Read, Write};
+use std::process::ExitCode;
+
+#[derive(Debug, thiserror::Error)]
+enum HostError {
+    #[error("batch {batch}: {what}")]
+    Frame { batch: u32, what: wire::Malformed },
+    #[error("batch {batch}: event for instance {instance}, which has not started")]
+    NotStarted { batch: u32, instance: u32 },
+    #[error("input ends inside a {part}: {got} of {want} bytes")]
+    Short { part: &'static str, got: usize, want: usize },
+    #[error("{0}")]
+    Io(#[from] std::io::Error),
+}
+
+/// Reads until `buf` is full or the input ends; tells how many bytes came.
+fn read_up_to(input: &mut impl Read, buf: &mut Vec<u8>, want: usize) -> std::io::Result<usize> {
+    buf.clear();
+    input.take(want as u64).read_to_end(buf)
+}
+
+fn host(input: impl Read, output: impl Write) -> Result<(), HostError> {
+    let (mut input, mut output) = (BufReader::new(input), BufWriter::new(output));
+    let mut controllers: BTreeMap<u32, Controller> = BTreeMap::new();
+    let (mut head, mut body, mut reply) = (Vec::new(), Vec::new(), Vec::new());
+    loop {
+        let got = read_up_to(&mut input, &mut head, wire::BATCH_HEAD)?;
+        if got == 0 {
+            return Ok(output.flush()?);
+        }
+        if got < wire::BATCH_HEAD {
+            return Err(HostError::Short { part: "batch header", got, want: wire::BATCH_HEAD });
+        }
+        let batch = wire::BatchHead::read(&head);
+        let got = read_up_to(&mut input, &mut body, batch.length)?;
+        if got < batch.length {
+            return Err(HostError::Short { part: "batch", got, want: batch.length });
+        }
+        let events = wire::read_events(&batch, &body)
+            .map_err(|what| HostError::Frame { batch: batch.number, what })?;
+        let mut by_instance: BTreeMap<u32, Vec<Input>> = BTreeMap::new();
+        for (instance, event) in events {
+            by_instance.entry(instance).or_default().push(event);
+        }
+        let mut writer = wire::ReplyWriter::default();
+        for (instance, events) in by_instance {
+            let mut run = Vec::new();
+            for event in events {
+                match event {
+                    Input::Stop => {
+                        run.clear();
+                        controllers.remove(&instance);
+                    }
+                    Input::Start(start) => {
+                        run.clear();
+                        controllers.insert(instance, Controller::new(batch.now_ms, *start));
+                    }
+                    other if controllers.contains_key(&instance) => run.push(other),
+                    _ => return Err(HostError::NotStarted { batch: batch.number, instance }),
+                }
+            }
+            if let Some(controller) = controllers.get_mut(&instance) {
+                writer.add(instance, &controller.handle(batch.now_ms, &run));
+            }
+        }
+        writer.finish(batch.number, &mut reply);
+        output.write_all(&reply)?;
+        output.flush()?;
+    }
+}
+
+fn main() -> ExitCode {
+    match host(std::io::stdin().lock(), std::io::stdout().lock()) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("rookpulley-wirehost: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::host;
+
+    fn complaint(bytes: &[u8]) -> String {
+        host(bytes, Vec::new()).map_or_else(|e| e.to_string(), |()| "fine".into())
+    }
+
+    fn batch(count: u32, body: &[u8]) -> Vec<u8> {
+        let mut frame = (body.len() as u32).to_le_bytes().to_vec();
+        frame.extend(7_u64.to_le_bytes());
+        frame.extend(count.to_le_bytes());
+        frame.extend(3_u32.to_le_bytes());
+        frame.extend(body);
+        frame
+    }
+
+    fn event(code: u8, at: usize, bytes: &[u8]) -> Vec<u8> {
+        let mut record = vec![0; 48];
+        record[0] = code;
+        record[at..at + bytes.len()].copy_from_slice(bytes);
+        record
+    }
+
+    #[test]
+    fn an_empty_batch_is_answered() {
+        let mut out = Vec::new();
+        host(&batch(0, &[])[..], &mut out).unwrap();
+        assert_eq!(out, [0, 0, 0, 0, 0, 0, 0, 0, 3, 0, 0, 0]);
+    }
+
+    #[test]
+    fn malformed_frames_get_a_plain_message() {
+        let mut boot = event(16, 13, &0_u32.to_le_bytes());
+        boot[17..21].copy_from_slice(&2_u32.to_le_bytes());
+        boot.extend(b"{x");
+        let mut not_text = boot.clone();
+        not_text[48] = 0xff;
+        let outside = event(20, 11, &9_u32.to_le_bytes());
+        let said: Vec<String> = [
+            vec![1, 2, 3],
+            batch(0, &[])[..19].to_vec(),
+            [&9_u32.to_le_bytes()[..], &batch(0, &[])[4..]].concat(),
+            batch(2, &[0; 48]),
+            batch(1, &event(99, 0, &[99])),
+            batch(1, &event(18, 0, &[18])),
+            batch(1, &event(17, 5, &[7])),
+            batch(1, &outside),
+            batch(1, &boot),
+            batch(1, &not_text),
+        ]
+        .iter()
+        .map(|bytes| complaint(bytes))
+        .collect();
+        insta::assert_snapshot!(said.join("\n"));
+    }
+}
--- /dev/null
+++ b/src/facts.rs
@@ -0,0 +1,321 @@
+//! What a controller is told and what it orders. Plain types: nothing is decided here.
+//!
+//! Times are milliseconds with fractions; ids are as the front gives them and mean nothing.
+
+/// A server: its address and port, kept exactly as told.
+pub type ServerId = [u8; 6];
+pub type ProxyId = u16;
+pub type TableId = u16;
+pub type ZoneId = u16;
+/// The place of a request kind in the list handed at start.
+pub type KindId = usize;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Stage {
+    Gone,
+    Ready,
+    Draining,
+}
+
+/// One line of the server list.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Listed {
+    pub server: ServerId,
+    pub zone: ZoneId,
+    pub machine: u16,
+    pub bay: u16,
+    pub stage: Stage,
+    pub weight: f64,
+    /// When it last started; 0: long ago.
+    pub started_ms: f64,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ListScope {
+    Changes,
+    Full,
+    Cached,
+    Failed,
+}
+
+/// The servers that drop a repeat of a uniqued req.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Group {
+    All,
+    Zone,
+    Bay,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Repeat {
+    Replayable,
+    Uniqued { group: Group, window_ms: f64 },
+    NonReplayable,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct ReqKind {
+    pub name: String,
+    pub response_target_ms: f64,
+    pub client_timeout_ms: f64,
+    pub value: f64,
+    pub late_value_share: f64,
+    pub repeat: Repeat,
+    pub writes: bool,
+    /// The only zones whose servers may be sent it; empty: any.
+    pub zones: Vec<ZoneId>,
+    /// The only kinds of machine that may be sent it; empty: any.
+    pub machines: Vec<u16>,
+    /// Only servers of the proxy's own zone may be sent it.
+    pub own_zone: bool,
+}
+
+/// Where this controller stands among its peers.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Place {
+    pub index: u16,
+    pub controllers: u16,
+    pub zone: ZoneId,
+    pub zones: Vec<String>,
+    pub proxies: u32,
+    /// Proxies join a controller of their own zone where there is one.
+    pub joined_by_zone: bool,
+}
+
+/// The figures of the five rules.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct RuleBounds {
+    pub bare_ms: f64,
+    pub drain_grace_ms: f64,
+    pub cold_share: f64,
+    pub cold_ms: f64,
+    pub fall_multiple: f64,
+    pub fall_ms: f64,
+    /// Only a server listed as draining binds; one merely dropped may stay.
+    pub only_draining_binds: bool,
+}
+
+/// The channel from a controller to its proxies.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct ChannelFacts {
+    pub lines_per_s: f64,
+    pub head_lines: f64,
+    pub backlog_lines: f64,
+    /// 0: no such limit.
+    pub messages_most: u32,
+    pub messages_over_ms: f64,
+    pub transit_ms: f64,
+    pub transit_most_ms: f64,
+}
+
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Levels {
+    #[default]
+    Ignored,
+    Share,
+    Rate,
+}
+
+/// How proxies admit and repeat.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct ProxyHabits {
+    pub levels: Levels,
+    pub usual_retry: Retry,
+    /// A try that may be followed waits this many response targets.
+    pub try_targets: f64,
+    pub standing_lines: u32,
+    pub write_in_flight_ms: f64,
+}
+
+/// How the server list is followed.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct ListFacts {
+    pub asked: bool,
+    pub ask_within_ms: f64,
+    /// The listed weights change with the load.
+    pub live_weights: bool,
+}
+
+/// What may be used beside orders, and its prices.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Means {
+    pub peers: bool,
+    pub probes: bool,
+    pub cross_zone_price: f64,
+    pub report_period_ms: f64,
+    pub report_lines_per_s: f64,
+    /// 0: no slices; otherwise every slice is a table of its own.
+    pub slices: u32,
+    pub single_owner: bool,
+}
+
+/// What the figures of a load report mean, in their order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LoadField {
+    Held,
+    Queue,
+    Busy,
+    ServiceMs,
+    DonePerS,
+    ErroredPerS,
+    Other,
+}
+
+/// Everything handed to a controller at its start, in small records by subject.
+#[derive(Clone, Debug)]
+pub struct Start {
+    pub seed: u64,
+    pub place: Place,
+    pub kinds: Vec<ReqKind>,
+    pub bounds: RuleBounds,
+    pub channel: ChannelFacts,
+    pub habits: ProxyHabits,
+    pub list: ListFacts,
+    pub means: Means,
+    pub load_fields: Vec<LoadField>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ProbeAnswer {
+    Done,
+    Errored,
+    Denied,
+    TimedOut,
+    Unreachable,
+    Broken,
+    Void,
+}
+
+#[derive(Clone, Debug)]
+pub enum Input {
+    Start(Box<Start>),
+    Stop,
+    List {
+        scope: ListScope,
+        version: u64,
+        lines: Vec<Listed>,
+    },
+    Alarm {
+        name: u64,
+    },
+    Note {
+        from: u16,
+        bytes: Vec<u8>,
+    },
+    Joined {
+        proxy: ProxyId,
+        zone: ZoneId,
+        usual_per_s: f64,
+        fresh: bool,
+    },
+    Left {
+        proxy: ProxyId,
+    },
+    Applied {
+        proxy: ProxyId,
+        mark: u64,
+        took_ms: f64,
+    },
+    /// What the joined proxies of a zone met at a server.
+    Heard {
+        zone: ZoneId,
+        server: ServerId,
+        tries: f64,
+        bad: f64,
+        mean_ms: f64,
+        span_ms: f64,
+        load: Vec<f64>,
+    },
+    /// What came to a proxy.
+    Usage {
+        proxy: ProxyId,
+        kind: KindId,
+        came: f64,
+        bad: f64,
+        span_ms: f64,
+    },
+    SliceUsage {
+        slice: TableId,
+        kind: KindId,
+        came: f64,
+        bad: f64,
+        span_ms: f64,
+    },
+    SliceGiven {
+        slice: TableId,
+        ours: bool,
+    },
+    SliceLine {
+        slice: TableId,
+        server: ServerId,
+        weight: f64,
+    },
+    Probed {
+        server: ServerId,
+        answer: ProbeAnswer,
+        took_ms: f64,
+        load: Vec<f64>,
+    },
+}
+
+/// When proxies try again.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Retry {
+    #[default]
+    Never,
+    /// Once, elsewhere, on proof that the first try never ran.
+    IfUnrun,
+    OnceAfterAny,
+    TwiceAfterAny,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Effect {
+    Line {
+        table: TableId,
+        server: ServerId,
+        weight: f64,
+    },
+    Wipe {
+        table: TableId,
+    },
+    /// Puts a proxy on a table for some request kinds (bits by their place).
+    Bind {
+        proxy: ProxyId,
+        table: TableId,
+        kinds: u16,
+    },
+    Withdraw {
+        server: ServerId,
+        out: bool,
+    },
+    /// `table` None: all joined proxies.
+    Admit {
+        table: Option<TableId>,
+        kinds: u16,
+        level: f64,
+        retry: Retry,
+    },
+    /// Asks for an answer; `all`: also from proxies that this reply does not reach.
+    Mark {
+        mark: u64,
+        all: bool,
+    },
+    Watch {
+        on: bool,
+    },
+    Fetch,
+    Probe {
+        server: ServerId,
+    },
+    /// `to` None: every peer.
+    Note {
+        to: Option<u16>,
+        bytes: Vec<u8>,
+    },
+    Alarm {
+        in_ms: f64,
+        name: u64,
+    },
+    Log(String),
+}
