--- a/src/rules.rs
+++ b/src/rules.rs
@@ -216,7 +216,7 @@
                     Cue::Fails
                 }
                 Phase::Warm
-                    if sum[0] - sum[1] >= STRAIN_TRIES && mean(&sum) > STRAIN_RATIO * median && known =>
+                    if sum[0] - sum[1] >= 1e9 * STRAIN_TRIES && mean(&sum) > STRAIN_RATIO * median && known =>
                 {
                     Cue::Strains
                 }
@@ -313,7 +313,7 @@
 // ---- Arcs ---------------------------------------------------------------------------------
 
 /// An arc reaches over about this many servers beyond its share, tapering at its ends.
-const SPREAD_SERVERS: f64 = 3.0;
+const SPREAD_PART: f64 = 1.0;
 /// How uneven zones may be loaded, per unit of the price of a req that crosses zones.
 const SLACK_PER_PRICE: f64 = 2.5;
 const COVER_STEPS: f64 = 8.0;
@@ -401,7 +401,7 @@
         let segment: Vec<usize> = (0..ring.len()).filter(|k| ring[*k].zone == *zone).collect();
         let (all_width, all_size) =
             (width.get(zone).copied().unwrap_or(0.0), tiles.iter().map(|t| t.1).sum::<f64>());
-        let half = (SPREAD_SERVERS / segment.len().max(1) as f64).min(1.0) / 2.0;
+        let half = SPREAD_PART.max(3.0 / segment.len() as f64).min(1.0) / 2.0;
         let mut at = 0.0;
         for (proxy, size) in tiles {
             const SAMPLES: usize = 16;
@@ -656,7 +656,7 @@
 /// When a proxy may try a req again without its effect happening twice.
 fn retry_of(kind: &ReqKind) -> Retry {
     match kind.repeat {
-        Repeat::Replayable => Retry::OnceAfterAny,
+        Repeat::Replayable => Retry::IfUnrun,
         Repeat::Uniqued { .. } | Repeat::NonReplayable => Retry::IfUnrun,
     }
 }
@@ -887,6 +887,7 @@
             return;
         }
         let slack = SLACK_PER_PRICE * self.means.cross_zone_price;
+        let near = self.means.cross_zone_price > 0.02;
         let ready: Vec<&Server> = self.fleet.servers.values().filter(|s| s.phase != Phase::Leaving).collect();
         let all: f64 = ready.iter().map(|s| s.listed.weight).sum();
         let sound: f64 = ready.iter().filter(|s| s.phase != Phase::Struck).map(|s| s.listed.weight).sum();
@@ -918,7 +919,7 @@
                 .demand
                 .proxies
                 .iter()
-                .map(|(id, p)| Stream { proxy: *id, zone: p.zone, per_s: p.sized_per_s })
+                .map(|(id, p)| Stream { proxy: *id, zone: if near { p.zone } else { 0 }, per_s: p.sized_per_s })
                 .collect();
             let open_weight: f64 = slots.iter().map(|s| s.weight).sum();
             for (proxy, lines) in cut_arcs(&slots, &streams, slack, !group.own_zone) {
