--- a/src/rules.rs
+++ b/src/rules.rs
@@ -313,7 +313,8 @@
 // ---- Arcs ---------------------------------------------------------------------------------
 
 /// An arc reaches over about this many servers beyond its share, tapering at its ends.
-const SPREAD_PART: f64 = 1.0;
+const REACH: f64 = 40.0;
+const REACH_LEAST: f64 = 0.5;
 /// How uneven zones may be loaded, per unit of the price of a req that crosses zones.
 const SLACK_PER_PRICE: f64 = 2.5;
 const COVER_STEPS: f64 = 8.0;
@@ -401,10 +402,10 @@
         let segment: Vec<usize> = (0..ring.len()).filter(|k| ring[*k].zone == *zone).collect();
         let (all_width, all_size) =
             (width.get(zone).copied().unwrap_or(0.0), tiles.iter().map(|t| t.1).sum::<f64>());
-        let half = SPREAD_PART.max(3.0 / segment.len() as f64).min(1.0) / 2.0;
         let mut at = 0.0;
         for (proxy, size) in tiles {
             const SAMPLES: usize = 16;
+            let half = (REACH * size).clamp(REACH_LEAST, 2.0) / 2.0;
             for sample in 0..SAMPLES {
                 let x = at + size / all_size * (sample as f64 + 0.5) / SAMPLES as f64;
                 let mut edge = 0.0;
@@ -899,7 +900,7 @@
         };
         let mut ring: Vec<(&Listed, f64, f64)> =
             ready.iter().map(|s| (&s.listed, s.listed.weight * part(s), 0.0)).filter(|s| s.1 > 0.0).collect();
-        ring.sort_by_key(|(l, ..)| (l.zone, l.bay, l.server));
+        ring.sort_by_key(|(l, ..)| (if near { l.zone } else { 0 }, l.server));
         let all: f64 = ring.iter().map(|s| s.1).sum();
         ring.iter_mut().for_each(|s| s.2 = s.1 / all);
         for (g, group) in self.groups.iter().enumerate() {
@@ -910,7 +911,7 @@
                 .filter(|(l, ..)| open(l))
                 .map(|(l, weight, width)| Slot {
                     server: l.server,
-                    zone: l.zone,
+                    zone: if near { l.zone } else { 0 },
                     weight: *weight,
                     width: *width,
                 })
