--- a/src/rules.rs
+++ b/src/rules.rs
@@ -216,7 +216,9 @@
                     Cue::Fails
                 }
                 Phase::Warm
-                    if sum[0] - sum[1] >= 1e9 * STRAIN_TRIES && mean(&sum) > STRAIN_RATIO * median && known =>
+                    if sum[0] - sum[1] >= 1e9 * STRAIN_TRIES
+                        && mean(&sum) > STRAIN_RATIO * median
+                        && known =>
                 {
                     Cue::Strains
                 }
@@ -312,132 +314,60 @@
 
 // ---- Arcs ---------------------------------------------------------------------------------
 
-/// An arc reaches over about this many servers beyond its share, tapering at its ends.
+/// An arc reaches over so many times its proxy's share of the ring, but never under so much of it.
+/// Streams change size faster than usage is heard; a narrow arc then pushes over its few servers.
 const REACH: f64 = 40.0;
 const REACH_LEAST: f64 = 0.5;
-/// How uneven zones may be loaded, per unit of the price of a req that crosses zones.
+/// Crossing zones is avoided where it costs more than this; how unevenly zones may then be loaded
+/// goes by that price.
+const NEAR_PRICE: f64 = 0.02;
 const SLACK_PER_PRICE: f64 = 2.5;
-const COVER_STEPS: f64 = 8.0;
+const STEPS: f64 = 8.0;
 
-struct Slot {
-    server: ServerId,
-    zone: ZoneId,
-    weight: f64,
-    /// Its room on the ring: the weight less what other kinds bring it.
-    width: f64,
-}
+type Lines = BTreeMap<ServerId, f64>;
+type Flows = BTreeMap<ZoneId, f64>;
 
-struct Stream {
-    proxy: ProxyId,
-    zone: ZoneId,
-    per_s: f64,
+fn in_steps(x: f64) -> f64 {
+    (x * STEPS).round() / STEPS
 }
 
-type Lines = BTreeMap<ServerId, f64>;
-
 /// The length that two intervals share.
 fn shared(a: (f64, f64), b: (f64, f64)) -> f64 {
     (a.1.min(b.1) - a.0.max(b.0)).max(0.0)
 }
 
-/// Says how much of each zone's demand goes to which zone: home as far as the room reaches, the
-/// rest to where room is left. Without `may_cross` all stays home.
-fn spill(
-    demand: &BTreeMap<ZoneId, f64>,
-    width: &BTreeMap<ZoneId, f64>,
-    slack: f64,
-    may_cross: bool,
-) -> BTreeMap<ZoneId, Vec<(ZoneId, f64)>> {
-    let (all_demand, all_width): (f64, f64) = (demand.values().sum(), width.values().sum());
-    let room = |z: &ZoneId| width.get(z).map_or(0.0, |w| w / all_width * (1.0 + slack));
-    let home = |z: &ZoneId| {
-        let wanted = demand.get(z).map_or(0.0, |d| d / all_demand);
-        if may_cross { wanted.min(room(z)) } else { wanted }
-    };
-    let left: BTreeMap<ZoneId, f64> = width.keys().map(|z| (*z, room(z) - home(z))).collect();
-    let all_left: f64 = left.values().sum::<f64>().max(1e-9);
-    let mut flows = BTreeMap::new();
-    for (z, d) in demand {
-        let mut parts = vec![(*z, home(z))];
-        let over = d / all_demand - home(z);
-        if over > 1e-6 {
-            parts.extend(left.iter().map(|(y, l)| (*y, over * l / all_left)));
-        }
-        parts.retain(|(_, part)| *part > 1e-6);
-        flows.insert(*z, parts);
+/// Says which part of a zone's demand goes to which zone: home as far as the room there reaches,
+/// the rest to where room is left. Both maps are shares of the whole.
+fn flows_of(zone: ZoneId, demand: &Flows, room: &Flows, slack: f64, may_cross: bool) -> Flows {
+    let room_of = |z: &ZoneId| room.get(z).copied().unwrap_or(0.0) * (1.0 + slack);
+    let wanted = |z: &ZoneId| demand.get(z).copied().unwrap_or(0.0);
+    let home = wanted(&zone).min(room_of(&zone)) / wanted(&zone).max(1e-9);
+    if !may_cross || home > 1.0 - 0.5 / STEPS {
+        return Flows::from([(zone, 1.0)]);
     }
+    let left: Flows = room.keys().map(|z| (*z, (room_of(z) - wanted(z)).max(0.0))).collect();
+    let all_left: f64 = left.values().sum::<f64>().max(1e-9);
+    let mut flows: Flows = left.iter().map(|(z, l)| (*z, in_steps((1.0 - home) * l / all_left))).collect();
+    *flows.entry(zone).or_insert(0.0) += in_steps(home);
     flows
 }
 
-/// Cuts the ring into the proxies' arcs. Zones are segments of the ring; within one, the streams
-/// that go there tile it by their demand, each spread over a few servers more, so that the sum is
-/// even by weight whatever the single arcs are. The lines are the listed weights, less at the ends.
-fn cut_arcs(ring: &[Slot], streams: &[Stream], slack: f64, may_cross: bool) -> BTreeMap<ProxyId, Lines> {
-    let (mut demand, mut width) = (BTreeMap::new(), BTreeMap::new());
-    streams.iter().for_each(|s| *demand.entry(s.zone).or_insert(0.0) += s.per_s);
-    ring.iter().for_each(|s| *width.entry(s.zone).or_insert(0.0) += s.width);
-    let all_demand: f64 = demand.values().sum();
-    let flows = spill(&demand, &width, slack, may_cross);
-    // Which pieces of demand tile a segment: first the zone's own, then what spills over.
-    let mut tiles: BTreeMap<ZoneId, Vec<(ProxyId, f64)>> = BTreeMap::new();
-    for own in [true, false] {
-        for (zone, parts) in &flows {
-            let mut at = 0.0;
-            for (to, part) in parts {
-                let (lo, mut cursor) = (at, 0.0);
-                at += part;
-                for stream in streams.iter().filter(|s| s.zone == *zone) {
-                    let size = stream.per_s / all_demand;
-                    let piece = shared((cursor, cursor + size), (lo, at));
-                    cursor += size;
-                    if piece > 1e-6 && (to == zone) == own {
-                        tiles.entry(*to).or_default().push((stream.proxy, piece));
-                    }
-                }
-            }
+/// One arc: the servers of a segment of the ring that it covers, with the part covered.
+fn cut_arc(segment: &[&Listed], at: f64, reach: f64) -> Vec<(ServerId, f64)> {
+    let all: f64 = segment.iter().map(|l| l.weight).sum();
+    let (mut edge, mut arc) = (0.0, Vec::new());
+    for listed in segment {
+        let width = listed.weight / all;
+        let slot = (edge, edge + width);
+        edge += width;
+        let turns = [-1.0, 0.0, 1.0];
+        let met = turns.map(|turn| shared(slot, (at - reach / 2.0 + turn, at + reach / 2.0 + turn)));
+        let covered = in_steps((met.iter().sum::<f64>() / width).min(1.0));
+        if covered > 0.0 {
+            arc.push((listed.server, covered * listed.weight));
         }
     }
-    let mut loads: BTreeMap<ProxyId, BTreeMap<usize, f64>> = BTreeMap::new();
-    for (zone, tiles) in &tiles {
-        let segment: Vec<usize> = (0..ring.len()).filter(|k| ring[*k].zone == *zone).collect();
-        let (all_width, all_size) =
-            (width.get(zone).copied().unwrap_or(0.0), tiles.iter().map(|t| t.1).sum::<f64>());
-        let mut at = 0.0;
-        for (proxy, size) in tiles {
-            const SAMPLES: usize = 16;
-            let half = (REACH * size).clamp(REACH_LEAST, 2.0) / 2.0;
-            for sample in 0..SAMPLES {
-                let x = at + size / all_size * (sample as f64 + 0.5) / SAMPLES as f64;
-                let mut edge = 0.0;
-                for k in &segment {
-                    let slot = (edge, edge + ring[*k].width / all_width);
-                    edge = slot.1;
-                    // What reaches over the ends of the segment is turned back into it.
-                    let met = shared(slot, (x - half, x + half))
-                        + shared(slot, (-x - half, half - x))
-                        + shared(slot, (2.0 - x - half, 2.0 - x + half));
-                    if met > 0.0 {
-                        *loads.entry(*proxy).or_default().entry(*k).or_insert(0.0) += size * met / half;
-                    }
-                }
-            }
-            at += size / all_size;
-        }
-    }
-    let mut arcs = BTreeMap::new();
-    for (proxy, load) in loads {
-        let cover = |(k, x): (&usize, &f64)| x / ring[*k].weight;
-        let most = load.iter().map(cover).fold(0.0, f64::max);
-        let mut lines = Lines::new();
-        for (k, x) in &load {
-            let covered = (cover((k, x)) / most * COVER_STEPS).round() / COVER_STEPS;
-            if covered > 0.0 {
-                lines.insert(ring[*k].server, ring[*k].weight * covered);
-            }
-        }
-        arcs.insert(proxy, lines);
-    }
-    arcs
+    arc
 }
 
 // ---- Revisions ----------------------------------------------------------------------------
@@ -716,6 +646,7 @@
     pace: ChannelFacts,
     means: Means,
     kinds: usize,
+    proxies: f64,
     list_asked: bool,
     ask_again_ms: f64,
     fleet: Fleet,
@@ -736,6 +667,7 @@
             pace: start.channel,
             means: start.means,
             kinds: start.kinds.len(),
+            proxies: f64::from(start.place.proxies),
             list_asked: start.list.asked,
             ask_again_ms: ROUND_MS,
             fleet: Fleet { servers: BTreeMap::new(), heard: BTreeMap::new(), withdrawals: BTreeMap::new() },
@@ -887,51 +819,59 @@
         if self.means.slices > 0 {
             return;
         }
+        let near = self.means.cross_zone_price > NEAR_PRICE;
         let slack = SLACK_PER_PRICE * self.means.cross_zone_price;
-        let near = self.means.cross_zone_price > 0.02;
+        let zone_of = |zone: ZoneId| if near { zone } else { 0 };
         let ready: Vec<&Server> = self.fleet.servers.values().filter(|s| s.phase != Phase::Leaving).collect();
-        let all: f64 = ready.iter().map(|s| s.listed.weight).sum();
-        let sound: f64 = ready.iter().filter(|s| s.phase != Phase::Struck).map(|s| s.listed.weight).sum();
-        // Where most servers are struck the cause is hardly theirs: use all rather than crowd a few.
-        let crowded = sound < 0.5 * all;
-        let part = |s: &Server| match s.phase {
-            Phase::Struck if crowded => ENTRY_PART,
-            _ => part_of(now, s, RAMP_MS),
-        };
-        let mut ring: Vec<(&Listed, f64, f64)> =
-            ready.iter().map(|s| (&s.listed, s.listed.weight * part(s), 0.0)).filter(|s| s.1 > 0.0).collect();
-        ring.sort_by_key(|(l, ..)| (if near { l.zone } else { 0 }, l.server));
-        let all: f64 = ring.iter().map(|s| s.1).sum();
-        ring.iter_mut().for_each(|s| s.2 = s.1 / all);
+        let parts: Lines = ready.iter().map(|s| (s.listed.server, part_of(now, s, RAMP_MS))).collect();
+        let known: f64 = self.demand.proxies.values().map(|p| p.sized_per_s).sum();
+        let mean = known / self.demand.proxies.len().max(1) as f64;
+        let mut demand = Flows::new();
+        for p in self.demand.proxies.values() {
+            *demand.entry(zone_of(p.zone)).or_insert(0.0) += p.sized_per_s / known;
+        }
+        let weight_of = |l: &Listed| l.weight * parts[&l.server];
+        let all: f64 = ready.iter().map(|s| weight_of(&s.listed)).sum();
+        let mut room = Flows::new();
+        for s in &ready {
+            *room.entry(zone_of(s.listed.zone)).or_insert(0.0) += weight_of(&s.listed) / all;
+        }
         for (g, group) in self.groups.iter().enumerate() {
             let share = self.demand.share_of(now, &group.kinds, self.kinds);
-            let open = |l: &Listed| group.open(l);
-            let slots: Vec<Slot> = ring
-                .iter()
-                .filter(|(l, ..)| open(l))
-                .map(|(l, weight, width)| Slot {
-                    server: l.server,
-                    zone: if near { l.zone } else { 0 },
-                    weight: *weight,
-                    width: *width,
-                })
-                .collect();
-            let streams: Vec<Stream> = self
-                .demand
-                .proxies
-                .iter()
-                .map(|(id, p)| Stream { proxy: *id, zone: if near { p.zone } else { 0 }, per_s: p.sized_per_s })
-                .collect();
-            let open_weight: f64 = slots.iter().map(|s| s.weight).sum();
-            for (proxy, lines) in cut_arcs(&slots, &streams, slack, !group.own_zone) {
-                if self.demand.proxies[&proxy].joined {
-                    let fresh = Table::new(self.tables.len() as TableId);
-                    self.tables.entry((proxy, g)).or_insert(fresh).propose(lines);
+            let mut segments: BTreeMap<ZoneId, Vec<&Listed>> = BTreeMap::new();
+            let mut open_room = Flows::new();
+            for s in ready.iter().filter(|s| group.open(&s.listed)) {
+                let zone = zone_of(s.listed.zone);
+                segments.entry(zone).or_default().push(&s.listed);
+                *open_room.entry(zone).or_insert(0.0) += weight_of(&s.listed) / all;
+            }
+            // What more bound kinds bring to a zone leaves less room there for the others.
+            open_room.iter_mut().for_each(|(z, r)| *r = r.min(room[z]));
+            let open_all: f64 = open_room.values().sum::<f64>().max(1e-9);
+            open_room.values_mut().for_each(|r| *r /= open_all);
+            for (id, p) in self.demand.proxies.iter().filter(|(_, p)| p.joined) {
+                let at = (f64::from(*id) + 0.5) / self.proxies.max(1.0) % 1.0;
+                let reach =
+                    in_steps((REACH * p.sized_per_s / mean / self.proxies.max(1.0)).clamp(REACH_LEAST, 1.0));
+                let flows = flows_of(zone_of(p.zone), &demand, &open_room, slack, !group.own_zone);
+                let arcs: Vec<_> = flows
+                    .iter()
+                    .filter_map(|(z, part)| Some((cut_arc(segments.get(z)?, at, reach), *part)))
+                    .filter(|(_, part)| *part > 0.0)
+                    .map(|(arc, part)| (arc.iter().map(|l| l.1).sum::<f64>(), arc, part))
+                    .collect();
+                let natural: f64 = arcs.iter().map(|a| a.0).sum();
+                let mut lines = Lines::new();
+                for (sum, arc, part) in &arcs {
+                    let scale = if arcs.len() == 1 { 1.0 } else { part * natural / sum };
+                    let grown = arc.iter().map(|(id, w)| (*id, w * scale * parts[id]));
+                    lines.extend(grown.filter(|l| l.1 > 0.0));
                 }
+                let fresh = Table::new(self.tables.len() as TableId);
+                self.tables.entry((*id, g)).or_insert(fresh).propose(lines);
             }
-            for (l, weight, width) in ring.iter_mut().filter(|(l, ..)| open(l)) {
-                let _ = l;
-                *width = (*width - share * *weight / open_weight).max(0.1 * *width);
+            for (zone, r) in &open_room {
+                *room.entry(*zone).or_insert(0.0) -= (share * r).min(room[zone]);
             }
         }
     }
