--- a/src/rules.rs
+++ b/src/rules.rs
@@ -240,6 +240,8 @@
 const OFF_SHARE: f64 = 0.5;
 const OFF_FOR_MS: f64 = 10_000.0;
 const USAGE_SPAN_MS: f64 = 8_000.0;
+/// The request kinds that are told apart; a mask of kinds has no more bits.
+const KINDS: usize = 16;
 /// A proxy that nobody has named for this long brings nothing any more.
 const FORGET_MS: f64 = 10_000.0;
 
@@ -250,7 +252,7 @@
     joined_ms: f64,
     /// The reqs a second that its arc is sized for.
     sized_per_s: f64,
-    came: Buckets<1>,
+    came: Buckets<KINDS>,
     off_since_ms: Option<f64>,
     written: Buckets<1>,
 }
@@ -258,7 +260,7 @@
 /// Who brings how much, as far as our proxies' usage and peers' notes tell.
 struct Demand {
     proxies: BTreeMap<ProxyId, Proxy>,
-    by_kind: BTreeMap<KindId, Buckets<1>>,
+    all: Buckets<KINDS>,
 }
 
 impl Demand {
@@ -284,13 +286,13 @@
         let (mut sized, mut came) = (0.0, 0.0);
         for p in self.proxies.values_mut().filter(|p| settled(p)) {
             sized += p.sized_per_s;
-            came += p.came.over(now, USAGE_SPAN_MS)[0];
+            came += p.came.over(now, USAGE_SPAN_MS).iter().sum::<f64>();
         }
         if came <= 0.0 {
             return;
         }
         for (id, p) in self.proxies.iter_mut().filter(|(_, p)| settled(p)) {
-            let met = p.came.over(now, USAGE_SPAN_MS)[0] * sized / came;
+            let met = p.came.over(now, USAGE_SPAN_MS).iter().sum::<f64>() * sized / came;
             if (met - p.sized_per_s).abs() <= OFF_SHARE * p.sized_per_s {
                 p.off_since_ms = None;
             } else if now - *p.off_since_ms.get_or_insert(now) >= OFF_FOR_MS {
@@ -304,9 +306,8 @@
 
     /// The share of the reqs that are of these kinds, in eighths so that it holds still.
     fn share_of(&mut self, now: f64, kinds: &[KindId], all: usize) -> f64 {
-        let mut sum = |k: &KindId| self.by_kind.get_mut(k).map_or(0.0, |b| b.over(now, 20_000.0)[0]);
-        let every: Vec<KindId> = (0..all).collect();
-        let (part, total): (f64, f64) = (kinds.iter().map(&mut sum).sum(), every.iter().map(&mut sum).sum());
+        let came = self.all.over(now, 20_000.0);
+        let (part, total): (f64, f64) = (kinds.iter().map(|k| came[*k]).sum(), came.iter().sum());
         let share = if total < 50.0 { kinds.len() as f64 / all as f64 } else { part / total };
         ((share * 8.0).round() / 8.0).max(0.125)
     }
@@ -428,7 +429,6 @@
     /// What the table holds by the orders that went out.
     held: Lines,
     bound: bool,
-    modes_set: bool,
 }
 
 fn name_of(lines: &Lines) -> u64 {
@@ -450,7 +450,6 @@
             prior_bad: 0.0,
             held: Lines::new(),
             bound: false,
-            modes_set: false,
         }
     }
 
@@ -580,15 +579,110 @@
     }
 }
 
-// ---- Retries ------------------------------------------------------------------------------
+// ---- Retries & levels ---------------------------------------------------------------------
 
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Mode {
+    Open,
+    Tight,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Flow {
+    Jams,
+    Flows,
+    Slack,
+}
+
+#[derive(Clone, Copy, PartialEq)]
+enum Valve {
+    Cut,
+    Lower,
+    Raise,
+    Release,
+}
+
+/// State, input, next state, effect.
+const LEVELS: &[(Mode, Flow, Mode, Valve)] = &[
+    (Mode::Open, Flow::Jams, Mode::Tight, Valve::Cut),
+    (Mode::Tight, Flow::Jams, Mode::Tight, Valve::Lower),
+    (Mode::Tight, Flow::Flows, Mode::Tight, Valve::Raise),
+    (Mode::Tight, Flow::Slack, Mode::Open, Valve::Release),
+];
+
+const LEVEL_EVERY_MS: f64 = 2_000.0;
+const JAM_SPAN_MS: f64 = 3_000.0;
+const JAM_BAD: f64 = 0.2;
+const JAM_PART: f64 = 0.5;
+const CUT_TO: f64 = 0.9;
+const LOWER_BY: f64 = 0.9;
+const RAISE_BY: f64 = 1.05;
+const LEAST_PART: f64 = 0.05;
 const EVERYTHING: f64 = 1e6;
 
-/// When a proxy may try a req again without its effect happening twice.
-fn retry_of(kind: &ReqKind) -> Retry {
-    match kind.repeat {
-        Repeat::Replayable => Retry::IfUnrun,
-        Repeat::Uniqued { .. } | Repeat::NonReplayable => Retry::IfUnrun,
+/// How much is let in, against overload of whatever cause.
+struct Valves {
+    mode: Mode,
+    allowed_per_s: f64,
+    stepped_ms: f64,
+    /// Kinds (mask), level and retry mode as last ordered for all proxies.
+    ordered: Vec<(u16, f64, Retry)>,
+}
+
+impl Valves {
+    /// Moves the valve by what all sound servers' answers say.
+    fn step(&mut self, now: f64, heard: [f64; 3], target_ms: f64, came_per_s: f64, log: &mut Vec<Effect>) {
+        let [tries, bad, time] = heard;
+        if now - self.stepped_ms < LEVEL_EVERY_MS || tries < 20.0 {
+            return;
+        }
+        let (bad_share, mean) = (bad / tries, time / (tries - bad).max(1.0));
+        let done_per_s = (tries - bad) / (JAM_SPAN_MS / 1_000.0);
+        let flow = match bad_share > JAM_BAD || mean > JAM_PART * target_ms {
+            true => Flow::Jams,
+            false if self.allowed_per_s > 1.2 * came_per_s => Flow::Slack,
+            false => Flow::Flows,
+        };
+        let Some(&(_, _, mode, valve)) = LEVELS.iter().find(|row| row.0 == self.mode && row.1 == flow) else {
+            return;
+        };
+        self.allowed_per_s = match valve {
+            Valve::Cut => CUT_TO * done_per_s.min(came_per_s),
+            Valve::Lower => self.allowed_per_s * LOWER_BY,
+            Valve::Raise => self.allowed_per_s * RAISE_BY,
+            Valve::Release => EVERYTHING,
+        };
+        self.stepped_ms = now;
+        if mode != self.mode {
+            let (was, to) = (self.mode, self.allowed_per_s);
+            log.push(Effect::Log(format!(
+                "levels {was:?} -> {mode:?}: bad {bad_share:.2}, mean {mean:.0} ms, came {came_per_s:.0}, lets in {to:.0}"
+            )));
+        }
+        self.mode = mode;
+    }
+}
+
+/// The level for each proxy by which so much of their reqs is let in: it shaves the heaviest.
+fn level_for(rates: &mut [f64], allowed: f64) -> f64 {
+    rates.sort_by(f64::total_cmp);
+    let mut left = allowed;
+    for (k, rate) in rates.iter().enumerate() {
+        let even = left / (rates.len() - k) as f64;
+        if *rate >= even {
+            return even;
+        }
+        left -= rate;
+    }
+    EVERYTHING
+}
+
+/// When a proxy may try a req again without its effect happening twice. A try cut off at the
+/// response target goes on running, so repeating it only adds load: proof is asked for always.
+fn retry_of(mode: Mode) -> Retry {
+    match mode {
+        Mode::Open => Retry::IfUnrun,
+        Mode::Tight => Retry::Never,
     }
 }
 
@@ -598,7 +692,6 @@
     zones: Vec<ZoneId>,
     machines: Vec<u16>,
     own_zone: bool,
-    retries: Vec<(Retry, u16)>,
 }
 
 impl KindGroup {
@@ -622,16 +715,11 @@
             Some(group) => group,
             None => {
                 let (zones, machines, own_zone) = (kind.zones.clone(), kind.machines.clone(), kind.own_zone);
-                groups.push(KindGroup { kinds: vec![], zones, machines, own_zone, retries: vec![] });
+                groups.push(KindGroup { kinds: vec![], zones, machines, own_zone });
                 groups.last_mut().expect("just pushed")
             }
         };
         at.kinds.push(id);
-        let retry = retry_of(kind);
-        match at.retries.iter_mut().find(|(r, _)| *r == retry) {
-            Some((_, mask)) => *mask |= 1 << id,
-            None => at.retries.push((retry, 1 << id)),
-        }
     }
     // The most bound kinds take their room on the ring first.
     groups.sort_by_key(|g| !(!g.zones.is_empty() || !g.machines.is_empty() || g.own_zone));
@@ -654,6 +742,10 @@
     groups: Vec<KindGroup>,
     tables: BTreeMap<(ProxyId, usize), Table>,
     channel: Channel,
+    valves: Valves,
+    habits: ProxyHabits,
+    values: Vec<f64>,
+    targets: Vec<f64>,
     started: bool,
     hasty: bool,
     log: Vec<Effect>,
@@ -671,10 +763,14 @@
             list_asked: start.list.asked,
             ask_again_ms: ROUND_MS,
             fleet: Fleet { servers: BTreeMap::new(), heard: BTreeMap::new(), withdrawals: BTreeMap::new() },
-            demand: Demand { proxies: BTreeMap::new(), by_kind: BTreeMap::new() },
+            demand: Demand { proxies: BTreeMap::new(), all: Buckets::new(2_000.0, 12) },
             groups: group_kinds(&start.kinds),
             tables: BTreeMap::new(),
             channel: Channel { written: 0.0, left: 0.0, as_of_ms: now, marks: BTreeMap::new(), next_mark: 0 },
+            valves: Valves { mode: Mode::Open, allowed_per_s: EVERYTHING, stepped_ms: now, ordered: vec![] },
+            habits: start.habits,
+            values: start.kinds.iter().map(|k| k.value).collect(),
+            targets: start.kinds.iter().map(|k| k.response_target_ms).collect(),
             started: false,
             hasty: false,
             log: Vec::new(),
@@ -706,6 +802,7 @@
             self.demand.resize(now, &mut self.log);
             self.judge_tables(now);
             self.tell_peers(&mut out);
+            self.step_valves(now);
         }
         if round || self.hasty {
             self.hasty = false;
@@ -762,16 +859,14 @@
             Input::Heard { zone, server, tries, bad, mean_ms, .. } => {
                 self.fleet.hear(now, *zone, *server, [*tries, *bad, mean_ms * (tries - bad)]);
             }
-            Input::Usage { proxy, kind, came, .. } => {
+            Input::Usage { proxy, kind, came, .. } if *kind < KINDS => {
+                let mut what = [0.0; KINDS];
+                what[*kind] = *came;
                 if let Some(p) = self.demand.proxies.get_mut(proxy) {
-                    p.came.add(now, [*came]);
+                    p.came.add(now, what);
                     p.seen_ms = now;
                 }
-                self.demand
-                    .by_kind
-                    .entry(*kind)
-                    .or_insert_with(|| Buckets::new(2_000.0, 12))
-                    .add(now, [*came]);
+                self.demand.all.add(now, what);
             }
             _ => {}
         }
@@ -806,6 +901,56 @@
         }
     }
 
+    fn step_valves(&mut self, now: f64) {
+        if self.habits.levels == Levels::Ignored {
+            return;
+        }
+        let ids: Vec<ServerId> = self
+            .fleet
+            .servers
+            .iter()
+            .filter(|(_, s)| part_of(now, s, RAMP_MS) > 0.0)
+            .map(|(id, _)| *id)
+            .collect();
+        let mut heard = [0.0; 3];
+        for id in ids {
+            let part = self.fleet.pooled(now, id, JAM_SPAN_MS);
+            (0..3).for_each(|k| heard[k] += part[k]);
+        }
+        let came = self.demand.all.over(now, 4_000.0);
+        let total: f64 = came.iter().sum::<f64>().max(1.0);
+        let target = self.targets.iter().zip(came).map(|(t, c)| t * c / total).sum();
+        self.valves.step(now, heard, target, total / 4.0, &mut self.log);
+    }
+
+    /// The levels and retry modes that all proxies are to have: what is let in goes to the kinds
+    /// of the most value first.
+    fn admits(&mut self, now: f64) -> Vec<(u16, f64, Retry)> {
+        let retry = retry_of(self.valves.mode);
+        if self.valves.mode == Mode::Open {
+            let all = (0..self.kinds.min(KINDS)).fold(0, |mask, k| mask | 1 << k);
+            return vec![(all, EVERYTHING, retry)];
+        }
+        let mut order: Vec<KindId> = (0..self.kinds.min(KINDS)).collect();
+        order.sort_by(|a, b| self.values[*b].total_cmp(&self.values[*a]));
+        let mut left = self.valves.allowed_per_s;
+        let mut admits = Vec::new();
+        for kind in order {
+            let joined = self.demand.proxies.values_mut().filter(|p| p.joined);
+            let mut rates: Vec<f64> = joined.map(|p| p.came.over(now, 4_000.0)[kind] / 4.0).collect();
+            let came: f64 = rates.iter().sum();
+            let allowed = left.clamp(LEAST_PART * came, came);
+            left -= allowed;
+            let level = match self.habits.levels {
+                Levels::Share => allowed / came.max(0.01),
+                _ if allowed >= came => EVERYTHING,
+                _ => level_for(&mut rates, allowed),
+            };
+            admits.push((1 << kind, level, retry));
+        }
+        admits
+    }
+
     fn judge_tables(&mut self, now: f64) {
         for ((proxy, _), table) in &mut self.tables {
             let Some(p) = self.demand.proxies.get(proxy).filter(|p| p.joined) else { continue };
@@ -917,6 +1062,18 @@
             out.push(Effect::Withdraw { server, out: shut });
             joined.iter().for_each(|id| *reached.entry(*id).or_insert(head) += 1.0);
         }
+        let admits = if self.valves.stepped_ms == now || self.valves.ordered.is_empty() {
+            self.admits(now)
+        } else {
+            self.valves.ordered.clone()
+        };
+        if admits != self.valves.ordered {
+            for (kinds, level, retry) in &admits {
+                out.push(Effect::Admit { table: None, kinds: *kinds, level: *level, retry: *retry });
+                joined.iter().for_each(|id| *reached.entry(*id).or_insert(head) += 1.0);
+            }
+            self.valves.ordered = admits;
+        }
         let limit = self.pace.messages_most;
         for bare in [true, false] {
             let part = if bare { BARE_PART } else { DELTAS_PART };
@@ -941,8 +1098,7 @@
                     if lines.is_empty() || (orders.is_empty() && !bare) {
                         continue;
                     }
-                    let size =
-                        if bare { lines.len() + self.groups[g].retries.len() + 1 } else { orders.len() };
+                    let size = if bare { lines.len() + self.valves.ordered.len() + 1 } else { orders.len() };
                     let opening = if reached.contains_key(id) { 0.0 } else { head };
                     let so_far: f64 = reached.values().sum();
                     let waiting = self.channel.waiting() + so_far + opening + size as f64;
@@ -956,13 +1112,6 @@
                     for (server, weight) in orders {
                         out.push(Effect::Line { table: table.id, server, weight });
                     }
-                    if !table.modes_set {
-                        table.modes_set = true;
-                        for (retry, kinds) in &self.groups[g].retries {
-                            let (table, kinds) = (Some(table.id), *kinds);
-                            out.push(Effect::Admit { table, kinds, level: EVERYTHING, retry: *retry });
-                        }
-                    }
                     if bare {
                         let kinds = self.groups[g].mask();
                         out.push(Effect::Bind { proxy: *id, table: table.id, kinds });
