--- a/src/rules.rs
+++ b/src/rules.rs
@@ -86,6 +86,8 @@
     since_ms: f64,
     ramp_from_ms: f64,
     hold_ms: f64,
+    /// The part of its listed weight that it may have now.
+    part: f64,
 }
 
 type HeardAt = Buckets<3>;
@@ -119,7 +121,7 @@
                     _ => Phase::Ramping,
                 };
                 let ramp_from_ms = if line.started_ms > 0.0 { line.started_ms } else { now };
-                let server = Server { listed: line, phase, since_ms: now, ramp_from_ms, hold_ms: HOLD_MS };
+                let server = Server { listed: line, phase, since_ms: now, ramp_from_ms, hold_ms: HOLD_MS, part: ENTRY_PART };
                 self.servers.insert(id, server);
                 if !ready {
                     self.withdrawals.insert(id, true);
@@ -527,18 +529,24 @@
 
 const RAMP_MS: f64 = 30_000.0;
 const ENTRY_PART: f64 = 0.25;
-const RAMP_STEPS: f64 = 8.0;
+
+/// In a jam a cold server waits until it is sure to stand this many times its full work.
+const SURE_MULTIPLE: f64 = 2.0;
 
 /// The part of its listed weight that a server may have now.
-fn part_of(now: f64, server: &Server, ramp_ms: f64) -> f64 {
-    match server.phase {
-        Phase::Warm => 1.0,
-        Phase::Ramping => {
-            let grown = ENTRY_PART + (1.0 - ENTRY_PART) * (now - server.ramp_from_ms).max(0.0) / ramp_ms;
-            ((grown * RAMP_STEPS).floor() / RAMP_STEPS).clamp(ENTRY_PART, 1.0)
-        }
-        Phase::Struck | Phase::Leaving => 0.0,
+fn part_of(now: f64, server: &Server, tight: bool, bounds: &RuleBounds) -> f64 {
+    let Phase::Ramping = server.phase else {
+        return if server.phase == Phase::Warm { 1.0 } else { 0.0 };
+    };
+    // In a jam proxies keep away from servers that fail them and crowd whichever is left, whatever
+    // its weight: that pushed cold servers over. Harm: a zone that returns cold is used later.
+    let age = now - server.listed.started_ms;
+    let sure = bounds.cold_share + (1.0 - bounds.cold_share) * (age / bounds.cold_ms).clamp(0.0, 1.0);
+    if tight && sure < 1.0 && sure * bounds.fall_multiple < SURE_MULTIPLE {
+        return 0.0;
     }
+    let grown = ENTRY_PART + (1.0 - ENTRY_PART) * (now - server.ramp_from_ms).max(0.0) / RAMP_MS;
+    ((grown * STEPS).floor() / STEPS).clamp(ENTRY_PART, 1.0)
 }
 
 // ---- Channel pacing -----------------------------------------------------------------------
@@ -616,7 +624,9 @@
 const JAM_PART: f64 = 0.5;
 const CUT_TO: f64 = 0.9;
 const LOWER_BY: f64 = 0.9;
-const RAISE_BY: f64 = 1.05;
+const RAISE_BY: f64 = 1.15;
+const EASY_PART: f64 = 0.3;
+const FLOOR_PART: f64 = 0.8;
 const LEAST_PART: f64 = 0.05;
 const EVERYTHING: f64 = 1e6;
 
@@ -648,8 +658,9 @@
         };
         self.allowed_per_s = match valve {
             Valve::Cut => CUT_TO * done_per_s.min(came_per_s),
-            Valve::Lower => self.allowed_per_s * LOWER_BY,
-            Valve::Raise => self.allowed_per_s * RAISE_BY,
+            // Answers to reqs of before the cut go on coming; what is done now can be let in.
+            Valve::Lower => (self.allowed_per_s * LOWER_BY).max(FLOOR_PART * done_per_s),
+            Valve::Raise => self.allowed_per_s * if mean < EASY_PART * target_ms { RAISE_BY } else { 1.05 },
             Valve::Release => EVERYTHING,
         };
         self.stepped_ms = now;
@@ -806,6 +817,10 @@
         }
         if round || self.hasty {
             self.hasty = false;
+            let tight = self.valves.mode == Mode::Tight;
+            for server in self.fleet.servers.values_mut() {
+                server.part = part_of(now, server, tight, &self.bounds);
+            }
             self.cut_tables(now);
             self.gate(now, &mut out);
         }
@@ -902,14 +917,11 @@
     }
 
     fn step_valves(&mut self, now: f64) {
-        if self.habits.levels == Levels::Ignored {
-            return;
-        }
         let ids: Vec<ServerId> = self
             .fleet
             .servers
             .iter()
-            .filter(|(_, s)| part_of(now, s, RAMP_MS) > 0.0)
+            .filter(|(_, s)| s.part > 0.0)
             .map(|(id, _)| *id)
             .collect();
         let mut heard = [0.0; 3];
@@ -927,7 +939,7 @@
     /// of the most value first.
     fn admits(&mut self, now: f64) -> Vec<(u16, f64, Retry)> {
         let retry = retry_of(self.valves.mode);
-        if self.valves.mode == Mode::Open {
+        if self.valves.mode == Mode::Open || self.habits.levels == Levels::Ignored {
             let all = (0..self.kinds.min(KINDS)).fold(0, |mask, k| mask | 1 << k);
             return vec![(all, EVERYTHING, retry)];
         }
@@ -965,10 +977,11 @@
             return;
         }
         let near = self.means.cross_zone_price > NEAR_PRICE;
-        let slack = SLACK_PER_PRICE * self.means.cross_zone_price;
+        let calm = if self.valves.mode == Mode::Open { 1.0 } else { 0.0 };
+        let slack = SLACK_PER_PRICE * self.means.cross_zone_price * calm;
         let zone_of = |zone: ZoneId| if near { zone } else { 0 };
         let ready: Vec<&Server> = self.fleet.servers.values().filter(|s| s.phase != Phase::Leaving).collect();
-        let parts: Lines = ready.iter().map(|s| (s.listed.server, part_of(now, s, RAMP_MS))).collect();
+        let parts: Lines = ready.iter().map(|s| (s.listed.server, s.part)).collect();
         let known: f64 = self.demand.proxies.values().map(|p| p.sized_per_s).sum();
         let mean = known / self.demand.proxies.len().max(1) as f64;
         let mut demand = Flows::new();
@@ -1027,7 +1040,7 @@
         let mut lines = Lines::new();
         for (id, weight) in table.newest().map_or(&Lines::new(), |r| &r.lines) {
             if let Some(server) = self.fleet.servers.get(id) {
-                let most = server.listed.weight * part_of(now, server, RAMP_MS);
+                let most = server.listed.weight * server.part;
                 if most > 0.0 {
                     lines.insert(*id, weight.min(most));
                 }
@@ -1038,7 +1051,7 @@
             for (id, s) in &self.fleet.servers {
                 let near = !group.own_zone || s.listed.zone == zone;
                 if s.phase != Phase::Leaving && near && group.open(&s.listed) {
-                    let part = part_of(now, s, RAMP_MS).max(ENTRY_PART);
+                    let part = s.part.max(ENTRY_PART);
                     lines.insert(*id, s.listed.weight * part);
                 }
             }
