--- a/src/rules.rs
+++ b/src/rules.rs
@@ -254,6 +254,8 @@
     joined_ms: f64,
     /// The reqs a second that its arc is sized for.
     sized_per_s: f64,
+    /// What came to it lately, as far as it is known.
+    met_per_s: f64,
     came: Buckets<KINDS>,
     off_since_ms: Option<f64>,
     written: Buckets<1>,
@@ -273,6 +275,7 @@
             seen_ms: now,
             joined_ms: now,
             sized_per_s: per_s.max(0.01),
+            met_per_s: per_s.max(0.01),
             came: Buckets::new(1_000.0, 12),
             off_since_ms: None,
             written: Buckets::new(250.0, 48),
@@ -287,14 +290,15 @@
         let settled = |p: &Proxy| p.joined && now - p.joined_ms >= USAGE_SPAN_MS + 2.0 * ROUND_MS;
         let (mut sized, mut came) = (0.0, 0.0);
         for p in self.proxies.values_mut().filter(|p| settled(p)) {
+            p.met_per_s = p.came.over(now, USAGE_SPAN_MS).iter().sum::<f64>() / USAGE_SPAN_MS * 1_000.0;
             sized += p.sized_per_s;
-            came += p.came.over(now, USAGE_SPAN_MS).iter().sum::<f64>();
+            came += p.met_per_s;
         }
         if came <= 0.0 {
             return;
         }
         for (id, p) in self.proxies.iter_mut().filter(|(_, p)| settled(p)) {
-            let met = p.came.over(now, USAGE_SPAN_MS).iter().sum::<f64>() * sized / came;
+            let met = p.met_per_s * sized / came;
             if (met - p.sized_per_s).abs() <= OFF_SHARE * p.sized_per_s {
                 p.off_since_ms = None;
             } else if now - *p.off_since_ms.get_or_insert(now) >= OFF_FOR_MS {
@@ -895,7 +899,7 @@
         let mut own: Vec<_> = self.demand.proxies.iter().filter(|(_, p)| p.joined).collect();
         own.sort_by(|a, b| b.1.sized_per_s.total_cmp(&a.1.sized_per_s));
         let line = |(id, p): &(&ProxyId, &Proxy)| {
-            [&id.to_le_bytes()[..], &p.zone.to_le_bytes(), &(p.sized_per_s as f32).to_le_bytes()].concat()
+            [&id.to_le_bytes()[..], &p.zone.to_le_bytes(), &(p.met_per_s as f32).to_le_bytes()].concat()
         };
         let bytes: Vec<u8> = own.iter().take(32).flat_map(line).collect();
         if !bytes.is_empty() {
@@ -911,7 +915,7 @@
             if !self.demand.proxies.get(&proxy).is_some_and(|p| p.joined) && per_s.is_finite() && per_s > 0.0
             {
                 let entry = self.demand.named(now, proxy, zone, f64::from(per_s));
-                (entry.zone, entry.sized_per_s) = (zone, f64::from(per_s));
+                (entry.zone, entry.met_per_s) = (zone, f64::from(per_s));
             }
         }
     }
@@ -983,10 +987,11 @@
         let ready: Vec<&Server> = self.fleet.servers.values().filter(|s| s.phase != Phase::Leaving).collect();
         let parts: Lines = ready.iter().map(|s| (s.listed.server, s.part)).collect();
         let known: f64 = self.demand.proxies.values().map(|p| p.sized_per_s).sum();
+        let met: f64 = self.demand.proxies.values().map(|p| p.met_per_s).sum::<f64>().max(1e-9);
         let mean = known / self.demand.proxies.len().max(1) as f64;
         let mut demand = Flows::new();
         for p in self.demand.proxies.values() {
-            *demand.entry(zone_of(p.zone)).or_insert(0.0) += p.sized_per_s / known;
+            *demand.entry(zone_of(p.zone)).or_insert(0.0) += p.met_per_s / met;
         }
         let weight_of = |l: &Listed| l.weight * parts[&l.server];
         let all: f64 = ready.iter().map(|s| weight_of(&s.listed)).sum();
