--- a/src/rules.rs
+++ b/src/rules.rs
@@ -240,6 +240,7 @@
 // ---- Demand -------------------------------------------------------------------------------
 
 const OFF_SHARE: f64 = 0.5;
+const ZONE_OFF: f64 = 0.2;
 const OFF_FOR_MS: f64 = 10_000.0;
 const USAGE_SPAN_MS: f64 = 8_000.0;
 /// The request kinds that are told apart; a mask of kinds has no more bits.
@@ -265,6 +266,8 @@
 struct Demand {
     proxies: BTreeMap<ProxyId, Proxy>,
     all: Buckets<KINDS>,
+    /// The zones' shares of the demand that tables stand on.
+    zones: Flows,
 }
 
 impl Demand {
@@ -310,6 +313,21 @@
         }
     }
 
+    /// The zones' shares of the demand, held until one is well off.
+    fn zones_held(&mut self, zone_of: impl Fn(ZoneId) -> ZoneId) -> Flows {
+        let all: f64 = self.proxies.values().map(|p| p.met_per_s).sum::<f64>().max(1e-9);
+        let mut met = Flows::new();
+        for p in self.proxies.values() {
+            *met.entry(zone_of(p.zone)).or_insert(0.0) += p.met_per_s / all;
+        }
+        let held = |z: &ZoneId| self.zones.get(z).copied().unwrap_or(0.0);
+        let off = |(z, m): (&ZoneId, &f64)| (m - held(z)).abs() > ZONE_OFF * held(z);
+        if met.iter().any(off) || self.zones.len() != met.len() {
+            self.zones = met;
+        }
+        self.zones.clone()
+    }
+
     /// The share of the reqs that are of these kinds, in eighths so that it holds still.
     fn share_of(&mut self, now: f64, kinds: &[KindId], all: usize) -> f64 {
         let came = self.all.over(now, 20_000.0);
@@ -762,6 +780,7 @@
     values: Vec<f64>,
     targets: Vec<f64>,
     started: bool,
+    settled: bool,
     hasty: bool,
     log: Vec<Effect>,
 }
@@ -778,7 +797,7 @@
             list_asked: start.list.asked,
             ask_again_ms: ROUND_MS,
             fleet: Fleet { servers: BTreeMap::new(), heard: BTreeMap::new(), withdrawals: BTreeMap::new() },
-            demand: Demand { proxies: BTreeMap::new(), all: Buckets::new(2_000.0, 12) },
+            demand: Demand { proxies: BTreeMap::new(), all: Buckets::new(2_000.0, 12), zones: Flows::new() },
             groups: group_kinds(&start.kinds),
             tables: BTreeMap::new(),
             channel: Channel { written: 0.0, left: 0.0, as_of_ms: now, marks: BTreeMap::new(), next_mark: 0 },
@@ -787,6 +806,7 @@
             values: start.kinds.iter().map(|k| k.value).collect(),
             targets: start.kinds.iter().map(|k| k.response_target_ms).collect(),
             started: false,
+            settled: false,
             hasty: false,
             log: Vec::new(),
         }
@@ -819,7 +839,9 @@
             self.tell_peers(&mut out);
             self.step_valves(now);
         }
-        if round || self.hasty {
+        // Up to the first round proxies are still joining and peers' notes on their way.
+        self.settled |= round;
+        if round || (self.hasty && self.settled) {
             self.hasty = false;
             let tight = self.valves.mode == Mode::Tight;
             for server in self.fleet.servers.values_mut() {
@@ -987,12 +1009,8 @@
         let ready: Vec<&Server> = self.fleet.servers.values().filter(|s| s.phase != Phase::Leaving).collect();
         let parts: Lines = ready.iter().map(|s| (s.listed.server, s.part)).collect();
         let known: f64 = self.demand.proxies.values().map(|p| p.sized_per_s).sum();
-        let met: f64 = self.demand.proxies.values().map(|p| p.met_per_s).sum::<f64>().max(1e-9);
         let mean = known / self.demand.proxies.len().max(1) as f64;
-        let mut demand = Flows::new();
-        for p in self.demand.proxies.values() {
-            *demand.entry(zone_of(p.zone)).or_insert(0.0) += p.met_per_s / met;
-        }
+        let demand = self.demand.zones_held(zone_of);
         let weight_of = |l: &Listed| l.weight * parts[&l.server];
         let all: f64 = ready.iter().map(|s| weight_of(&s.listed)).sum();
         let mut room = Flows::new();
