--- a/src/rules.rs
+++ b/src/rules.rs
@@ -46,6 +46,8 @@
     Enter,
     /// Enter at a quarter weight from now on.
     Reenter,
+    /// Lose a quarter of its part, and grow on from there.
+    Trim,
     /// Nothing more goes there, whatever tables say.
     Shut,
     /// Out of the tables until the hold ends; each strike soon after the last holds longer.
@@ -65,7 +67,8 @@
     (Phase::Struck, Cue::Departs, Phase::Leaving, Turn::Shut),
     (Phase::Warm, Cue::Fails, Phase::Struck, Turn::Hold),
     (Phase::Ramping, Cue::Fails, Phase::Struck, Turn::Hold),
-    (Phase::Warm, Cue::Strains, Phase::Ramping, Turn::Reenter),
+    (Phase::Warm, Cue::Strains, Phase::Ramping, Turn::Trim),
+    (Phase::Ramping, Cue::Strains, Phase::Ramping, Turn::Trim),
     (Phase::Struck, Cue::HoldEnds, Phase::Ramping, Turn::Reenter),
     (Phase::Ramping, Cue::RampEnds, Phase::Warm, Turn::Settle),
 ];
@@ -77,7 +80,7 @@
 const FAIL_SHARE: f64 = 0.5;
 const FAIL_TRIES: f64 = 4.0;
 /// ... and strains when its answers take so many times as long as the fleet's median.
-const STRAIN_RATIO: f64 = 2.5;
+const STRAIN_RATIO: f64 = 1.6;
 const STRAIN_TRIES: f64 = 8.0;
 
 struct Server {
@@ -149,6 +152,10 @@
         match turn {
             Turn::Enter => server.ramp_from_ms = server.listed.started_ms.max(1.0),
             Turn::Reenter => server.ramp_from_ms = now,
+            Turn::Trim => {
+                let part = (server.part * 0.75).max(ENTRY_PART);
+                server.ramp_from_ms = now - RAMP_MS * (part - ENTRY_PART) / (1.0 - ENTRY_PART);
+            }
             Turn::Hold => {
                 let soon = now - server.since_ms < server.hold_ms;
                 server.hold_ms = if from == Phase::Ramping && soon { server.hold_ms * 2.0 } else { HOLD_MS };
@@ -217,8 +224,8 @@
                 {
                     Cue::Fails
                 }
-                Phase::Warm
-                    if sum[0] - sum[1] >= 1e9 * STRAIN_TRIES
+                Phase::Warm | Phase::Ramping
+                    if server.part > 0.0 && sum[0] - sum[1] >= STRAIN_TRIES
                         && mean(&sum) > STRAIN_RATIO * median
                         && known =>
                 {
