--- a/src/rules.rs
+++ b/src/rules.rs
@@ -80,7 +80,8 @@
 const FAIL_SHARE: f64 = 0.5;
 const FAIL_TRIES: f64 = 4.0;
 /// ... and strains when its answers take so many times as long as the fleet's median.
-const STRAIN_RATIO: f64 = 1.6;
+const STRAIN_RATIO: f64 = 2.0;
+const STRAIN_PART: f64 = 0.4;
 const STRAIN_TRIES: f64 = 8.0;
 
 struct Server {
@@ -153,7 +154,7 @@
             Turn::Enter => server.ramp_from_ms = server.listed.started_ms.max(1.0),
             Turn::Reenter => server.ramp_from_ms = now,
             Turn::Trim => {
-                let part = (server.part * 0.75).max(ENTRY_PART);
+                let part = (server.part - 1.0 / RAMP_STEPS).max(ENTRY_PART);
                 server.ramp_from_ms = now - RAMP_MS * (part - ENTRY_PART) / (1.0 - ENTRY_PART);
             }
             Turn::Hold => {
@@ -198,7 +199,7 @@
     }
 
     /// Judges every server by what was heard; true when one changed.
-    fn judge(&mut self, now: f64, ramp_ms: f64, log: &mut Vec<Effect>) -> bool {
+    fn judge(&mut self, now: f64, target_ms: f64, log: &mut Vec<Effect>) -> bool {
         let ids: Vec<ServerId> = self.servers.keys().copied().collect();
         let sums: Vec<_> = ids.iter().map(|id| self.pooled(now, *id, HEALTH_SPAN_MS)).collect();
         let mean = |s: &[f64; 3]| s[2] / (s[0] - s[1]).max(1.0);
@@ -215,7 +216,7 @@
             let bad = sum[1] / sum[0].max(1.0);
             let cue = match server.phase {
                 Phase::Struck if age >= server.hold_ms => Cue::HoldEnds,
-                Phase::Ramping if now - server.ramp_from_ms >= ramp_ms => Cue::RampEnds,
+                Phase::Ramping if now - server.ramp_from_ms >= RAMP_MS => Cue::RampEnds,
                 // Guards against whatever makes a server give no good answers: crashed, cut off,
                 // silent, faking errors. It could harm when reqs fail for a reason of their own;
                 // then the fleet's usual share of bad tries rises with it and nothing is struck.
@@ -226,7 +227,7 @@
                 }
                 Phase::Warm | Phase::Ramping
                     if server.part > 0.0 && sum[0] - sum[1] >= STRAIN_TRIES
-                        && mean(&sum) > STRAIN_RATIO * median
+                        && mean(&sum) > (STRAIN_RATIO * median).max(STRAIN_PART * target_ms)
                         && known =>
                 {
                     Cue::Strains
@@ -558,6 +559,7 @@
 
 const RAMP_MS: f64 = 30_000.0;
 const ENTRY_PART: f64 = 0.25;
+const RAMP_STEPS: f64 = 4.0;
 
 /// In a jam a cold server waits until it is sure to stand this many times its full work.
 const SURE_MULTIPLE: f64 = 2.0;
@@ -575,7 +577,7 @@
         return 0.0;
     }
     let grown = ENTRY_PART + (1.0 - ENTRY_PART) * (now - server.ramp_from_ms).max(0.0) / RAMP_MS;
-    ((grown * STEPS).floor() / STEPS).clamp(ENTRY_PART, 1.0)
+    ((grown * RAMP_STEPS + 1e-9).floor() / RAMP_STEPS).clamp(ENTRY_PART, 1.0)
 }
 
 // ---- Channel pacing -----------------------------------------------------------------------
@@ -836,7 +838,8 @@
             heard |= matches!(input, Input::Heard { .. });
             self.take(now, input, &mut out);
         }
-        if (heard || round) && self.fleet.judge(now, RAMP_MS, &mut self.log) {
+        let target = self.usual_target(now);
+        if (heard || round) && self.fleet.judge(now, target, &mut self.log) {
             self.hasty = true;
         }
         if round {
@@ -962,10 +965,18 @@
             let part = self.fleet.pooled(now, id, JAM_SPAN_MS);
             (0..3).for_each(|k| heard[k] += part[k]);
         }
+        let came = self.demand.all.over(now, 4_000.0).iter().sum::<f64>() / 4.0;
+        let target = self.usual_target(now);
+        self.valves.step(now, heard, target, came, &mut self.log);
+    }
+
+    /// The mean response target of the reqs that come.
+    fn usual_target(&mut self, now: f64) -> f64 {
         let came = self.demand.all.over(now, 4_000.0);
-        let total: f64 = came.iter().sum::<f64>().max(1.0);
-        let target = self.targets.iter().zip(came).map(|(t, c)| t * c / total).sum();
-        self.valves.step(now, heard, target, total / 4.0, &mut self.log);
+        let total: f64 = came.iter().sum();
+        let mean = self.targets.iter().sum::<f64>() / self.targets.len().max(1) as f64;
+        let met = self.targets.iter().zip(came).map(|(t, c)| t * c / total).sum::<f64>();
+        if total > 0.0 { met } else { mean }
     }
 
     /// The levels and retry modes that all proxies are to have: what is let in goes to the kinds
