--- a/src/rules.rs
+++ b/src/rules.rs
@@ -80,8 +80,8 @@
 const FAIL_SHARE: f64 = 0.5;
 const FAIL_TRIES: f64 = 4.0;
 /// ... and strains when its answers take so many times as long as the fleet's median.
-const STRAIN_RATIO: f64 = 2.0;
-const STRAIN_PART: f64 = 0.4;
+const STRAIN_RATIO: f64 = 1.6;
+const STRAIN_PART: f64 = 0.5;
 const STRAIN_TRIES: f64 = 8.0;
 
 struct Server {
@@ -125,7 +125,14 @@
                     _ => Phase::Ramping,
                 };
                 let ramp_from_ms = if line.started_ms > 0.0 { line.started_ms } else { now };
-                let server = Server { listed: line, phase, since_ms: now, ramp_from_ms, hold_ms: HOLD_MS, part: ENTRY_PART };
+                let server = Server {
+                    listed: line,
+                    phase,
+                    since_ms: now,
+                    ramp_from_ms,
+                    hold_ms: HOLD_MS,
+                    part: ENTRY_PART,
+                };
                 self.servers.insert(id, server);
                 if !ready {
                     self.withdrawals.insert(id, true);
@@ -154,7 +161,7 @@
             Turn::Enter => server.ramp_from_ms = server.listed.started_ms.max(1.0),
             Turn::Reenter => server.ramp_from_ms = now,
             Turn::Trim => {
-                let part = (server.part - 1.0 / RAMP_STEPS).max(ENTRY_PART);
+                let part = (server.part * 0.75).max(ENTRY_PART);
                 server.ramp_from_ms = now - RAMP_MS * (part - ENTRY_PART) / (1.0 - ENTRY_PART);
             }
             Turn::Hold => {
@@ -226,7 +233,8 @@
                     Cue::Fails
                 }
                 Phase::Warm | Phase::Ramping
-                    if server.part > 0.0 && sum[0] - sum[1] >= STRAIN_TRIES
+                    if server.part > 0.0
+                        && sum[0] - sum[1] >= STRAIN_TRIES
                         && mean(&sum) > (STRAIN_RATIO * median).max(STRAIN_PART * target_ms)
                         && known =>
                 {
@@ -559,7 +567,7 @@
 
 const RAMP_MS: f64 = 30_000.0;
 const ENTRY_PART: f64 = 0.25;
-const RAMP_STEPS: f64 = 4.0;
+const RAMP_STEPS: f64 = 8.0;
 
 /// In a jam a cold server waits until it is sure to stand this many times its full work.
 const SURE_MULTIPLE: f64 = 2.0;
@@ -953,13 +961,8 @@
     }
 
     fn step_valves(&mut self, now: f64) {
-        let ids: Vec<ServerId> = self
-            .fleet
-            .servers
-            .iter()
-            .filter(|(_, s)| s.part > 0.0)
-            .map(|(id, _)| *id)
-            .collect();
+        let ids: Vec<ServerId> =
+            self.fleet.servers.iter().filter(|(_, s)| s.part > 0.0).map(|(id, _)| *id).collect();
         let mut heard = [0.0; 3];
         for id in ids {
             let part = self.fleet.pooled(now, id, JAM_SPAN_MS);
