--- a/src/rules.rs
+++ b/src/rules.rs
@@ -1,16 +1,16 @@
 //! The decisions of rookpulley, all of them.
 //!
-//! A front hands `Controller::new` what a start brings (`facts::Start`) and then calls
-//! `Controller::handle` with the clock and whatever came in (`facts::Input`); the answer is the
-//! list of orders (`facts::Effect`), to be carried out in that order at that time. Nothing is kept
-//! outside the controller, so a killed one starts over from its list alone. The interface is
-//! `facts.rs`; `ring.rs` keeps sums over time.
+//! A front hands `Controller::new` what a start brings (`facts::Start`), then calls
+//! `Controller::handle` with the clock and what came in (`facts::Input`); the answer is the list of
+//! orders (`facts::Effect`), to be carried out in that order at that time. A killed controller
+//! starts over from its list alone. The interface is `facts.rs`; `ring.rs` keeps sums over time.
 //!
-//! Parts, in order: list & health, demand, arcs, revisions, ramp, channel pacing, retries, and the
-//! controller whose gate lets orders through.
+//! Parts, in order: list & health, demand, arcs, revisions, ramp, channel pacing, retries &
+//! levels, and the controller with the gate that every order passes.
 
 use crate::facts::*;
 use crate::ring::Buckets;
+use crate::state::*;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use std::collections::{BTreeMap, BTreeSet};
@@ -18,27 +18,11 @@
 const ROUND_MS: f64 = 1_000.0;
 const ROUND: u64 = 1;
 const ASK_AGAIN: u64 = 2;
+const ASK_MOST_MS: f64 = 8_000.0;
 
-// ---- List & health ------------------------------------------------------------------------
-
-#[derive(Clone, Copy, Debug, PartialEq)]
-enum Phase {
-    Warm,
-    Ramping,
-    Struck,
-    Leaving,
-}
+type Log = Vec<String>;
 
-#[derive(Clone, Copy, Debug, PartialEq)]
-enum Cue {
-    Starts,
-    Departs,
-    Returns,
-    Fails,
-    Strains,
-    HoldEnds,
-    RampEnds,
-}
+// ---- List & health ------------------------------------------------------------------------
 
 #[derive(Clone, Copy, PartialEq)]
 enum Turn {
@@ -50,7 +34,7 @@
     Trim,
     /// Nothing more goes there, whatever tables say.
     Shut,
-    /// Out of the tables until the hold ends; each strike soon after the last holds longer.
+    /// Out of the tables for a while; longer when struck again at once.
     Hold,
     Settle,
 }
@@ -76,170 +60,140 @@
 const HEALTH_SPAN_MS: f64 = 3_000.0;
 const HOLD_MS: f64 = 5_000.0;
 const HOLD_MOST_MS: f64 = 20_000.0;
-/// A server fails when this share of at least so many tries had no good answer ...
+/// A server fails when over this share of so many tries had no good answer, and well over what is
+/// usual in the fleet.
 const FAIL_SHARE: f64 = 0.5;
 const FAIL_TRIES: f64 = 4.0;
-/// ... and strains when its answers take so many times as long as the fleet's median.
+const FAIL_FACTOR: f64 = 1.5;
+/// It strains when its good answers take so many times as long as the fleet's median, and so much
+/// of the response target.
 const STRAIN_RATIO: f64 = 1.6;
 const STRAIN_PART: f64 = 0.5;
 const STRAIN_TRIES: f64 = 8.0;
+const TRIM_TO: f64 = 0.75;
 
-struct Server {
-    listed: Listed,
-    phase: Phase,
-    since_ms: f64,
-    ramp_from_ms: f64,
-    hold_ms: f64,
-    /// The part of its listed weight that it may have now.
-    part: f64,
-}
-
-type HeardAt = Buckets<3>;
-
-/// The servers of the list, and what proxies met at them: tries, bad ones, time of good ones.
+/// The servers of the list, and what our proxies met at them.
+#[derive(Default)]
 struct Fleet {
     servers: BTreeMap<ServerId, Server>,
-    heard: BTreeMap<(ZoneId, ServerId), HeardAt>,
-    /// Withdrawals to order (out) or to lift.
+    heard: BTreeMap<(ServerId, ZoneId), Buckets<3>>,
+    /// Withdrawals to order (true) or to lift.
     withdrawals: BTreeMap<ServerId, bool>,
 }
 
 impl Fleet {
-    fn take_list(&mut self, now: f64, scope: ListScope, lines: Vec<Listed>, log: &mut Vec<Effect>) {
-        let whole = matches!(scope, ListScope::Full | ListScope::Cached);
-        let named: BTreeSet<ServerId> = lines.iter().map(|l| l.server).collect();
-        if whole {
+    fn take_list(&mut self, now: f64, scope: ListScope, lines: &[Listed], log: &mut Log) {
+        if matches!(scope, ListScope::Full | ListScope::Cached) {
+            let named: BTreeSet<ServerId> = lines.iter().map(|l| l.server).collect();
             let missing: Vec<_> = self.servers.keys().filter(|id| !named.contains(*id)).copied().collect();
-            for id in missing {
-                self.turn(now, id, Cue::Departs, log);
-            }
+            missing.into_iter().for_each(|id| _ = self.turn(now, id, Cue::Departs, log));
         }
         for line in lines {
-            let id = line.server;
-            let ready = line.stage == Stage::Ready;
-            let Some(known) = self.servers.get_mut(&id) else {
-                // At our own start what the list shows may have served for long; later it is new.
-                let phase = match (ready, scope, line.started_ms > 0.0) {
-                    (false, ..) => Phase::Leaving,
-                    (true, ListScope::Cached, false) => Phase::Warm,
-                    _ => Phase::Ramping,
-                };
-                let ramp_from_ms = if line.started_ms > 0.0 { line.started_ms } else { now };
-                let server = Server {
-                    listed: line,
-                    phase,
-                    since_ms: now,
-                    ramp_from_ms,
-                    hold_ms: HOLD_MS,
-                    part: ENTRY_PART,
+            let (id, ready, dated) = (line.server, line.stage == Stage::Ready, line.started_ms > 0.0);
+            if let Some(known) = self.servers.get_mut(&id) {
+                let cue = match (ready, line.started_ms > known.listed.started_ms) {
+                    (false, _) => Cue::Departs,
+                    (true, true) => Cue::Starts,
+                    (true, false) => Cue::Returns,
                 };
-                self.servers.insert(id, server);
-                if !ready {
-                    self.withdrawals.insert(id, true);
-                }
+                known.listed = line.clone();
+                self.turn(now, id, cue, log);
                 continue;
+            }
+            // At our own start a server without a date has served for long; later on it is new.
+            let phase = match scope {
+                _ if !ready => Phase::Leaving,
+                ListScope::Cached if !dated => Phase::Warm,
+                _ => Phase::Ramping,
             };
-            let restarted = line.started_ms > known.listed.started_ms;
-            known.listed = line;
-            let cue = match (ready, restarted) {
-                (false, _) => Cue::Departs,
-                (true, true) => Cue::Starts,
-                (true, false) => Cue::Returns,
-            };
-            self.turn(now, id, cue, log);
+            let ramp_from_ms = if dated { line.started_ms } else { now };
+            let (listed, hold_ms, part) = (line.clone(), HOLD_MS, ENTRY_PART);
+            self.servers.insert(id, Server { listed, phase, since_ms: now, ramp_from_ms, hold_ms, part });
+            if !ready {
+                self.withdrawals.insert(id, true);
+            }
         }
     }
 
-    fn turn(&mut self, now: f64, id: ServerId, cue: Cue, log: &mut Vec<Effect>) -> bool {
+    /// Takes one step of the health table; false where it has none.
+    fn turn(&mut self, now: f64, id: ServerId, cue: Cue, log: &mut Log) -> bool {
+        let met = self.met_at(now, id, HEALTH_SPAN_MS);
         let Some(server) = self.servers.get_mut(&id) else { return false };
         let from = server.phase;
         let Some(&(_, _, next, turn)) = HEALTH.iter().find(|row| row.0 == from && row.1 == cue) else {
             return false;
         };
-        let shut_before = from == Phase::Leaving;
         match turn {
-            Turn::Enter => server.ramp_from_ms = server.listed.started_ms.max(1.0),
+            Turn::Enter => server.ramp_from_ms = server.listed.started_ms,
             Turn::Reenter => server.ramp_from_ms = now,
             Turn::Trim => {
-                let part = (server.part * 0.75).max(ENTRY_PART);
-                server.ramp_from_ms = now - RAMP_MS * (part - ENTRY_PART) / (1.0 - ENTRY_PART);
+                let grown = (server.part * TRIM_TO - ENTRY_PART).max(0.0) / (1.0 - ENTRY_PART);
+                server.ramp_from_ms = now - RAMP_MS * grown;
             }
             Turn::Hold => {
-                let soon = now - server.since_ms < server.hold_ms;
-                server.hold_ms = if from == Phase::Ramping && soon { server.hold_ms * 2.0 } else { HOLD_MS };
-                server.hold_ms = server.hold_ms.min(HOLD_MOST_MS);
+                let again = from == Phase::Ramping && now - server.since_ms < server.hold_ms;
+                server.hold_ms = if again { (2.0 * server.hold_ms).min(HOLD_MOST_MS) } else { HOLD_MS };
             }
             Turn::Shut | Turn::Settle => {}
         }
-        let shut = next == Phase::Leaving;
-        server.phase = next;
-        server.since_ms = now;
-        if shut != shut_before {
-            self.withdrawals.insert(id, shut);
+        (server.phase, server.since_ms) = (next, now);
+        if (from == Phase::Leaving) != (next == Phase::Leaving) {
+            self.withdrawals.insert(id, next == Phase::Leaving);
         }
         if turn != Turn::Settle {
-            let [tries, bad, time] = self.pooled(now, id, HEALTH_SPAN_MS);
-            let mean = time / (tries - bad).max(1.0);
+            let (bad, tries, mean) = (met.bad, met.tries, met.mean_ms());
             let name = show(id);
-            log.push(Effect::Log(format!(
+            log.push(format!(
                 "server {name} {from:?} -> {next:?} on {cue:?}: {bad} of {tries} bad, mean {mean:.0} ms"
-            )));
+            ));
         }
         true
     }
 
-    fn hear(&mut self, now: f64, zone: ZoneId, id: ServerId, what: [f64; 3]) {
-        let fresh = || Buckets::new(500.0, 24);
-        self.heard.entry((zone, id)).or_insert_with(fresh).add(now, what);
+    fn hear(&mut self, now: f64, at: (ServerId, ZoneId), what: [f64; 3]) {
+        self.heard.entry(at).or_insert_with(|| Buckets::new(500.0, 24)).add(now, what);
     }
 
     /// What proxies of all zones met at a server lately.
-    fn pooled(&mut self, now: f64, id: ServerId, span_ms: f64) -> [f64; 3] {
-        let mut sum = [0.0; 3];
-        for ((_, server), heard) in &mut self.heard {
-            if *server == id {
-                let part = heard.over(now, span_ms);
-                (0..3).for_each(|k| sum[k] += part[k]);
-            }
-        }
-        sum
+    fn met_at(&mut self, now: f64, id: ServerId, span_ms: f64) -> Met {
+        let heard = self.heard.range_mut((id, 0)..=(id, ZoneId::MAX));
+        heard.fold(Met::default(), |met, (_, h)| met.with(h.over(now, span_ms)))
+    }
+
+    /// What a zone's proxies met at those of these servers that are in use.
+    fn met_on(&mut self, now: f64, zone: ZoneId, lines: &Lines, span_ms: f64) -> Met {
+        let used = lines.keys().filter(|id| self.servers.get(*id).is_some_and(|s| s.part > 0.0));
+        used.fold(Met::default(), |met, id| {
+            self.heard.get_mut(&(*id, zone)).map_or(met, |h| met.with(h.over(now, span_ms)))
+        })
     }
 
     /// Judges every server by what was heard; true when one changed.
-    fn judge(&mut self, now: f64, target_ms: f64, log: &mut Vec<Effect>) -> bool {
+    fn judge(&mut self, now: f64, target_ms: f64, log: &mut Log) -> bool {
         let ids: Vec<ServerId> = self.servers.keys().copied().collect();
-        let sums: Vec<_> = ids.iter().map(|id| self.pooled(now, *id, HEALTH_SPAN_MS)).collect();
-        let mean = |s: &[f64; 3]| s[2] / (s[0] - s[1]).max(1.0);
-        let mut means: Vec<f64> = sums.iter().filter(|s| s[0] - s[1] >= 3.0).map(mean).collect();
+        let met: Vec<Met> = ids.iter().map(|id| self.met_at(now, *id, HEALTH_SPAN_MS)).collect();
+        let mut means: Vec<f64> = met.iter().filter(|m| m.good() >= 3.0).map(Met::mean_ms).collect();
         means.sort_by(f64::total_cmp);
         let median = means.get(means.len() / 2).copied().unwrap_or(f64::INFINITY);
-        let all = sums.iter().fold([0.0, 0.0], |a, s| [a[0] + s[0], a[1] + s[1]]);
-        let usual_bad = all[1] / all[0].max(1.0);
+        let all = met.iter().fold(Met::default(), |all, m| all.with([m.tries, m.bad, m.time_ms]));
+        let fail_share = FAIL_SHARE.max(FAIL_FACTOR * all.bad_share());
+        let strain_ms = (STRAIN_RATIO * median).max(STRAIN_PART * target_ms);
         let mut changed = false;
-        for (id, sum) in ids.into_iter().zip(sums) {
+        for (id, met) in ids.into_iter().zip(met) {
             let server = &self.servers[&id];
             let age = now - server.since_ms;
-            let known = age >= HEALTH_SPAN_MS;
-            let bad = sum[1] / sum[0].max(1.0);
+            let used = server.part > 0.0 && age >= HEALTH_SPAN_MS;
             let cue = match server.phase {
                 Phase::Struck if age >= server.hold_ms => Cue::HoldEnds,
                 Phase::Ramping if now - server.ramp_from_ms >= RAMP_MS => Cue::RampEnds,
-                // Guards against whatever makes a server give no good answers: crashed, cut off,
-                // silent, faking errors. It could harm when reqs fail for a reason of their own;
-                // then the fleet's usual share of bad tries rises with it and nothing is struck.
-                Phase::Warm | Phase::Ramping
-                    if sum[0] >= FAIL_TRIES && bad > FAIL_SHARE.max(1.5 * usual_bad) && known =>
-                {
-                    Cue::Fails
-                }
-                Phase::Warm | Phase::Ramping
-                    if server.part > 0.0
-                        && sum[0] - sum[1] >= STRAIN_TRIES
-                        && mean(&sum) > (STRAIN_RATIO * median).max(STRAIN_PART * target_ms)
-                        && known =>
-                {
-                    Cue::Strains
-                }
+                // Guards against whatever makes a server give no good answers: crashed, hung, cut
+                // off, silent, faking errors. Harm: where all reqs fail for a reason of their own,
+                // the fleet's usual share rises with them and nothing is struck.
+                _ if used && met.tries >= FAIL_TRIES && met.bad_share() > fail_share => Cue::Fails,
+                // Guards against whatever makes a server slower than its listed weight says: slow
+                // machines, neighbours, a queue that stands. Harm: a chance run of costly reqs
+                // costs a sound server a part for a while.
+                _ if used && met.good() >= STRAIN_TRIES && met.mean_ms() > strain_ms => Cue::Strains,
                 _ => continue,
             };
             changed |= self.turn(now, id, cue, log);
@@ -248,91 +202,70 @@
     }
 }
 
-fn show(id: ServerId) -> String {
-    let [a, b, c, d, lo, hi] = id;
-    format!("{a}.{b}.{c}.{d}:{}", u16::from_le_bytes([lo, hi]))
-}
-
 // ---- Demand -------------------------------------------------------------------------------
 
 const OFF_SHARE: f64 = 0.5;
-const ZONE_OFF: f64 = 0.2;
 const OFF_FOR_MS: f64 = 10_000.0;
+const ZONE_OFF: f64 = 0.2;
 const USAGE_SPAN_MS: f64 = 8_000.0;
-/// The request kinds that are told apart; a mask of kinds has no more bits.
-const KINDS: usize = 16;
+const LEVEL_SPAN_MS: f64 = 4_000.0;
 /// A proxy that nobody has named for this long brings nothing any more.
 const FORGET_MS: f64 = 10_000.0;
 
-struct Proxy {
-    zone: ZoneId,
-    joined: bool,
-    seen_ms: f64,
-    joined_ms: f64,
-    /// The reqs a second that its arc is sized for.
-    sized_per_s: f64,
-    /// What came to it lately, as far as it is known.
-    met_per_s: f64,
-    came: Buckets<KINDS>,
-    off_since_ms: Option<f64>,
-    written: Buckets<1>,
-}
-
 /// Who brings how much, as far as our proxies' usage and peers' notes tell.
 struct Demand {
     proxies: BTreeMap<ProxyId, Proxy>,
-    all: Buckets<KINDS>,
-    /// The zones' shares of the demand that tables stand on.
-    zones: Flows,
+    came: Buckets<KINDS>,
+    /// The zones' shares that tables stand on.
+    zones: Shares,
 }
 
 impl Demand {
     fn named(&mut self, now: f64, proxy: ProxyId, zone: ZoneId, per_s: f64) -> &mut Proxy {
+        let per_s = per_s.max(0.01);
         let entry = self.proxies.entry(proxy).or_insert_with(|| Proxy {
             zone,
             joined: false,
-            seen_ms: now,
             joined_ms: now,
-            sized_per_s: per_s.max(0.01),
-            met_per_s: per_s.max(0.01),
+            seen_ms: now,
+            sized_per_s: per_s,
+            met_per_s: per_s,
             came: Buckets::new(1_000.0, 12),
             off_since_ms: None,
             written: Buckets::new(250.0, 48),
         });
-        entry.seen_ms = now;
+        (entry.zone, entry.seen_ms) = (zone, now);
         entry
     }
 
     /// Resizes the arcs of proxies whose share stayed far off for long; drops the forgotten.
-    fn resize(&mut self, now: f64, log: &mut Vec<Effect>) {
+    fn resize(&mut self, now: f64, log: &mut Log) {
         self.proxies.retain(|_, p| p.joined || now - p.seen_ms < FORGET_MS);
-        let settled = |p: &Proxy| p.joined && now - p.joined_ms >= USAGE_SPAN_MS + 2.0 * ROUND_MS;
-        let (mut sized, mut came) = (0.0, 0.0);
-        for p in self.proxies.values_mut().filter(|p| settled(p)) {
-            p.met_per_s = p.came.over(now, USAGE_SPAN_MS).iter().sum::<f64>() / USAGE_SPAN_MS * 1_000.0;
-            sized += p.sized_per_s;
-            came += p.met_per_s;
-        }
-        if came <= 0.0 {
-            return;
+        let (mut sized, mut met, mut known) = (0.0, 0.0, Vec::new());
+        for (id, p) in &mut self.proxies {
+            if p.joined && now - p.joined_ms >= USAGE_SPAN_MS + 2.0 * ROUND_MS {
+                p.met_per_s = p.came.over(now, USAGE_SPAN_MS).iter().sum::<f64>() / USAGE_SPAN_MS * 1e3;
+                sized += p.sized_per_s;
+                met += p.met_per_s;
+                known.push(*id);
+            }
         }
-        for (id, p) in self.proxies.iter_mut().filter(|(_, p)| settled(p)) {
-            let met = p.met_per_s * sized / came;
-            if (met - p.sized_per_s).abs() <= OFF_SHARE * p.sized_per_s {
+        for id in known.into_iter().filter(|_| met > 0.0) {
+            let Some(p) = self.proxies.get_mut(&id) else { continue };
+            let fair = p.met_per_s * sized / met;
+            if (fair - p.sized_per_s).abs() <= OFF_SHARE * p.sized_per_s {
                 p.off_since_ms = None;
             } else if now - *p.off_since_ms.get_or_insert(now) >= OFF_FOR_MS {
-                let was = p.sized_per_s;
-                log.push(Effect::Log(format!("proxy {id} arc resized: {was:.2} -> {met:.2} reqs/s")));
-                p.sized_per_s = met.max(0.01);
-                p.off_since_ms = None;
+                log.push(format!("proxy {id} arc resized: {:.2} -> {fair:.2} reqs/s", p.sized_per_s));
+                (p.sized_per_s, p.off_since_ms) = (fair.max(0.01), None);
             }
         }
     }
 
     /// The zones' shares of the demand, held until one is well off.
-    fn zones_held(&mut self, zone_of: impl Fn(ZoneId) -> ZoneId) -> Flows {
+    fn zones_held(&mut self, zone_of: impl Fn(ZoneId) -> ZoneId) -> Shares {
         let all: f64 = self.proxies.values().map(|p| p.met_per_s).sum::<f64>().max(1e-9);
-        let mut met = Flows::new();
+        let mut met = BTreeMap::new();
         for p in self.proxies.values() {
             *met.entry(zone_of(p.zone)).or_insert(0.0) += p.met_per_s / all;
         }
@@ -344,68 +277,69 @@
         self.zones.clone()
     }
 
-    /// The share of the reqs that are of these kinds, in eighths so that it holds still.
-    fn share_of(&mut self, now: f64, kinds: &[KindId], all: usize) -> f64 {
-        let came = self.all.over(now, 20_000.0);
-        let (part, total): (f64, f64) = (kinds.iter().map(|k| came[*k]).sum(), came.iter().sum());
-        let share = if total < 50.0 { kinds.len() as f64 / all as f64 } else { part / total };
-        ((share * 8.0).round() / 8.0).max(0.125)
+    /// The share of the reqs that are of these kinds, in steps so that it holds still.
+    fn share_of(&mut self, now: f64, some: &[KindId], kinds: usize) -> f64 {
+        let came = self.came.over(now, 20_000.0);
+        let total: f64 = came.iter().sum();
+        let met = some.iter().map(|k| came[*k]).sum::<f64>() / total.max(1.0);
+        let share = if total < 50.0 { some.len() as f64 / kinds as f64 } else { met };
+        in_steps(share).max(1.0 / STEPS)
+    }
+
+    /// The mean response target of the reqs that come.
+    fn usual_target_ms(&mut self, now: f64, kinds: &[ReqKind]) -> f64 {
+        let came = self.came.over(now, LEVEL_SPAN_MS);
+        let total: f64 = came.iter().sum::<f64>() + 1e-3 * kinds.len() as f64;
+        kinds.iter().zip(came).map(|(k, c)| k.response_target_ms * (c + 1e-3) / total).sum()
     }
 }
 
 // ---- Arcs ---------------------------------------------------------------------------------
 
-/// An arc reaches over so many times its proxy's share of the ring, but never under so much of it.
-/// Streams change size faster than usage is heard; a narrow arc then pushes over its few servers.
+/// An arc reaches over so many times its proxy's share of the ring, but never under so much of it:
+/// streams change size faster than usage is heard, and a narrow arc then pushes over its servers.
 const REACH: f64 = 40.0;
 const REACH_LEAST: f64 = 0.5;
-/// Crossing zones is avoided where it costs more than this; how unevenly zones may then be loaded
-/// goes by that price.
+/// Zones are kept apart where a req that crosses them costs more than this; how unevenly they may
+/// then be loaded goes by that price.
 const NEAR_PRICE: f64 = 0.02;
 const SLACK_PER_PRICE: f64 = 2.5;
 const STEPS: f64 = 8.0;
 
-type Lines = BTreeMap<ServerId, f64>;
-type Flows = BTreeMap<ZoneId, f64>;
-
 fn in_steps(x: f64) -> f64 {
     (x * STEPS).round() / STEPS
 }
 
-/// The length that two intervals share.
-fn shared(a: (f64, f64), b: (f64, f64)) -> f64 {
-    (a.1.min(b.1) - a.0.max(b.0)).max(0.0)
-}
-
 /// Says which part of a zone's demand goes to which zone: home as far as the room there reaches,
-/// the rest to where room is left. Both maps are shares of the whole.
-fn flows_of(zone: ZoneId, demand: &Flows, room: &Flows, slack: f64, may_cross: bool) -> Flows {
+/// the rest to where room is left. `demand` and `room` are shares of the whole.
+fn flows_of(zone: ZoneId, demand: &Shares, room: &Shares, slack: f64) -> Shares {
     let room_of = |z: &ZoneId| room.get(z).copied().unwrap_or(0.0) * (1.0 + slack);
     let wanted = |z: &ZoneId| demand.get(z).copied().unwrap_or(0.0);
-    let home = wanted(&zone).min(room_of(&zone)) / wanted(&zone).max(1e-9);
-    if !may_cross || home > 1.0 - 0.5 / STEPS {
-        return Flows::from([(zone, 1.0)]);
-    }
-    let left: Flows = room.keys().map(|z| (*z, (room_of(z) - wanted(z)).max(0.0))).collect();
-    let all_left: f64 = left.values().sum::<f64>().max(1e-9);
-    let mut flows: Flows = left.iter().map(|(z, l)| (*z, in_steps((1.0 - home) * l / all_left))).collect();
+    let home = (room_of(&zone) / wanted(&zone).max(1e-9)).min(1.0);
+    if home > 1.0 - 0.5 / STEPS {
+        return BTreeMap::from([(zone, 1.0)]);
+    }
+    let left: Vec<_> = room.keys().map(|z| (*z, (room_of(z) - wanted(z)).max(0.0))).collect();
+    let all_left: f64 = left.iter().map(|l| l.1).sum::<f64>().max(1e-9);
+    let mut flows: BTreeMap<_, _> =
+        left.iter().map(|(z, l)| (*z, in_steps((1.0 - home) * l / all_left))).collect();
     *flows.entry(zone).or_insert(0.0) += in_steps(home);
+    flows.retain(|_, part| *part > 0.0);
     flows
 }
 
-/// One arc: the servers of a segment of the ring that it covers, with the part covered.
-fn cut_arc(segment: &[&Listed], at: f64, reach: f64) -> Vec<(ServerId, f64)> {
-    let all: f64 = segment.iter().map(|l| l.weight).sum();
-    let (mut edge, mut arc) = (0.0, Vec::new());
-    for listed in segment {
+/// One arc: the servers of a ring that it covers, at their listed weights, less at its ends.
+fn cut_arc(ring: &[&Listed], at: f64, reach: f64) -> Lines {
+    let all: f64 = ring.iter().map(|l| l.weight).sum();
+    let (mut edge, mut arc) = (0.0, Lines::new());
+    for listed in ring {
         let width = listed.weight / all;
-        let slot = (edge, edge + width);
-        edge += width;
-        let turns = [-1.0, 0.0, 1.0];
-        let met = turns.map(|turn| shared(slot, (at - reach / 2.0 + turn, at + reach / 2.0 + turn)));
-        let covered = in_steps((met.iter().sum::<f64>() / width).min(1.0));
+        let (from, to) = (edge, edge + width);
+        edge = to;
+        let met = |turn: f64| (to.min(at + reach / 2.0 + turn) - from.max(at - reach / 2.0 + turn)).max(0.0);
+        let covered = in_steps(((met(-1.0) + met(0.0) + met(1.0)) / width).min(1.0));
         if covered > 0.0 {
-            arc.push((listed.server, covered * listed.weight));
+            arc.insert(listed.server, covered * listed.weight);
         }
     }
     arc
@@ -419,161 +353,86 @@
 const TAINT_SHARE: f64 = 0.05;
 const TAINT_TRIES: f64 = 20.0;
 
-#[derive(Clone, Copy, Debug, PartialEq)]
-enum Standing {
-    Unknown,
-    Sound,
-    Tainted,
-}
-
-#[derive(Clone, Copy, PartialEq)]
-enum Verdict {
-    Proposed,
-    Failed,
-}
-
 #[derive(Clone, Copy, PartialEq)]
 enum Filing {
     Append,
     MoveNewest,
-    RollBack,
+    Keep,
 }
 
-/// State, input, next state, effect.
+/// State, input, next state, effect. Lines proposed anew clear their taint; a taint rolls back,
+/// since the newest sound revision is the one published.
 const REVISIONS: &[(Standing, Verdict, Standing, Filing)] = &[
     (Standing::Unknown, Verdict::Proposed, Standing::Sound, Filing::Append),
     (Standing::Sound, Verdict::Proposed, Standing::Sound, Filing::MoveNewest),
     (Standing::Tainted, Verdict::Proposed, Standing::Sound, Filing::MoveNewest),
-    (Standing::Sound, Verdict::Failed, Standing::Tainted, Filing::RollBack),
+    (Standing::Sound, Verdict::Failed, Standing::Tainted, Filing::Keep),
 ];
 
-#[derive(Clone)]
-struct Revision {
-    name: u64,
-    lines: Lines,
-    standing: Standing,
-}
-
-/// A table of one proxy for one group of request kinds, and the revisions it has had.
-struct Table {
-    id: TableId,
-    revisions: Vec<Revision>,
-    /// The name of the lines last cut; the same lines cut again change nothing.
-    cut: u64,
-    published: u64,
-    pushed_ms: f64,
-    pushed_mark: Option<u64>,
-    first_answer_ms: Option<f64>,
-    judged: bool,
-    prior_bad: f64,
-    /// What the table holds by the orders that went out.
-    held: Lines,
-    bound: bool,
-}
-
-fn name_of(lines: &Lines) -> u64 {
-    let bytes = lines.iter().flat_map(|(id, w)| id.iter().copied().chain(w.to_bits().to_le_bytes()));
-    twox_hash::XxHash64::oneshot(0, &bytes.collect::<Vec<u8>>())
-}
-
 impl Table {
-    fn new(id: TableId) -> Self {
-        Self {
-            id,
-            revisions: Vec::new(),
-            cut: 0,
-            published: 0,
-            pushed_ms: 0.0,
-            pushed_mark: None,
-            first_answer_ms: None,
-            judged: true,
-            prior_bad: 0.0,
-            held: Lines::new(),
-            bound: false,
-        }
-    }
-
-    fn file(&mut self, name: u64, verdict: Verdict, lines: Option<Lines>) -> Option<Filing> {
+    fn file(&mut self, name: u64, verdict: Verdict, lines: Lines) {
         let at = self.revisions.iter().position(|r| r.name == name);
         let from = at.map_or(Standing::Unknown, |k| self.revisions[k].standing);
-        let &(_, _, standing, filing) = REVISIONS.iter().find(|row| row.0 == from && row.1 == verdict)?;
-        match (filing, at) {
-            (Filing::Append, _) => self.revisions.push(Revision { name, lines: lines?, standing }),
-            (Filing::MoveNewest, Some(k)) => {
+        let row = REVISIONS.iter().find(|row| row.0 == from && row.1 == verdict);
+        match (row, at) {
+            (Some((_, _, standing, Filing::MoveNewest)), Some(k)) => {
                 let revision = self.revisions.remove(k);
-                self.revisions.push(Revision { standing, ..revision });
+                self.revisions.push(Revision { standing: *standing, ..revision });
+            }
+            (Some((_, _, standing, Filing::Keep)), Some(k)) => self.revisions[k].standing = *standing,
+            (Some((_, _, standing, Filing::Append)), _) => {
+                self.revisions.push(Revision { name, lines, standing: *standing });
             }
-            (_, Some(k)) => self.revisions[k].standing = standing,
             _ => {}
         }
         let over = self.revisions.len().saturating_sub(DEPTH);
         self.revisions.drain(..over);
-        Some(filing)
     }
 
     fn propose(&mut self, lines: Lines) {
         let name = name_of(&lines);
         if name != self.cut && !lines.is_empty() {
             self.cut = name;
-            self.file(name, Verdict::Proposed, Some(lines));
+            self.file(name, Verdict::Proposed, lines);
         }
     }
 
     /// The newest untainted revision, or the newest where all are tainted.
     fn newest(&self) -> Option<&Revision> {
-        let sound = self.revisions.iter().rev().find(|r| r.standing == Standing::Sound);
+        let sound = self.revisions.iter().rfind(|r| r.standing == Standing::Sound);
         sound.or(self.revisions.last())
     }
 
-    /// Taints the published revision when tries fail at its servers after the push; tells the log
-    /// line. Failures at servers that the health part has struck don't count against it: those
-    /// are out of the lines already, and one bad server would taint every revision that names it.
+    /// Taints the published revision when tries fail at its servers after the push. Failures at
+    /// servers that are struck don't count: those are out of the lines already, and one bad server
+    /// would taint every revision that names it.
     fn judge(&mut self, now: f64, period_ms: f64, zone: ZoneId, fleet: &mut Fleet) -> Option<String> {
-        let from = self.first_answer_ms.unwrap_or(self.pushed_ms);
-        if self.judged || now < from + period_ms + TAINT_SPAN_MS {
+        let trial = self.trial.take_if(|t| now >= t.from_ms + period_ms + TAINT_SPAN_MS)?;
+        let met = fleet.met_on(now, zone, &self.held, TAINT_SPAN_MS);
+        let (bad, prior) = (met.bad_share(), trial.prior_bad);
+        if met.tries < TAINT_TRIES || bad <= TAINT_SHARE || bad <= TAINT_FACTOR * prior {
             return None;
         }
-        self.judged = true;
-        let (bad, tries) = bad_share(now, zone, &self.held, fleet);
-        if tries < TAINT_TRIES || bad <= TAINT_SHARE || bad <= TAINT_FACTOR * self.prior_bad {
-            return None;
-        }
-        let (was, prior) = (self.published, self.prior_bad);
-        self.file(was, Verdict::Failed, None)?;
+        let (id, was) = (self.id, self.published);
+        self.file(was, Verdict::Failed, Lines::new());
         let next = self.newest()?;
         let what = if next.standing == Standing::Sound { "rolled back to" } else { "all tainted, keeps" };
         Some(format!(
-            "table {} revision {was:016x} tainted, {what} {:016x}: bad {bad:.3} of {tries} tries, prior {prior:.3}",
-            self.id, next.name
+            "table {id} revision {was:016x} tainted, {what} {:016x}: bad {bad:.3} of {} tries, prior {prior:.3}",
+            next.name, met.tries
         ))
     }
 }
 
-/// The share of bad tries of a zone's proxies at the sound servers of these lines, and the tries.
-fn bad_share(now: f64, zone: ZoneId, lines: &Lines, fleet: &mut Fleet) -> (f64, f64) {
-    let (mut tries, mut bad) = (0.0, 0.0);
-    for id in lines.keys() {
-        let sound = fleet.servers.get(id).is_some_and(|s| matches!(s.phase, Phase::Warm | Phase::Ramping));
-        if let (true, Some(heard)) = (sound, fleet.heard.get_mut(&(zone, *id))) {
-            let sum = heard.over(now, TAINT_SPAN_MS);
-            tries += sum[0];
-            bad += sum[1];
-        }
-    }
-    (bad / f64::max(tries, 1.0), tries)
-}
-
 // ---- Ramp ---------------------------------------------------------------------------------
 
 const RAMP_MS: f64 = 30_000.0;
 const ENTRY_PART: f64 = 0.25;
-const RAMP_STEPS: f64 = 8.0;
-
 /// In a jam a cold server waits until it is sure to stand this many times its full work.
 const SURE_MULTIPLE: f64 = 2.0;
 
 /// The part of its listed weight that a server may have now.
-fn part_of(now: f64, server: &Server, tight: bool, bounds: &RuleBounds) -> f64 {
+fn part_of(now: f64, server: &Server, jam: bool, bounds: &RuleBounds) -> f64 {
     let Phase::Ramping = server.phase else {
         return if server.phase == Phase::Warm { 1.0 } else { 0.0 };
     };
@@ -581,66 +440,44 @@
     // its weight: that pushed cold servers over. Harm: a zone that returns cold is used later.
     let age = now - server.listed.started_ms;
     let sure = bounds.cold_share + (1.0 - bounds.cold_share) * (age / bounds.cold_ms).clamp(0.0, 1.0);
-    if tight && sure < 1.0 && sure * bounds.fall_multiple < SURE_MULTIPLE {
+    if jam && sure < 1.0 && sure * bounds.fall_multiple < SURE_MULTIPLE {
         return 0.0;
     }
     let grown = ENTRY_PART + (1.0 - ENTRY_PART) * (now - server.ramp_from_ms).max(0.0) / RAMP_MS;
-    ((grown * RAMP_STEPS + 1e-9).floor() / RAMP_STEPS).clamp(ENTRY_PART, 1.0)
+    ((grown * STEPS).floor() / STEPS).clamp(ENTRY_PART, 1.0)
 }
 
 // ---- Channel pacing -----------------------------------------------------------------------
 
-/// How much of the limits an order may use up, by its haste.
+/// How much of the limits may be used up by deltas, and by tables for proxies that have none.
 const DELTAS_PART: f64 = 0.5;
 const BARE_PART: f64 = 0.8;
 /// The channel is taken to do at least this part of its stated pace.
 const SLOW_PART: f64 = 0.25;
-
-/// What may still wait in the channel. It is emptied in order, so an answer to a mark shows that
-/// all written before has left; without answers it is taken to run slow.
-struct Channel {
-    written: f64,
-    left: f64,
-    as_of_ms: f64,
-    marks: BTreeMap<u64, f64>,
-    next_mark: u64,
-}
+const MARKS: u64 = 65_536;
 
 impl Channel {
     fn pass_time(&mut self, now: f64, lines_per_s: f64) {
-        let sent = (now - self.as_of_ms) / 1_000.0 * lines_per_s * SLOW_PART;
-        self.left = (self.left + sent.max(0.0)).min(self.written);
-        self.as_of_ms = now;
+        let sent = (now - self.as_of_ms) / 1e3 * lines_per_s * SLOW_PART;
+        (self.left, self.as_of_ms) = ((self.left + sent).min(self.written), now);
     }
 
     fn answered(&mut self, mark: u64) {
-        if let Some(written) = self.marks.get(&mark) {
-            self.left = self.left.max(*written);
-            let done = *written;
-            self.marks.retain(|_, w| *w > done);
+        if let Some(written) = self.marks.remove(&mark) {
+            self.left = self.left.max(written);
+            self.marks.retain(|_, w| *w > written);
         }
     }
 
-    fn waiting(&self) -> f64 {
-        self.written - self.left
+    fn mark(&mut self, lines: f64) {
+        self.marks.insert(self.next_mark, self.written);
+        self.next_mark = (self.next_mark + 1) % MARKS;
+        self.written += lines;
     }
 }
 
 // ---- Retries & levels ---------------------------------------------------------------------
 
-#[derive(Clone, Copy, Debug, PartialEq)]
-enum Mode {
-    Open,
-    Tight,
-}
-
-#[derive(Clone, Copy, Debug, PartialEq)]
-enum Flow {
-    Jams,
-    Flows,
-    Slack,
-}
-
 #[derive(Clone, Copy, PartialEq)]
 enum Valve {
     Cut,
@@ -657,122 +494,101 @@
     (Mode::Tight, Flow::Slack, Mode::Open, Valve::Release),
 ];
 
-const LEVEL_EVERY_MS: f64 = 2_000.0;
+const STEP_MS: f64 = 2_000.0;
 const JAM_SPAN_MS: f64 = 3_000.0;
+const JAM_TRIES: f64 = 20.0;
+/// The fleet jams when so many tries are bad, or good ones take so much of the response target.
 const JAM_BAD: f64 = 0.2;
 const JAM_PART: f64 = 0.5;
-const CUT_TO: f64 = 0.9;
-const LOWER_BY: f64 = 0.9;
-const RAISE_BY: f64 = 1.15;
 const EASY_PART: f64 = 0.3;
-const FLOOR_PART: f64 = 0.8;
+const CUT_TO: f64 = 0.9;
+const FLOOR_TO: f64 = 0.8;
+const RAISE_BY: f64 = 1.05;
+const EASY_BY: f64 = 1.15;
+const SLACK_OVER: f64 = 1.2;
+/// Of each kind so much is let in whatever its value.
 const LEAST_PART: f64 = 0.05;
 const EVERYTHING: f64 = 1e6;
 
-/// How much is let in, against overload of whatever cause.
-struct Valves {
-    mode: Mode,
-    allowed_per_s: f64,
-    stepped_ms: f64,
-    /// Kinds (mask), level and retry mode as last ordered for all proxies.
-    ordered: Vec<(u16, f64, Retry)>,
-}
-
 impl Valves {
-    /// Moves the valve by what all sound servers' answers say.
-    fn step(&mut self, now: f64, heard: [f64; 3], target_ms: f64, came_per_s: f64, log: &mut Vec<Effect>) {
-        let [tries, bad, time] = heard;
-        if now - self.stepped_ms < LEVEL_EVERY_MS || tries < 20.0 {
+    fn step(&mut self, now: f64, met: Met, target_ms: f64, came_per_s: f64, log: &mut Log) {
+        if now - self.stepped_ms < STEP_MS || met.tries < JAM_TRIES {
             return;
         }
-        let (bad_share, mean) = (bad / tries, time / (tries - bad).max(1.0));
-        let done_per_s = (tries - bad) / (JAM_SPAN_MS / 1_000.0);
-        let flow = match bad_share > JAM_BAD || mean > JAM_PART * target_ms {
+        let (bad, mean, done_per_s) = (met.bad_share(), met.mean_ms(), met.good() / JAM_SPAN_MS * 1e3);
+        let flow = match bad > JAM_BAD || mean > JAM_PART * target_ms {
             true => Flow::Jams,
-            false if self.allowed_per_s > 1.2 * came_per_s => Flow::Slack,
+            false if self.allowed_per_s > SLACK_OVER * came_per_s => Flow::Slack,
             false => Flow::Flows,
         };
-        let Some(&(_, _, mode, valve)) = LEVELS.iter().find(|row| row.0 == self.mode && row.1 == flow) else {
-            return;
-        };
-        self.allowed_per_s = match valve {
+        let Some(row) = LEVELS.iter().find(|row| row.0 == self.mode && row.1 == flow) else { return };
+        let raise = if mean < EASY_PART * target_ms { EASY_BY } else { RAISE_BY };
+        self.allowed_per_s = match row.3 {
             Valve::Cut => CUT_TO * done_per_s.min(came_per_s),
             // Answers to reqs of before the cut go on coming; what is done now can be let in.
-            Valve::Lower => (self.allowed_per_s * LOWER_BY).max(FLOOR_PART * done_per_s),
-            Valve::Raise => self.allowed_per_s * if mean < EASY_PART * target_ms { RAISE_BY } else { 1.05 },
+            Valve::Lower => (CUT_TO * self.allowed_per_s).max(FLOOR_TO * done_per_s),
+            Valve::Raise => raise * self.allowed_per_s,
             Valve::Release => EVERYTHING,
         };
-        self.stepped_ms = now;
-        if mode != self.mode {
-            let (was, to) = (self.mode, self.allowed_per_s);
-            log.push(Effect::Log(format!(
-                "levels {was:?} -> {mode:?}: bad {bad_share:.2}, mean {mean:.0} ms, came {came_per_s:.0}, lets in {to:.0}"
-            )));
+        if row.2 != self.mode {
+            let (was, to, lets) = (self.mode, row.2, self.allowed_per_s);
+            log.push(format!(
+                "levels {was:?} -> {to:?}: bad {bad:.2}, mean {mean:.0} ms, came {came_per_s:.0}, lets in {lets:.0}"
+            ));
         }
-        self.mode = mode;
+        (self.mode, self.stepped_ms) = (row.2, now);
     }
 }
 
-/// The level for each proxy by which so much of their reqs is let in: it shaves the heaviest.
-fn level_for(rates: &mut [f64], allowed: f64) -> f64 {
+/// The level at each proxy by which so much of their reqs is let in: it shaves the heaviest.
+fn level_for(mut rates: Vec<f64>, allowed: f64) -> f64 {
     rates.sort_by(f64::total_cmp);
-    let mut left = allowed;
-    for (k, rate) in rates.iter().enumerate() {
-        let even = left / (rates.len() - k) as f64;
-        if *rate >= even {
-            return even;
+    let (mut left, mut others) = (allowed, rates.len() as f64);
+    for rate in rates {
+        if rate >= left / others {
+            return left / others;
         }
-        left -= rate;
+        (left, others) = (left - rate, others - 1.0);
     }
     EVERYTHING
 }
 
-/// When a proxy may try a req again without its effect happening twice. A try cut off at the
-/// response target goes on running, so repeating it only adds load: proof is asked for always.
+/// When proxies try again. Proof that the first try never ran is always asked for, so no effect
+/// happens twice; a try cut off at the response target goes on running, and repeating it only adds
+/// load. In a jam the next server is as full as the first.
 fn retry_of(mode: Mode) -> Retry {
-    match mode {
-        Mode::Open => Retry::IfUnrun,
-        Mode::Tight => Retry::Never,
-    }
+    if mode == Mode::Open { Retry::IfUnrun } else { Retry::Never }
 }
 
 /// Request kinds that may go to the same servers share tables.
 struct KindGroup {
     kinds: Vec<KindId>,
-    zones: Vec<ZoneId>,
-    machines: Vec<u16>,
-    own_zone: bool,
+    like: ReqKind,
 }
 
 impl KindGroup {
     fn open(&self, listed: &Listed) -> bool {
-        (self.zones.is_empty() || self.zones.contains(&listed.zone))
-            && (self.machines.is_empty() || self.machines.contains(&listed.machine))
+        let ReqKind { zones, machines, .. } = &self.like;
+        (zones.is_empty() || zones.contains(&listed.zone))
+            && (machines.is_empty() || machines.contains(&listed.machine))
     }
+}
 
-    fn mask(&self) -> u16 {
-        self.kinds.iter().fold(0, |mask, k| mask | 1 << k)
-    }
+fn mask_of(kinds: impl Iterator<Item = KindId>) -> u16 {
+    kinds.fold(0, |mask, k| mask | 1 << k)
 }
 
 fn group_kinds(kinds: &[ReqKind]) -> Vec<KindGroup> {
     let mut groups: Vec<KindGroup> = Vec::new();
-    for (id, kind) in kinds.iter().enumerate().take(16) {
-        let same = |g: &&mut KindGroup| {
-            g.zones == kind.zones && g.machines == kind.machines && g.own_zone == kind.own_zone
-        };
-        let at = match groups.iter_mut().find(same) {
-            Some(group) => group,
-            None => {
-                let (zones, machines, own_zone) = (kind.zones.clone(), kind.machines.clone(), kind.own_zone);
-                groups.push(KindGroup { kinds: vec![], zones, machines, own_zone });
-                groups.last_mut().expect("just pushed")
-            }
-        };
-        at.kinds.push(id);
+    for (id, kind) in kinds.iter().enumerate() {
+        let place = |k: &ReqKind| (k.zones.clone(), k.machines.clone(), k.own_zone);
+        match groups.iter_mut().find(|g| place(&g.like) == place(kind)) {
+            Some(group) => group.kinds.push(id),
+            None => groups.push(KindGroup { kinds: vec![id], like: kind.clone() }),
+        }
     }
-    // The most bound kinds take their room on the ring first.
-    groups.sort_by_key(|g| !(!g.zones.is_empty() || !g.machines.is_empty() || g.own_zone));
+    // The most bound kinds take their room first.
+    groups.sort_by_key(|g| g.like.zones.is_empty() && g.like.machines.is_empty() && !g.like.own_zone);
     groups
 }
 
@@ -780,421 +596,372 @@
 
 pub struct Controller {
     rng: ChaCha8Rng,
+    kinds: Vec<ReqKind>,
     bounds: RuleBounds,
     pace: ChannelFacts,
     means: Means,
-    kinds: usize,
-    proxies: f64,
+    levels: Levels,
     list_asked: bool,
     ask_again_ms: f64,
+    proxies: f64,
+    groups: Vec<KindGroup>,
     fleet: Fleet,
     demand: Demand,
-    groups: Vec<KindGroup>,
     tables: BTreeMap<(ProxyId, usize), Table>,
     channel: Channel,
     valves: Valves,
-    habits: ProxyHabits,
-    values: Vec<f64>,
-    targets: Vec<f64>,
     started: bool,
     settled: bool,
     hasty: bool,
-    log: Vec<Effect>,
+    log: Log,
 }
 
 impl Controller {
     pub fn new(now: f64, start: Start) -> Self {
+        let mut kinds = start.kinds;
+        kinds.truncate(KINDS);
+        let came = Buckets::new(1_000.0, 24);
         Self {
             rng: ChaCha8Rng::seed_from_u64(start.seed),
+            groups: group_kinds(&kinds),
+            kinds,
             bounds: start.bounds,
             pace: start.channel,
             means: start.means,
-            kinds: start.kinds.len(),
-            proxies: f64::from(start.place.proxies),
+            levels: start.habits.levels,
             list_asked: start.list.asked,
             ask_again_ms: ROUND_MS,
-            fleet: Fleet { servers: BTreeMap::new(), heard: BTreeMap::new(), withdrawals: BTreeMap::new() },
-            demand: Demand { proxies: BTreeMap::new(), all: Buckets::new(2_000.0, 12), zones: Flows::new() },
-            groups: group_kinds(&start.kinds),
+            proxies: f64::from(start.place.proxies.max(1)),
+            fleet: Fleet::default(),
+            demand: Demand { proxies: BTreeMap::new(), came, zones: BTreeMap::new() },
             tables: BTreeMap::new(),
-            channel: Channel { written: 0.0, left: 0.0, as_of_ms: now, marks: BTreeMap::new(), next_mark: 0 },
+            channel: Channel { as_of_ms: now, ..Channel::default() },
             valves: Valves { mode: Mode::Open, allowed_per_s: EVERYTHING, stepped_ms: now, ordered: vec![] },
-            habits: start.habits,
-            values: start.kinds.iter().map(|k| k.value).collect(),
-            targets: start.kinds.iter().map(|k| k.response_target_ms).collect(),
             started: false,
             settled: false,
             hasty: false,
-            log: Vec::new(),
+            log: Log::new(),
         }
     }
 
     /// Takes in what came and answers with orders.
     pub fn handle(&mut self, now: f64, inputs: &[Input]) -> Vec<Effect> {
         let mut out = Vec::new();
-        let mut round = false;
-        let mut heard = false;
         if !self.started {
             self.started = true;
             out.push(Effect::Alarm { in_ms: ROUND_MS, name: ROUND });
-            if self.list_asked {
-                out.push(Effect::Watch { on: true });
-            }
+            out.extend(self.list_asked.then_some(Effect::Watch { on: true }));
         }
-        for input in inputs {
-            round |= matches!(input, Input::Alarm { name: ROUND });
-            heard |= matches!(input, Input::Heard { .. });
-            self.take(now, input, &mut out);
-        }
-        let target = self.usual_target(now);
-        if (heard || round) && self.fleet.judge(now, target, &mut self.log) {
-            self.hasty = true;
+        inputs.iter().for_each(|input| self.take(now, input, &mut out));
+        let round = inputs.iter().any(|i| matches!(i, Input::Alarm { name: ROUND }));
+        if round || inputs.iter().any(|i| matches!(i, Input::Heard { .. })) {
+            let target_ms = self.demand.usual_target_ms(now, &self.kinds);
+            self.hasty |= self.fleet.judge(now, target_ms, &mut self.log);
         }
         if round {
             out.push(Effect::Alarm { in_ms: ROUND_MS, name: ROUND });
             self.demand.resize(now, &mut self.log);
             self.judge_tables(now);
-            self.tell_peers(&mut out);
             self.step_valves(now);
+            out.extend(self.note());
         }
         // Up to the first round proxies are still joining and peers' notes on their way.
         self.settled |= round;
-        if round || (self.hasty && self.settled) {
+        if self.settled && (round || self.hasty) {
             self.hasty = false;
-            let tight = self.valves.mode == Mode::Tight;
-            for server in self.fleet.servers.values_mut() {
-                server.part = part_of(now, server, tight, &self.bounds);
+            let jam = self.valves.mode == Mode::Tight;
+            self.fleet.servers.values_mut().for_each(|s| s.part = part_of(now, s, jam, &self.bounds));
+            if self.means.slices == 0 {
+                self.cut_tables(now);
             }
-            self.cut_tables(now);
             self.gate(now, &mut out);
         }
-        out.append(&mut self.log);
+        out.extend(self.log.drain(..).map(Effect::Log));
         out
     }
 
+    fn tables_of(&mut self, proxy: ProxyId) -> impl Iterator<Item = &mut Table> {
+        self.tables.range_mut((proxy, 0)..=(proxy, usize::MAX)).map(|(_, table)| table)
+    }
+
     fn take(&mut self, now: f64, input: &Input, out: &mut Vec<Effect>) {
         match input {
             Input::List { scope: ListScope::Failed, .. } => {
-                // The list's service is shared: ask again later each time, and not in step with others.
+                // The list's service is shared: ask again later each time, and not in step.
                 let in_ms = self.ask_again_ms * self.rng.random_range(0.5..1.5);
-                self.ask_again_ms = (self.ask_again_ms * 2.0).min(8_000.0);
+                self.ask_again_ms = (2.0 * self.ask_again_ms).min(ASK_MOST_MS);
                 out.push(Effect::Alarm { in_ms, name: ASK_AGAIN });
             }
             Input::List { scope, lines, .. } => {
                 self.ask_again_ms = ROUND_MS;
-                self.fleet.take_list(now, *scope, lines.clone(), &mut self.log);
+                self.fleet.take_list(now, *scope, lines, &mut self.log);
                 self.hasty = true;
             }
             Input::Alarm { name: ASK_AGAIN } => out.push(Effect::Watch { on: true }),
             Input::Note { bytes, .. } => self.take_note(now, bytes),
             Input::Joined { proxy, zone, usual_per_s, .. } => {
                 let entry = self.demand.named(now, *proxy, *zone, *usual_per_s);
-                entry.joined = true;
-                entry.joined_ms = now;
-                entry.zone = *zone;
+                (entry.joined, entry.joined_ms) = (true, now);
                 entry.written = Buckets::new(250.0, 48);
-                for (_, table) in self.tables.range_mut((*proxy, 0)..=(*proxy, usize::MAX)) {
-                    table.bound = false;
-                }
+                self.tables_of(*proxy).for_each(|table| table.bound = false);
                 self.hasty = true;
             }
             Input::Left { proxy } => {
                 if let Some(p) = self.demand.proxies.get_mut(proxy) {
-                    p.joined = false;
-                    p.seen_ms = now;
-                }
-                for (_, table) in self.tables.range_mut((*proxy, 0)..=(*proxy, usize::MAX)) {
-                    table.bound = false;
+                    (p.joined, p.seen_ms) = (false, now);
                 }
+                self.tables_of(*proxy).for_each(|table| (table.bound, table.trial) = (false, None));
             }
             Input::Applied { proxy, mark, .. } => {
                 self.channel.answered(*mark);
-                for (_, table) in self.tables.range_mut((*proxy, 0)..=(*proxy, usize::MAX)) {
-                    if table.pushed_mark.is_some_and(|pushed| pushed <= *mark) {
-                        table.first_answer_ms.get_or_insert(now);
+                for trial in self.tables_of(*proxy).filter_map(|table| table.trial.as_mut()) {
+                    if !trial.answered && trial.mark == *mark {
+                        (trial.answered, trial.from_ms) = (true, now);
                     }
                 }
             }
             Input::Heard { zone, server, tries, bad, mean_ms, .. } => {
-                self.fleet.hear(now, *zone, *server, [*tries, *bad, mean_ms * (tries - bad)]);
+                self.fleet.hear(now, (*server, *zone), [*tries, *bad, mean_ms * (tries - bad)]);
             }
             Input::Usage { proxy, kind, came, .. } if *kind < KINDS => {
                 let mut what = [0.0; KINDS];
                 what[*kind] = *came;
+                self.demand.came.add(now, what);
                 if let Some(p) = self.demand.proxies.get_mut(proxy) {
                     p.came.add(now, what);
-                    p.seen_ms = now;
                 }
-                self.demand.all.add(now, what);
             }
             _ => {}
         }
     }
 
-    /// A note names the sender's proxies: number, zone, and reqs a second their arcs are sized for.
-    fn tell_peers(&mut self, out: &mut Vec<Effect>) {
-        if !self.means.peers {
-            return;
-        }
-        let mut own: Vec<_> = self.demand.proxies.iter().filter(|(_, p)| p.joined).collect();
-        own.sort_by(|a, b| b.1.sized_per_s.total_cmp(&a.1.sized_per_s));
-        let line = |(id, p): &(&ProxyId, &Proxy)| {
-            [&id.to_le_bytes()[..], &p.zone.to_le_bytes(), &(p.met_per_s as f32).to_le_bytes()].concat()
-        };
-        let bytes: Vec<u8> = own.iter().take(32).flat_map(line).collect();
-        if !bytes.is_empty() {
-            out.push(Effect::Note { to: None, bytes });
-        }
+    /// A note names the sender's proxies, the heaviest first, and what comes to them.
+    fn note(&self) -> Option<Effect> {
+        let joined = self.demand.proxies.iter().filter(|(_, p)| p.joined);
+        let mut own: Vec<NoteLine> = joined.map(|(id, p)| (*id, p.zone, p.met_per_s)).collect();
+        own.sort_by(|a, b| b.2.total_cmp(&a.2));
+        (self.means.peers && !own.is_empty()).then(|| Effect::Note { to: None, bytes: write_note(&own) })
     }
 
     fn take_note(&mut self, now: f64, bytes: &[u8]) {
-        for line in bytes.chunks_exact(8) {
-            let [a, b, c, d, w @ ..] = line else { continue };
-            let (proxy, zone) = (u16::from_le_bytes([*a, *b]), u16::from_le_bytes([*c, *d]));
-            let per_s = f32::from_le_bytes(w.try_into().unwrap_or_default());
-            if !self.demand.proxies.get(&proxy).is_some_and(|p| p.joined) && per_s.is_finite() && per_s > 0.0
-            {
-                let entry = self.demand.named(now, proxy, zone, f64::from(per_s));
-                (entry.zone, entry.met_per_s) = (zone, f64::from(per_s));
+        for (id, zone, per_s) in read_note(bytes) {
+            if !self.demand.proxies.get(&id).is_some_and(|p| p.joined) {
+                self.demand.named(now, id, zone, per_s).met_per_s = per_s;
             }
         }
     }
 
-    fn step_valves(&mut self, now: f64) {
-        let ids: Vec<ServerId> =
-            self.fleet.servers.iter().filter(|(_, s)| s.part > 0.0).map(|(id, _)| *id).collect();
-        let mut heard = [0.0; 3];
-        for id in ids {
-            let part = self.fleet.pooled(now, id, JAM_SPAN_MS);
-            (0..3).for_each(|k| heard[k] += part[k]);
+    fn judge_tables(&mut self, now: f64) {
+        for ((proxy, _), table) in &mut self.tables {
+            if let Some(p) = self.demand.proxies.get(proxy) {
+                self.log.extend(table.judge(now, self.means.report_period_ms, p.zone, &mut self.fleet));
+            }
         }
-        let came = self.demand.all.over(now, 4_000.0).iter().sum::<f64>() / 4.0;
-        let target = self.usual_target(now);
-        self.valves.step(now, heard, target, came, &mut self.log);
     }
 
-    /// The mean response target of the reqs that come.
-    fn usual_target(&mut self, now: f64) -> f64 {
-        let came = self.demand.all.over(now, 4_000.0);
-        let total: f64 = came.iter().sum();
-        let mean = self.targets.iter().sum::<f64>() / self.targets.len().max(1) as f64;
-        let met = self.targets.iter().zip(came).map(|(t, c)| t * c / total).sum::<f64>();
-        if total > 0.0 { met } else { mean }
+    fn step_valves(&mut self, now: f64) {
+        let used: Vec<_> =
+            self.fleet.servers.iter().filter(|(_, s)| s.part > 0.0).map(|(id, _)| *id).collect();
+        let met = used.iter().fold(Met::default(), |met, id| {
+            let part = self.fleet.met_at(now, *id, JAM_SPAN_MS);
+            met.with([part.tries, part.bad, part.time_ms])
+        });
+        let came_per_s = self.demand.came.over(now, LEVEL_SPAN_MS).iter().sum::<f64>() / LEVEL_SPAN_MS * 1e3;
+        let target_ms = self.demand.usual_target_ms(now, &self.kinds);
+        self.valves.step(now, met, target_ms, came_per_s, &mut self.log);
     }
 
     /// The levels and retry modes that all proxies are to have: what is let in goes to the kinds
     /// of the most value first.
     fn admits(&mut self, now: f64) -> Vec<(u16, f64, Retry)> {
         let retry = retry_of(self.valves.mode);
-        if self.valves.mode == Mode::Open || self.habits.levels == Levels::Ignored {
-            let all = (0..self.kinds.min(KINDS)).fold(0, |mask, k| mask | 1 << k);
-            return vec![(all, EVERYTHING, retry)];
+        if self.valves.mode == Mode::Open || self.levels == Levels::Ignored {
+            return vec![(mask_of(0..self.kinds.len()), EVERYTHING, retry)];
         }
-        let mut order: Vec<KindId> = (0..self.kinds.min(KINDS)).collect();
-        order.sort_by(|a, b| self.values[*b].total_cmp(&self.values[*a]));
+        let mut order: Vec<KindId> = (0..self.kinds.len()).collect();
+        order.sort_by(|a, b| self.kinds[*b].value.total_cmp(&self.kinds[*a].value));
         let mut left = self.valves.allowed_per_s;
         let mut admits = Vec::new();
         for kind in order {
             let joined = self.demand.proxies.values_mut().filter(|p| p.joined);
-            let mut rates: Vec<f64> = joined.map(|p| p.came.over(now, 4_000.0)[kind] / 4.0).collect();
+            let rate = |p: &mut Proxy| p.came.over(now, LEVEL_SPAN_MS)[kind] / LEVEL_SPAN_MS * 1e3;
+            let rates: Vec<f64> = joined.map(rate).collect();
             let came: f64 = rates.iter().sum();
             let allowed = left.clamp(LEAST_PART * came, came);
             left -= allowed;
-            let level = match self.habits.levels {
-                Levels::Share => allowed / came.max(0.01),
+            let level = match self.levels {
                 _ if allowed >= came => EVERYTHING,
-                _ => level_for(&mut rates, allowed),
+                Levels::Share => allowed / came,
+                _ => level_for(rates, allowed),
             };
             admits.push((1 << kind, level, retry));
         }
         admits
     }
 
-    fn judge_tables(&mut self, now: f64) {
-        for ((proxy, _), table) in &mut self.tables {
-            let Some(p) = self.demand.proxies.get(proxy).filter(|p| p.joined) else { continue };
-            let said = table.judge(now, self.means.report_period_ms, p.zone, &mut self.fleet);
-            self.log.extend(said.map(Effect::Log));
-        }
-    }
-
-    /// Cuts all arcs anew from the list, the health and the demand, and proposes their lines.
+    /// Cuts all arcs from the list, the health and the demand, and proposes their lines.
     fn cut_tables(&mut self, now: f64) {
-        if self.means.slices > 0 {
-            return;
-        }
         let near = self.means.cross_zone_price > NEAR_PRICE;
-        let calm = if self.valves.mode == Mode::Open { 1.0 } else { 0.0 };
-        let slack = SLACK_PER_PRICE * self.means.cross_zone_price * calm;
         let zone_of = |zone: ZoneId| if near { zone } else { 0 };
+        // A jam costs more than crossing zones does: then they are loaded evenly.
+        let jam = self.valves.mode == Mode::Tight;
+        let slack = if jam { 0.0 } else { SLACK_PER_PRICE * self.means.cross_zone_price };
+        let demand = self.demand.zones_held(zone_of);
+        let sized: f64 = self.demand.proxies.values().map(|p| p.sized_per_s).sum();
+        let mean_per_s = sized / self.demand.proxies.len().max(1) as f64;
         let ready: Vec<&Server> = self.fleet.servers.values().filter(|s| s.phase != Phase::Leaving).collect();
         let parts: Lines = ready.iter().map(|s| (s.listed.server, s.part)).collect();
-        let known: f64 = self.demand.proxies.values().map(|p| p.sized_per_s).sum();
-        let mean = known / self.demand.proxies.len().max(1) as f64;
-        let demand = self.demand.zones_held(zone_of);
-        let weight_of = |l: &Listed| l.weight * parts[&l.server];
-        let all: f64 = ready.iter().map(|s| weight_of(&s.listed)).sum();
-        let mut room = Flows::new();
-        for s in &ready {
-            *room.entry(zone_of(s.listed.zone)).or_insert(0.0) += weight_of(&s.listed) / all;
-        }
+        let all: f64 = ready.iter().map(|s| s.part * s.listed.weight).sum::<f64>().max(1e-9);
+        let mut taken: Shares = BTreeMap::new();
         for (g, group) in self.groups.iter().enumerate() {
-            let share = self.demand.share_of(now, &group.kinds, self.kinds);
-            let mut segments: BTreeMap<ZoneId, Vec<&Listed>> = BTreeMap::new();
-            let mut open_room = Flows::new();
+            let (mut rings, mut room) = (BTreeMap::<ZoneId, Vec<&Listed>>::new(), BTreeMap::new());
             for s in ready.iter().filter(|s| group.open(&s.listed)) {
                 let zone = zone_of(s.listed.zone);
-                segments.entry(zone).or_default().push(&s.listed);
-                *open_room.entry(zone).or_insert(0.0) += weight_of(&s.listed) / all;
+                rings.entry(zone).or_default().push(&s.listed);
+                *room.entry(zone).or_insert(0.0) += s.part * s.listed.weight / all;
             }
             // What more bound kinds bring to a zone leaves less room there for the others.
-            open_room.iter_mut().for_each(|(z, r)| *r = r.min(room[z]));
-            let open_all: f64 = open_room.values().sum::<f64>().max(1e-9);
-            open_room.values_mut().for_each(|r| *r /= open_all);
+            room.iter_mut().for_each(|(z, r)| *r = (*r - taken.get(z).unwrap_or(&0.0)).max(0.0));
+            let open: f64 = room.values().sum::<f64>().max(1e-9);
+            room.values_mut().for_each(|r| *r /= open);
+            let share = self.demand.share_of(now, &group.kinds, self.kinds.len());
+            room.iter().for_each(|(z, r)| *taken.entry(*z).or_insert(0.0) += share * r);
             for (id, p) in self.demand.proxies.iter().filter(|(_, p)| p.joined) {
-                let at = (f64::from(*id) + 0.5) / self.proxies.max(1.0) % 1.0;
+                let at = (f64::from(*id) + 0.5) / self.proxies % 1.0;
                 let reach =
-                    in_steps((REACH * p.sized_per_s / mean / self.proxies.max(1.0)).clamp(REACH_LEAST, 1.0));
-                let flows = flows_of(zone_of(p.zone), &demand, &open_room, slack, !group.own_zone);
-                let arcs: Vec<_> = flows
-                    .iter()
-                    .filter_map(|(z, part)| Some((cut_arc(segments.get(z)?, at, reach), *part)))
-                    .filter(|(_, part)| *part > 0.0)
-                    .map(|(arc, part)| (arc.iter().map(|l| l.1).sum::<f64>(), arc, part))
-                    .collect();
-                let natural: f64 = arcs.iter().map(|a| a.0).sum();
+                    in_steps(REACH * p.sized_per_s / mean_per_s / self.proxies).clamp(REACH_LEAST, 1.0);
+                let home = zone_of(p.zone);
+                let flows = match group.like.own_zone {
+                    true => BTreeMap::from([(p.zone, 1.0)]),
+                    false => flows_of(home, &demand, &room, slack),
+                };
+                let cut = |(z, part): (&ZoneId, &f64)| Some((cut_arc(rings.get(z)?, at, reach), *part));
+                let arcs: Vec<(Lines, f64)> = flows.iter().filter_map(cut).collect();
+                let natural: f64 = arcs.iter().flat_map(|(arc, _)| arc.values()).sum();
                 let mut lines = Lines::new();
-                for (sum, arc, part) in &arcs {
-                    let scale = if arcs.len() == 1 { 1.0 } else { part * natural / sum };
-                    let grown = arc.iter().map(|(id, w)| (*id, w * scale * parts[id]));
-                    lines.extend(grown.filter(|l| l.1 > 0.0));
+                for (arc, part) in &arcs {
+                    let scale =
+                        if arcs.len() == 1 { 1.0 } else { part * natural / arc.values().sum::<f64>() };
+                    let live = arc.iter().map(|(id, w)| (*id, w * scale * parts[id])).filter(|l| l.1 > 0.0);
+                    lines.extend(live);
                 }
-                let fresh = Table::new(self.tables.len() as TableId);
-                self.tables.entry((*id, g)).or_insert(fresh).propose(lines);
-            }
-            for (zone, r) in &open_room {
-                *room.entry(*zone).or_insert(0.0) -= (share * r).min(room[zone]);
+                let id_of_new = self.tables.len() as TableId;
+                let fresh = || Table { id: id_of_new, ..Table::default() };
+                self.tables.entry((*id, g)).or_insert_with(fresh).propose(lines);
             }
         }
     }
 
     /// The lines a table is to hold: the published revision's, less what is shut or struck, and
     /// never above what a server may have now (an older revision knows nothing of a restart).
-    fn lines_of(&self, now: f64, table: &Table, group: &KindGroup, zone: ZoneId) -> Lines {
+    fn lines_of(&self, table: &Table, group: &KindGroup, zone: ZoneId) -> Lines {
         let mut lines = Lines::new();
-        for (id, weight) in table.newest().map_or(&Lines::new(), |r| &r.lines) {
-            if let Some(server) = self.fleet.servers.get(id) {
-                let most = server.listed.weight * server.part;
-                if most > 0.0 {
-                    lines.insert(*id, weight.min(most));
-                }
+        for (id, weight) in table.newest().into_iter().flat_map(|r| &r.lines) {
+            if let Some(server) = self.fleet.servers.get(id).filter(|s| s.part > 0.0) {
+                lines.insert(*id, weight.min(server.listed.weight * server.part));
             }
         }
         if lines.is_empty() {
-            // Nobody is left bare: any listed server that the kinds are open to beats none.
-            for (id, s) in &self.fleet.servers {
-                let near = !group.own_zone || s.listed.zone == zone;
-                if s.phase != Phase::Leaving && near && group.open(&s.listed) {
-                    let part = s.part.max(ENTRY_PART);
-                    lines.insert(*id, s.listed.weight * part);
-                }
-            }
+            // Nobody is left bare: any ready server that the kinds are open to beats none.
+            let near = |l: &Listed| !group.like.own_zone || l.zone == zone;
+            let ready = self.fleet.servers.values().filter(|s| s.phase != Phase::Leaving);
+            let open = ready.filter(|s| near(&s.listed) && group.open(&s.listed));
+            lines.extend(open.map(|s| (s.listed.server, s.listed.weight * s.part.max(ENTRY_PART))));
         }
         lines
     }
 
-    /// Lets orders through: withdrawals first, then proxies without our tables, then deltas; each
-    /// only as far as the channel's and the proxies' limits reach.
+    /// Every order passes here: withdrawals first, then levels, then proxies without our tables,
+    /// then deltas; the last two only as far as the channel's and the proxies' limits reach.
     fn gate(&mut self, now: f64, out: &mut Vec<Effect>) {
         self.channel.pass_time(now, self.pace.lines_per_s);
-        let head = self.pace.head_lines + 1.0;
-        let mut reached: BTreeMap<ProxyId, f64> = BTreeMap::new();
-        let joined: Vec<ProxyId> =
+        let joined: Vec<_> =
             self.demand.proxies.iter().filter(|(_, p)| p.joined).map(|(id, _)| *id).collect();
         if joined.is_empty() {
             self.channel.left = self.channel.written;
         }
-        let mark = self.channel.next_mark;
+        let mut orders: Vec<Effect> = Vec::new();
         for (server, shut) in std::mem::take(&mut self.fleet.withdrawals) {
-            out.push(Effect::Withdraw { server, out: shut });
-            joined.iter().for_each(|id| *reached.entry(*id).or_insert(head) += 1.0);
-        }
-        let admits = if self.valves.stepped_ms == now || self.valves.ordered.is_empty() {
-            self.admits(now)
-        } else {
-            self.valves.ordered.clone()
-        };
-        if admits != self.valves.ordered {
-            for (kinds, level, retry) in &admits {
-                out.push(Effect::Admit { table: None, kinds: *kinds, level: *level, retry: *retry });
-                joined.iter().for_each(|id| *reached.entry(*id).or_insert(head) += 1.0);
+            orders.push(Effect::Withdraw { server, out: shut });
+        }
+        if self.valves.stepped_ms == now || self.valves.ordered.is_empty() {
+            let admits = self.admits(now);
+            if admits != self.valves.ordered {
+                let order = |&(kinds, level, retry): &_| Effect::Admit { table: None, kinds, level, retry };
+                orders.extend(admits.iter().map(order));
+                self.valves.ordered = admits;
             }
-            self.valves.ordered = admits;
         }
-        let limit = self.pace.messages_most;
-        for bare in [true, false] {
-            let part = if bare { BARE_PART } else { DELTAS_PART };
+        let head = self.pace.head_lines + 1.0;
+        let mut reached: BTreeMap<ProxyId, f64> = BTreeMap::new();
+        if !orders.is_empty() {
+            reached.extend(joined.iter().map(|id| (*id, head + orders.len() as f64)));
+        }
+        out.extend(orders);
+        for (bare, part) in [(true, BARE_PART), (false, DELTAS_PART)] {
             for id in &joined {
-                let p = self.demand.proxies.get_mut(id).expect("joined");
-                let zone = p.zone;
-                let written = p.written.over(now, self.pace.messages_over_ms + 500.0)[0];
-                let spent = limit > 0 && written + 1.0 > f64::from(limit) * part;
-                if spent && !reached.contains_key(id) {
-                    continue;
-                }
-                for g in 0..self.groups.len() {
-                    let Some(table) = self.tables.get(&(*id, g)) else { continue };
-                    if table.bound == bare {
-                        continue;
-                    }
-                    let lines = self.lines_of(now, table, &self.groups[g], zone);
-                    let changed = lines.iter().filter(|(s, w)| table.held.get(*s) != Some(*w));
-                    let dropped = table.held.keys().filter(|s| !lines.contains_key(*s));
-                    let mut orders: Vec<(ServerId, f64)> = changed.map(|(s, w)| (*s, *w)).collect();
-                    orders.extend(dropped.map(|s| (*s, 0.0)));
-                    if lines.is_empty() || (orders.is_empty() && !bare) {
-                        continue;
-                    }
-                    let size = if bare { lines.len() + self.valves.ordered.len() + 1 } else { orders.len() };
-                    let opening = if reached.contains_key(id) { 0.0 } else { head };
-                    let so_far: f64 = reached.values().sum();
-                    let waiting = self.channel.waiting() + so_far + opening + size as f64;
-                    if waiting > self.pace.backlog_lines * part {
-                        continue;
-                    }
-                    *reached.entry(*id).or_insert(head) += size as f64;
-                    let prior = bad_share(now, zone, &table.held, &mut self.fleet).0;
-                    let table = self.tables.get_mut(&(*id, g)).expect("just read");
-                    let published = table.newest().map_or(0, |r| r.name);
-                    for (server, weight) in orders {
-                        out.push(Effect::Line { table: table.id, server, weight });
-                    }
-                    if bare {
-                        let kinds = self.groups[g].mask();
-                        out.push(Effect::Bind { proxy: *id, table: table.id, kinds });
-                        table.bound = true;
-                    }
-                    table.held = lines;
-                    if table.published != published {
-                        table.published = published;
-                        table.pushed_ms = now;
-                        table.pushed_mark = Some(mark);
-                        table.first_answer_ms = None;
-                        table.judged = false;
-                        table.prior_bad = prior;
-                    }
-                }
+                self.push(now, *id, bare, part, &mut reached, out);
+            }
+        }
+        if !reached.is_empty() {
+            out.push(Effect::Mark { mark: self.channel.next_mark, all: false });
+            self.channel.mark(reached.values().sum());
+            for (id, p) in &mut self.demand.proxies {
+                p.written.add(now, [f64::from(u8::from(reached.contains_key(id)))]);
             }
         }
-        if reached.is_empty() {
+    }
+
+    /// Brings one proxy's tables up to what is published: whole where it is bare of ours, else by
+    /// what changed.
+    fn push(
+        &mut self,
+        now: f64,
+        id: ProxyId,
+        bare: bool,
+        part: f64,
+        reached: &mut BTreeMap<ProxyId, f64>,
+        out: &mut Vec<Effect>,
+    ) {
+        let Some(p) = self.demand.proxies.get_mut(&id) else { return };
+        let zone = p.zone;
+        let written = p.written.over(now, self.pace.messages_over_ms + 500.0)[0];
+        let most = f64::from(self.pace.messages_most);
+        if most > 0.0 && written + 1.0 > most * part && !reached.contains_key(&id) {
             return;
         }
-        out.push(Effect::Mark { mark, all: false });
-        self.channel.next_mark = (mark + 1) % 65_536;
-        self.channel.marks.insert(mark, self.channel.written);
-        self.channel.written += reached.values().sum::<f64>();
-        for id in reached.keys() {
-            self.demand.proxies.get_mut(id).expect("joined").written.add(now, [1.0]);
+        for (g, group) in self.groups.iter().enumerate() {
+            let Some(table) = self.tables.get(&(id, g)).filter(|t| t.bound != bare) else { continue };
+            let lines = self.lines_of(table, group, zone);
+            let changed = lines.iter().filter(|(s, w)| table.held.get(*s) != Some(*w)).map(|(s, w)| (*s, *w));
+            let dropped = table.held.keys().filter(|s| !lines.contains_key(*s)).map(|s| (*s, 0.0));
+            let deltas: Vec<(ServerId, f64)> = changed.chain(dropped).collect();
+            if lines.is_empty() || (deltas.is_empty() && !bare) {
+                continue;
+            }
+            let whole = lines.len() + self.valves.ordered.len() + 1;
+            let size = if bare { whole } else { deltas.len() } as f64;
+            let opening = if reached.contains_key(&id) { 0.0 } else { self.pace.head_lines + 1.0 };
+            let waiting = self.channel.written - self.channel.left + reached.values().sum::<f64>();
+            if waiting + opening + size > self.pace.backlog_lines * part {
+                continue;
+            }
+            *reached.entry(id).or_insert(opening) += size;
+            let prior_bad = self.fleet.met_on(now, zone, &table.held, TAINT_SPAN_MS).bad_share();
+            let Some(table) = self.tables.get_mut(&(id, g)) else { continue };
+            let order = |(server, weight)| Effect::Line { table: table.id, server, weight };
+            out.extend(deltas.into_iter().map(order));
+            if bare {
+                let kinds = mask_of(group.kinds.iter().copied());
+                out.push(Effect::Bind { proxy: id, table: table.id, kinds });
+            }
+            (table.bound, table.held) = (true, lines);
+            let published = table.newest().map_or(0, |r| r.name);
+            if table.published != published {
+                table.published = published;
+                let mark = self.channel.next_mark;
+                table.trial = Some(Trial { mark, from_ms: now, answered: false, prior_bad });
+            }
         }
     }
 }
--- /dev/null
+++ b/src/state.rs
@@ -0,0 +1,186 @@
+//! What a controller keeps: plain state. The decisions on it are in `rules.rs`.
+
+use crate::facts::{Listed, ProxyId, Retry, ServerId, TableId, ZoneId};
+use crate::ring::Buckets;
+use std::collections::BTreeMap;
+
+pub type Lines = BTreeMap<ServerId, f64>;
+pub type Shares = BTreeMap<ZoneId, f64>;
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Phase {
+    Warm,
+    Ramping,
+    Struck,
+    Leaving,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Cue {
+    Starts,
+    Departs,
+    Returns,
+    Fails,
+    Strains,
+    HoldEnds,
+    RampEnds,
+}
+
+pub struct Server {
+    pub listed: Listed,
+    pub phase: Phase,
+    pub since_ms: f64,
+    pub ramp_from_ms: f64,
+    pub hold_ms: f64,
+    /// The part of its listed weight that it may have now.
+    pub part: f64,
+}
+
+/// Tries, bad ones, and the time of the good ones.
+#[derive(Clone, Copy, Default)]
+pub struct Met {
+    pub tries: f64,
+    pub bad: f64,
+    pub time_ms: f64,
+}
+
+impl Met {
+    pub fn with(self, [tries, bad, time_ms]: [f64; 3]) -> Self {
+        Self { tries: self.tries + tries, bad: self.bad + bad, time_ms: self.time_ms + time_ms }
+    }
+
+    pub fn good(&self) -> f64 {
+        self.tries - self.bad
+    }
+
+    pub fn bad_share(&self) -> f64 {
+        self.bad / self.tries.max(1.0)
+    }
+
+    pub fn mean_ms(&self) -> f64 {
+        self.time_ms / self.good().max(1.0)
+    }
+}
+
+/// The request kinds that are told apart; a mask of kinds has no more bits.
+pub const KINDS: usize = 16;
+pub struct Proxy {
+    pub zone: ZoneId,
+    pub joined: bool,
+    pub joined_ms: f64,
+    pub seen_ms: f64,
+    /// The reqs a second that its arc is sized for.
+    pub sized_per_s: f64,
+    /// What came to it lately, as far as it is known.
+    pub met_per_s: f64,
+    pub came: Buckets<KINDS>,
+    pub off_since_ms: Option<f64>,
+    /// Messages written to it.
+    pub written: Buckets<1>,
+}
+
+#[derive(Clone, Copy, PartialEq)]
+pub enum Standing {
+    Unknown,
+    Sound,
+    Tainted,
+}
+
+#[derive(Clone, Copy, PartialEq)]
+pub enum Verdict {
+    Proposed,
+    Failed,
+}
+
+pub struct Revision {
+    pub name: u64,
+    pub lines: Lines,
+    pub standing: Standing,
+}
+
+/// A published revision on trial: pushed with this mark, first answered then.
+pub struct Trial {
+    pub mark: u64,
+    pub from_ms: f64,
+    pub answered: bool,
+    pub prior_bad: f64,
+}
+
+/// A table of one proxy for one group of request kinds, and the revisions it has had.
+#[derive(Default)]
+pub struct Table {
+    pub id: TableId,
+    pub revisions: Vec<Revision>,
+    /// The name of the lines last cut; the same lines cut again change nothing.
+    pub cut: u64,
+    pub published: u64,
+    pub trial: Option<Trial>,
+    /// What the table holds by the orders that went out.
+    pub held: Lines,
+    pub bound: bool,
+}
+
+pub fn name_of(lines: &Lines) -> u64 {
+    let bytes = lines.iter().flat_map(|(id, w)| id.iter().copied().chain(w.to_bits().to_le_bytes()));
+    twox_hash::XxHash64::oneshot(0, &bytes.collect::<Vec<u8>>())
+}
+
+/// What may still wait in the channel. It is emptied in order, so an answer to a mark shows that
+/// all written before has left; without answers it is taken to run slow.
+#[derive(Default)]
+pub struct Channel {
+    pub written: f64,
+    pub left: f64,
+    pub as_of_ms: f64,
+    pub marks: BTreeMap<u64, f64>,
+    pub next_mark: u64,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Mode {
+    Open,
+    Tight,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Flow {
+    Jams,
+    Flows,
+    Slack,
+}
+
+/// How much is let in, against overload of whatever cause. Harm: a jam that has passed is still in
+/// the reports for some seconds, and denies reqs that could be done.
+pub struct Valves {
+    pub mode: Mode,
+    pub allowed_per_s: f64,
+    pub stepped_ms: f64,
+    /// Kinds, level and retry mode as last ordered for all proxies.
+    pub ordered: Vec<(u16, f64, Retry)>,
+}
+
+pub fn show([a, b, c, d, lo, hi]: ServerId) -> String {
+    format!("{a}.{b}.{c}.{d}:{}", u16::from_le_bytes([lo, hi]))
+}
+
+/// A line of a note to peers: a proxy, its zone, and the reqs a second that come to it.
+pub type NoteLine = (ProxyId, ZoneId, f64);
+
+/// Writes as many lines as one note may hold.
+pub fn write_note(lines: &[NoteLine]) -> Vec<u8> {
+    const NOTE_BYTES: usize = 256;
+    let write = |(id, zone, per_s): &NoteLine| {
+        [&id.to_le_bytes()[..], &zone.to_le_bytes(), &(*per_s as f32).to_le_bytes()].concat()
+    };
+    lines.iter().take(NOTE_BYTES / 8).flat_map(write).collect()
+}
+
+/// Reads a peer's note; what is no line of one is passed over.
+pub fn read_note(bytes: &[u8]) -> impl Iterator<Item = NoteLine> {
+    bytes.chunks_exact(8).filter_map(|line| {
+        let &[a, b, c, d, e, f, g, h] = line else { return None };
+        let per_s = f64::from(f32::from_le_bytes([e, f, g, h]));
+        let sane = per_s.is_finite() && per_s > 0.0;
+        sane.then_some((u16::from_le_bytes([a, b]), u16::from_le_bytes([c, d]), per_s))
+    })
+}
