In a jam strike only what answers next to nothing

Guards also against bursts and lost zones that overload what is left; harms where a jam hides a server that fails most but not all of its tries.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -64,6 +64,9 @@
 /// usual in the fleet.
 const FAIL_SHARE: f64 = 0.5;
 const FAIL_TRIES: f64 = 4.0;
+/// In a jam only what answers next to nothing is struck: striking the fullest moves their load on
+/// to the next, and so through the fleet.
+const FAIL_IN_JAM: f64 = 0.9;
 const FAIL_FACTOR: f64 = 1.5;
 /// It strains when its good answers take so many times as long as the fleet's median, and so much
 /// of the response target.
@@ -169,14 +172,14 @@
     }
 
     /// Judges every server by what was heard; true when one changed.
-    fn judge(&mut self, now: f64, target_ms: f64, log: &mut Log) -> bool {
+    fn judge(&mut self, now: f64, target_ms: f64, jam: bool, log: &mut Log) -> bool {
         let ids: Vec<ServerId> = self.servers.keys().copied().collect();
         let met: Vec<Met> = ids.iter().map(|id| self.met_at(now, *id, HEALTH_SPAN_MS)).collect();
         let mut means: Vec<f64> = met.iter().filter(|m| m.good() >= 3.0).map(Met::mean_ms).collect();
         means.sort_by(f64::total_cmp);
         let median = means.get(means.len() / 2).copied().unwrap_or(f64::INFINITY);
         let all = met.iter().fold(Met::default(), |all, m| all.with([m.tries, m.bad, m.time_ms]));
-        let fail_share = FAIL_SHARE.max(FAIL_FACTOR * all.bad_share());
+        let fail_share = if jam { FAIL_IN_JAM } else { FAIL_SHARE.max(FAIL_FACTOR * all.bad_share()) };
         let strain_ms = (STRAIN_RATIO * median).max(STRAIN_PART * target_ms);
         let mut changed = false;
         for (id, met) in ids.into_iter().zip(met) {
@@ -656,7 +659,8 @@
         let round = inputs.iter().any(|i| matches!(i, Input::Alarm { name: ROUND }));
         if round || inputs.iter().any(|i| matches!(i, Input::Heard { .. })) {
             let target_ms = self.demand.usual_target_ms(now, &self.kinds);
-            self.hasty |= self.fleet.judge(now, target_ms, &mut self.log);
+            let jam = self.valves.mode == Mode::Tight;
+            self.hasty |= self.fleet.judge(now, target_ms, jam, &mut self.log);
         }
         if round {
             out.push(Effect::Alarm { in_ms: ROUND_MS, name: ROUND });
