--- a/src/rules.rs
+++ b/src/rules.rs
@@ -469,7 +469,7 @@
     (Mode::Tight, Flow::Slack, Mode::Open, Valve::Release),
 ];
 
-const STEP_MS: f64 = 2_000.0;
+const STEP_MS: f64 = 2000.0;
 const JAM_SPAN_MS: f64 = 3_000.0;
 const JAM_TRIES: f64 = 20.0;
 /// The fleet jams when so many tries are bad, or good ones take so much of the response target.
