Jams read off load reports too, sooner than off late answers

Reqs held or queued as servers report them, over what is done, tell it at once. Tried with their weight at 0, 0.5, 0.67, 0.8 and 1.0 while levels are open, and raising by 1.15 and 1.3; kept 0.8 and 1.3.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -66,6 +66,8 @@
 struct Fleet {
     servers: BTreeMap<ServerId, Server>,
     heard: BTreeMap<(ServerId, ZoneId), Buckets<3>>,
+    /// Reqs in the hands or the queue of a server, as it last said.
+    held: Lines,
     /// Withdrawals to order (true) or to lift.
     withdrawals: BTreeMap<ServerId, bool>,
 }
@@ -251,6 +253,14 @@
         }
     }
 
+    /// The part of the fleet's reqs that comes to our proxies, each unknown one taken as a mean one.
+    fn part_of_all(&self, proxies: f64) -> f64 {
+        let known: f64 = self.proxies.values().map(|p| p.met_per_s).sum();
+        let own: f64 = self.proxies.values().filter(|p| p.joined).map(|p| p.met_per_s).sum();
+        let count = self.proxies.len().max(1) as f64;
+        (own / known.max(1e-9) * (count / proxies).min(1.0)).max(1e-3)
+    }
+
     /// The zones' shares of the demand, held until one is well off.
     fn zones_held(&mut self, zone_of: impl Fn(ZoneId) -> ZoneId) -> Shares {
         let all: f64 = self.proxies.values().map(|p| p.met_per_s).sum::<f64>().max(1e-9);
@@ -475,11 +485,12 @@
 /// The fleet jams when so many tries are bad, or good ones take so much of the response target.
 const JAM_BAD: f64 = 0.2;
 const JAM_PART: f64 = 0.5;
-const EASY_PART: f64 = 0.3;
+const OPEN_PART: f64 = 0.8;
+const EASY_PART: f64 = 0.4;
 const CUT_TO: f64 = 0.9;
 const FLOOR_TO: f64 = 0.8;
 const RAISE_BY: f64 = 1.05;
-const EASY_BY: f64 = 1.15;
+const EASY_BY: f64 = 1.3;
 const SLACK_OVER: f64 = 1.2;
 /// Lanes are drawn when no more than this part of what comes could be let in; and their room.
 const LANES_BELOW: f64 = 0.7;
@@ -494,18 +505,31 @@
         Self { levels, mode, lanes, allowed_per_s: EVERYTHING, stepped_ms: now, ordered }
     }
 
-    fn step(&mut self, now: f64, met: Met, target_ms: f64, came_per_s: f64, log: &mut Log) {
+    fn step(
+        &mut self,
+        now: f64,
+        met: Met,
+        held_ms: Option<f64>,
+        target_ms: f64,
+        came_per_s: f64,
+        log: &mut Log,
+    ) {
         if now - self.stepped_ms < STEP_MS || met.tries < JAM_TRIES {
             return;
         }
         let (bad, mean, done_per_s) = (met.bad_share(), met.mean_ms(), met.good() / JAM_SPAN_MS * 1e3);
-        let flow = match bad > JAM_BAD || mean > JAM_PART * target_ms {
+        // Once levels are set, what was let in before them still comes in late; reports tell sooner.
+        let (late_ms, bad_now) = match (self.mode, held_ms) {
+            (Mode::Tight, Some(held_ms)) => (held_ms, 0.0),
+            (_, held_ms) => (mean.max(OPEN_PART * held_ms.unwrap_or(0.0)), bad),
+        };
+        let flow = match bad_now > JAM_BAD || late_ms > JAM_PART * target_ms {
             true => Flow::Jams,
             false if self.allowed_per_s > SLACK_OVER * came_per_s => Flow::Slack,
             false => Flow::Flows,
         };
         let Some(row) = LEVELS.iter().find(|row| row.0 == self.mode && row.1 == flow) else { return };
-        let raise = if mean < EASY_PART * target_ms { EASY_BY } else { RAISE_BY };
+        let raise = if late_ms < EASY_PART * target_ms { EASY_BY } else { RAISE_BY };
         self.allowed_per_s = match row.3 {
             Valve::Cut => CUT_TO * done_per_s.min(came_per_s),
             // Answers to reqs of before the cut go on coming; what is done now can be let in.
@@ -596,6 +620,8 @@
     bounds: RuleBounds,
     pace: ChannelFacts,
     means: Means,
+    load_fields: Vec<LoadField>,
+    held_as: LoadField,
     list_asked: bool,
     ask_again_ms: f64,
     proxies: f64,
@@ -623,6 +649,12 @@
             bounds: start.bounds,
             pace: start.channel,
             means: start.means,
+            held_as: if start.load_fields.contains(&LoadField::Held) {
+                LoadField::Held
+            } else {
+                LoadField::Queue
+            },
+            load_fields: start.load_fields,
             list_asked: start.list.asked,
             ask_again_ms: ROUND_MS,
             proxies: f64::from(start.place.proxies.max(1)),
@@ -724,7 +756,10 @@
                     }
                 }
             }
-            Input::Heard { zone, server, tries, bad, mean_ms, .. } => {
+            Input::Heard { zone, server, tries, bad, mean_ms, load, .. } => {
+                if let Some(held) = self.load_fields.iter().zip(load).find(|(f, _)| **f == self.held_as) {
+                    self.fleet.held.insert(*server, *held.1);
+                }
                 self.fleet.hear(now, (*server, *zone), [*tries, *bad, mean_ms * (tries - bad)]);
             }
             Input::Usage { proxy, kind, came, .. } if *kind < KINDS => {
@@ -765,17 +800,24 @@
 
     fn step_valves(&mut self, now: f64) {
         let used = self.fleet.servers.iter().filter(|(_, s)| s.part > 0.0).map(|(id, _)| *id);
-        let mut met = Met::default();
+        let (mut met, mut held) = (Met::default(), 0.0);
         for id in used.collect::<Vec<_>>() {
             let at = self.fleet.met_at(now, id, JAM_SPAN_MS);
             // What answers next to nothing is a server's trouble and no jam.
             if at.bad_share() <= FAIL_IN_JAM {
                 met = met.with([at.tries, at.bad, at.time_ms]);
+                held += self.fleet.held.get(&id).filter(|_| at.tries > 0.0).unwrap_or(&0.0);
             }
         }
         let came_per_s = self.demand.came.over(now, LEVEL_SPAN_MS).iter().sum::<f64>() / LEVEL_SPAN_MS * 1e3;
         let target_ms = self.demand.usual_target_ms(now, &self.kinds);
-        self.valves.step(now, met, target_ms, came_per_s, &mut self.log);
+        // Load reports show the load of all proxies, before the reqs that wait are answered.
+        let part = self.demand.part_of_all(self.proxies);
+        let all_per_ms = met.good() / JAM_SPAN_MS / part;
+        let base_ms = if self.held_as == LoadField::Held { 0.0 } else { EASY_PART * target_ms };
+        let told = self.load_fields.contains(&self.held_as);
+        let held_ms = told.then_some(base_ms + held / all_per_ms.max(1e-6));
+        self.valves.step(now, met, held_ms, target_ms, came_per_s, &mut self.log);
     }
 
     /// The levels and retry modes that all proxies are to have: what is let in goes to the kinds
