--- a/src/rules.rs
+++ b/src/rules.rs
@@ -486,7 +486,7 @@
 const JAM_BAD: f64 = 0.2;
 const JAM_PART: f64 = 0.5;
 const OPEN_PART: f64 = 0.8;
-const EASY_PART: f64 = 0.4;
+const QUEUE_BASE: f64 = 0.45;
 const CUT_TO: f64 = 0.9;
 const FLOOR_TO: f64 = 0.8;
 const RAISE_BY: f64 = 1.05;
@@ -502,7 +502,9 @@
 impl Valves {
     fn new(now: f64, levels: Levels) -> Self {
         let (mode, lanes, ordered) = (Mode::Open, false, vec![]);
-        Self { levels, mode, lanes, allowed_per_s: EVERYTHING, stepped_ms: now, ordered }
+        // What is done each second is not known before reports cover the span.
+        let stepped_ms = now + 2.0 * JAM_SPAN_MS - STEP_MS;
+        Self { levels, mode, lanes, allowed_per_s: EVERYTHING, stepped_ms, ordered }
     }
 
     fn step(
@@ -529,7 +531,7 @@
             false => Flow::Flows,
         };
         let Some(row) = LEVELS.iter().find(|row| row.0 == self.mode && row.1 == flow) else { return };
-        let raise = if late_ms < EASY_PART * target_ms { EASY_BY } else { RAISE_BY };
+        let raise = (JAM_PART * target_ms / late_ms.max(1.0)).clamp(RAISE_BY, EASY_BY);
         self.allowed_per_s = match row.3 {
             Valve::Cut => CUT_TO * done_per_s.min(came_per_s),
             // Answers to reqs of before the cut go on coming; what is done now can be let in.
@@ -814,7 +816,7 @@
         // Load reports show the load of all proxies, before the reqs that wait are answered.
         let part = self.demand.part_of_all(self.proxies);
         let all_per_ms = met.good() / JAM_SPAN_MS / part;
-        let base_ms = if self.held_as == LoadField::Held { 0.0 } else { EASY_PART * target_ms };
+        let base_ms = if self.held_as == LoadField::Held { 0.0 } else { QUEUE_BASE * target_ms };
         let told = self.load_fields.contains(&self.held_as);
         let held_ms = told.then_some(base_ms + held / all_per_ms.max(1e-6));
         self.valves.step(now, met, held_ms, target_ms, came_per_s, &mut self.log);
