--- a/src/rules.rs
+++ b/src/rules.rs
@@ -61,17 +61,6 @@
 const STRAIN_TRIES: f64 = 8.0;
 const TRIM_TO: f64 = 0.75;
 
-/// The servers of the list, and what our proxies met at them.
-#[derive(Default)]
-struct Fleet {
-    servers: BTreeMap<ServerId, Server>,
-    heard: BTreeMap<(ServerId, ZoneId), Buckets<3>>,
-    /// Reqs in the hands or the queue of a server, as it last said.
-    held: Lines,
-    /// Withdrawals to order (true) or to lift.
-    withdrawals: BTreeMap<ServerId, bool>,
-}
-
 impl Fleet {
     fn take_list(&mut self, now: f64, scope: ListScope, lines: &[Listed], log: &mut Log) {
         if matches!(scope, ListScope::Full | ListScope::Cached) {
@@ -203,14 +192,6 @@
 /// A proxy that nobody has named for this long brings nothing any more.
 const FORGET_MS: f64 = 10_000.0;
 
-/// Who brings how much, as far as our proxies' usage and peers' notes tell.
-struct Demand {
-    proxies: BTreeMap<ProxyId, Proxy>,
-    came: Buckets<KINDS>,
-    /// The zones' shares that tables stand on.
-    zones: Shares,
-}
-
 impl Demand {
     fn named(&mut self, now: f64, proxy: ProxyId, zone: ZoneId, per_s: f64) -> &mut Proxy {
         let per_s = per_s.max(0.01);
@@ -409,10 +390,9 @@
         self.file(was, Verdict::Failed, Lines::new());
         let next = self.newest()?;
         let what = if next.standing == Standing::Sound { "rolled back to" } else { "all tainted, keeps" };
-        Some(format!(
-            "table {id} revision {was:016x} tainted, {what} {:016x}: bad {bad:.3} of {} tries, prior {prior:.3}",
-            next.name, met.tries
-        ))
+        let (next, tries) = (next.name, met.tries);
+        let why = format!("bad {bad:.3} of {tries} tries, prior {prior:.3}");
+        Some(format!("table {id} revision {was:016x} tainted, {what} {next:016x}: {why}"))
     }
 }
 
@@ -541,9 +521,8 @@
         };
         if row.2 != self.mode {
             let (was, to, lets) = (self.mode, row.2, self.allowed_per_s);
-            log.push(format!(
-                "levels {was:?} -> {to:?}: bad {bad:.2}, mean {mean:.0} ms, came {came_per_s:.0}, lets in {lets:.0}"
-            ));
+            let why = format!("bad {bad:.2}, mean {mean:.0} ms, came {came_per_s:.0}");
+            log.push(format!("levels {was:?} -> {to:?}: {why}, lets in {lets:.0} reqs/s"));
         }
         (self.mode, self.stepped_ms) = (row.2, now);
         // A jam that no level can ease: the kinds of most value get servers of their own.
@@ -571,18 +550,6 @@
     if mode == Mode::Open { Retry::IfUnrun } else { Retry::Never }
 }
 
-impl KindGroup {
-    fn open(&self, listed: &Listed) -> bool {
-        let ReqKind { zones, machines, .. } = &self.like;
-        (zones.is_empty() || zones.contains(&listed.zone))
-            && (machines.is_empty() || machines.contains(&listed.machine))
-    }
-}
-
-fn mask_of(kinds: impl Iterator<Item = KindId>) -> u16 {
-    kinds.fold(0, |mask, k| mask | 1 << k)
-}
-
 /// Where no levels can be set, each kind has tables of its own, so that lanes can be drawn.
 fn group_kinds(kinds: &[ReqKind], apart: bool) -> Vec<KindGroup> {
     let mut groups: Vec<KindGroup> = Vec::new();
@@ -622,8 +589,9 @@
     bounds: RuleBounds,
     pace: ChannelFacts,
     means: Means,
-    load_fields: Vec<LoadField>,
-    held_as: LoadField,
+    /// Where a load report tells the reqs held, or only those queued.
+    held_at: Option<usize>,
+    queue_only: bool,
     list_asked: bool,
     ask_again_ms: f64,
     proxies: f64,
@@ -644,6 +612,7 @@
         let mut kinds = start.kinds;
         kinds.truncate(KINDS);
         let came = Buckets::new(1_000.0, 24);
+        let position = |field| start.load_fields.iter().position(|f| *f == field);
         Self {
             rng: ChaCha8Rng::seed_from_u64(start.seed),
             groups: group_kinds(&kinds, start.habits.levels == Levels::Ignored),
@@ -651,12 +620,8 @@
             bounds: start.bounds,
             pace: start.channel,
             means: start.means,
-            held_as: if start.load_fields.contains(&LoadField::Held) {
-                LoadField::Held
-            } else {
-                LoadField::Queue
-            },
-            load_fields: start.load_fields,
+            held_at: position(LoadField::Held).or(position(LoadField::Queue)),
+            queue_only: position(LoadField::Held).is_none(),
             list_asked: start.list.asked,
             ask_again_ms: ROUND_MS,
             proxies: f64::from(start.place.proxies.max(1)),
@@ -759,8 +724,8 @@
                 }
             }
             Input::Heard { zone, server, tries, bad, mean_ms, load, .. } => {
-                if let Some(held) = self.load_fields.iter().zip(load).find(|(f, _)| **f == self.held_as) {
-                    self.fleet.held.insert(*server, *held.1);
+                if let Some(held) = self.held_at.and_then(|at| load.get(at)) {
+                    self.fleet.held.insert(*server, *held);
                 }
                 self.fleet.hear(now, (*server, *zone), [*tries, *bad, mean_ms * (tries - bad)]);
             }
@@ -816,9 +781,8 @@
         // Load reports show the load of all proxies, before the reqs that wait are answered.
         let part = self.demand.part_of_all(self.proxies);
         let all_per_ms = met.good() / JAM_SPAN_MS / part;
-        let base_ms = if self.held_as == LoadField::Held { 0.0 } else { QUEUE_BASE * target_ms };
-        let told = self.load_fields.contains(&self.held_as);
-        let held_ms = told.then_some(base_ms + held / all_per_ms.max(1e-6));
+        let base_ms = if self.queue_only { QUEUE_BASE * target_ms } else { 0.0 };
+        let held_ms = self.held_at.map(|_| base_ms + held / all_per_ms.max(1e-6));
         self.valves.step(now, met, held_ms, target_ms, came_per_s, &mut self.log);
     }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -202,6 +202,38 @@
     pub like: ReqKind,
 }
 
+/// The servers of the list, and what our proxies met at them.
+#[derive(Default)]
+pub struct Fleet {
+    pub servers: BTreeMap<ServerId, Server>,
+    pub heard: BTreeMap<(ServerId, ZoneId), Buckets<3>>,
+    /// Reqs in the hands or the queue of a server, as it last said.
+    pub held: Lines,
+    /// Withdrawals to order (true) or to lift.
+    pub withdrawals: BTreeMap<ServerId, bool>,
+}
+
+/// Who brings how much, as far as our proxies' usage and peers' notes tell.
+pub struct Demand {
+    pub proxies: BTreeMap<ProxyId, Proxy>,
+    pub came: Buckets<KINDS>,
+    /// The zones' shares that tables stand on.
+    pub zones: Shares,
+}
+
+/// Request kinds as bits by their place.
+pub fn mask_of(kinds: impl Iterator<Item = KindId>) -> u16 {
+    kinds.fold(0, |mask, k| mask | 1 << k)
+}
+
+impl KindGroup {
+    pub fn open(&self, listed: &Listed) -> bool {
+        let ReqKind { zones, machines, .. } = &self.like;
+        (zones.is_empty() || zones.contains(&listed.zone))
+            && (machines.is_empty() || machines.contains(&listed.machine))
+    }
+}
+
 /// A line of a note to peers: a proxy, its zone, and the reqs a second that come to it.
 pub type NoteLine = (ProxyId, ZoneId, f64);
 
