--- a/src/rules.rs
+++ b/src/rules.rs
@@ -402,6 +402,7 @@
 const ENTRY_PART: f64 = 0.25;
 /// In a jam a cold server waits until it is sure to stand this many times its full work.
 const SURE_IN_JAM: f64 = 2.0;
+/// The same in lanes, and while nobody knows yet.
 const SURE_IN_LANES: f64 = 3.0;
 
 /// The part of its listed weight that a server may have now.
@@ -663,15 +664,12 @@
         self.settled |= round;
         if self.settled && (round || self.hasty) {
             self.hasty = false;
+            // Whether the fleet jams is not known to a controller that has just started: a rebooted
+            // one pushed cold servers over that its peer held back.
             let sure = match self.valves.mode {
-                Mode::Open => 0.0,
-                Mode::Tight => {
-                    if self.valves.lanes {
-                        SURE_IN_LANES
-                    } else {
-                        SURE_IN_JAM
-                    }
-                }
+                Mode::Open if now - self.valves.stepped_ms >= STEP_MS => 0.0,
+                Mode::Tight if !self.valves.lanes => SURE_IN_JAM,
+                _ => SURE_IN_LANES,
             };
             self.fleet.servers.values_mut().for_each(|s| s.part = part_of(now, s, sure, &self.bounds));
             if self.means.slices == 0 {
