--- a/src/rules.rs
+++ b/src/rules.rs
@@ -484,7 +484,7 @@
     fn new(now: f64, levels: Levels) -> Self {
         let (mode, lanes, ordered) = (Mode::Open, false, vec![]);
         // What is done each second is not known before reports cover the span.
-        let stepped_ms = now + 2.0 * JAM_SPAN_MS - STEP_MS;
+        let stepped_ms = now + 2.0 * JAM_SPAN_MS;
         Self { levels, mode, lanes, allowed_per_s: EVERYTHING, stepped_ms, ordered }
     }
 
@@ -497,7 +497,8 @@
         came_per_s: f64,
         log: &mut Log,
     ) {
-        if now - self.stepped_ms < STEP_MS || met.tries < JAM_TRIES {
+        let pause_ms = if self.mode == Mode::Open { 0.0 } else { STEP_MS };
+        if now < self.stepped_ms + pause_ms || met.tries < JAM_TRIES {
             return;
         }
         let (bad, mean, done_per_s) = (met.bad_share(), met.mean_ms(), met.good() / JAM_SPAN_MS * 1e3);
@@ -667,7 +668,7 @@
             // Whether the fleet jams is not known to a controller that has just started: a rebooted
             // one pushed cold servers over that its peer held back.
             let sure = match self.valves.mode {
-                Mode::Open if now - self.valves.stepped_ms >= STEP_MS => 0.0,
+                Mode::Open if now >= self.valves.stepped_ms => 0.0,
                 Mode::Tight if !self.valves.lanes => SURE_IN_JAM,
                 _ => SURE_IN_LANES,
             };
