--- a/src/rules.rs
+++ b/src/rules.rs
@@ -469,7 +469,6 @@
 const OPEN_PART: f64 = 0.8;
 const QUEUE_BASE: f64 = 0.45;
 const CUT_TO: f64 = 0.9;
-const FLOOR_TO: f64 = 0.8;
 const RAISE_BY: f64 = 1.05;
 const EASY_BY: f64 = 1.3;
 const SLACK_OVER: f64 = 1.2;
@@ -517,7 +516,7 @@
         self.allowed_per_s = match row.3 {
             Valve::Cut => CUT_TO * done_per_s.min(came_per_s),
             // Answers to reqs of before the cut go on coming; what is done now can be let in.
-            Valve::Lower => (CUT_TO * self.allowed_per_s).max(FLOOR_TO * done_per_s),
+            Valve::Lower => CUT_TO * self.allowed_per_s.max(done_per_s),
             Valve::Raise => raise * self.allowed_per_s,
             Valve::Release => EVERYTHING,
         };
