--- a/src/rules.rs
+++ b/src/rules.rs
@@ -468,8 +468,6 @@
 const JAM_PART: f64 = 0.5;
 const OPEN_PART: f64 = 0.8;
 const QUEUE_BASE: f64 = 0.45;
-const BEST_PART: f64 = 0.9;
-const BEST_KEEPS: f64 = 0.98;
 const CUT_TO: f64 = 0.9;
 const RAISE_BY: f64 = 1.05;
 const EASY_BY: f64 = 1.3;
@@ -486,7 +484,7 @@
         let (mode, lanes, ordered) = (Mode::Open, false, vec![]);
         // What is done each second is not known before reports cover the span.
         let stepped_ms = now + 2.0 * JAM_SPAN_MS;
-        Self { levels, mode, lanes, allowed_per_s: EVERYTHING, best_per_s: 0.0, stepped_ms, ordered }
+        Self { levels, mode, lanes, allowed_per_s: EVERYTHING, stepped_ms, ordered }
     }
 
     fn step(
@@ -508,7 +506,6 @@
             (Mode::Tight, Some(held_ms)) => (held_ms, 0.0),
             (_, held_ms) => (mean.max(OPEN_PART * held_ms.unwrap_or(0.0)), bad),
         };
-        self.best_per_s = done_per_s.max(BEST_KEEPS * self.best_per_s);
         let flow = match bad_now > JAM_BAD || late_ms > JAM_PART * target_ms {
             true => Flow::Jams,
             false if self.allowed_per_s > SLACK_OVER * came_per_s => Flow::Slack,
@@ -519,7 +516,7 @@
         self.allowed_per_s = match row.3 {
             Valve::Cut => CUT_TO * done_per_s.min(came_per_s),
             // Answers to reqs of before the cut go on coming; what is done now can be let in.
-            Valve::Lower => CUT_TO * self.allowed_per_s.max(done_per_s).max(BEST_PART * self.best_per_s),
+            Valve::Lower => CUT_TO * self.allowed_per_s.max(done_per_s),
             Valve::Raise => raise * self.allowed_per_s,
             Valve::Release => EVERYTHING,
         };
--- a/src/state.rs
+++ b/src/state.rs
@@ -157,8 +157,6 @@
     /// Each kind has servers of its own.
     pub lanes: bool,
     pub allowed_per_s: f64,
-    /// The most that was done a second, fading.
-    pub best_per_s: f64,
     pub stepped_ms: f64,
     /// Kinds, level and retry mode as last ordered for all proxies.
     pub ordered: Vec<(u16, f64, Retry)>,
