--- a/src/rules.rs
+++ b/src/rules.rs
@@ -148,17 +148,6 @@
         })
     }
 
-    fn told_at(&self, id: ServerId, at: Option<usize>) -> Option<f64> {
-        self.told.get(&id)?.get(at?).copied()
-    }
-
-    /// How busy the servers in use say they are, in the mean.
-    fn busy(&self, at: Option<usize>) -> Option<f64> {
-        let used = self.servers.iter().filter(|(_, s)| s.part > 0.0);
-        let told: Vec<f64> = used.filter_map(|(id, _)| self.told_at(*id, at)).collect();
-        (!told.is_empty()).then(|| told.iter().sum::<f64>() / told.len() as f64)
-    }
-
     /// Judges every server by what was heard; true when one changed.
     fn judge(&mut self, now: f64, target_ms: f64, jam: bool, log: &mut Log) -> bool {
         let ids: Vec<ServerId> = self.servers.keys().copied().collect();
@@ -295,8 +284,6 @@
 /// then be loaded goes by that price.
 const NEAR_PRICE: f64 = 0.02;
 const SLACK_PER_PRICE: f64 = 2.5;
-/// ... but none busier than this, where servers tell.
-const ZONE_BUSY: f64 = 0.85;
 const STEPS: f64 = 8.0;
 
 fn in_steps(x: f64) -> f64 {
@@ -605,7 +592,6 @@
     means: Means,
     /// Where a load report tells the reqs held, or only those queued.
     held_at: Option<usize>,
-    busy_at: Option<usize>,
     queue_only: bool,
     list_asked: bool,
     ask_again_ms: f64,
@@ -636,7 +622,6 @@
             pace: start.channel,
             means: start.means,
             held_at: position(LoadField::Held).or(position(LoadField::Queue)),
-            busy_at: position(LoadField::Busy),
             queue_only: position(LoadField::Held).is_none(),
             list_asked: start.list.asked,
             ask_again_ms: ROUND_MS,
@@ -737,7 +722,9 @@
                 }
             }
             Input::Heard { zone, server, tries, bad, mean_ms, load, .. } => {
-                self.fleet.told.insert(*server, load.clone());
+                if let Some(held) = self.held_at.and_then(|at| load.get(at)) {
+                    self.fleet.held.insert(*server, *held);
+                }
                 self.fleet.hear(now, (*server, *zone), [*tries, *bad, mean_ms * (tries - bad)]);
             }
             Input::Usage { proxy, kind, came, .. } if *kind < KINDS => {
@@ -784,7 +771,7 @@
             // What answers next to nothing is a server's trouble and no jam.
             if at.bad_share() <= FAIL_IN_JAM {
                 met = met.with([at.tries, at.bad, at.time_ms]);
-                held += self.fleet.told_at(id, self.held_at).filter(|_| at.tries > 0.0).unwrap_or(0.0);
+                held += self.fleet.held.get(&id).filter(|_| at.tries > 0.0).unwrap_or(&0.0);
             }
         }
         let came_per_s = self.demand.came.over(now, LEVEL_SPAN_MS).iter().sum::<f64>() / LEVEL_SPAN_MS * 1e3;
@@ -831,9 +818,7 @@
         let zone_of = |zone: ZoneId| if near { zone } else { 0 };
         // A jam costs more than crossing zones does: then they are loaded evenly.
         let jam = self.valves.mode == Mode::Tight;
-        let priced = SLACK_PER_PRICE * self.means.cross_zone_price;
-        let room = self.fleet.busy(self.busy_at).map_or(priced, |busy| in_steps(ZONE_BUSY / busy.max(0.1) - 1.0));
-        let slack = if jam { 0.0 } else { room.clamp(0.0, priced) };
+        let slack = if jam { 0.0 } else { SLACK_PER_PRICE * self.means.cross_zone_price };
         let demand = self.demand.zones_held(zone_of);
         let sized: f64 = self.demand.proxies.values().map(|p| p.sized_per_s).sum();
         let mean_per_s = sized / self.demand.proxies.len().max(1) as f64;
--- a/src/state.rs
+++ b/src/state.rs
@@ -207,8 +207,8 @@
 pub struct Fleet {
     pub servers: BTreeMap<ServerId, Server>,
     pub heard: BTreeMap<(ServerId, ZoneId), Buckets<3>>,
-    /// The last load report of each server.
-    pub told: BTreeMap<ServerId, Vec<f64>>,
+    /// Reqs in the hands or the queue of a server, as it last said.
+    pub held: Lines,
     /// Withdrawals to order (true) or to lift.
     pub withdrawals: BTreeMap<ServerId, bool>,
 }
