In a jam a server strains at three times the median

Also tried 2, 2.5 and never, and reports at 0.8. Guards against bursts as well; harms where one server is slow in a jam.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -57,6 +57,8 @@
 /// It strains when its good answers take so many times as long as the fleet's median, and so much
 /// of the response target.
 const STRAIN_RATIO: f64 = 1.6;
+/// In a jam it takes more: trims rove through a full fleet as strikes do.
+const STRAIN_IN_JAM: f64 = 3.0;
 const STRAIN_PART: f64 = 0.5;
 const STRAIN_TRIES: f64 = 8.0;
 const TRIM_TO: f64 = 0.75;
@@ -157,7 +159,8 @@
         let median = means.get(means.len() / 2).copied().unwrap_or(f64::INFINITY);
         let all = met.iter().fold(Met::default(), |all, m| all.with([m.tries, m.bad, m.time_ms]));
         let fail_share = if jam { FAIL_IN_JAM } else { FAIL_SHARE.max(FAIL_FACTOR * all.bad_share()) };
-        let strain_ms = (STRAIN_RATIO * median).max(STRAIN_PART * target_ms);
+        let ratio = if jam { STRAIN_IN_JAM } else { STRAIN_RATIO };
+        let strain_ms = (ratio * median).max(STRAIN_PART * target_ms);
         let mut changed = false;
         for (id, met) in ids.into_iter().zip(met) {
             let server = &self.servers[&id];
@@ -466,7 +469,7 @@
 /// The fleet jams when so many tries are bad, or good ones take so much of the response target.
 const JAM_BAD: f64 = 0.2;
 const JAM_PART: f64 = 0.5;
-const OPEN_PART: f64 = 0.8;
+const OPEN_PART: f64 = 0.65;
 const QUEUE_BASE: f64 = 0.45;
 const CUT_TO: f64 = 0.9;
 const RAISE_BY: f64 = 1.05;
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -108,6 +108,23 @@
     assert_snapshot!(desk.trace);
 }
 
+#[test]
+fn nothing_roves_through_a_jammed_fleet() {
+    let mut desk = settled(start());
+    desk.pass(5_000.0, |_| ());
+    let full = |d: &mut Desk, s3_bad: f64, s4_ms: f64| {
+        (0..2).for_each(|p| d.usage(p, 0, 40.0));
+        for (n, bad, ms) in [(1, 6.0, 800.0), (2, 6.0, 800.0), (3, s3_bad, 800.0), (4, 6.0, s4_ms)] {
+            d.hear(n, 20.0, bad, ms);
+        }
+    };
+    desk.note("all are full");
+    desk.pass(4_000.0, |d| full(d, 6.0, 800.0));
+    desk.note("s3 fails most and s4 takes twice as long, but both do work: neither is moved off");
+    desk.pass(6_000.0, |d| full(d, 16.0, 1_600.0));
+    assert_snapshot!(desk.trace);
+}
+
 #[test]
 fn crash_rebuild_and_rejoin() {
     let mut desk = settled(start());
