--- a/src/rules.rs
+++ b/src/rules.rs
@@ -472,6 +472,7 @@
 const OPEN_PART: f64 = 0.65;
 const QUEUE_BASE: f64 = 0.45;
 const CUT_TO: f64 = 0.9;
+const RAISE_OVER: f64 = 1.2;
 const RAISE_BY: f64 = 1.05;
 const EASY_BY: f64 = 1.3;
 const SLACK_OVER: f64 = 1.2;
@@ -518,9 +519,9 @@
         let raise = (JAM_PART * target_ms / late_ms.max(1.0)).clamp(RAISE_BY, EASY_BY);
         self.allowed_per_s = match row.3 {
             Valve::Cut => CUT_TO * done_per_s.min(came_per_s),
-            // Answers to reqs of before the cut go on coming; what is done now can be let in.
-            Valve::Lower => CUT_TO * self.allowed_per_s.max(done_per_s),
-            Valve::Raise => raise * self.allowed_per_s,
+            // What is allowed runs away from what is done where it binds nothing, or too late.
+            Valve::Lower => CUT_TO * (self.allowed_per_s + done_per_s) / 2.0,
+            Valve::Raise => raise * self.allowed_per_s.min(RAISE_OVER * done_per_s),
             Valve::Release => EVERYTHING,
         };
         if row.2 != self.mode {
