--- a/src/rules.rs
+++ b/src/rules.rs
@@ -478,7 +478,7 @@
 const SLACK_OVER: f64 = 1.2;
 /// Lanes are drawn when no more than this part of what comes could be let in; and their room.
 const LANES_BELOW: f64 = 0.7;
-const LANE_ROOM: f64 = 1.3;
+const LANE_ROOM: f64 = 1.6;
 /// Of each kind so much is let in whatever its value.
 const LEAST_PART: f64 = 0.05;
 const EVERYTHING: f64 = 1e6;
