--- a/src/rules.rs
+++ b/src/rules.rs
@@ -818,10 +818,10 @@
 
     /// Cuts all arcs from the list, the health and the demand, and proposes their lines.
     fn cut_tables(&mut self, now: f64) {
-        let jam = self.valves.mode == Mode::Tight;
-        let near = self.means.cross_zone_price > NEAR_PRICE && !self.valves.lanes;
+        let near = self.means.cross_zone_price > NEAR_PRICE;
         let zone_of = |zone: ZoneId| if near { zone } else { 0 };
-        // A jam costs more than crossing zones does: then they are one ring.
+        // A jam costs more than crossing zones does: then they are loaded evenly.
+        let jam = self.valves.mode == Mode::Tight;
         let slack = if jam { 0.0 } else { SLACK_PER_PRICE * self.means.cross_zone_price };
         let demand = self.demand.zones_held(zone_of);
         let sized: f64 = self.demand.proxies.values().map(|p| p.sized_per_s).sum();
