--- a/crates/rookpulley-wirehost/src/main.rs
+++ b/crates/rookpulley-wirehost/src/main.rs
@@ -119,6 +119,30 @@
         assert_eq!(out, [0, 0, 0, 0, 0, 0, 0, 0, 3, 0, 0, 0]);
     }
 
+    const SETTINGS: &str = r#"{"self_index": 0, "balancers": 1, "locality": 0, "areas": ["a"],
+        "registry_mode": "on_request", "never_heard_of": 1, "load_info": {"fields": ["depth"]},
+        "categories": [{"name": "view", "effect": "token", "group": "cell", "window_us": 2000000,
+            "aim_us": 500000, "hard_limit_us": 900000, "worth": 1.5}],
+        "family_info": {"empty_for_us": 1000000, "lines_per_s": 500, "envelope": 2, "backlog": 900,
+            "transit_us": 90000, "push_delay_max_us": 200000},
+        "rules": {"drain_grace_us": 900000, "cold_share": 0.5, "ramp_time_us": 5000000,
+            "fall_multiple": 2, "tip_after_us": 700000}}"#;
+
+    #[test]
+    fn every_event_is_read() {
+        let mut boot = event(16, 13, &0_u32.to_le_bytes());
+        boot[17..21].copy_from_slice(&(SETTINGS.len() as u32).to_le_bytes());
+        let others = [17, 18, 19, 20, 22, 23, 24, 25, 26, 27, 28, 29];
+        let mut body = boot.clone();
+        others.iter().for_each(|code| body.extend(event(*code, 0, &[*code])));
+        body.extend([event(21, 0, &[21]), boot].concat());
+        body.extend(SETTINGS.as_bytes());
+        let mut out = Vec::new();
+        host(&batch(others.len() as u32 + 3, &body)[..], &mut out).unwrap();
+        let codes: Vec<u8> = out[12..].chunks_exact(24).map(|record| record[0]).collect();
+        assert_eq!(codes, [90, 85], "after the restart: a timer, and the list is asked for");
+    }
+
     #[test]
     fn malformed_frames_get_a_plain_message() {
         let mut boot = event(16, 13, &0_u32.to_le_bytes());
