--- a/src/rules.rs
+++ b/src/rules.rs
@@ -14,7 +14,6 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use std::collections::{BTreeMap, BTreeSet};
-use std::ops::Range;
 
 const ROUND_MS: f64 = 1_000.0;
 const ROUND: u64 = 1;
@@ -431,7 +430,6 @@
 const BARE_PART: f64 = 0.8;
 /// The channel is taken to do at least this part of its stated pace.
 const SLOW_PART: f64 = 0.25;
-const MARKS: u64 = 65_536;
 
 impl Channel {
     fn pass_time(&mut self, now: f64, lines_per_s: f64) {
@@ -448,7 +446,7 @@
 
     fn mark(&mut self, lines: f64) {
         self.marks.insert(self.next_mark, self.written);
-        self.next_mark = (self.next_mark + 1) % MARKS;
+        self.next_mark = (self.next_mark + 1) % 65_536;
         self.written += lines;
     }
 }
@@ -500,6 +498,10 @@
         came_per_s: f64,
         log: &mut Log,
     ) {
+        // Too few reqs tell nothing: then calm is not known either.
+        if self.mode == Mode::Open && met.tries < JAM_TRIES {
+            self.stepped_ms = self.stepped_ms.max(now + STEP_MS);
+        }
         let pause_ms = if self.mode == Mode::Open { 0.0 } else { STEP_MS };
         if now < self.stepped_ms + pause_ms || met.tries < JAM_TRIES {
             return;
@@ -572,7 +574,7 @@
 }
 
 /// Which of `count` servers are kept for one of several kinds in a deep jam, by the work they bring.
-fn lane_of(count: usize, work: &[f64], of: usize) -> Range<usize> {
+fn lane_of(count: usize, work: &[f64], of: usize) -> std::ops::Range<usize> {
     let mut from = 0;
     for k in 0..work.len() - 1 {
         let share = LANE_ROOM * work[k] / work[k..].iter().sum::<f64>().max(1e-9);
@@ -668,8 +670,8 @@
         self.settled |= round;
         if self.settled && (round || self.hasty) {
             self.hasty = false;
-            // Whether the fleet jams is not known to a controller that has just started: a rebooted
-            // one pushed cold servers over that its peer held back.
+            // Whether the fleet jams is not known to a controller that has just started or hears
+            // little: such ones pushed cold servers over that their peers held back.
             let sure = match self.valves.mode {
                 Mode::Open if now >= self.valves.stepped_ms => 0.0,
                 Mode::Tight if !self.valves.lanes => SURE_IN_JAM,
@@ -909,11 +911,18 @@
         if joined.is_empty() {
             self.channel.left = self.channel.written;
         }
-        let mut orders: Vec<Effect> = Vec::new();
-        for (server, shut) in std::mem::take(&mut self.fleet.withdrawals) {
-            orders.push(Effect::Withdraw { server, out: shut });
-        }
-        if self.valves.stepped_ms == now || self.valves.ordered.is_empty() {
+        // What can wait, waits while a proxy has had most of the messages it may be written.
+        let over_ms = self.pace.messages_over_ms + 500.0;
+        let written = |p: &mut Proxy| if p.joined { p.written.over(now, over_ms)[0] } else { 0.0 };
+        let most_written = self.demand.proxies.values_mut().map(written).fold(0.0, f64::max);
+        let limit = f64::from(self.pace.messages_most);
+        let free = limit <= 0.0 || most_written + 1.0 <= limit * BARE_PART;
+        let due = std::mem::take(&mut self.fleet.withdrawals);
+        let (due, later): (BTreeMap<_, _>, _) = due.into_iter().partition(|(_, shut)| *shut || free);
+        self.fleet.withdrawals = later;
+        let mut orders: Vec<_> =
+            due.into_iter().map(|(server, out)| Effect::Withdraw { server, out }).collect();
+        if free && (self.valves.stepped_ms == now || self.valves.ordered.is_empty()) {
             let admits = self.admits(now);
             if admits != self.valves.ordered {
                 let order = |&(kinds, level, retry): &_| Effect::Admit { table: None, kinds, level, retry };
@@ -921,10 +930,9 @@
                 self.valves.ordered = admits;
             }
         }
-        let head = self.pace.head_lines + 1.0;
         let mut reached: BTreeMap<ProxyId, f64> = BTreeMap::new();
         if !orders.is_empty() {
-            reached.extend(joined.iter().map(|id| (*id, head + orders.len() as f64)));
+            reached.extend(joined.iter().map(|id| (*id, self.pace.head_lines + 1.0 + orders.len() as f64)));
         }
         out.extend(orders);
         for (bare, part) in [(true, BARE_PART), (false, DELTAS_PART)] {
