Arcs reach as far as connections and the queue allow, laid where the ring is loaded least

Cause: arcs covered half the ring whatever its size. The controller's record moved to state.rs to make room.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -10,6 +10,7 @@
 
 use crate::facts::*;
 use crate::ring::Buckets;
+pub use crate::state::Controller;
 use crate::state::*;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -20,8 +21,6 @@
 const ASK_AGAIN: u64 = 2;
 const ASK_MOST_MS: f64 = 8_000.0;
 
-type Log = Vec<String>;
-
 // ---- List & health ------------------------------------------------------------------------
 
 /// State, input, next state, effect. What is not here changes nothing.
@@ -197,17 +196,7 @@
 impl Demand {
     fn named(&mut self, now: f64, proxy: ProxyId, zone: ZoneId, per_s: f64) -> &mut Proxy {
         let per_s = per_s.max(0.01);
-        let entry = self.proxies.entry(proxy).or_insert_with(|| Proxy {
-            zone,
-            joined: false,
-            joined_ms: now,
-            seen_ms: now,
-            sized_per_s: per_s,
-            met_per_s: per_s,
-            came: Buckets::new(1_000.0, 12),
-            off_since_ms: None,
-            written: Buckets::new(250.0, 48),
-        });
+        let entry = self.proxies.entry(proxy).or_insert_with(|| Proxy::new(now, zone, per_s));
         (entry.zone, entry.seen_ms) = (zone, now);
         entry
     }
@@ -232,6 +221,7 @@
             } else if now - *p.off_since_ms.get_or_insert(now) >= OFF_FOR_MS {
                 log.push(format!("proxy {id} arc resized: {:.2} -> {fair:.2} reqs/s", p.sized_per_s));
                 (p.sized_per_s, p.off_since_ms) = (fair.max(0.01), None);
+                p.places.clear();
             }
         }
     }
@@ -278,10 +268,13 @@
 
 // ---- Arcs ---------------------------------------------------------------------------------
 
-/// An arc reaches over so many times its proxy's share of the ring, but never under so much of it:
-/// streams change size faster than usage is heard, and a narrow arc then pushes over its servers.
-const REACH: f64 = 40.0;
-const REACH_LEAST: f64 = 0.5;
+/// A mean proxy's arc reaches over as many servers as leave all proxies together this part of the
+/// connections that servers accept, and lets one controller's proxies be written anew in this part
+/// of its queue. Wide arcs ride out streams that change size; at hundreds of proxies they fill
+/// servers with connections, and each change of a server writes to everybody.
+const CONNS_PART: f64 = 0.3;
+const WRITE_PART: f64 = 0.4;
+const LINES_LEAST: f64 = 4.0;
 /// Zones are kept apart where a req that crosses them costs more than this; how unevenly they may
 /// then be loaded goes by that price.
 const NEAR_PRICE: f64 = 0.02;
@@ -310,19 +303,31 @@
     flows
 }
 
-/// One arc: the servers of a ring that it covers, at their listed weights, less at its ends.
-fn cut_arc(ring: &[&Listed], at: f64, reach: f64) -> Lines {
-    let all: f64 = ring.iter().map(|l| l.weight).sum();
-    let (mut edge, mut arc) = (0.0, Lines::new());
-    for listed in ring {
-        let width = listed.weight / all;
-        let (from, to) = (edge, edge + width);
-        edge = to;
-        let met = |turn: f64| (to.min(at + reach / 2.0 + turn) - from.max(at - reach / 2.0 + turn)).max(0.0);
-        let covered = in_steps(((met(-1.0) + met(0.0) + met(1.0)) / width).min(1.0));
-        if covered > 0.0 {
-            arc.insert(listed.server, covered * listed.weight);
+/// How many servers a mean proxy's arc reaches over, in coarse steps so that it holds still.
+fn lines_for(servers: f64, conns_least: f64, proxies: f64, own: f64, pace: &ChannelFacts) -> f64 {
+    let by_conns = CONNS_PART * conns_least * servers / proxies;
+    let by_queue = WRITE_PART * pace.backlog_lines / own - pace.head_lines;
+    let most = by_queue.min(if conns_least > 0.0 { by_conns } else { servers }).max(LINES_LEAST);
+    ((most.log2() * 2.0).round() / 2.0).exp2()
+}
+
+/// Where a new arc starts: at the server that the arcs laid so far load least.
+fn least_loaded(ring: &[&Listed], loads: &Lines) -> Option<ServerId> {
+    let load = |l: &Listed| loads.get(&l.server).copied().unwrap_or(0.0);
+    ring.iter().min_by(|a, b| load(a).total_cmp(&load(b))).map(|l| l.server)
+}
+
+/// One arc: so many mean servers of a ring, from a place on it onwards, at their listed weights.
+fn cut_arc(ring: &[&Listed], from: ServerId, lines: f64) -> Lines {
+    let wanted = lines * ring.iter().map(|l| l.weight).sum::<f64>() / ring.len() as f64;
+    let first = ring.partition_point(|l| l.server < from);
+    let (mut reached, mut arc) = (0.0, Lines::new());
+    for listed in ring[first..].iter().chain(&ring[..first]) {
+        if reached + listed.weight / 2.0 > wanted && reached > 0.0 {
+            break;
         }
+        reached += listed.weight;
+        arc.insert(listed.server, listed.weight);
     }
     arc
 }
@@ -590,30 +595,6 @@
 
 // ---- The controller and its gate ----------------------------------------------------------
 
-pub struct Controller {
-    rng: ChaCha8Rng,
-    kinds: Vec<ReqKind>,
-    bounds: RuleBounds,
-    pace: ChannelFacts,
-    means: Means,
-    /// Where a load report tells the reqs held, or only those queued.
-    held_at: Option<usize>,
-    queue_only: bool,
-    list_asked: bool,
-    ask_again_ms: f64,
-    proxies: f64,
-    groups: Vec<KindGroup>,
-    fleet: Fleet,
-    demand: Demand,
-    tables: BTreeMap<(ProxyId, usize), Table>,
-    channel: Channel,
-    valves: Valves,
-    started: bool,
-    settled: bool,
-    hasty: bool,
-    log: Log,
-}
-
 impl Controller {
     pub fn new(now: f64, start: Start) -> Self {
         let mut kinds = start.kinds;
@@ -632,6 +613,7 @@
             list_asked: start.list.asked,
             ask_again_ms: ROUND_MS,
             proxies: f64::from(start.place.proxies.max(1)),
+            controllers: f64::from(start.place.controllers.max(1)),
             fleet: Fleet::default(),
             demand: Demand { proxies: BTreeMap::new(), came, zones: BTreeMap::new() },
             tables: BTreeMap::new(),
@@ -829,6 +811,8 @@
         let sized: f64 = self.demand.proxies.values().map(|p| p.sized_per_s).sum();
         let mean_per_s = sized / self.demand.proxies.len().max(1) as f64;
         let ready: Vec<&Server> = self.fleet.servers.values().filter(|s| s.phase != Phase::Leaving).collect();
+        let own = self.proxies / self.controllers;
+        let mean_lines = lines_for(ready.len() as f64, self.means.conns_least, self.proxies, own, &self.pace);
         let parts: Lines = ready.iter().map(|s| (s.listed.server, s.part)).collect();
         let all: f64 = ready.iter().map(|s| s.part * s.listed.weight).sum::<f64>().max(1e-9);
         let came = self.demand.came.over(now, LEVEL_SPAN_MS);
@@ -840,7 +824,7 @@
         let mut taken: Shares = BTreeMap::new();
         for (g, group) in self.groups.iter().enumerate() {
             let (mut rings, mut room) = (BTreeMap::<ZoneId, Vec<&Listed>>::new(), BTreeMap::new());
-            for s in ready.iter().filter(|s| group.open(&s.listed)) {
+            for s in ready.iter().filter(|s| s.part > 0.0 && group.open(&s.listed)) {
                 let zone = zone_of(s.listed.zone);
                 rings.entry(zone).or_default().push(&s.listed);
                 *room.entry(zone).or_insert(0.0) += s.part * s.listed.weight / all;
@@ -857,22 +841,37 @@
             if !lanes {
                 room.iter().for_each(|(z, r)| *taken.entry(*z).or_insert(0.0) += share * r);
             }
-            for (id, p) in self.demand.proxies.iter().filter(|(_, p)| p.joined) {
-                let at = (f64::from(*id) + 0.5) / self.proxies % 1.0;
-                let reach =
-                    in_steps(REACH * p.sized_per_s / mean_per_s / self.proxies).clamp(REACH_LEAST, 1.0);
+            // Arcs that have a place keep it; the others are laid where the ring is loaded least.
+            let joined = self.demand.proxies.iter_mut().filter(|(_, p)| p.joined);
+            let mut laid: Vec<(&ProxyId, &mut Proxy)> = joined.collect();
+            laid.sort_by(|a, b| b.1.sized_per_s.total_cmp(&a.1.sized_per_s));
+            laid.sort_by_key(|(_, p)| p.places.is_empty());
+            let mut loads = Lines::new();
+            for (id, p) in laid {
                 let home = zone_of(p.zone);
                 let flows = match group.like.own_zone {
                     true => BTreeMap::from([(p.zone, 1.0)]),
                     false => flows_of(home, &demand, &room, slack),
                 };
-                let cut = |(z, part): (&ZoneId, &f64)| Some((cut_arc(rings.get(z)?, at, reach), *part));
-                let arcs: Vec<(Lines, f64)> = flows.iter().filter_map(cut).collect();
+                let wanted = (mean_lines * p.sized_per_s / mean_per_s).max(LINES_LEAST);
+                let mut arcs: Vec<(Lines, f64)> = Vec::new();
+                for (zone, part) in &flows {
+                    let Some(ring) = rings.get(zone) else { continue };
+                    let Some(free) = least_loaded(ring, &loads) else { continue };
+                    let from = *p.places.entry(*zone).or_insert(free);
+                    let arc = cut_arc(ring, from, (wanted * part).max(LINES_LEAST / 2.0));
+                    let share = p.sized_per_s * part / arc.values().sum::<f64>();
+                    arc.keys().for_each(|s| *loads.entry(*s).or_insert(0.0) += share);
+                    arcs.push((arc, *part));
+                }
                 let natural: f64 = arcs.iter().flat_map(|(arc, _)| arc.values()).sum();
                 let mut lines = Lines::new();
                 for (arc, part) in &arcs {
-                    let scale =
-                        if arcs.len() == 1 { 1.0 } else { part * natural / arc.values().sum::<f64>() };
+                    // In steps, lest a change at one line changes them all.
+                    let scale = match arcs.len() {
+                        1 => 1.0,
+                        _ => in_steps(part * natural / arc.values().sum::<f64>()).max(1.0 / STEPS),
+                    };
                     let live = arc.iter().map(|(id, w)| (*id, w * scale * parts[id])).filter(|l| l.1 > 0.0);
                     lines.extend(live);
                 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,7 +1,8 @@
 //! What a controller keeps: plain state. The decisions on it are in `rules.rs`.
 
-use crate::facts::{KindId, Levels, Listed, ProxyId, ReqKind, Retry, ServerId, TableId, ZoneId};
+use crate::facts::*;
 use crate::ring::Buckets;
+use rand_chacha::ChaCha8Rng;
 use std::collections::BTreeMap;
 
 pub type Lines = BTreeMap<ServerId, f64>;
@@ -75,10 +76,29 @@
     pub met_per_s: f64,
     pub came: Buckets<KINDS>,
     pub off_since_ms: Option<f64>,
+    /// Where its arcs start, by zone.
+    pub places: BTreeMap<ZoneId, ServerId>,
     /// Messages written to it.
     pub written: Buckets<1>,
 }
 
+impl Proxy {
+    pub fn new(now: f64, zone: ZoneId, per_s: f64) -> Self {
+        Self {
+            zone,
+            joined: false,
+            joined_ms: now,
+            seen_ms: now,
+            sized_per_s: per_s,
+            met_per_s: per_s,
+            came: Buckets::new(1_000.0, 12),
+            off_since_ms: None,
+            places: BTreeMap::new(),
+            written: Buckets::new(250.0, 48),
+        }
+    }
+}
+
 #[derive(Clone, Copy, PartialEq)]
 pub enum Standing {
     Unknown,
@@ -255,3 +275,31 @@
         sane.then_some((u16::from_le_bytes([a, b]), u16::from_le_bytes([c, d]), per_s))
     })
 }
+
+pub type Log = Vec<String>;
+
+/// One controller: what it was handed at start, and what it has come to know.
+pub struct Controller {
+    pub(crate) rng: ChaCha8Rng,
+    pub(crate) kinds: Vec<ReqKind>,
+    pub(crate) bounds: RuleBounds,
+    pub(crate) pace: ChannelFacts,
+    pub(crate) means: Means,
+    /// Where a load report tells the reqs held, or only those queued.
+    pub(crate) held_at: Option<usize>,
+    pub(crate) queue_only: bool,
+    pub(crate) list_asked: bool,
+    pub(crate) ask_again_ms: f64,
+    pub(crate) proxies: f64,
+    pub(crate) controllers: f64,
+    pub(crate) groups: Vec<KindGroup>,
+    pub(crate) fleet: Fleet,
+    pub(crate) demand: Demand,
+    pub(crate) tables: BTreeMap<(ProxyId, usize), Table>,
+    pub(crate) channel: Channel,
+    pub(crate) valves: Valves,
+    pub(crate) started: bool,
+    pub(crate) settled: bool,
+    pub(crate) hasty: bool,
+    pub(crate) log: Log,
+}
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -270,6 +270,7 @@
 fn arc_follows_usage_that_stays_off() {
     let mut many = start();
     many.place.proxies = 100;
+    many.means.conns_least = 100.0;
     let mut desk = Desk::new(many, (1..=16).map(|n| listed(n, 0)).collect());
     (0..3).for_each(|p| desk.join(p, 0));
     desk.pass(1_000.0, |_| ());
