Bad tries at idle servers are no jam; a raise never lowers; narrower arcs; notes name all proxies

Harm: a jam whose servers falsely report that they are idle shows only in the time that answers take.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -189,6 +189,7 @@
 const LEVEL_SPAN_MS: f64 = 4_000.0;
 /// A proxy that nobody has named for this long brings nothing any more.
 const FORGET_MS: f64 = 10_000.0;
+const NAMED_EVERY_MS: f64 = 3_000.0;
 
 impl Demand {
     fn named(&mut self, now: f64, proxy: ProxyId, zone: ZoneId, per_s: f64) -> &mut Proxy {
@@ -269,7 +270,7 @@
 /// connections that servers accept, and lets one controller's proxies be written anew in this part
 /// of its queue. Wide arcs ride out streams that change size; at hundreds of proxies they fill
 /// servers with connections, and each change of a server writes to everybody.
-const CONNS_PART: f64 = 0.3;
+const CONNS_PART: f64 = 0.15;
 const WRITE_PART: f64 = 0.2;
 const LINES_LEAST: f64 = 4.0;
 /// Zones are kept apart where a req that crosses them costs more than this; how unevenly they may
@@ -504,6 +505,8 @@
         // Once levels are set, what was let in before them still comes in late; reports tell sooner.
         let (late_ms, bad_now) = match (self.mode, held_ms) {
             (Mode::Tight, Some(held_ms)) => (held_ms, 0.0),
+            // Bad tries at servers that report little to do are no jam: connections are refused, say.
+            (_, Some(held_ms)) if held_ms < JAM_PART * target_ms => (met.mean_ms(), 0.0),
             (_, held_ms) => (met.mean_ms().max(OPEN_PART * held_ms.unwrap_or(0.0)), met.bad_share()),
         };
         let flow = match bad_now > JAM_BAD || late_ms > JAM_PART * target_ms {
@@ -517,7 +520,8 @@
             Valve::Cut => CUT_TO * done_per_s.min(came),
             // What is allowed runs away from what is done where it binds nothing, or too late.
             Valve::Lower => CUT_TO * (self.allowed_per_s + done_per_s) / 2.0,
-            Valve::Raise => raise * self.allowed_per_s.min(RAISE_OVER * done_per_s),
+            // Never lower: where tries fail for another reason, what is done would sink with it.
+            Valve::Raise => self.allowed_per_s.max(raise * self.allowed_per_s.min(RAISE_OVER * done_per_s)),
             Valve::Release => EVERYTHING,
         };
         let (was, to, lets) = (self.mode, row.2, self.allowed_per_s);
@@ -604,6 +608,7 @@
             hasty: false,
             beat_ms: now,
             beat_set: false,
+            noted: 0,
             log: Log::new(),
         }
     }
@@ -628,7 +633,7 @@
             self.demand.resize(now, &mut self.log);
             self.judge_tables(now);
             self.step_valves(now);
-            out.extend(self.note());
+            out.extend(self.notes());
         }
         // Up to the first round proxies are still joining and peers' notes on their way.
         self.settled |= round;
@@ -710,12 +715,18 @@
         }
     }
 
-    /// A note names the sender's proxies, the heaviest first, and what comes to them.
-    fn note(&self) -> Option<Effect> {
-        let joined = self.demand.proxies.iter().filter(|(_, p)| p.joined);
+    /// Notes name the sender's proxies and what comes to them: all of them, or as many in turn as
+    /// names each well before it is forgotten. Peers that knew only the heaviest took the sender's
+    /// zone for the lightest.
+    fn notes(&mut self) -> Vec<Effect> {
+        let joined = self.demand.proxies.iter().filter(|(_, p)| p.joined && self.means.peers);
         let mut own: Vec<NoteLine> = joined.map(|(id, p)| (*id, p.zone, p.met_per_s)).collect();
-        own.sort_by(|a, b| b.2.total_cmp(&a.2));
-        (self.means.peers && !own.is_empty()).then(|| Effect::Note { to: None, bytes: write_note(&own) })
+        let count = (own.len() as f64 * ROUND_MS / NAMED_EVERY_MS).ceil() as usize;
+        let count = count.max(NOTE_LINES).min(own.len());
+        let first = self.noted % own.len().max(1);
+        own.rotate_left(first);
+        self.noted += count;
+        own[..count].chunks(NOTE_LINES).map(|c| Effect::Note { to: None, bytes: write_note(c) }).collect()
     }
 
     fn take_note(&mut self, now: f64, bytes: &[u8]) {
--- a/src/state.rs
+++ b/src/state.rs
@@ -268,13 +268,14 @@
 /// A line of a note to peers: a proxy, its zone, and the reqs a second that come to it.
 pub type NoteLine = (ProxyId, ZoneId, f64);
 
-/// Writes as many lines as one note may hold.
+/// As many lines as one note may hold.
+pub const NOTE_LINES: usize = 32;
+
 pub fn write_note(lines: &[NoteLine]) -> Vec<u8> {
-    const NOTE_BYTES: usize = 256;
     let write = |(id, zone, per_s): &NoteLine| {
         [&id.to_le_bytes()[..], &zone.to_le_bytes(), &(*per_s as f32).to_le_bytes()].concat()
     };
-    lines.iter().take(NOTE_BYTES / 8).flat_map(write).collect()
+    lines.iter().take(NOTE_LINES).flat_map(write).collect()
 }
 
 /// Reads a peer's note; what is no line of one is passed over.
@@ -314,6 +315,8 @@
     pub(crate) hasty: bool,
     pub(crate) beat_ms: f64,
     pub(crate) beat_set: bool,
+    /// The place of the proxy that the next note names first.
+    pub(crate) noted: usize,
     pub(crate) log: Log,
 }
 
