Arcs even within 5%; narrow where connections are refused; levels go with the proxies joined

Where tries fail while servers report little to do, arcs are halved every two seconds (an eighth at least) and widened again after 12 s. Length of arcs follows from how evenly they can be laid (5% of a server's share), bounded by connections and the queue. Harm: after a loss not struck yet arcs are narrow, and so less even, a while.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -47,16 +47,14 @@
 const HEALTH_SPAN_MS: f64 = 3_000.0;
 const HOLD_MS: f64 = 5_000.0;
 const HOLD_MOST_MS: f64 = 20_000.0;
-/// A server fails when over this share of so many tries had no good answer, and well over what is
-/// usual in the fleet.
+/// A server fails when over this share of so many tries is bad, and well over the fleet's usual.
 const FAIL_SHARE: f64 = 0.5;
 const FAIL_TRIES: f64 = 4.0;
 /// In a jam only what answers next to nothing is struck: striking the fullest moves their load on
 /// to the next, and so through the fleet.
 const FAIL_IN_JAM: f64 = 0.9;
 const FAIL_FACTOR: f64 = 1.5;
-/// It strains when its good answers take so many times as long as the fleet's median, and so much
-/// of the response target.
+/// It strains when good answers take so many times the fleet's median, and this of the target.
 const STRAIN_RATIO: f64 = 1.6;
 /// In a jam it takes more: trims rove through a full fleet as strikes do.
 const STRAIN_IN_JAM: f64 = 3.0;
@@ -135,14 +133,6 @@
         true
     }
 
-    /// What a zone's proxies met at those of these servers that are in use.
-    fn met_on(&mut self, now: f64, zone: ZoneId, lines: &Lines, span_ms: f64) -> Met {
-        let used = lines.keys().filter(|id| self.servers.get(*id).is_some_and(|s| s.part > 0.0));
-        used.fold(Met::default(), |met, id| {
-            self.heard.get_mut(&(*id, zone)).map_or(met, |h| met.with(h.over(now, span_ms)))
-        })
-    }
-
     /// Judges every server by what was heard; true when one changed.
     fn judge(&mut self, now: f64, target_ms: f64, jam: bool, log: &mut Log) -> bool {
         let ids: Vec<ServerId> = self.servers.keys().copied().collect();
@@ -192,27 +182,16 @@
 const NAMED_EVERY_MS: f64 = 3_000.0;
 
 impl Demand {
-    fn named(&mut self, now: f64, proxy: ProxyId, zone: ZoneId, per_s: f64) -> &mut Proxy {
-        let per_s = per_s.max(0.01);
-        let entry = self.proxies.entry(proxy).or_insert_with(|| Proxy::new(now, zone, per_s));
-        (entry.zone, entry.seen_ms) = (zone, now);
-        entry
-    }
-
     /// Resizes the arcs of proxies whose share stayed far off for long; drops the forgotten.
     fn resize(&mut self, now: f64, log: &mut Log) {
         self.proxies.retain(|_, p| p.joined || now - p.seen_ms < FORGET_MS);
-        let (mut sized, mut met, mut known) = (0.0, 0.0, Vec::new());
-        for (id, p) in &mut self.proxies {
-            if p.joined && now - p.joined_ms >= USAGE_SPAN_MS + 2.0 * ROUND_MS {
-                p.met_per_s = p.came.over(now, USAGE_SPAN_MS).iter().sum::<f64>() / USAGE_SPAN_MS * 1e3;
-                sized += p.sized_per_s;
-                met += p.met_per_s;
-                known.push(*id);
-            }
+        let known = |p: &Proxy| p.joined && now - p.joined_ms >= USAGE_SPAN_MS + 2.0 * ROUND_MS;
+        let (mut sized, mut met) = (0.0, 0.0);
+        for p in self.proxies.values_mut().filter(|p| known(p)) {
+            p.met_per_s = p.came.over(now, USAGE_SPAN_MS).iter().sum::<f64>() / USAGE_SPAN_MS * 1e3;
+            (sized, met) = (sized + p.sized_per_s, met + p.met_per_s);
         }
-        for id in known.into_iter().filter(|_| met > 0.0) {
-            let Some(p) = self.proxies.get_mut(&id) else { continue };
+        for (id, p) in self.proxies.iter_mut().filter(|(_, p)| known(p) && met > 0.0) {
             let fair = p.met_per_s * sized / met;
             if (fair - p.sized_per_s).abs() <= OFF_SHARE * p.sized_per_s {
                 p.off_since_ms = None;
@@ -266,11 +245,11 @@
 
 // ---- Arcs ---------------------------------------------------------------------------------
 
-/// A mean proxy's arc reaches over as many servers as leave all proxies together this part of the
-/// connections that servers accept, and lets one controller's proxies be written anew in this part
-/// of its queue. Wide arcs ride out streams that change size; at hundreds of proxies they fill
-/// servers with connections, and each change of a server writes to everybody.
-const CONNS_PART: f64 = 0.15;
+/// A mean proxy's arc reaches over as many servers of its ring as spread it so that laying it loads
+/// none by over this part of its share; but so that all proxies together leave servers most of the
+/// connections they accept, and one controller's proxies can be written anew in a part of its queue.
+const LAID_PART: f64 = 0.05;
+const CONNS_PART: f64 = 0.3;
 const WRITE_PART: f64 = 0.2;
 const LINES_LEAST: f64 = 4.0;
 /// Zones are kept apart where a req that crosses them costs more than this; how unevenly they may
@@ -302,10 +281,9 @@
 }
 
 /// How many servers a mean proxy's arc reaches over, in coarse steps so that it holds still.
-fn lines_for(servers: f64, conns_least: f64, proxies: f64, own: f64, pace: &ChannelFacts) -> f64 {
-    let by_conns = CONNS_PART * conns_least * servers / proxies;
+fn lines_for(ring: f64, own: f64, by_conns: f64, pace: &ChannelFacts) -> f64 {
     let by_queue = WRITE_PART * pace.backlog_lines / own - pace.head_lines;
-    let most = by_queue.min(if conns_least > 0.0 { by_conns } else { servers }).max(LINES_LEAST);
+    let most = (ring / own / LAID_PART).min(by_conns).min(by_queue).max(LINES_LEAST);
     ((most.log2() * 2.0).round() / 2.0).exp2()
 }
 
@@ -452,7 +430,10 @@
 /// State, input, next state, effect.
 const LEVELS: &[(Mode, Flow, Mode, Valve)] = &[
     (Mode::Open, Flow::Jams, Mode::Tight, Valve::Cut),
+    (Mode::Open, Flow::Refuses, Mode::Open, Valve::Narrow),
+    (Mode::Open, Flow::Slack, Mode::Open, Valve::Widen),
     (Mode::Tight, Flow::Jams, Mode::Tight, Valve::Lower),
+    (Mode::Tight, Flow::Refuses, Mode::Tight, Valve::Narrow),
     (Mode::Tight, Flow::Flows, Mode::Tight, Valve::Raise),
     (Mode::Tight, Flow::Slack, Mode::Open, Valve::Release),
 ];
@@ -466,6 +447,9 @@
 const OPEN_PART: f64 = 0.65;
 const QUEUE_BASE: f64 = 0.45;
 const CUT_TO: f64 = 0.9;
+/// Where connections are refused arcs are narrowed to no less than this, and widened so slowly.
+const REACH_LEAST: f64 = 0.125;
+const WIDEN_MS: f64 = 12_000.0;
 const RAISE_OVER: f64 = 1.2;
 const RAISE_BY: f64 = 1.05;
 const EASY_BY: f64 = 1.3;
@@ -478,39 +462,26 @@
 const EVERYTHING: f64 = 1e6;
 
 impl Valves {
-    fn new(now: f64, levels: Levels) -> Self {
-        let (mode, lanes, ordered) = (Mode::Open, false, vec![]);
-        // What is done each second is not known before reports cover the span.
-        let stepped_ms = now + 2.0 * JAM_SPAN_MS;
-        Self { levels, mode, lanes, allowed_per_s: EVERYTHING, stepped_ms, ordered, ordered_ms: now }
-    }
-
-    fn step(
-        &mut self,
-        now: f64,
-        met: Met,
-        held_ms: Option<f64>,
-        target_ms: f64,
-        came: f64,
-    ) -> Option<String> {
+    fn step(&mut self, now: f64, met: Met, held: Option<f64>, target_ms: f64, came: f64) -> Option<String> {
         // Too few reqs tell nothing: then calm is not known either.
         if self.mode == Mode::Open && met.tries < JAM_TRIES {
             self.stepped_ms = self.stepped_ms.max(now + STEP_MS);
         }
-        let pause_ms = if self.mode == Mode::Open { 0.0 } else { STEP_MS };
+        let pause_ms = if self.mode == Mode::Open && self.reach == 1.0 { 0.0 } else { STEP_MS };
         if now < self.stepped_ms + pause_ms || met.tries < JAM_TRIES {
             return None;
         }
         let done_per_s = met.good() / JAM_SPAN_MS * 1e3;
         // Once levels are set, what was let in before them still comes in late; reports tell sooner.
-        let (late_ms, bad_now) = match (self.mode, held_ms) {
+        let (late_ms, bad_now) = match (self.mode, held) {
             (Mode::Tight, Some(held_ms)) => (held_ms, 0.0),
-            // Bad tries at servers that report little to do are no jam: connections are refused, say.
+            // Bad tries at servers that report little to do are no jam.
             (_, Some(held_ms)) if held_ms < JAM_PART * target_ms => (met.mean_ms(), 0.0),
-            (_, held_ms) => (met.mean_ms().max(OPEN_PART * held_ms.unwrap_or(0.0)), met.bad_share()),
+            (_, held) => (met.mean_ms().max(OPEN_PART * held.unwrap_or(0.0)), met.bad_share()),
         };
         let flow = match bad_now > JAM_BAD || late_ms > JAM_PART * target_ms {
             true => Flow::Jams,
+            false if held.is_some() && met.bad_share() > JAM_BAD => Flow::Refuses,
             false if self.allowed_per_s > SLACK_OVER * came => Flow::Slack,
             false => Flow::Flows,
         };
@@ -518,12 +489,23 @@
         let raise = (JAM_PART * target_ms / late_ms.max(1.0)).clamp(RAISE_BY, EASY_BY);
         self.allowed_per_s = match row.3 {
             Valve::Cut => CUT_TO * done_per_s.min(came),
-            // What is allowed runs away from what is done where it binds nothing, or too late.
             Valve::Lower => CUT_TO * (self.allowed_per_s + done_per_s) / 2.0,
-            // Never lower: where tries fail for another reason, what is done would sink with it.
+            // What is allowed runs away from what is done where it binds nothing; but where tries
+            // are refused, what is done tells nothing of the room.
             Valve::Raise => self.allowed_per_s.max(raise * self.allowed_per_s.min(RAISE_OVER * done_per_s)),
+            Valve::Narrow if came > self.allowed_per_s => raise * self.allowed_per_s,
+            Valve::Narrow | Valve::Widen => self.allowed_per_s,
             Valve::Release => EVERYTHING,
         };
+        // Guards against servers that refuse connections while they have little to do: the fewer
+        // servers a proxy uses, the more of its connections stand. Harm: after a loss that is not
+        // struck yet, arcs are narrow and so less even for a while.
+        self.reach = match row.3 {
+            Valve::Narrow => (self.reach / 2.0).max(REACH_LEAST),
+            Valve::Widen if now >= self.stepped_ms + WIDEN_MS => (self.reach * 2.0).min(1.0),
+            Valve::Widen => return None,
+            _ => self.reach,
+        };
         let (was, to, lets) = (self.mode, row.2, self.allowed_per_s);
         (self.mode, self.stepped_ms) = (row.2, now);
         // A jam that no level can ease: the kinds of most value get servers of their own.
@@ -602,11 +584,18 @@
             demand: Demand { proxies: BTreeMap::new(), came, zones: BTreeMap::new() },
             tables: BTreeMap::new(),
             channel: Channel { as_of_ms: now, ..Channel::default() },
-            valves: Valves::new(now, start.habits.levels),
+            valves: Valves {
+                levels: start.habits.levels,
+                allowed_per_s: EVERYTHING,
+                reach: 1.0,
+                // What is done each second is not known before reports cover the span.
+                stepped_ms: now + 2.0 * JAM_SPAN_MS,
+                ..Valves::default()
+            },
             started: false,
-            settled: false,
             hasty: false,
-            beat_ms: now,
+            // Up to the first round proxies are still joining and peers' notes on their way.
+            beat_ms: now + 2.0 * ROUND_MS,
             beat_set: false,
             noted: 0,
             log: Log::new(),
@@ -635,13 +624,11 @@
             self.step_valves(now);
             out.extend(self.notes());
         }
-        // Up to the first round proxies are still joining and peers' notes on their way.
-        self.settled |= round;
         if self.hasty && now < self.beat_ms {
             out.extend((!self.beat_set).then_some(Effect::Alarm { in_ms: self.beat_ms - now, name: BEAT }));
             self.beat_set = true;
         }
-        if self.settled && (round || (self.hasty && now >= self.beat_ms)) {
+        if round || (self.hasty && now >= self.beat_ms) {
             (self.hasty, self.beat_set, self.beat_ms) = (false, false, now + BEAT_MS);
             // Whether the fleet jams is not known to a controller that has just started or hears
             // little: such ones pushed cold servers over that their peers held back.
@@ -715,9 +702,8 @@
         }
     }
 
-    /// Notes name the sender's proxies and what comes to them: all of them, or as many in turn as
-    /// names each well before it is forgotten. Peers that knew only the heaviest took the sender's
-    /// zone for the lightest.
+    /// Notes name the sender's proxies and what comes to them, each well before it is forgotten.
+    /// Peers that knew only the heaviest misjudged the zones.
     fn notes(&mut self) -> Vec<Effect> {
         let joined = self.demand.proxies.iter().filter(|(_, p)| p.joined && self.means.peers);
         let mut own: Vec<NoteLine> = joined.map(|(id, p)| (*id, p.zone, p.met_per_s)).collect();
@@ -757,6 +743,12 @@
             }
         }
         let came_per_s = self.demand.came.over(now, LEVEL_SPAN_MS).iter().sum::<f64>() / LEVEL_SPAN_MS * 1e3;
+        // What may be let in goes with the proxies: a peer's death brings its proxies and its share.
+        let sized: f64 = self.demand.proxies.values().filter(|p| p.joined).map(|p| p.sized_per_s).sum();
+        if sized > 0.0 {
+            self.valves.allowed_per_s *= sized / self.valves.sized_per_s.unwrap_or(sized);
+            self.valves.sized_per_s = Some(sized);
+        }
         let target_ms = self.demand.usual_target_ms(now, &self.kinds);
         // Load reports show the load of all proxies, before the reqs that wait are answered.
         let part = self.demand.part_of_all(self.proxies);
@@ -808,8 +800,13 @@
         let sized: f64 = self.demand.proxies.values().map(|p| p.sized_per_s).sum();
         let mean_per_s = sized / self.demand.proxies.len().max(1) as f64;
         let ready: Vec<&Server> = self.fleet.servers.values().filter(|s| s.phase != Phase::Leaving).collect();
-        let own = self.proxies / self.controllers;
-        let mean_lines = lines_for(ready.len() as f64, self.means.conns_least, self.proxies, own, &self.pace);
+        let zones: BTreeSet<ZoneId> = ready.iter().map(|s| zone_of(s.listed.zone)).collect();
+        let (servers, own) = (ready.len() as f64, self.proxies / self.controllers);
+        let conns = if self.means.conns_least > 0.0 { self.means.conns_least } else { f64::INFINITY };
+        let by_conns = CONNS_PART * conns * servers / self.proxies;
+        let mean_lines = lines_for(servers / zones.len().max(1) as f64, own, by_conns, &self.pace);
+        let mean_lines = (mean_lines * self.valves.reach).max(LINES_LEAST / 2.0);
+        let least_lines = LINES_LEAST.min(mean_lines);
         let parts: Lines = ready.iter().map(|s| (s.listed.server, s.part)).collect();
         let all: f64 = ready.iter().map(|s| s.part * s.listed.weight).sum::<f64>().max(1e-9);
         let came = self.demand.came.over(now, LEVEL_SPAN_MS);
@@ -850,12 +847,12 @@
                     true => BTreeMap::from([(p.zone, 1.0)]),
                     false => flows_of(home, &demand, &room, slack),
                 };
-                let wanted = (mean_lines * p.sized_per_s / mean_per_s).max(LINES_LEAST);
+                let wanted = (mean_lines * p.sized_per_s / mean_per_s).max(least_lines);
                 let mut arcs: Vec<(Lines, f64)> = Vec::new();
                 for (zone, part) in &flows {
                     let Some(ring) = rings.get(zone) else { continue };
                     let from = *p.places.entry(*zone).or_insert_with(|| least_loaded(ring, &loads));
-                    let arc = cut_arc(ring, from, (wanted * part).max(LINES_LEAST / 2.0));
+                    let arc = cut_arc(ring, from, (wanted * part).max(least_lines / 2.0));
                     let density = part / arc.values().sum::<f64>();
                     arc.keys().for_each(|s| *loads.entry(*s).or_insert(0.0) += p.sized_per_s * density);
                     arcs.push((arc, density));
@@ -908,21 +905,13 @@
         let most_written = self.demand.proxies.values_mut().map(written).fold(0.0, f64::max);
         let limit = f64::from(self.pace.messages_most);
         let free = limit <= 0.0 || most_written + 1.0 <= limit * BARE_PART;
-        let due = std::mem::take(&mut self.fleet.withdrawals);
-        let (due, later): (BTreeMap<_, _>, _) = due.into_iter().partition(|(_, shut)| *shut || free);
-        self.fleet.withdrawals = later;
-        let mut orders: Vec<_> =
-            due.into_iter().map(|(server, out)| Effect::Withdraw { server, out }).collect();
+        let due = self.fleet.withdrawals.extract_if(.., |_, shut| *shut || free);
+        let mut orders: Vec<_> = due.map(|(server, out)| Effect::Withdraw { server, out }).collect();
         let head = self.pace.head_lines + 1.0;
         let mut reached = Reached::new();
         for id in joined.iter().filter(|_| !orders.is_empty()) {
-            // What a proxy holds that is not on our tables is not known.
-            let held = |o: &&Effect| {
-                let Effect::Withdraw { server, .. } = o else { return true };
-                let tables = self.tables.range((*id, 0)..=(*id, usize::MAX)).map(|(_, t)| t);
-                let mut bound = tables.filter(|t| t.bound).peekable();
-                bound.peek().is_none() || bound.any(|t| t.held.contains_key(server))
-            };
+            let held =
+                |o: &&Effect| !matches!(o, Effect::Withdraw { server, .. } if !self.holds(*id, server));
             let lines = orders.iter().filter(held).count() as f64;
             if lines > 0.0 {
                 reached.insert(*id, head + lines);
@@ -951,8 +940,7 @@
         }
     }
 
-    /// Brings one proxy's tables up to what is published: whole where it is bare of ours, else by
-    /// what changed.
+    /// Brings a proxy's tables up to what is published: whole where bare of ours, else by deltas.
     fn push(&mut self, now: f64, id: ProxyId, urgent: bool, reached: &mut Reached, out: &mut Vec<Effect>) {
         let part = if urgent { BARE_PART } else { DELTAS_PART };
         let Some(p) = self.demand.proxies.get_mut(&id) else { return };
--- a/src/state.rs
+++ b/src/state.rs
@@ -165,8 +165,9 @@
     pub next_mark: u64,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub enum Mode {
+    #[default]
     Open,
     Tight,
 }
@@ -174,18 +175,24 @@
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Flow {
     Jams,
+    Refuses,
     Flows,
     Slack,
 }
 
 /// How much is let in, against overload of whatever cause. Harm: a jam that has passed is still in
 /// the reports for some seconds, and denies reqs that could be done.
+#[derive(Default)]
 pub struct Valves {
     pub levels: Levels,
     pub mode: Mode,
     /// Each kind has servers of its own.
     pub lanes: bool,
     pub allowed_per_s: f64,
+    /// What the joined proxies bring, as it stood when that was last set.
+    pub sized_per_s: Option<f64>,
+    /// The part of their usual reach that arcs have.
+    pub reach: f64,
     pub stepped_ms: f64,
     /// Kinds, level and retry mode as last ordered for all proxies.
     pub ordered: Vec<(u16, f64, Retry)>,
@@ -225,6 +232,8 @@
     Lower,
     Raise,
     Release,
+    Narrow,
+    Widen,
 }
 
 /// Request kinds that may go to the same servers share tables.
@@ -311,7 +320,6 @@
     pub(crate) channel: Channel,
     pub(crate) valves: Valves,
     pub(crate) started: bool,
-    pub(crate) settled: bool,
     pub(crate) hasty: bool,
     pub(crate) beat_ms: f64,
     pub(crate) beat_set: bool,
@@ -321,12 +329,27 @@
 }
 
 impl Controller {
+    /// Whether a proxy holds this server; what it holds that is not of our tables is not known.
+    pub(crate) fn holds(&self, proxy: ProxyId, server: &ServerId) -> bool {
+        let tables = self.tables.range((proxy, 0)..=(proxy, usize::MAX)).map(|(_, table)| table);
+        let mut bound = tables.filter(|t| t.bound).peekable();
+        bound.peek().is_none() || bound.any(|t| t.held.contains_key(server))
+    }
+
     pub(crate) fn tables_of(&mut self, proxy: ProxyId) -> impl Iterator<Item = &mut Table> {
         self.tables.range_mut((proxy, 0)..=(proxy, usize::MAX)).map(|(_, table)| table)
     }
 }
 
 impl Fleet {
+    /// What a zone's proxies met at those of these servers that are in use.
+    pub fn met_on(&mut self, now: f64, zone: ZoneId, lines: &Lines, span_ms: f64) -> Met {
+        let used = lines.keys().filter(|id| self.servers.get(*id).is_some_and(|s| s.part > 0.0));
+        used.fold(Met::default(), |met, id| {
+            self.heard.get_mut(&(*id, zone)).map_or(met, |h| met.with(h.over(now, span_ms)))
+        })
+    }
+
     pub fn hear(&mut self, now: f64, at: (ServerId, ZoneId), what: [f64; 3]) {
         self.heard.entry(at).or_insert_with(|| Buckets::new(500.0, 24)).add(now, what);
     }
@@ -352,3 +375,12 @@
         self.written += lines;
     }
 }
+
+impl Demand {
+    pub fn named(&mut self, now: f64, proxy: ProxyId, zone: ZoneId, per_s: f64) -> &mut Proxy {
+        let per_s = per_s.max(0.01);
+        let entry = self.proxies.entry(proxy).or_insert_with(|| Proxy::new(now, zone, per_s));
+        (entry.zone, entry.seen_ms) = (zone, now);
+        entry
+    }
+}
