Strikes need more than chance at so many servers; what was done well bounds levels

Told apart by the weight in use printed each round: strikes in the jam took two thirds of the fleet out, since nine tenths bad in four to eight tries happens by chance at hundreds of servers. A strike now also needs Chernoff's bound to rule chance out over the whole fleet. Harm: a server that fails little over half its tries is struck later in a large fleet; where capacity fell for another reason, the first cut is too mild.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -47,13 +47,15 @@
 const HEALTH_SPAN_MS: f64 = 3_000.0;
 const HOLD_MS: f64 = 5_000.0;
 const HOLD_MOST_MS: f64 = 20_000.0;
-/// A server fails when over this share of so many tries is bad, and well over the fleet's usual.
+/// A server fails when over this share of its tries is bad, and so much more than the fleet's usual
+/// that chance would hardly show it at any one of so many servers. Fixed counts of tries struck
+/// sound servers by the hundred in a jam, and that moved their load on to the next.
 const FAIL_SHARE: f64 = 0.5;
 const FAIL_TRIES: f64 = 4.0;
-/// In a jam only what answers next to nothing is struck: striking the fullest moves their load on
-/// to the next, and so through the fleet.
-const FAIL_IN_JAM: f64 = 0.9;
 const FAIL_FACTOR: f64 = 1.5;
+const FAIL_USUAL: f64 = 0.02;
+/// What answers next to nothing is a server's trouble and no jam.
+const DEAD_SHARE: f64 = 0.9;
 /// It strains when good answers take so many times the fleet's median, and this of the target.
 const STRAIN_RATIO: f64 = 1.6;
 /// In a jam it takes more: trims rove through a full fleet as strikes do.
@@ -141,7 +143,9 @@
         means.sort_by(f64::total_cmp);
         let median = means.get(means.len() / 2).copied().unwrap_or(f64::INFINITY);
         let all = met.iter().fold(Met::default(), |all, m| all.with([m.tries, m.bad, m.time_ms]));
-        let fail_share = if jam { FAIL_IN_JAM } else { FAIL_SHARE.max(FAIL_FACTOR * all.bad_share()) };
+        let (usual, sure) = (all.bad_share().clamp(FAIL_USUAL, 0.99), 1.0 + (ids.len() as f64).ln());
+        let fail_share = if jam { DEAD_SHARE } else { FAIL_SHARE.max(FAIL_FACTOR * usual) };
+        let failing = |m: &Met| m.bad_share() > fail_share && m.against(usual) > sure;
         let ratio = if jam { STRAIN_IN_JAM } else { STRAIN_RATIO };
         let strain_ms = (ratio * median).max(STRAIN_PART * target_ms);
         let mut changed = false;
@@ -155,7 +159,7 @@
                 // Guards against whatever makes a server give no good answers: crashed, hung, cut
                 // off, silent, faking errors. Harm: where all reqs fail for a reason of their own,
                 // the fleet's usual share rises with them and nothing is struck.
-                _ if used && met.tries >= FAIL_TRIES && met.bad_share() > fail_share => {
+                _ if used && met.tries >= FAIL_TRIES && failing(&met) => {
                     if server.listed.stage == Stage::Gone { Cue::Departs } else { Cue::Fails }
                 }
                 // Guards against whatever makes a server slower than its listed weight says: slow
@@ -447,10 +451,11 @@
 const OPEN_PART: f64 = 0.65;
 const QUEUE_BASE: f64 = 0.45;
 const CUT_TO: f64 = 0.9;
+/// A first cut is no deeper than this part of what was once done well.
+const CUT_LEAST: f64 = 0.6;
 /// Where connections are refused arcs are narrowed to no less than this, and widened so slowly.
 const REACH_LEAST: f64 = 0.125;
 const WIDEN_MS: f64 = 12_000.0;
-const RAISE_OVER: f64 = 1.2;
 const RAISE_BY: f64 = 1.05;
 const EASY_BY: f64 = 1.3;
 const SLACK_OVER: f64 = 1.2;
@@ -485,14 +490,21 @@
             false if self.allowed_per_s > SLACK_OVER * came => Flow::Slack,
             false => Flow::Flows,
         };
+        if flow != Flow::Jams {
+            self.able_per_s = self.able_per_s.max(done_per_s);
+        }
         let row = LEVELS.iter().find(|row| row.0 == self.mode && row.1 == flow)?;
         let raise = (JAM_PART * target_ms / late_ms.max(1.0)).clamp(RAISE_BY, EASY_BY);
         self.allowed_per_s = match row.3 {
-            Valve::Cut => CUT_TO * done_per_s.min(came),
+            Valve::Cut => (CUT_TO * done_per_s.min(came)).max(CUT_LEAST * self.able_per_s),
             Valve::Lower => CUT_TO * (self.allowed_per_s + done_per_s) / 2.0,
             // What is allowed runs away from what is done where it binds nothing; but where tries
             // are refused, what is done tells nothing of the room.
-            Valve::Raise => self.allowed_per_s.max(raise * self.allowed_per_s.min(RAISE_OVER * done_per_s)),
+            // What was done well before tells it sooner: a jam leaves little done, then much room.
+            Valve::Raise => {
+                let raised = raise * self.allowed_per_s.min(SLACK_OVER * done_per_s);
+                self.allowed_per_s.max(raised).max((self.allowed_per_s + self.able_per_s) / 2.0)
+            }
             Valve::Narrow if came > self.allowed_per_s => raise * self.allowed_per_s,
             Valve::Narrow | Valve::Widen => self.allowed_per_s,
             Valve::Release => EVERYTHING,
@@ -622,7 +634,10 @@
             self.demand.resize(now, &mut self.log);
             self.judge_tables(now);
             self.step_valves(now);
-            out.extend(self.notes());
+            // Notes name each of our proxies well before it is forgotten: peers that knew only the
+            // heaviest misjudged the zones.
+            let joined = self.demand.proxies.values().filter(|p| p.joined).count() as f64;
+            out.extend(self.notes((joined * ROUND_MS / NAMED_EVERY_MS).ceil() as usize));
         }
         if self.hasty && now < self.beat_ms {
             out.extend((!self.beat_set).then_some(Effect::Alarm { in_ms: self.beat_ms - now, name: BEAT }));
@@ -662,7 +677,7 @@
                 self.hasty = true;
             }
             Input::Alarm { name: ASK_AGAIN } => out.push(Effect::Watch { on: true }),
-            Input::Note { bytes, .. } => self.take_note(now, bytes),
+            Input::Note { bytes, .. } => self.demand.take_note(now, bytes),
             Input::Joined { proxy, zone, usual_per_s, .. } => {
                 let entry = self.demand.named(now, *proxy, *zone, *usual_per_s);
                 (entry.joined, entry.joined_ms) = (true, now);
@@ -702,27 +717,6 @@
         }
     }
 
-    /// Notes name the sender's proxies and what comes to them, each well before it is forgotten.
-    /// Peers that knew only the heaviest misjudged the zones.
-    fn notes(&mut self) -> Vec<Effect> {
-        let joined = self.demand.proxies.iter().filter(|(_, p)| p.joined && self.means.peers);
-        let mut own: Vec<NoteLine> = joined.map(|(id, p)| (*id, p.zone, p.met_per_s)).collect();
-        let count = (own.len() as f64 * ROUND_MS / NAMED_EVERY_MS).ceil() as usize;
-        let count = count.max(NOTE_LINES).min(own.len());
-        let first = self.noted % own.len().max(1);
-        own.rotate_left(first);
-        self.noted += count;
-        own[..count].chunks(NOTE_LINES).map(|c| Effect::Note { to: None, bytes: write_note(c) }).collect()
-    }
-
-    fn take_note(&mut self, now: f64, bytes: &[u8]) {
-        for (id, zone, per_s) in read_note(bytes) {
-            if !self.demand.proxies.get(&id).is_some_and(|p| p.joined) {
-                self.demand.named(now, id, zone, per_s).met_per_s = per_s;
-            }
-        }
-    }
-
     fn judge_tables(&mut self, now: f64) {
         for ((proxy, _), table) in &mut self.tables {
             if let Some(p) = self.demand.proxies.get(proxy) {
@@ -736,18 +730,20 @@
         let (mut met, mut held) = (Met::default(), 0.0);
         for id in used.collect::<Vec<_>>() {
             let at = self.fleet.met_at(now, id, JAM_SPAN_MS);
-            // What answers next to nothing is a server's trouble and no jam.
-            if at.bad_share() <= FAIL_IN_JAM {
+            if at.bad_share() <= DEAD_SHARE {
                 met = met.with([at.tries, at.bad, at.time_ms]);
                 held += self.fleet.held.get(&id).filter(|_| at.tries > 0.0).unwrap_or(&0.0);
             }
         }
         let came_per_s = self.demand.came.over(now, LEVEL_SPAN_MS).iter().sum::<f64>() / LEVEL_SPAN_MS * 1e3;
         // What may be let in goes with the proxies: a peer's death brings its proxies and its share.
+        // What can be done well goes with the servers, too.
         let sized: f64 = self.demand.proxies.values().filter(|p| p.joined).map(|p| p.sized_per_s).sum();
-        if sized > 0.0 {
-            self.valves.allowed_per_s *= sized / self.valves.sized_per_s.unwrap_or(sized);
-            self.valves.sized_per_s = Some(sized);
+        let live: f64 = self.fleet.servers.values().map(|s| s.part * s.listed.weight).sum();
+        if sized > 0.0 && live > 0.0 {
+            let (sized_was, live_was) = self.valves.stood.replace((sized, live)).unwrap_or((sized, live));
+            self.valves.allowed_per_s *= sized / sized_was;
+            self.valves.able_per_s *= sized / sized_was * live / live_was;
         }
         let target_ms = self.demand.usual_target_ms(now, &self.kinds);
         // Load reports show the load of all proxies, before the reqs that wait are answered.
--- a/src/state.rs
+++ b/src/state.rs
@@ -60,6 +60,13 @@
         self.bad / self.tries.max(1.0)
     }
 
+    /// How much these tries speak against the usual share of bad ones (Chernoff's bound: the
+    /// chance of so many or more is under e to the minus this).
+    pub fn against(&self, usual: f64) -> f64 {
+        let bad = self.bad_share().min(1.0 - 1e-9);
+        self.tries * (bad * (bad / usual).max(1e-9).ln() + (1.0 - bad) * ((1.0 - bad) / (1.0 - usual)).ln())
+    }
+
     pub fn mean_ms(&self) -> f64 {
         self.time_ms / self.good().max(1.0)
     }
@@ -189,8 +196,10 @@
     /// Each kind has servers of its own.
     pub lanes: bool,
     pub allowed_per_s: f64,
-    /// What the joined proxies bring, as it stood when that was last set.
-    pub sized_per_s: Option<f64>,
+    /// The most that was done a second while nothing jammed.
+    pub able_per_s: f64,
+    /// What the joined proxies bring and the servers' weight in use, as those two were set.
+    pub stood: Option<(f64, f64)>,
     /// The part of their usual reach that arcs have.
     pub reach: f64,
     pub stepped_ms: f64,
@@ -329,6 +338,17 @@
 }
 
 impl Controller {
+    /// Names at least so many of the joined proxies to the peers, those next whose turn it is.
+    pub(crate) fn notes(&mut self, count: usize) -> Vec<Effect> {
+        let joined = self.demand.proxies.iter().filter(|(_, p)| p.joined && self.means.peers);
+        let mut own: Vec<NoteLine> = joined.map(|(id, p)| (*id, p.zone, p.met_per_s)).collect();
+        let count = count.max(NOTE_LINES).min(own.len());
+        let first = self.noted % own.len().max(1);
+        own.rotate_left(first);
+        self.noted += count;
+        own[..count].chunks(NOTE_LINES).map(|c| Effect::Note { to: None, bytes: write_note(c) }).collect()
+    }
+
     /// Whether a proxy holds this server; what it holds that is not of our tables is not known.
     pub(crate) fn holds(&self, proxy: ProxyId, server: &ServerId) -> bool {
         let tables = self.tables.range((proxy, 0)..=(proxy, usize::MAX)).map(|(_, table)| table);
@@ -377,6 +397,15 @@
 }
 
 impl Demand {
+    /// What a peer says of proxies that are not joined here.
+    pub fn take_note(&mut self, now: f64, bytes: &[u8]) {
+        for (id, zone, per_s) in read_note(bytes) {
+            if !self.proxies.get(&id).is_some_and(|p| p.joined) {
+                self.named(now, id, zone, per_s).met_per_s = per_s;
+            }
+        }
+    }
+
     pub fn named(&mut self, now: f64, proxy: ProxyId, zone: ZoneId, per_s: f64) -> &mut Proxy {
         let per_s = per_s.max(0.01);
         let entry = self.proxies.entry(proxy).or_insert_with(|| Proxy::new(now, zone, per_s));
