--- a/src/rules.rs
+++ b/src/rules.rs
@@ -139,9 +139,8 @@
     fn judge(&mut self, now: f64, target_ms: f64, jam: bool, log: &mut Log) -> bool {
         let ids: Vec<ServerId> = self.servers.keys().copied().collect();
         let met: Vec<Met> = ids.iter().map(|id| self.met_at(now, *id, HEALTH_SPAN_MS)).collect();
-        let mut means: Vec<f64> = met.iter().filter(|m| m.good() >= 3.0).map(Met::mean_ms).collect();
-        means.sort_by(f64::total_cmp);
-        let median = means.get(means.len() / 2).copied().unwrap_or(f64::INFINITY);
+        let means = met.iter().filter(|m| m.good() >= 3.0).map(Met::mean_ms).collect();
+        let median = median(means).unwrap_or(f64::INFINITY);
         let all = met.iter().fold(Met::default(), |all, m| all.with([m.tries, m.bad, m.time_ms]));
         let (usual, sure) = (all.bad_share().clamp(FAIL_USUAL, 0.99), 1.0 + (ids.len() as f64).ln());
         let fail_share = if jam { DEAD_SHARE } else { FAIL_SHARE.max(FAIL_FACTOR * usual) };
@@ -727,15 +726,18 @@
 
     fn step_valves(&mut self, now: f64) {
         let used = self.fleet.servers.iter().filter(|(_, s)| s.part > 0.0).map(|(id, _)| *id);
-        let (mut met, mut held) = (Met::default(), 0.0);
+        let (mut met, mut held, mut means) = (Met::default(), 0.0, Vec::new());
         for id in used.collect::<Vec<_>>() {
             let at = self.fleet.met_at(now, id, JAM_SPAN_MS);
             if at.bad_share() <= DEAD_SHARE {
                 met = met.with([at.tries, at.bad, at.time_ms]);
+                means.extend((at.good() >= 3.0).then(|| at.mean_ms()));
                 held += self.fleet.held.get(&id).filter(|_| at.tries > 0.0).unwrap_or(&0.0);
             }
         }
         let came_per_s = self.demand.came.over(now, LEVEL_SPAN_MS).iter().sum::<f64>() / LEVEL_SPAN_MS * 1e3;
+        // The usual server's time: where a part of the fleet is slow, that part is trimmed instead.
+        met.time_ms = median(means).unwrap_or(met.mean_ms()) * met.good();
         // What may be let in goes with the proxies: a peer's death brings its proxies and its share.
         // What can be done well goes with the servers, too.
         let sized: f64 = self.demand.proxies.values().filter(|p| p.joined).map(|p| p.sized_per_s).sum();
--- a/src/state.rs
+++ b/src/state.rs
@@ -270,6 +270,11 @@
     pub zones: Shares,
 }
 
+pub fn median(mut of: Vec<f64>) -> Option<f64> {
+    of.sort_by(f64::total_cmp);
+    of.get(of.len() / 2).copied()
+}
+
 /// Request kinds as bits by their place.
 pub fn mask_of(kinds: impl Iterator<Item = KindId>) -> u16 {
     kinds.fold(0, |mask, k| mask | 1 << k)
