Strain judged over twice the time where little is heard; narrowing needs a third bad; tests

Small tests for what was found at the new size: chance strikes, refused connections, a peer's proxies, a slow part, overdue answers.

--- a/crates/rookpulley-wirehost/src/boot.rs
+++ b/crates/rookpulley-wirehost/src/boot.rs
@@ -171,7 +171,7 @@
             cross_zone_price: charges.num_or("cross_zone", 0.0),
             report_period_ms: family.num_or("period_us", 1e6) / 1000.0,
             report_lines_per_s: family.num_or("reports_per_s", 0.0),
-            conns_least: family.num_or("min_conn_cap", 0.0),
+            conns_least: family.num_or("min_conn_cap", f64::INFINITY),
             slices: family.num_or("shards", 0.0) as u32,
             single_owner: family.flag("one_owner"),
         },
--- a/src/facts.rs
+++ b/src/facts.rs
@@ -144,7 +144,7 @@
     pub cross_zone_price: f64,
     pub report_period_ms: f64,
     pub report_lines_per_s: f64,
-    /// The fewest connections that a server accepts; 0: not told.
+    /// The fewest connections that a server accepts; infinite where that is not told.
     pub conns_least: f64,
     /// 0: no slices; otherwise every slice is a table of its own.
     pub slices: u32,
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -149,6 +149,9 @@
         let strain_ms = (ratio * median).max(STRAIN_PART * target_ms);
         let mut changed = false;
         for (id, met) in ids.into_iter().zip(met) {
+            // Of several controllers each hears little of a server: then over a longer time.
+            let long = if met.good() < STRAIN_TRIES { 2.0 * HEALTH_SPAN_MS } else { HEALTH_SPAN_MS };
+            let good = self.met_at(now, id, long);
             let server = &self.servers[&id];
             let age = now - server.since_ms;
             let used = server.part > 0.0 && age >= HEALTH_SPAN_MS;
@@ -164,7 +167,9 @@
                 // Guards against whatever makes a server slower than its listed weight says: slow
                 // machines, neighbours, a queue that stands. Harm: a chance run of costly reqs
                 // costs a sound server a part for a while.
-                _ if used && met.good() >= STRAIN_TRIES && met.mean_ms() > strain_ms => Cue::Strains,
+                _ if used && age >= long && good.good() >= STRAIN_TRIES && good.mean_ms() > strain_ms => {
+                    Cue::Strains
+                }
                 _ => continue,
             };
             changed |= self.turn(now, id, cue, log);
@@ -452,6 +457,8 @@
 const CUT_TO: f64 = 0.9;
 /// A first cut is no deeper than this part of what was once done well.
 const CUT_LEAST: f64 = 0.6;
+/// More than impatient clients alone give up.
+const REFUSED_BAD: f64 = 0.33;
 /// Where connections are refused arcs are narrowed to no less than this, and widened so slowly.
 const REACH_LEAST: f64 = 0.125;
 const WIDEN_MS: f64 = 12_000.0;
@@ -485,7 +492,7 @@
         };
         let flow = match bad_now > JAM_BAD || late_ms > JAM_PART * target_ms {
             true => Flow::Jams,
-            false if held.is_some() && met.bad_share() > JAM_BAD => Flow::Refuses,
+            false if held.is_some() && met.bad_share() > REFUSED_BAD => Flow::Refuses,
             false if self.allowed_per_s > SLACK_OVER * came => Flow::Slack,
             false => Flow::Flows,
         };
@@ -508,9 +515,8 @@
             Valve::Narrow | Valve::Widen => self.allowed_per_s,
             Valve::Release => EVERYTHING,
         };
-        // Guards against servers that refuse connections while they have little to do: the fewer
-        // servers a proxy uses, the more of its connections stand. Harm: after a loss that is not
-        // struck yet, arcs are narrow and so less even for a while.
+        // Guards against idle servers that refuse connections: the fewer a proxy uses, the more of
+        // its connections stand. Harm: after a loss not struck yet arcs are less even for a while.
         self.reach = match row.3 {
             Valve::Narrow => (self.reach / 2.0).max(REACH_LEAST),
             Valve::Widen if now >= self.stepped_ms + WIDEN_MS => (self.reach * 2.0).min(1.0),
@@ -631,7 +637,10 @@
         if round {
             out.push(Effect::Alarm { in_ms: ROUND_MS, name: ROUND });
             self.demand.resize(now, &mut self.log);
-            self.judge_tables(now);
+            for ((proxy, _), table) in &mut self.tables {
+                let Some(p) = self.demand.proxies.get(proxy) else { continue };
+                self.log.extend(table.judge(now, self.means.report_period_ms, p.zone, &mut self.fleet));
+            }
             self.step_valves(now);
             // Notes name each of our proxies well before it is forgotten: peers that knew only the
             // heaviest misjudged the zones.
@@ -716,14 +725,6 @@
         }
     }
 
-    fn judge_tables(&mut self, now: f64) {
-        for ((proxy, _), table) in &mut self.tables {
-            if let Some(p) = self.demand.proxies.get(proxy) {
-                self.log.extend(table.judge(now, self.means.report_period_ms, p.zone, &mut self.fleet));
-            }
-        }
-    }
-
     fn step_valves(&mut self, now: f64) {
         let used = self.fleet.servers.iter().filter(|(_, s)| s.part > 0.0).map(|(id, _)| *id);
         let (mut met, mut held, mut means) = (Met::default(), 0.0, Vec::new());
@@ -759,9 +760,8 @@
     /// The levels and retry modes that all proxies are to have: what is let in goes to the kinds
     /// of the most value first.
     fn admits(&mut self, now: f64) -> Vec<(u16, f64, Retry)> {
-        // Proof that the first try never ran is always asked for, so no effect happens twice; a try
-        // cut off at the response target goes on running, and repeating it only adds load. In a jam
-        // the next server is as full as the first.
+        // Always on proof that the first try never ran: no effect happens twice, and a try cut off
+        // goes on running, so repeating it adds load. In a jam the next server is as full.
         let retry = if self.valves.mode == Mode::Open { Retry::IfUnrun } else { Retry::Never };
         if self.valves.mode == Mode::Open || self.valves.levels == Levels::Ignored {
             return vec![(mask_of(0..self.kinds.len()), EVERYTHING, retry)];
@@ -800,8 +800,7 @@
         let ready: Vec<&Server> = self.fleet.servers.values().filter(|s| s.phase != Phase::Leaving).collect();
         let zones: BTreeSet<ZoneId> = ready.iter().map(|s| zone_of(s.listed.zone)).collect();
         let (servers, own) = (ready.len() as f64, self.proxies / self.controllers);
-        let conns = if self.means.conns_least > 0.0 { self.means.conns_least } else { f64::INFINITY };
-        let by_conns = CONNS_PART * conns * servers / self.proxies;
+        let by_conns = CONNS_PART * self.means.conns_least * servers / self.proxies;
         let mean_lines = lines_for(servers / zones.len().max(1) as f64, own, by_conns, &self.pace);
         let mean_lines = (mean_lines * self.valves.reach).max(LINES_LEAST / 2.0);
         let least_lines = LINES_LEAST.min(mean_lines);
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -320,6 +320,83 @@
     assert_snapshot!(desk.trace);
 }
 
+/// What a trace says of one thing.
+fn only(trace: &str, what: &str) -> String {
+    trace.lines().filter(|l| l.contains(what) || l.starts_with("--")).collect::<Vec<_>>().join("\n")
+}
+
+#[test]
+fn no_chance_run_is_struck_in_a_large_jam() {
+    let mut desk = Desk::new(start(), (1..=200).map(|n| listed(n, 0)).collect());
+    desk.join(0, 0);
+    desk.note("two of three tries fail everywhere, all four at s9, all forty at s10");
+    desk.pass(12_000.0, |d| {
+        let met = |n| {
+            if n == 9 {
+                (1.4, 1.4)
+            } else if n == 10 {
+                (14.0, 14.0)
+            } else {
+                (3.0, 2.0)
+            }
+        };
+        (1..=200).for_each(|n| d.hear(n, met(n).0, met(n).1, 900.0));
+    });
+    assert_snapshot!(only(&desk.trace, "Struck"));
+}
+
+#[test]
+fn arcs_narrow_where_connections_are_refused() {
+    let mut many = start();
+    (many.place.proxies, many.place.controllers) = (4, 1);
+    many.load_fields = vec![LoadField::Held];
+    let mut desk = Desk::new(many, (1..=8).map(|n| listed(n, 0)).collect());
+    (0..4).for_each(|p| desk.join(p, 0));
+    desk.pass(7_000.0, |d| (1..=8).for_each(|n| d.hear(n, 10.0, 0.0, 100.0)));
+    desk.note("half of the tries fail, though servers report nothing to do");
+    desk.pass(12_000.0, |d| (1..=8).for_each(|n| d.hear(n, 10.0, 5.0, 100.0)));
+    desk.note("no more");
+    desk.pass(30_000.0, |d| (1..=8).for_each(|n| d.hear(n, 10.0, 0.0, 100.0)));
+    assert_snapshot!(only(&desk.trace, "t0:"));
+}
+
+#[test]
+fn levels_go_with_the_joined_proxies() {
+    let mut desk = settled(start());
+    let full = |d: &mut Desk, proxies| {
+        (0..proxies).for_each(|p| d.usage(p, 0, 30.0));
+        (1..=4).for_each(|n| d.hear(n, 10.0, 0.0, 700.0));
+    };
+    desk.pass(8_000.0, |d| full(d, 2));
+    desk.note("a peer dies, and its two proxies come here");
+    (2..4).for_each(|p| desk.join(p, 0));
+    desk.pass(4_000.0, |d| full(d, 4));
+    assert_snapshot!(only(&desk.trace, "et"));
+}
+
+#[test]
+fn a_slow_part_of_the_fleet_is_no_jam() {
+    let mut desk = settled(start());
+    desk.note("s4 takes thirty times as long, so that the mean is past half the response target");
+    desk.pass(10_000.0, |d| (1..=4).for_each(|n| d.hear(n, 10.0, 0.0, if n == 4 { 3_000.0 } else { 100.0 })));
+    assert_snapshot!(only(&desk.trace, "log"));
+}
+
+#[test]
+fn nothing_more_goes_out_while_answers_are_overdue() {
+    let mut slow = start();
+    slow.channel.backlog_lines = 60.0;
+    let mut desk = settled(slow);
+    desk.note("no mark is answered any more: new servers wait as soon as half the queue may be full");
+    for n in 5..=12 {
+        desk.change(n, Stage::Ready, 0.0);
+        desk.pass(1_000.0, |_| ());
+    }
+    desk.note("all is answered");
+    desk.pass(1_000.0, |d| d.answer());
+    assert_snapshot!(only(&desk.trace, "t0:"));
+}
+
 #[test]
 fn list_is_asked_again_with_growing_pauses() {
     let mut asked = start();
