--- a/src/rules.rs
+++ b/src/rules.rs
@@ -517,18 +517,19 @@
         };
         // Guards against idle servers that refuse connections: the fewer a proxy uses, the more of
         // its connections stand. Harm: after a loss not struck yet arcs are less even for a while.
+        let reach_was = self.reach;
         self.reach = match row.3 {
             Valve::Narrow => (self.reach / 2.0).max(REACH_LEAST),
             Valve::Widen if now >= self.stepped_ms + WIDEN_MS => (self.reach * 2.0).min(1.0),
             Valve::Widen => return None,
             _ => self.reach,
         };
-        let (was, to, lets) = (self.mode, row.2, self.allowed_per_s);
+        let (was, to, lets, arcs) = (self.mode, row.2, self.allowed_per_s, self.reach);
         (self.mode, self.stepped_ms) = (row.2, now);
         // A jam that no level can ease: the kinds of most value get servers of their own.
         self.lanes = self.levels == Levels::Ignored && self.allowed_per_s < LANES_BELOW * came;
-        let why = format!("{met}, came {came:.0}, lets in {lets:.0} reqs/s");
-        (to != was).then(|| format!("levels {was:?} -> {to:?}: {why}"))
+        let why = format!("{met}, came {came:.0}, lets in {lets:.0} reqs/s, arcs at {arcs:.3}");
+        (to != was || arcs != reach_was).then(|| format!("levels {was:?} -> {to:?}: {why}"))
     }
 }
 
