A jam where a third of the fleet is late; half where no level can ease it

Told apart from a slow part (false reports, a quarter of the fleet) by its size. Harm: a third that is slow for reasons of its own denies reqs to the rest.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -140,7 +140,7 @@
         let ids: Vec<ServerId> = self.servers.keys().copied().collect();
         let met: Vec<Met> = ids.iter().map(|id| self.met_at(now, *id, HEALTH_SPAN_MS)).collect();
         let means = met.iter().filter(|m| m.good() >= 3.0).map(Met::mean_ms).collect();
-        let median = median(means).unwrap_or(f64::INFINITY);
+        let median = quantile(means, 0.5).unwrap_or(f64::INFINITY);
         let all = met.iter().fold(Met::default(), |all, m| all.with([m.tries, m.bad, m.time_ms]));
         let (usual, sure) = (all.bad_share().clamp(FAIL_USUAL, 0.99), 1.0 + (ids.len() as f64).ln());
         let fail_share = if jam { DEAD_SHARE } else { FAIL_SHARE.max(FAIL_FACTOR * usual) };
@@ -158,15 +158,13 @@
             let cue = match server.phase {
                 Phase::Struck if age >= server.hold_ms => Cue::HoldEnds,
                 Phase::Ramping if now - server.ramp_from_ms >= RAMP_MS => Cue::RampEnds,
-                // Guards against whatever makes a server give no good answers: crashed, hung, cut
-                // off, silent, faking errors. Harm: where all reqs fail for a reason of their own,
-                // the fleet's usual share rises with them and nothing is struck.
+                // Guards against whatever leaves good answers out: crashed, hung, cut off, silent,
+                // faking errors. Harm: where all fail for reasons of their own, none is struck.
                 _ if used && met.tries >= FAIL_TRIES && failing(&met) => {
                     if server.listed.stage == Stage::Gone { Cue::Departs } else { Cue::Fails }
                 }
-                // Guards against whatever makes a server slower than its listed weight says: slow
-                // machines, neighbours, a queue that stands. Harm: a chance run of costly reqs
-                // costs a sound server a part for a while.
+                // Guards against servers slower than listed: slow machines, neighbours, a queue that
+                // stands. Harm: a chance run of costly reqs costs a sound one a part for a while.
                 _ if used && age >= long && good.good() >= STRAIN_TRIES && good.mean_ms() > strain_ms => {
                     Cue::Strains
                 }
@@ -260,8 +258,7 @@
 const CONNS_PART: f64 = 0.3;
 const WRITE_PART: f64 = 0.2;
 const LINES_LEAST: f64 = 4.0;
-/// Zones are kept apart where a req that crosses them costs more than this; how unevenly they may
-/// then be loaded goes by that price.
+/// Zones are kept apart where crossing them costs more than this; how unevenly goes by that price.
 const NEAR_PRICE: f64 = 0.02;
 const SLACK_PER_PRICE: f64 = 1.0;
 const STEPS: f64 = 8.0;
@@ -452,6 +449,9 @@
 /// The fleet jams when so many tries are bad, or good ones take so much of the response target.
 const JAM_BAD: f64 = 0.2;
 const JAM_PART: f64 = 0.5;
+/// It does not jam where so much of the fleet answers sooner; less where no level can ease it.
+const CALM_FLEET: f64 = 0.67;
+const CALM_FLEET_UNEASED: f64 = 0.5;
 const OPEN_PART: f64 = 0.65;
 const QUEUE_BASE: f64 = 0.45;
 const CUT_TO: f64 = 0.9;
@@ -648,9 +648,8 @@
             let joined = self.demand.proxies.values().filter(|p| p.joined).count() as f64;
             out.extend(self.notes((joined * ROUND_MS / NAMED_EVERY_MS).ceil() as usize));
         }
-        if self.hasty && now < self.beat_ms {
-            out.extend((!self.beat_set).then_some(Effect::Alarm { in_ms: self.beat_ms - now, name: BEAT }));
-            self.beat_set = true;
+        if self.hasty && now < self.beat_ms && !std::mem::replace(&mut self.beat_set, true) {
+            out.push(Effect::Alarm { in_ms: self.beat_ms - now, name: BEAT });
         }
         if round || (self.hasty && now >= self.beat_ms) {
             (self.hasty, self.beat_set, self.beat_ms) = (false, false, now + BEAT_MS);
@@ -738,8 +737,10 @@
             }
         }
         let came_per_s = self.demand.came.over(now, LEVEL_SPAN_MS).iter().sum::<f64>() / LEVEL_SPAN_MS * 1e3;
-        // The usual server's time: where a part of the fleet is slow, that part is trimmed instead.
-        met.time_ms = median(means).unwrap_or(met.mean_ms()) * met.good();
+        // A lesser part of the fleet that is slow is no jam: that part is trimmed instead.
+        let eased = self.valves.levels != Levels::Ignored;
+        let late = quantile(means, if eased { CALM_FLEET } else { CALM_FLEET_UNEASED });
+        met.time_ms = late.unwrap_or(met.mean_ms()) * met.good();
         // What may be let in goes with the proxies: a peer's death brings its proxies and its share.
         // What can be done well goes with the servers, too.
         let sized: f64 = self.demand.proxies.values().filter(|p| p.joined).map(|p| p.sized_per_s).sum();
--- a/src/state.rs
+++ b/src/state.rs
@@ -270,9 +270,10 @@
     pub zones: Shares,
 }
 
-pub fn median(mut of: Vec<f64>) -> Option<f64> {
+/// What this part of them is under.
+pub fn quantile(mut of: Vec<f64>, part: f64) -> Option<f64> {
     of.sort_by(f64::total_cmp);
-    of.get(of.len() / 2).copied()
+    of.get((of.len() as f64 * part) as usize).copied()
 }
 
 /// Request kinds as bits by their place.
