--- a/crates/rookpulley-wirehost/src/main.rs
+++ b/crates/rookpulley-wirehost/src/main.rs
@@ -143,6 +143,22 @@
         assert_eq!(codes, [90, 85], "after the restart: a timer, and the list is asked for");
     }
 
+    #[test]
+    fn a_megabyte_of_many_proxies_is_read_and_a_torn_one_refused() {
+        let mut body = event(16, 13, &0_u32.to_le_bytes());
+        body[17..21].copy_from_slice(&(SETTINGS.len() as u32).to_le_bytes());
+        (0..1_000_u16).for_each(|proxy| body.extend(event(22, 5, &proxy.to_le_bytes())));
+        (0..25_000_u16).for_each(|k| body.extend(event(26, 5, &(k % 1_000).to_le_bytes())));
+        body.extend(SETTINGS.as_bytes());
+        let frame = batch(26_001, &body);
+        assert!(frame.len() > 1_000_000);
+        let mut out = Vec::new();
+        host(&frame[..], &mut out).unwrap();
+        assert_eq!(out[12], 90, "the first order sets a timer");
+        let torn = complaint(&frame[..frame.len() / 2]);
+        assert!(torn != "fine" && !torn.contains('\n'), "{torn}");
+    }
+
     #[test]
     fn malformed_frames_get_a_plain_message() {
         let mut boot = event(16, 13, &0_u32.to_le_bytes());
