--- /dev/null
+++ b/crates/rookpulley-assigner/src/driver.rs
@@ -0,0 +1,254 @@
+//! The driver: owns the controller, its clock and its alarms, and calls it with all that came.
+
+use crate::counters::Counters;
+use crate::ending::Ending;
+use crate::log::Log;
+use crate::messages::{List, Words, server_id};
+use crate::orders::{Names, Orders};
+use crate::outbox::Outbox;
+use crate::peers::Peers;
+use crate::roster::Roster;
+use crate::say;
+use crate::streams::{ConnId, Conns};
+use rookpulley::facts::*;
+use rookpulley::rules::Controller;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use tokio::sync::mpsc;
+use tokio::time::Instant;
+
+/// What connections, the list and peers tell the driver.
+pub enum Event {
+    Joined { conn: ConnId, outbox: Rc<Outbox>, proxy: ProxyId, zone: ZoneId, usual_per_s: f64, fresh: bool },
+    OnStream { conn: ConnId, proxy: ProxyId, input: Input },
+    Ended { conn: ConnId, proxy: ProxyId, ending: Ending },
+    Report(Input),
+    List { scope: ListScope, list: List },
+    ListFailed,
+    Note { from: u16, bytes: Vec<u8> },
+}
+
+/// What every task has at hand.
+pub struct Front {
+    pub log: Log,
+    pub counters: Counters,
+    pub words: Words,
+    pub conns: Conns,
+    pub events: mpsc::Sender<Event>,
+}
+
+impl Front {
+    pub async fn tell(&self, event: Event) {
+        // Nobody listens any more once the assigner ends.
+        _ = self.events.send(event).await;
+    }
+}
+
+/// Milliseconds of Unix time, as the list has them, but never set back or forward.
+pub struct Clock {
+    origin_ms: f64,
+    origin: Instant,
+}
+
+impl Clock {
+    pub fn start() -> Self {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        Self { origin_ms: unix.as_secs_f64() * 1e3, origin: Instant::now() }
+    }
+
+    pub fn now_ms(&self) -> f64 {
+        self.ms_at(Instant::now())
+    }
+
+    fn ms_at(&self, at: Instant) -> f64 {
+        self.origin_ms + (at - self.origin).as_secs_f64() * 1e3
+    }
+
+    fn at_ms(&self, ms: f64) -> Instant {
+        self.origin + Duration::from_secs_f64((ms - self.origin_ms).max(0.0) / 1e3)
+    }
+}
+
+/// So many inputs wait for one call at most; more wait where they came in.
+const INPUTS_MOST: usize = 100_000;
+
+struct Stream {
+    conn: ConnId,
+    outbox: Rc<Outbox>,
+}
+
+pub struct Driver {
+    front: Rc<Front>,
+    clock: Clock,
+    tick_ms: f64,
+    controller: Controller,
+    orders: Orders,
+    names: Names,
+    /// Ids as the module's log shows them.
+    shown: BTreeMap<String, ServerId>,
+    streams: BTreeMap<ProxyId, Stream>,
+    /// By the time when they are due (in whole microseconds) and the order in which they were set.
+    alarms: BTreeMap<(u64, u64), u64>,
+    alarms_set: u64,
+    inputs: Vec<Input>,
+    peers: Option<Rc<Peers>>,
+    roster: Rc<Roster>,
+}
+
+impl Driver {
+    /// Starts the module and calls it with the list as it was last known.
+    pub fn start(
+        front: Rc<Front>,
+        start: Start,
+        known: List,
+        tick_ms: f64,
+        peers: Option<Rc<Peers>>,
+        roster: Rc<Roster>,
+    ) -> Self {
+        let clock = Clock::start();
+        let mut driver = Self {
+            tick_ms,
+            orders: Orders::new(front.words.kinds.clone()),
+            controller: Controller::new(clock.now_ms(), start),
+            names: Names::new(),
+            shown: BTreeMap::new(),
+            streams: BTreeMap::new(),
+            alarms: BTreeMap::new(),
+            alarms_set: 0,
+            inputs: Vec::new(),
+            front,
+            clock,
+            peers,
+            roster,
+        };
+        driver.take(Event::List { scope: ListScope::Cached, list: known });
+        driver.call();
+        driver
+    }
+
+    pub fn knows_servers(&self) -> bool {
+        !self.names.is_empty()
+    }
+
+    /// One turn: waits for something to come, gathers all up to the next tick, calls the module.
+    pub async fn turn(&mut self, events: &mut mpsc::Receiver<Event>) {
+        let next_tick = Instant::now() + Duration::from_secs_f64(self.tick_ms / 1e3);
+        let due = self.alarms.keys().next().map(|(us, _)| self.clock.at_ms(*us as f64 / 1e3));
+        let due = due.unwrap_or_else(|| Instant::now() + Duration::from_secs(3600));
+        if self.inputs.is_empty() {
+            tokio::select! {
+                Some(event) = events.recv() => self.take(event),
+                () = tokio::time::sleep_until(due) => {}
+            }
+        }
+        while self.inputs.len() < INPUTS_MOST {
+            tokio::select! {
+                biased;
+                () = tokio::time::sleep_until(next_tick) => break,
+                Some(event) = events.recv() => self.take(event),
+            }
+        }
+        self.call();
+    }
+
+    /// Turns what came into the module's input.
+    fn take(&mut self, event: Event) {
+        match event {
+            Event::Joined { conn, outbox, proxy, zone, usual_per_s, fresh } => {
+                if let Some(before) = self.streams.insert(proxy, Stream { conn, outbox }) {
+                    before.outbox.end(Ending::Replaced);
+                    self.inputs.extend(Ending::Replaced.input(proxy));
+                }
+                self.orders.join(proxy, fresh);
+                self.front.counters.most("most proxies joined", self.streams.len() as u64);
+                self.inputs.push(Input::Joined { proxy, zone, usual_per_s, fresh });
+            }
+            Event::OnStream { conn, proxy, input } => match self.streams.get(&proxy) {
+                Some(stream) if stream.conn == conn => self.inputs.push(input),
+                _ => self.front.counters.one("late input of old streams"),
+            },
+            Event::Ended { conn, proxy, ending } => {
+                if self.streams.get(&proxy).is_some_and(|s| s.conn == conn) {
+                    self.streams.remove(&proxy);
+                    self.orders.leave(proxy);
+                    self.inputs.extend(ending.input(proxy));
+                }
+            }
+            Event::Report(input) => match &input {
+                Input::Heard { server, .. } if !self.names.contains_key(server) => {
+                    self.front.counters.one("bad input unknown server");
+                    say!(self.front.log, "bad input", "from a collector: a server that was never listed");
+                }
+                _ => self.inputs.push(input),
+            },
+            Event::List { scope, list } => {
+                for (line, name) in list.lines.iter().zip(list.names) {
+                    debug_assert_eq!(line.server, server_id(&name));
+                    self.shown.entry(rookpulley::state::show(line.server)).or_insert(line.server);
+                    self.names.entry(line.server).or_insert(name);
+                }
+                self.inputs.push(Input::List { scope, version: list.version, lines: list.lines });
+            }
+            Event::ListFailed => {
+                let (scope, version, lines) = (ListScope::Failed, 0, Vec::new());
+                self.inputs.push(Input::List { scope, version, lines });
+            }
+            Event::Note { from, bytes } => self.inputs.push(Input::Note { from, bytes }),
+        }
+    }
+
+    /// Calls the module with what came and the alarms that are due, and carries out what it orders.
+    fn call(&mut self) {
+        let now = self.clock.now_ms();
+        let due = (now * 1e3) as u64;
+        while let Some(alarm) = self.alarms.first_entry().filter(|a| a.key().0 <= due) {
+            self.inputs.push(Input::Alarm { name: alarm.remove() });
+        }
+        if self.inputs.is_empty() {
+            return;
+        }
+        let effects = self.controller.handle(now, &self.inputs);
+        self.inputs.clear();
+        self.front.counters.one("calls of the module");
+        for written in self.orders.carry_out(&effects, &self.names) {
+            self.front.counters.one("out messages");
+            self.front.counters.add("out lines", written.lines as u64);
+            self.front.counters.add("out bytes", written.bytes.len() as u64);
+            if let Some(stream) = self.streams.get(&written.proxy) {
+                stream.outbox.put(written.bytes);
+            }
+        }
+        for effect in effects {
+            match effect {
+                Effect::Alarm { in_ms, name } => {
+                    self.alarms_set += 1;
+                    self.alarms.insert((due + (in_ms * 1e3) as u64, self.alarms_set), name);
+                }
+                Effect::Log(text) => {
+                    say!(self.front.log, "module", "{}", self.named(&text));
+                }
+                Effect::Note { to, bytes } => {
+                    if let Some(peers) = &self.peers {
+                        peers.send(to, &bytes, &self.front);
+                    }
+                }
+                Effect::Watch { on } => self.roster.set_watch(on),
+                Effect::Fetch => self.roster.fetch(),
+                // On sockets there is no way to probe.
+                Effect::Probe { server } => {
+                    self.front.counters.one("probes not possible");
+                    let (answer, took_ms, load) = (ProbeAnswer::Void, 0.0, Vec::new());
+                    self.inputs.push(Input::Probed { server, answer, took_ms, load });
+                }
+                _ => {}
+            }
+        }
+    }
+
+    /// The module's line, with servers by their names.
+    fn named(&self, text: &str) -> String {
+        let name = |word| self.shown.get(word).and_then(|id| self.names.get(id)).map(String::as_str);
+        text.split(' ').map(|word| name(word).unwrap_or(word)).collect::<Vec<_>>().join(" ")
+    }
+}
--- /dev/null
+++ b/crates/rookpulley-assigner/src/ending.rs
@@ -0,0 +1,65 @@
+//! Every way in which a connection can end, and what each means to the module.
+
+use rookpulley::facts::{Input, ProxyId};
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ending {
+    /// The other side closed it.
+    Closed,
+    /// It was reset, or reading or writing failed.
+    Reset,
+    /// It brought what can't be read.
+    Unreadable,
+    /// It brought a line over the limit.
+    TooLong,
+    /// Its first message was neither a joining nor a collector's.
+    OutOfTurn,
+    /// A new stream of the same proxy took its place.
+    Replaced,
+    /// It left too much unread.
+    Unread,
+    /// It had not joined, and its place was needed.
+    Crowded,
+    /// The assigner ends.
+    Stopping,
+}
+
+pub const ALL: [Ending; 9] = [
+    Ending::Closed,
+    Ending::Reset,
+    Ending::Unreadable,
+    Ending::TooLong,
+    Ending::OutOfTurn,
+    Ending::Replaced,
+    Ending::Unread,
+    Ending::Crowded,
+    Ending::Stopping,
+];
+
+impl Ending {
+    /// What the module is told when the stream of a joined proxy ends like this.
+    pub fn input(self, proxy: ProxyId) -> Option<Input> {
+        match self {
+            Self::Closed | Self::Reset | Self::Unreadable | Self::TooLong => Some(Input::Left { proxy }),
+            Self::Replaced | Self::Unread => Some(Input::Left { proxy }),
+            // Those have not joined.
+            Self::OutOfTurn | Self::Crowded => None,
+            // Nothing is ordered any more.
+            Self::Stopping => None,
+        }
+    }
+
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Closed => "closed",
+            Self::Reset => "reset",
+            Self::Unreadable => "unreadable",
+            Self::TooLong => "too long a line",
+            Self::OutOfTurn => "out of turn",
+            Self::Replaced => "replaced",
+            Self::Unread => "left unread",
+            Self::Crowded => "crowded out",
+            Self::Stopping => "stopping",
+        }
+    }
+}
--- /dev/null
+++ b/crates/rookpulley-assigner/src/lib.rs
@@ -0,0 +1,102 @@
+//! The assigner: one program on sockets round the decision module. See README for how its parts fit.
+
+pub mod config;
+pub mod counters;
+pub mod driver;
+pub mod ending;
+pub mod log;
+pub mod messages;
+pub mod orders;
+pub mod outbox;
+pub mod peers;
+pub mod roster;
+pub mod streams;
+
+use config::Told;
+use driver::{Driver, Front};
+use peers::Peers;
+use roster::Roster;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use streams::Conns;
+use tokio::net::{TcpListener, UdpSocket};
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::mpsc;
+
+/// Descriptors that are no connections: standard ones, the runtime's, listeners, the watch and calls.
+const OTHER_SOCKETS: usize = 32;
+const EVENTS: usize = 1024;
+/// Of each kind of log line so many in ten seconds.
+const LOG_LINES: u32 = 50;
+const MB: f64 = 1024.0 * 1024.0;
+
+#[derive(Debug, thiserror::Error)]
+pub enum CannotRun {
+    #[error("{0}")]
+    Config(#[from] config::Unusable),
+    #[error("{what} {place} can't be used: {why}")]
+    Address { what: &'static str, place: SocketAddr, why: std::io::Error },
+    #[error("the system gives no {0}: {1}")]
+    System(&'static str, std::io::Error),
+}
+
+fn at(what: &'static str, place: SocketAddr) -> impl FnOnce(std::io::Error) -> CannotRun {
+    move |why| CannotRun::Address { what, place, why }
+}
+
+/// Runs until SIGTERM. Called within a `LocalSet`.
+pub async fn run(told: Told) -> Result<(), CannotRun> {
+    let Told { name, listen, discovery, limits, peers, known, words, tick_ms, start } = told;
+    let listener = TcpListener::bind(listen).await.map_err(at("the address to listen at", listen))?;
+    let mut notes = None;
+    if let Some(places) = peers {
+        let place = places.listen;
+        let socket = UdpSocket::bind(place).await.map_err(at("the address for notes", place))?;
+        notes = Some(Rc::new(Peers { socket, places, own: start.place.index }));
+    }
+    let no_signal = |e| CannotRun::System("signals", e);
+    let mut stop = signal(SignalKind::terminate()).map_err(no_signal)?;
+    let mut asked = signal(SignalKind::user_defined1()).map_err(no_signal)?;
+
+    let (sender, mut events) = mpsc::channel(EVENTS);
+    let most = limits.sockets.saturating_sub(OTHER_SOCKETS).max(1);
+    let front = Rc::new(Front {
+        log: log::Log::new(name, LOG_LINES),
+        counters: counters::Counters::default(),
+        words,
+        conns: Conns::new(most, (limits.memory_mb * MB / 4.0) as usize),
+        events: sender,
+    });
+    let ask = start.list.asked;
+    let roster = Roster::new(discovery, known.version, start.seed, ask, front.clone());
+    if !ask {
+        tokio::task::spawn_local(roster.clone().follow());
+    }
+    if let Some(peers) = &notes {
+        tokio::task::spawn_local(peers.clone().listen(front.clone()));
+    }
+    let place = listener.local_addr().unwrap_or(listen);
+    say!(front.log, "start", "listening at {place}, {} servers known", known.lines.len());
+    let mut driver = Driver::start(front.clone(), start, known, tick_ms, notes, roster);
+    let mut listener = Some(listener);
+    loop {
+        // Nobody is answered before the list is known.
+        if let Some(listener) = listener.take_if(|_| driver.knows_servers()) {
+            tokio::task::spawn_local(streams::accept(listener, front.clone()));
+        }
+        tokio::select! {
+            () = driver.turn(&mut events) => {}
+            _ = asked.recv() => print(&front),
+            _ = stop.recv() => break,
+        }
+    }
+    say!(front.log, "stop", "told to end");
+    print(&front);
+    Ok(())
+}
+
+fn print(front: &Front) {
+    for line in front.counters.lines() {
+        eprintln!("{} count: {line}", front.log.name);
+    }
+}
--- /dev/null
+++ b/crates/rookpulley-assigner/src/orders.rs
@@ -0,0 +1,296 @@
+//! What the module orders in one call becomes one message for each proxy concerned.
+//!
+//! The tables, levels and withdrawals of the module's orders are kept here, with what each stream has
+//! been told of them, so that a message says what the order means and no more.
+
+use crate::messages::Part;
+use rookpulley::facts::*;
+use std::collections::{BTreeMap, BTreeSet};
+
+type Kinds = u16;
+type Level = (f64, Retry);
+
+/// The names of all servers that were ever listed.
+pub type Names = BTreeMap<ServerId, String>;
+
+#[derive(Default)]
+struct Table {
+    lines: BTreeMap<ServerId, f64>,
+    levels: BTreeMap<KindId, Level>,
+    /// The joined proxies bound to it, and for which kinds.
+    users: BTreeMap<ProxyId, Kinds>,
+}
+
+/// What a stream has been told.
+struct Stream {
+    tables: BTreeSet<TableId>,
+    bound: Kinds,
+    levels: BTreeMap<KindId, Level>,
+    /// Servers it was told to shut out or let back.
+    shut: BTreeMap<ServerId, bool>,
+    /// It may still shut out servers on the word of an assigner before.
+    brought: bool,
+}
+
+#[derive(Default)]
+struct Piece {
+    kinds: Kinds,
+    whole: bool,
+    lines: Vec<(ServerId, f64)>,
+    level: Option<Level>,
+}
+
+/// One proxy's message as it grows.
+#[derive(Default)]
+struct Draft {
+    pieces: Vec<Piece>,
+    shut: BTreeMap<ServerId, bool>,
+}
+
+/// A message ready to be written, all its parts, and the lines it counts for.
+pub struct Written {
+    pub proxy: ProxyId,
+    pub bytes: Vec<u8>,
+    pub lines: usize,
+}
+
+pub struct Orders {
+    kinds: Vec<String>,
+    all: Kinds,
+    tables: BTreeMap<TableId, Table>,
+    /// Levels for all joined proxies.
+    levels: BTreeMap<KindId, Level>,
+    shut: BTreeSet<ServerId>,
+    streams: BTreeMap<ProxyId, Stream>,
+}
+
+fn places(mask: Kinds) -> impl Iterator<Item = KindId> {
+    (0..Kinds::BITS as KindId).filter(move |k| mask >> k & 1 == 1)
+}
+
+impl Draft {
+    /// The last piece that touches these kinds, where it is for just these.
+    fn last(&mut self, kinds: Kinds) -> Option<&mut Piece> {
+        self.pieces.iter_mut().rfind(|p| p.kinds & kinds != 0).filter(|p| p.kinds == kinds)
+    }
+
+    fn line(&mut self, kinds: Kinds, server: ServerId, weight: f64) {
+        match self.last(kinds).filter(|p| p.lines.iter().all(|(s, _)| *s != server)) {
+            Some(piece) => piece.lines.push((server, weight)),
+            None => self.pieces.push(Piece { kinds, lines: vec![(server, weight)], ..Piece::default() }),
+        }
+    }
+
+    fn level(&mut self, kinds: Kinds, level: Level) {
+        match self.last(kinds) {
+            Some(piece) => piece.level = Some(level),
+            None => self.pieces.push(Piece { kinds, level: Some(level), ..Piece::default() }),
+        }
+    }
+}
+
+impl Orders {
+    pub fn new(kinds: Vec<String>) -> Self {
+        let all = ((1_u32 << kinds.len().min(16)) - 1) as Kinds;
+        let (tables, levels, streams) = (BTreeMap::new(), BTreeMap::new(), BTreeMap::new());
+        Self { kinds, all, tables, levels, shut: BTreeSet::new(), streams }
+    }
+
+    /// A proxy has joined: bound to none of our tables, told nothing yet.
+    pub fn join(&mut self, proxy: ProxyId, fresh: bool) {
+        self.leave(proxy);
+        let (tables, levels, shut) = (BTreeSet::new(), BTreeMap::new(), BTreeMap::new());
+        self.streams.insert(proxy, Stream { tables, bound: 0, levels, shut, brought: !fresh });
+    }
+
+    pub fn leave(&mut self, proxy: ProxyId) {
+        for id in self.streams.remove(&proxy).into_iter().flat_map(|s| s.tables) {
+            if let Some(table) = self.tables.get_mut(&id) {
+                table.users.remove(&proxy);
+            }
+        }
+    }
+
+    /// The level that a kind has at a proxy: of two the lower, and the table's own way of retrying.
+    fn level_of(&self, proxy: ProxyId, kind: KindId) -> Option<Level> {
+        let stream = self.streams.get(&proxy)?;
+        let tables = stream.tables.iter().filter_map(|id| self.tables.get(id));
+        let bound = tables.filter(|t| t.users.get(&proxy).is_some_and(|m| m >> kind & 1 == 1));
+        let own = bound.filter_map(|t| t.levels.get(&kind)).next();
+        match (own, self.levels.get(&kind)) {
+            (Some((own, retry)), Some((all, _))) => Some((own.min(*all), *retry)),
+            (own, all) => own.or(all).copied(),
+        }
+    }
+
+    /// Levels for these kinds that the stream has not been told, alike ones together.
+    fn tell_levels(&mut self, proxy: ProxyId, kinds: Kinds, again: bool, draft: &mut Draft) {
+        let mut alike: Vec<(Kinds, Level)> = Vec::new();
+        for kind in places(kinds & self.all) {
+            let Some(level) = self.level_of(proxy, kind) else { continue };
+            let Some(stream) = self.streams.get_mut(&proxy) else { return };
+            if stream.levels.insert(kind, level) == Some(level) && !again {
+                continue;
+            }
+            match alike.iter_mut().find(|(_, l)| *l == level) {
+                Some((kinds, _)) => *kinds |= 1 << kind,
+                None => alike.push((1 << kind, level)),
+            }
+        }
+        alike.into_iter().for_each(|(kinds, level)| draft.level(kinds, level));
+    }
+
+    /// A line is of no use while its server is shut out, and what was shut out before must not stick.
+    fn settle(&mut self, proxy: ProxyId, server: ServerId, draft: &mut Draft) {
+        let out = self.shut.contains(&server);
+        let Some(stream) = self.streams.get_mut(&proxy) else { return };
+        let told = stream.shut.get(&server).copied();
+        let wrong = if out { told != Some(true) } else { told.unwrap_or(stream.brought) };
+        if wrong {
+            stream.shut.insert(server, out);
+            draft.shut.insert(server, out);
+        }
+    }
+
+    /// Whether a proxy may send to a server by the tables it holds; what it brought is not known.
+    fn may_use(&self, proxy: ProxyId, server: &ServerId) -> bool {
+        let Some(stream) = self.streams.get(&proxy) else { return false };
+        let mut tables = stream.tables.iter().filter_map(|id| self.tables.get(id));
+        stream.bound & self.all != self.all || tables.any(|t| t.lines.contains_key(server))
+    }
+
+    /// Carries out the orders of one call, in their order. Effects that are no orders are passed over.
+    pub fn carry_out(&mut self, effects: &[Effect], names: &Names) -> Vec<Written> {
+        let mut drafts: BTreeMap<ProxyId, Draft> = BTreeMap::new();
+        let mut mark = None;
+        for effect in effects {
+            match *effect {
+                Effect::Line { table, server, weight } => {
+                    let table = self.tables.entry(table).or_default();
+                    match weight > 0.0 {
+                        true => _ = table.lines.insert(server, weight),
+                        false => _ = table.lines.remove(&server),
+                    }
+                    for (proxy, kinds) in table.users.clone() {
+                        let draft = drafts.entry(proxy).or_default();
+                        draft.line(kinds, server, weight);
+                        if weight > 0.0 {
+                            self.settle(proxy, server, draft);
+                        }
+                    }
+                }
+                Effect::Wipe { table } => {
+                    let table = self.tables.entry(table).or_default();
+                    (table.lines, table.levels) = (BTreeMap::new(), BTreeMap::new());
+                    for (proxy, kinds) in table.users.clone() {
+                        self.start_anew(proxy, kinds, Vec::new(), drafts.entry(proxy).or_default());
+                    }
+                }
+                Effect::Bind { proxy, table, kinds } => {
+                    let kinds = if kinds == 0 { self.all } else { kinds & self.all };
+                    if self.streams.contains_key(&proxy) {
+                        let lines = self.bind(proxy, table, kinds);
+                        self.start_anew(proxy, kinds, lines, drafts.entry(proxy).or_default());
+                    }
+                }
+                Effect::Withdraw { server, out } => {
+                    if out {
+                        self.shut.insert(server)
+                    } else {
+                        self.shut.remove(&server)
+                    };
+                    let users = self.streams.keys().copied().filter(|p| self.may_use(*p, &server));
+                    for proxy in users.collect::<Vec<_>>() {
+                        drafts.entry(proxy).or_default().shut.insert(server, out);
+                        self.streams.entry(proxy).and_modify(|s| _ = s.shut.insert(server, out));
+                    }
+                }
+                Effect::Admit { table, kinds, level, retry } => {
+                    let kinds = if kinds == 0 { self.all } else { kinds & self.all };
+                    let (levels, users) = match table {
+                        None => (&mut self.levels, self.streams.keys().map(|p| (*p, self.all)).collect()),
+                        Some(id) => {
+                            let table = self.tables.entry(id).or_default();
+                            (&mut table.levels, table.users.clone())
+                        }
+                    };
+                    places(kinds).for_each(|k| _ = levels.insert(k, (level, retry)));
+                    for (proxy, used) in users {
+                        let draft = drafts.entry(proxy).or_default();
+                        self.tell_levels(proxy, kinds & used, true, draft);
+                    }
+                }
+                Effect::Mark { mark: number, all } => {
+                    mark = Some(number);
+                    let others = self.streams.keys().filter(|_| all);
+                    others.for_each(|proxy| _ = drafts.entry(*proxy).or_default());
+                }
+                _ => {}
+            }
+        }
+        let mut written = Vec::new();
+        for (proxy, mut draft) in drafts {
+            // Levels for all travel along with whatever goes to a proxy that has not been told them.
+            self.tell_levels(proxy, self.all, false, &mut draft);
+            let (bytes, lines) = self.write(draft, mark, names);
+            written.push(Written { proxy, bytes, lines });
+        }
+        written
+    }
+
+    /// Puts a proxy on a table for these kinds; gives the table's lines.
+    fn bind(&mut self, proxy: ProxyId, id: TableId, kinds: Kinds) -> Vec<(ServerId, f64)> {
+        let Some(stream) = self.streams.get_mut(&proxy) else { return Vec::new() };
+        stream.bound |= kinds;
+        for other in std::mem::take(&mut stream.tables) {
+            let Some(table) = self.tables.get_mut(&other) else { continue };
+            let left = table.users.get(&proxy).copied().unwrap_or(0) & !kinds;
+            table.users.insert(proxy, left);
+            table.users.retain(|_, kinds| *kinds != 0);
+            stream.tables.extend((left != 0).then_some(other));
+        }
+        stream.tables.insert(id);
+        let table = self.tables.entry(id).or_default();
+        *table.users.entry(proxy).or_insert(0) |= kinds;
+        table.lines.iter().map(|(s, w)| (*s, *w)).collect()
+    }
+
+    /// A whole table for these kinds, with the levels that it makes the proxy forget.
+    fn start_anew(&mut self, proxy: ProxyId, kinds: Kinds, lines: Vec<(ServerId, f64)>, draft: &mut Draft) {
+        if let Some(stream) = self.streams.get_mut(&proxy) {
+            places(kinds).for_each(|k| _ = stream.levels.remove(&k));
+        }
+        lines.iter().for_each(|(server, _)| self.settle(proxy, *server, draft));
+        draft.pieces.push(Piece { kinds, whole: true, lines, level: None });
+        self.tell_levels(proxy, kinds, true, draft);
+    }
+
+    fn write(&self, draft: Draft, mark: Option<u64>, names: &Names) -> (Vec<u8>, usize) {
+        let name = |server: &ServerId| names.get(server).map(String::as_str);
+        let side =
+            |out: bool| draft.shut.iter().filter(move |(_, o)| **o == out).filter_map(|(s, _)| name(s));
+        let mut parts: Vec<Part> = Vec::new();
+        for piece in &draft.pieces {
+            let kinds = places(piece.kinds).filter_map(|k| self.kinds.get(k).map(String::as_str)).collect();
+            let kinds: Option<Vec<&str>> = (piece.kinds != self.all).then_some(kinds);
+            let lines: Vec<_> = piece.lines.iter().filter_map(|(s, w)| Some((name(s)?, *w))).collect();
+            let lines = (piece.whole || !lines.is_empty()).then_some(lines);
+            let (level, retry) = (piece.level.map(|(l, _)| l), piece.level.map(|(_, r)| r as u8));
+            parts.push(Part { kinds, whole: piece.whole, lines, level, retry, ..Part::default() });
+        }
+        if parts.is_empty() {
+            parts.push(Part::default());
+        }
+        if let Some(last) = parts.last_mut() {
+            (last.out, last.back, last.mark) = (side(true).collect(), side(false).collect(), mark);
+        }
+        let count = parts.len();
+        let (mut bytes, mut counted) = (Vec::new(), 0);
+        for (at, mut part) in parts.into_iter().enumerate() {
+            counted += part.counted();
+            part.more = at + 1 < count;
+            bytes.extend(part.encode());
+        }
+        (bytes, counted)
+    }
+}
--- /dev/null
+++ b/crates/rookpulley-assigner/src/roster.rs
@@ -0,0 +1,188 @@
+//! The server list: the watch, resumed where it broke, and the whole list on request.
+
+use crate::driver::{Event, Front};
+use crate::messages::Bad;
+use crate::say;
+use http_body_util::{BodyExt, Empty};
+use hyper::body::{Bytes, Incoming};
+use hyper::client::conn::http1;
+use hyper_util::rt::TokioIo;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use rookpulley::facts::ListScope;
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::task::{JoinHandle, JoinSet};
+
+/// On a watch that works something comes every 2 s.
+const SILENT: Duration = Duration::from_secs(3);
+const PAUSE: Duration = Duration::from_millis(50);
+const PAUSE_MOST: Duration = Duration::from_secs(1);
+const LINE_MOST: usize = 16 << 20;
+
+/// Why a watch or a call ended.
+#[derive(Debug, thiserror::Error)]
+enum Broken {
+    #[error("no connection: {0}")]
+    Dial(#[from] std::io::Error),
+    #[error("{0}")]
+    Http(#[from] hyper::Error),
+    #[error("silent for 3 s")]
+    Silent(#[from] tokio::time::error::Elapsed),
+    #[error("answered with status {0}")]
+    Status(u16),
+    #[error("a list {0}")]
+    List(#[from] Bad),
+    #[error("a list that is no UTF-8 text")]
+    Text(#[from] std::str::Utf8Error),
+    #[error("a line over the limit")]
+    Long,
+    #[error("it ended")]
+    Ended,
+}
+
+pub struct Roster {
+    place: SocketAddr,
+    version: Cell<u64>,
+    rng: RefCell<ChaCha8Rng>,
+    front: Rc<Front>,
+    /// The module asks for the list itself, and is told of each call's outcome.
+    asked: bool,
+    watch: RefCell<Option<JoinHandle<()>>>,
+}
+
+impl Roster {
+    pub fn new(place: SocketAddr, version: u64, seed: u64, asked: bool, front: Rc<Front>) -> Rc<Self> {
+        let (version, rng) = (Cell::new(version), RefCell::new(ChaCha8Rng::seed_from_u64(seed)));
+        Rc::new(Self { place, version, rng, front, asked, watch: RefCell::default() })
+    }
+
+    /// Follows the list for as long as the assigner runs, dialling anew after growing pauses.
+    pub async fn follow(self: Rc<Self>) {
+        let mut pause = PAUSE;
+        loop {
+            let mut heard = false;
+            let broken = self.watch(&mut heard).await;
+            self.front.counters.one("watches broken");
+            say!(self.front.log, "list", "the watch broke: {broken}; the list stays as it is");
+            pause = if heard { PAUSE } else { (2 * pause).min(PAUSE_MOST) };
+            let part = self.rng.borrow_mut().random_range(0.5..1.0);
+            tokio::time::sleep(pause.mul_f64(part)).await;
+        }
+    }
+
+    /// The module asks for the watch, or wants it no longer.
+    pub fn set_watch(self: &Rc<Self>, on: bool) {
+        if !self.asked {
+            return;
+        }
+        let roster = self.clone();
+        let watch = async move {
+            let broken = roster.watch(&mut false).await;
+            roster.failed(broken).await;
+        };
+        let next = on.then(|| tokio::task::spawn_local(watch));
+        if let Some(before) = self.watch.replace(next) {
+            before.abort();
+        }
+    }
+
+    /// The module asks for the whole list once.
+    pub fn fetch(self: &Rc<Self>) {
+        let roster = self.clone();
+        tokio::task::spawn_local(async move {
+            if let Err(broken) = roster.call().await {
+                roster.failed(broken).await;
+            }
+        });
+    }
+
+    async fn failed(&self, broken: Broken) {
+        self.front.counters.one("list calls failed");
+        say!(self.front.log, "list", "a call failed: {broken}; the list stays as it is");
+        self.front.tell(Event::ListFailed).await;
+    }
+
+    async fn get(&self, path: &str, dialled: &mut JoinSet<()>) -> Result<Incoming, Broken> {
+        self.front.counters.one("out list calls");
+        let socket = TcpStream::connect(self.place).await?;
+        let (mut sender, connection) = http1::handshake(TokioIo::new(socket)).await?;
+        dialled.spawn_local(async move { _ = connection.await });
+        let req = hyper::Request::get(path).header("host", self.place.to_string());
+        // Built of fixed text, an address and numbers: there is nothing in it to refuse.
+        let Ok(req) = req.body(Empty::<Bytes>::new()) else { return Err(Broken::Ended) };
+        let answer = sender.send_request(req).await?;
+        // The sender goes; the connection stays for as long as the answer is read.
+        match answer.status().as_u16() {
+            200 => Ok(answer.into_body()),
+            other => Err(Broken::Status(other)),
+        }
+    }
+
+    async fn call(&self) -> Result<(), Broken> {
+        let mut dialled = JoinSet::new();
+        let mut body = tokio::time::timeout(SILENT, self.get("/catalog/members", &mut dialled)).await??;
+        let mut text = Vec::new();
+        while let Some(piece) = tokio::time::timeout(SILENT, body.frame()).await? {
+            text.extend_from_slice(&piece?.into_data().unwrap_or_default());
+            if text.len() > LINE_MOST {
+                return Err(Broken::Long);
+            }
+        }
+        self.take(&text, true).await
+    }
+
+    /// One watch, from its dialling to its break.
+    async fn watch(&self, heard: &mut bool) -> Broken {
+        match self.watched(heard).await {
+            Ok(()) => Broken::Ended,
+            Err(broken) => broken,
+        }
+    }
+
+    async fn watched(&self, heard: &mut bool) -> Result<(), Broken> {
+        let path = format!("/catalog/members?follow=1&since={}", self.version.get());
+        let mut dialled = JoinSet::new();
+        let mut body = tokio::time::timeout(SILENT, self.get(&path, &mut dialled)).await??;
+        let (mut held, mut first): (Vec<u8>, bool) = (Vec::new(), true);
+        while let Some(piece) = tokio::time::timeout(SILENT, body.frame()).await? {
+            let was = held.len();
+            held.extend_from_slice(&piece?.into_data().unwrap_or_default());
+            let (mut from, mut search) = (0, was);
+            while let Some(at) = held[search..].iter().position(|b| *b == b'\n') {
+                let end = search + at;
+                if !held[from..end].trim_ascii().is_empty() {
+                    self.take(&held[from..end], first && self.asked).await?;
+                    (first, *heard) = (false, true);
+                }
+                (from, search) = (end + 1, end + 1);
+            }
+            held.drain(..from);
+            if held.len() > LINE_MOST {
+                return Err(Broken::Long);
+            }
+        }
+        Ok(())
+    }
+
+    /// Hands on what is new. A change that is known already, or that changes nothing, is passed over
+    /// unless a call is to be answered.
+    async fn take(&self, text: &[u8], answer: bool) -> Result<(), Broken> {
+        let mut list = self.front.words.decode_list(std::str::from_utf8(text)?)?;
+        let new = list.whole || list.version > self.version.get();
+        if !new {
+            list.lines.clear();
+            list.names.clear();
+        }
+        self.version.set(if new { list.version } else { self.version.get() });
+        self.front.counters.one(if list.whole { "in whole lists" } else { "in list changes" });
+        if answer || list.whole || !list.lines.is_empty() {
+            let scope = if list.whole { ListScope::Full } else { ListScope::Changes };
+            self.front.tell(Event::List { scope, list }).await;
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/rookpulley-assigner/src/streams.rs
@@ -0,0 +1,219 @@
+//! Connections at the assigner's address: streams of proxies, collectors, and strangers.
+
+use crate::driver::{Event, Front};
+use crate::ending::Ending;
+use crate::messages::{Bad, LINE_MOST, Message, beat_answer, server_id};
+use crate::outbox::Outbox;
+use crate::say;
+use rookpulley::facts::{Input, ProxyId};
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::io::ErrorKind;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::Interest;
+use tokio::net::{TcpListener, TcpStream};
+
+pub type ConnId = u64;
+
+/// In the order in which connections make room: those that never spoke first, streams never.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Role {
+    Silent,
+    Stranger,
+    Collector,
+    Stream(ProxyId),
+}
+
+struct Conn {
+    role: Cell<Role>,
+    outbox: Rc<Outbox>,
+}
+
+/// The open connections, and how many there may be.
+pub struct Conns {
+    open: RefCell<BTreeMap<ConnId, Rc<Conn>>>,
+    most: usize,
+    /// Bytes of lines that have not ended yet, and how many those of strangers may add up to.
+    held: Cell<usize>,
+    held_most: usize,
+    next: Cell<ConnId>,
+}
+
+impl Conns {
+    pub fn new(most: usize, held_most: usize) -> Self {
+        let (open, held, next) = (RefCell::default(), Cell::new(0), Cell::new(0));
+        Self { open, most, held, held_most, next }
+    }
+
+    fn enter(&self) -> (ConnId, Rc<Conn>) {
+        let id = self.next.replace(self.next.get() + 1);
+        let conn = Rc::new(Conn { role: Cell::new(Role::Silent), outbox: Rc::default() });
+        self.open.borrow_mut().insert(id, conn.clone());
+        (id, conn)
+    }
+
+    /// Ends the connection that has waited longest without having joined; false where all have.
+    fn crowd_out(&self) -> bool {
+        let open = self.open.borrow();
+        let strangers = open.iter().filter(|(_, c)| c.role.get() <= Role::Stranger);
+        let waiting = strangers.filter(|(_, c)| c.outbox.ordered().is_none());
+        let oldest = waiting.min_by_key(|(id, c)| (c.role.get(), **id));
+        oldest.inspect(|(_, c)| c.outbox.end(Ending::Crowded)).is_some()
+    }
+
+    pub fn count(&self) -> usize {
+        self.open.borrow().len()
+    }
+}
+
+/// Takes connections for as long as the assigner runs.
+pub async fn accept(listener: TcpListener, front: Rc<Front>) {
+    loop {
+        let socket = match listener.accept().await {
+            Ok((socket, _)) => Some(socket),
+            Err(e) => {
+                front.counters.one("connections not taken");
+                say!(front.log, "listen", "a connection was not taken: {e}");
+                None
+            }
+        };
+        let crowded = socket.is_none() || front.conns.count() >= front.conns.most;
+        if crowded && !front.conns.crowd_out() && socket.is_some() {
+            front.counters.one("connections turned away");
+            say!(front.log, "listen", "turned away: all {} connections have joined", front.conns.count());
+            continue;
+        }
+        while crowded && front.conns.count() >= front.conns.most {
+            tokio::task::yield_now().await;
+        }
+        match socket {
+            Some(socket) => _ = tokio::task::spawn_local(serve(socket, front.clone())),
+            None => tokio::time::sleep(Duration::from_millis(10)).await,
+        }
+    }
+}
+
+async fn serve(socket: TcpStream, front: Rc<Front>) {
+    let (id, conn) = front.conns.enter();
+    front.counters.one("connections taken");
+    front.counters.most("most connections at once", front.conns.count() as u64);
+    let mut held = Vec::new();
+    let ending = live(&socket, id, &conn, &mut held, &front).await;
+    drop(socket);
+    front.conns.held.set(front.conns.held.get() - held.len());
+    front.conns.open.borrow_mut().remove(&id);
+    front.counters.one(&format!("ended {}", ending.name()));
+    let role = conn.role.get();
+    if role > Role::Stranger || !matches!(ending, Ending::Closed | Ending::Crowded) {
+        say!(front.log, "ended", "{role:?}: {}", ending.name());
+    }
+    if let Role::Stream(proxy) = role {
+        front.tell(Event::Ended { conn: id, proxy, ending }).await;
+    }
+}
+
+/// The life of a connection, from its first byte to its end.
+async fn live(socket: &TcpStream, id: ConnId, conn: &Conn, held: &mut Vec<u8>, front: &Front) -> Ending {
+    let outbox = &conn.outbox;
+    loop {
+        // Wait for bytes, for room to write, or for an order to end.
+        let interest =
+            if outbox.waits() { Interest::READABLE | Interest::WRITABLE } else { Interest::READABLE };
+        tokio::select! {
+            biased;
+            () = outbox.stirred() => {}
+            ready = socket.ready(interest) => if ready.is_err() { return Ending::Reset },
+        }
+        if let Some(ending) = outbox.ordered() {
+            return ending;
+        }
+        if outbox.write(socket).is_err() {
+            return Ending::Reset;
+        }
+        // Read what is there, in pieces of any size.
+        let was = held.len();
+        match read_some(socket, held) {
+            Ok(0) => return Ending::Closed,
+            Ok(size) => front.counters.add("in bytes", size as u64),
+            Err(e) if e.kind() == ErrorKind::WouldBlock => continue,
+            Err(_) => return Ending::Reset,
+        }
+        front.conns.held.set(front.conns.held.get() + held.len() - was);
+        // Take the lines that have come whole, one after the other.
+        let (mut from, mut search) = (0, was);
+        while let Some(at) = held[search..].iter().position(|b| *b == b'\n') {
+            let end = search + at;
+            let line = &held[from..end];
+            (from, search) = (end + 1, end + 1);
+            if line.len() >= LINE_MOST {
+                return Ending::TooLong;
+            }
+            let message = match front.words.decode(line) {
+                Ok(message) => message,
+                Err(bad) => {
+                    front.counters.one(&format!("bad input {bad}").chars().take(60).collect::<String>());
+                    say!(front.log, "bad input", "from {:?}: {bad}", conn.role.get());
+                    match (bad, conn.role.get()) {
+                        (Bad::Unreadable(_), _) => return Ending::Unreadable,
+                        (_, Role::Silent | Role::Stranger) => return Ending::OutOfTurn,
+                        (Bad::Unusable(_), _) => continue,
+                    }
+                }
+            };
+            front.counters.one(&format!("in {}", message.name()));
+            match (conn.role.get(), message) {
+                (role, Message::Beat) => {
+                    conn.role.set(role.max(Role::Stranger));
+                    outbox.put(beat_answer());
+                    front.counters.one("out beat answers");
+                }
+                (Role::Silent | Role::Stranger, Message::Collector) => conn.role.set(Role::Collector),
+                (Role::Silent | Role::Stranger, Message::Joining { proxy, zone, usual_per_s, fresh }) => {
+                    conn.role.set(Role::Stream(proxy));
+                    let outbox = outbox.clone();
+                    front.tell(Event::Joined { conn: id, outbox, proxy, zone, usual_per_s, fresh }).await;
+                }
+                (Role::Stream(own), Message::Applied { proxy, mark, took_ms }) if own == proxy => {
+                    let input = Input::Applied { proxy, mark, took_ms };
+                    front.tell(Event::OnStream { conn: id, proxy, input }).await;
+                }
+                (Role::Stream(own), Message::Usage { proxy, kind, came, bad, span_ms }) if own == proxy => {
+                    let input = Input::Usage { proxy, kind, came, bad, span_ms };
+                    front.tell(Event::OnStream { conn: id, proxy, input }).await;
+                }
+                (Role::Collector, Message::Usage { proxy, kind, came, bad, span_ms }) => {
+                    front.tell(Event::Report(Input::Usage { proxy, kind, came, bad, span_ms })).await;
+                }
+                (Role::Collector, Message::Heard { server, zone, tries, bad, mean_ms, span_ms, load }) => {
+                    let server = server_id(&server);
+                    let heard = Input::Heard { zone, server, tries, bad, mean_ms, span_ms, load };
+                    front.tell(Event::Report(heard)).await;
+                }
+                (Role::Silent | Role::Stranger, _) => return Ending::OutOfTurn,
+                (role, message) => {
+                    front.counters.one("bad input out of turn");
+                    say!(front.log, "bad input", "from {role:?}: {} out of turn", message.name());
+                }
+            }
+        }
+        held.drain(..from);
+        front.conns.held.set(front.conns.held.get() - from);
+        if held.len() >= LINE_MOST {
+            return Ending::TooLong;
+        }
+        if conn.role.get() <= Role::Stranger && front.conns.held.get() > front.conns.held_most {
+            return Ending::Crowded;
+        }
+        if held.is_empty() {
+            *held = Vec::new();
+        }
+    }
+}
+
+fn read_some(socket: &TcpStream, held: &mut Vec<u8>) -> std::io::Result<usize> {
+    let mut bytes = [0; 16 * 1024];
+    let size = socket.try_read(&mut bytes)?;
+    held.extend_from_slice(&bytes[..size]);
+    Ok(size)
+}
--- a/crates/rookpulley-wirehost/src/boot.rs
+++ b/crates/rookpulley-start/src/lib.rs
@@ -108,10 +108,27 @@
 }
 
 pub fn read(seed: u64, text: &str) -> Result<Start, Unreadable> {
-    let root: Value = serde_json::from_str(text)?;
-    let top = Part { path: "", value: &root };
+    read_value(seed, &serde_json::from_str(text)?)
+}
+
+/// What only a front on sockets needs of the settings.
+pub struct FrontFacts {
+    /// The names of the kinds of machine, in the order of their places.
+    pub machines: Vec<String>,
+    /// The least time between two calls of the module.
+    pub tick_ms: f64,
+}
+
+pub fn front_facts(root: &Value) -> Result<FrontFacts, Unreadable> {
+    let top = Part { path: "", value: root };
+    let machines = top.list("kinds")?.iter().filter_map(Value::as_str).map(String::from).collect();
+    Ok(FrontFacts { machines, tick_ms: top.ms("tick_us")? })
+}
+
+pub fn read_value(seed: u64, root: &Value) -> Result<Start, Unreadable> {
+    let top = Part { path: "", value: root };
     let [family, rules, limits, charges, load] =
-        ["family_info", "rules", "limits", "charges", "load_info"].map(|path| Part::of(&root, path));
+        ["family_info", "rules", "limits", "charges", "load_info"].map(|path| Part::of(root, path));
     let kinds = top.list("categories")?.iter().enumerate();
     let levels = match family.text("admission").unwrap_or("none") {
         "share" => Levels::Share,
--- a/crates/rookpulley-wirehost/src/main.rs
+++ b/crates/rookpulley-wirehost/src/main.rs
@@ -1,7 +1,6 @@
 //! The bench adapter: reads batches on standard input, hosts one isolated controller per
 //! instance, writes one reply per batch. It decides nothing.
 
-mod boot;
 mod wire;
 
 use rookpulley::facts::Input;
--- a/crates/rookpulley-wirehost/src/wire.rs
+++ b/crates/rookpulley-wirehost/src/wire.rs
@@ -1,6 +1,5 @@
 //! Frames: little-endian, fixed records, one shared tail.
 
-use crate::boot;
 use rookpulley::facts::{Effect, Input, ListScope, Listed, ProbeAnswer, ServerId, Stage};
 
 pub const BATCH_HEAD: usize = 20;
@@ -21,7 +20,7 @@
     #[error("record {at}: the settings are not UTF-8 text: {error}")]
     Text { at: usize, error: std::str::Utf8Error },
     #[error("record {at}: the settings cannot be read: {error}")]
-    Settings { at: usize, error: boot::Unreadable },
+    Settings { at: usize, error: rookpulley_start::Unreadable },
 }
 
 pub struct BatchHead {
@@ -102,7 +101,7 @@
     fn start(&self) -> Result<Input, Malformed> {
         let text = std::str::from_utf8(self.tail_part("info", 13, 1)?)
             .map_err(|error| Malformed::Text { at: self.at, error })?;
-        let start = boot::read(u64_at(self.b, 5), text)
+        let start = rookpulley_start::read(u64_at(self.b, 5), text)
             .map_err(|error| Malformed::Settings { at: self.at, error })?;
         Ok(Input::Start(Box::new(start)))
     }
