Connections are entered when taken; counters by fixed names; tables over a megabyte in parts

The descriptor limit was judged by connections whose task had run; a burst of strangers could pass it. A counter's name held the decoder's text, so bad input could grow the table of counters without end. Of two orders for one line in one call the later one stands, so a message has few parts.

--- a/crates/rookpulley-assigner/src/lib.rs
+++ b/crates/rookpulley-assigner/src/lib.rs
@@ -14,6 +14,7 @@
 
 use config::Told;
 use driver::{Driver, Front};
+use ending::Ending;
 use peers::Peers;
 use roster::Roster;
 use std::net::SocketAddr;
@@ -91,6 +92,8 @@
         }
     }
     say!(front.log, "stop", "told to end");
+    let stopping = format!("ended {}", Ending::Stopping.name());
+    front.counters.add(&stopping, front.conns.count() as u64);
     print(&front);
     Ok(())
 }
--- a/crates/rookpulley-assigner/src/messages.rs
+++ b/crates/rookpulley-assigner/src/messages.rs
@@ -7,8 +7,6 @@
 
 /// A line holds so many bytes at most, its end included.
 pub const LINE_MOST: usize = 1 << 20;
-/// So many parts make a message at most.
-pub const PARTS_MOST: usize = 64;
 
 /// The names that messages use for what the module knows by its place.
 pub struct Words {
@@ -82,10 +80,19 @@
     #[error("can't be read: {0}")]
     Unreadable(String),
     /// It was read, but says nothing that can be used.
-    #[error("can't be used: {0}")]
+    #[error("can't be used, {}", .0.trim_start_matches("bad input: "))]
     Unusable(&'static str),
 }
 
+impl Bad {
+    pub fn count(&self) -> &'static str {
+        match self {
+            Self::Unreadable(_) => "bad input unreadable",
+            Self::Unusable(why) => why,
+        }
+    }
+}
+
 #[derive(Deserialize)]
 #[serde(tag = "msg", rename_all = "snake_case")]
 enum Wire<'a> {
@@ -147,16 +154,16 @@
     fn proxy(&self, number: u64) -> Result<ProxyId, Bad> {
         let known = number < u64::from(self.proxies);
         let id = ProxyId::try_from(number).ok().filter(|_| known);
-        id.ok_or(Bad::Unusable("proxy out of range"))
+        id.ok_or(Bad::Unusable("bad input: proxy out of range"))
     }
 
     fn zone(&self, name: &str) -> Result<ZoneId, Bad> {
-        place(&self.zones, name).ok_or(Bad::Unusable("unknown zone"))
+        place(&self.zones, name).ok_or(Bad::Unusable("bad input: unknown zone"))
     }
 
     fn figures<const N: usize>(figures: [f64; N]) -> Result<[f64; N], Bad> {
         let sound = figures.iter().all(|x| x.is_finite() && *x >= 0.0);
-        if sound { Ok(figures) } else { Err(Bad::Unusable("a figure below 0")) }
+        if sound { Ok(figures) } else { Err(Bad::Unusable("bad input: a figure below 0")) }
     }
 
     /// The figures of a load report in the order of the settings; none where one is missing.
@@ -187,7 +194,8 @@
                 Message::Applied { proxy: self.proxy(proxy)?, mark, took_ms }
             }
             Wire::ClientStats { proxy, class, tries, failed, span_ms } => {
-                let kind = place(&self.kinds, &class).ok_or(Bad::Unusable("unknown request kind"))?;
+                let kind =
+                    place(&self.kinds, &class).ok_or(Bad::Unusable("bad input: unknown request kind"))?;
                 let [came, bad, span_ms] = Self::figures([tries, failed, span_ms])?;
                 Message::Usage { proxy: self.proxy(proxy)?, kind: kind.into(), came, bad, span_ms }
             }
@@ -195,14 +203,14 @@
                 let [tries, bad, mean_ms, span_ms] =
                     Self::figures([tries, failed, mean_ms.unwrap_or(0.0), span_ms])?;
                 if bad > tries {
-                    return Err(Bad::Unusable("more bad tries than tries"));
+                    return Err(Bad::Unusable("bad input: more bad tries than tries"));
                 }
                 let load = load.map_or(Vec::new(), |told| self.load(&told));
                 load.iter().try_for_each(|x| Self::figures([*x]).map(|_| ()))?;
                 let (zone, server) = (self.zone(&zone)?, server.into_owned());
                 Message::Heard { server, zone, tries, bad, mean_ms, span_ms, load }
             }
-            Wire::Unknown => return Err(Bad::Unusable("unknown message")),
+            Wire::Unknown => return Err(Bad::Unusable("bad input: unknown message")),
         })
     }
 }
@@ -259,7 +267,8 @@
             list.lines.push(Listed {
                 server: server_id(&server.name),
                 zone: self.zone(&server.zone)?,
-                machine: place(&self.machines, &server.machine).ok_or(Bad::Unusable("unknown machine"))?,
+                machine: place(&self.machines, &server.machine)
+                    .ok_or(Bad::Unusable("bad input: unknown machine"))?,
                 bay: server.group,
                 stage: match server.status {
                     Status::Serving => Stage::Ready,
--- a/crates/rookpulley-assigner/src/orders.rs
+++ b/crates/rookpulley-assigner/src/orders.rs
@@ -3,7 +3,7 @@
 //! The tables, levels and withdrawals of the module's orders are kept here, with what each stream has
 //! been told of them, so that a message says what the order means and no more.
 
-use crate::messages::Part;
+use crate::messages::{LINE_MOST, Part};
 use rookpulley::facts::*;
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -68,6 +68,13 @@
     (0..Kinds::BITS as KindId).filter(move |k| mask >> k & 1 == 1)
 }
 
+/// Cuts lines into runs that fit a part, however their names are written.
+fn runs_that_fit<'a>(lines: &[(&'a str, f64)]) -> impl Iterator<Item = Vec<(&'a str, f64)>> {
+    let longest = lines.iter().map(|(name, _)| name.len()).max().unwrap_or(0);
+    let fit = LINE_MOST / 2 / (6 * longest + 32);
+    lines.chunks(fit.max(1)).map(<[_]>::to_vec).collect::<Vec<_>>().into_iter()
+}
+
 impl Draft {
     /// The last piece that touches these kinds, where it is for just these.
     fn last(&mut self, kinds: Kinds) -> Option<&mut Piece> {
@@ -75,9 +82,14 @@
     }
 
     fn line(&mut self, kinds: Kinds, server: ServerId, weight: f64) {
-        match self.last(kinds).filter(|p| p.lines.iter().all(|(s, _)| *s != server)) {
-            Some(piece) => piece.lines.push((server, weight)),
-            None => self.pieces.push(Piece { kinds, lines: vec![(server, weight)], ..Piece::default() }),
+        let Some(piece) = self.last(kinds) else {
+            self.pieces.push(Piece { kinds, lines: vec![(server, weight)], ..Piece::default() });
+            return;
+        };
+        // Of two orders for one line the later one stands.
+        piece.lines.retain(|(s, _)| *s != server);
+        if weight > 0.0 || !piece.whole {
+            piece.lines.push((server, weight));
         }
     }
 
@@ -274,9 +286,19 @@
             let kinds = places(piece.kinds).filter_map(|k| self.kinds.get(k).map(String::as_str)).collect();
             let kinds: Option<Vec<&str>> = (piece.kinds != self.all).then_some(kinds);
             let lines: Vec<_> = piece.lines.iter().filter_map(|(s, w)| Some((name(s)?, *w))).collect();
-            let lines = (piece.whole || !lines.is_empty()).then_some(lines);
             let (level, retry) = (piece.level.map(|(l, _)| l), piece.level.map(|(_, r)| r as u8));
-            parts.push(Part { kinds, whole: piece.whole, lines, level, retry, ..Part::default() });
+            let mut runs = runs_that_fit(&lines);
+            let first = runs.next().or(piece.whole.then(Vec::new));
+            let opening = Part {
+                kinds: kinds.clone(),
+                whole: piece.whole,
+                lines: first,
+                level,
+                retry,
+                ..Part::default()
+            };
+            let rest = runs.map(|lines| Part { kinds: kinds.clone(), lines: Some(lines), ..Part::default() });
+            parts.extend([opening].into_iter().chain(rest));
         }
         if parts.is_empty() {
             parts.push(Part::default());
--- a/crates/rookpulley-assigner/src/streams.rs
+++ b/crates/rookpulley-assigner/src/streams.rs
@@ -88,14 +88,16 @@
             tokio::task::yield_now().await;
         }
         match socket {
-            Some(socket) => _ = tokio::task::spawn_local(serve(socket, front.clone())),
+            Some(socket) => {
+                let (id, conn) = front.conns.enter();
+                tokio::task::spawn_local(serve(socket, id, conn, front.clone()));
+            }
             None => tokio::time::sleep(Duration::from_millis(10)).await,
         }
     }
 }
 
-async fn serve(socket: TcpStream, front: Rc<Front>) {
-    let (id, conn) = front.conns.enter();
+async fn serve(socket: TcpStream, id: ConnId, conn: Rc<Conn>, front: Rc<Front>) {
     front.counters.one("connections taken");
     front.counters.most("most connections at once", front.conns.count() as u64);
     let mut held = Vec::new();
@@ -131,7 +133,8 @@
         if outbox.write(socket).is_err() {
             return Ending::Reset;
         }
-        // Read what is there, in pieces of any size.
+        // Read what is there, in pieces of any size; others get their turn in between.
+        tokio::task::consume_budget().await;
         let was = held.len();
         match read_some(socket, held) {
             Ok(0) => return Ending::Closed,
@@ -152,7 +155,7 @@
             let message = match front.words.decode(line) {
                 Ok(message) => message,
                 Err(bad) => {
-                    front.counters.one(&format!("bad input {bad}").chars().take(60).collect::<String>());
+                    front.counters.one(bad.count());
                     say!(front.log, "bad input", "from {:?}: {bad}", conn.role.get());
                     match (bad, conn.role.get()) {
                         (Bad::Unreadable(_), _) => return Ending::Unreadable,
