Tests of the assigner on its own stand-ins; half-open collectors make room

What they found: collectors that come again and again while their old connections stay half-open would have filled the descriptors (all but the newest of a zone may go now); a list entry of an unknown zone held up the whole list (it gets a place to which no request kind is bound, counted and logged).

--- a/crates/rookpulley-assigner/src/driver.rs
+++ b/crates/rookpulley-assigner/src/driver.rs
@@ -3,7 +3,7 @@
 use crate::counters::Counters;
 use crate::ending::Ending;
 use crate::log::Log;
-use crate::messages::{List, Words, server_id};
+use crate::messages::{ELSEWHERE, List, Words, server_id};
 use crate::orders::{Names, Orders};
 use crate::outbox::Outbox;
 use crate::peers::Peers;
@@ -43,6 +43,11 @@
         // Nobody listens any more once the assigner ends.
         _ = self.events.send(event).await;
     }
+
+    /// Prints the counters.
+    pub fn print(&self) {
+        self.counters.lines().iter().for_each(|line| say!(self.log, "count", "{line}"));
+    }
 }
 
 /// Milliseconds of Unix time, as the list has them, but never set back or forward.
@@ -184,6 +189,14 @@
             },
             Event::List { scope, list } => {
                 for (line, name) in list.lines.iter().zip(list.names) {
+                    if line.zone == ELSEWHERE || line.machine == ELSEWHERE {
+                        self.front.counters.one("servers of unknown zone or machine");
+                        say!(
+                            self.front.log,
+                            "list",
+                            "{name} is of a zone or machine that the settings don't name"
+                        );
+                    }
                     debug_assert_eq!(line.server, server_id(&name));
                     self.shown.entry(rookpulley::state::show(line.server)).or_insert(line.server);
                     self.names.entry(line.server).or_insert(name);
--- a/crates/rookpulley-assigner/src/ending.rs
+++ b/crates/rookpulley-assigner/src/ending.rs
@@ -49,17 +49,18 @@
         }
     }
 
-    pub fn name(self) -> &'static str {
+    /// The name it is counted and logged by.
+    pub fn count(self) -> &'static str {
         match self {
-            Self::Closed => "closed",
-            Self::Reset => "reset",
-            Self::Unreadable => "unreadable",
-            Self::TooLong => "too long a line",
-            Self::OutOfTurn => "out of turn",
-            Self::Replaced => "replaced",
-            Self::Unread => "left unread",
-            Self::Crowded => "crowded out",
-            Self::Stopping => "stopping",
+            Self::Closed => "ended: closed",
+            Self::Reset => "ended: reset",
+            Self::Unreadable => "ended: unreadable",
+            Self::TooLong => "ended: too long a line",
+            Self::OutOfTurn => "ended: out of turn",
+            Self::Replaced => "ended: replaced",
+            Self::Unread => "ended: left unread",
+            Self::Crowded => "ended: crowded out",
+            Self::Stopping => "ended: stopping",
         }
     }
 }
--- a/crates/rookpulley-assigner/src/lib.rs
+++ b/crates/rookpulley-assigner/src/lib.rs
@@ -13,15 +13,17 @@
 pub mod streams;
 
 use config::Told;
-use driver::{Driver, Front};
+use driver::{Driver, Event, Front};
 use ending::Ending;
+use messages::List;
 use peers::Peers;
-use roster::Roster;
+use rookpulley::facts::Start;
+use roster::{Pauses, Roster};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use streams::Conns;
 use tokio::net::{TcpListener, UdpSocket};
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::mpsc;
 
 /// Descriptors that are no connections: standard ones, the runtime's, listeners, the watch and calls.
@@ -41,65 +43,85 @@
     System(&'static str, std::io::Error),
 }
 
+/// An assigner that holds its addresses and has not begun.
+pub struct Assigner {
+    pub front: Rc<Front>,
+    listener: TcpListener,
+    notes: Option<Rc<Peers>>,
+    stop: Signal,
+    print: Signal,
+    events: mpsc::Receiver<Event>,
+    discovery: SocketAddr,
+    known: List,
+    tick_ms: f64,
+    start: Start,
+}
+
 fn at(what: &'static str, place: SocketAddr) -> impl FnOnce(std::io::Error) -> CannotRun {
     move |why| CannotRun::Address { what, place, why }
 }
 
-/// Runs until SIGTERM. Called within a `LocalSet`.
-pub async fn run(told: Told) -> Result<(), CannotRun> {
-    let Told { name, listen, discovery, limits, peers, known, words, tick_ms, start } = told;
-    let listener = TcpListener::bind(listen).await.map_err(at("the address to listen at", listen))?;
-    let mut notes = None;
-    if let Some(places) = peers {
-        let place = places.listen;
-        let socket = UdpSocket::bind(place).await.map_err(at("the address for notes", place))?;
-        notes = Some(Rc::new(Peers { socket, places, own: start.place.index }));
+impl Assigner {
+    pub async fn bind(told: Told) -> Result<Self, CannotRun> {
+        let Told { name, listen, discovery, limits, peers, known, words, tick_ms, start } = told;
+        let listener = TcpListener::bind(listen).await.map_err(at("the address to listen at", listen))?;
+        let mut notes = None;
+        if let Some(places) = peers {
+            let place = places.listen;
+            let socket = UdpSocket::bind(place).await.map_err(at("the address for notes", place))?;
+            notes = Some(Rc::new(Peers { socket, places, own: start.place.index }));
+        }
+        let no_signal = |e| CannotRun::System("signals", e);
+        let stop = signal(SignalKind::terminate()).map_err(no_signal)?;
+        let print = signal(SignalKind::user_defined1()).map_err(no_signal)?;
+        let (sender, events) = mpsc::channel(EVENTS);
+        let most = limits.sockets.saturating_sub(OTHER_SOCKETS).max(1);
+        let front = Rc::new(Front {
+            log: log::Log::new(name, LOG_LINES),
+            counters: counters::Counters::default(),
+            words,
+            conns: Conns::new(most, (limits.memory_mb * MB / 4.0) as usize),
+            events: sender,
+        });
+        Ok(Self { front, listener, notes, stop, print, events, discovery, known, tick_ms, start })
     }
-    let no_signal = |e| CannotRun::System("signals", e);
-    let mut stop = signal(SignalKind::terminate()).map_err(no_signal)?;
-    let mut asked = signal(SignalKind::user_defined1()).map_err(no_signal)?;
 
-    let (sender, mut events) = mpsc::channel(EVENTS);
-    let most = limits.sockets.saturating_sub(OTHER_SOCKETS).max(1);
-    let front = Rc::new(Front {
-        log: log::Log::new(name, LOG_LINES),
-        counters: counters::Counters::default(),
-        words,
-        conns: Conns::new(most, (limits.memory_mb * MB / 4.0) as usize),
-        events: sender,
-    });
-    let ask = start.list.asked;
-    let roster = Roster::new(discovery, known.version, start.seed, ask, front.clone());
-    if !ask {
-        tokio::task::spawn_local(roster.clone().follow());
+    /// Where it listens, and where it takes notes.
+    pub fn places(&self) -> (Option<SocketAddr>, Option<SocketAddr>) {
+        let notes = self.notes.as_ref().and_then(|n| n.socket.local_addr().ok());
+        (self.listener.local_addr().ok(), notes)
     }
-    if let Some(peers) = &notes {
-        tokio::task::spawn_local(peers.clone().listen(front.clone()));
-    }
-    let place = listener.local_addr().unwrap_or(listen);
-    say!(front.log, "start", "listening at {place}, {} servers known", known.lines.len());
-    let mut driver = Driver::start(front.clone(), start, known, tick_ms, notes, roster);
-    let mut listener = Some(listener);
-    loop {
-        // Nobody is answered before the list is known.
-        if let Some(listener) = listener.take_if(|_| driver.knows_servers()) {
-            tokio::task::spawn_local(streams::accept(listener, front.clone()));
+
+    /// Serves until SIGTERM. Called within a `LocalSet`.
+    pub async fn serve(self) {
+        let place = self.places().0;
+        let Self { front, listener, notes, mut stop, mut print, mut events, known, start, .. } = self;
+        let ask = start.list.asked;
+        let roster = Roster::new(self.discovery, known.version, ask, front.clone());
+        if !ask {
+            tokio::task::spawn_local(roster.clone().follow(Pauses::new(start.seed)));
         }
-        tokio::select! {
-            () = driver.turn(&mut events) => {}
-            _ = asked.recv() => print(&front),
-            _ = stop.recv() => break,
+        if let Some(peers) = &notes {
+            tokio::task::spawn_local(peers.clone().listen(front.clone()));
         }
-    }
-    say!(front.log, "stop", "told to end");
-    let stopping = format!("ended {}", Ending::Stopping.name());
-    front.counters.add(&stopping, front.conns.count() as u64);
-    print(&front);
-    Ok(())
-}
-
-fn print(front: &Front) {
-    for line in front.counters.lines() {
-        eprintln!("{} count: {line}", front.log.name);
+        if let Some(place) = place {
+            say!(front.log, "start", "listening at {place}, {} servers known", known.lines.len());
+        }
+        let mut driver = Driver::start(front.clone(), start, known, self.tick_ms, notes, roster);
+        let mut listener = Some(listener);
+        loop {
+            // Nobody is answered before the list is known.
+            if let Some(listener) = listener.take_if(|_| driver.knows_servers()) {
+                tokio::task::spawn_local(streams::accept(listener, front.clone()));
+            }
+            tokio::select! {
+                () = driver.turn(&mut events) => {}
+                _ = print.recv() => front.print(),
+                _ = stop.recv() => break,
+            }
+        }
+        say!(front.log, "stop", "told to end");
+        front.counters.add(Ending::Stopping.count(), front.conns.count() as u64);
+        front.print();
     }
 }
--- a/crates/rookpulley-assigner/src/log.rs
+++ b/crates/rookpulley-assigner/src/log.rs
@@ -34,6 +34,9 @@
         Self { name, most, said: RefCell::default() }
     }
 
+    /// Lines that were asked for are printed all.
+    pub const ASKED: &str = "count";
+
     /// None: not now. Otherwise what to say of the lines left out before.
     pub fn may_say(&self, kind: &'static str) -> Option<String> {
         let mut kinds = self.said.borrow_mut();
@@ -46,7 +49,7 @@
             }
             *said = fresh();
         }
-        if said.lines >= self.most {
+        if said.lines >= self.most && kind != Self::ASKED {
             said.left_out += 1;
             return None;
         }
--- a/crates/rookpulley-assigner/src/messages.rs
+++ b/crates/rookpulley-assigner/src/messages.rs
@@ -31,7 +31,9 @@
 pub enum Message {
     /// Asks whether the assigner can be used.
     Beat,
-    Collector,
+    Collector {
+        zone: ZoneId,
+    },
     Joining {
         proxy: ProxyId,
         zone: ZoneId,
@@ -65,7 +67,7 @@
     pub fn name(&self) -> &'static str {
         match self {
             Self::Beat => "beats",
-            Self::Collector => "collectors",
+            Self::Collector { .. } => "collectors",
             Self::Joining { .. } => "joinings",
             Self::Applied { .. } => "marks answered",
             Self::Usage { .. } => "usage",
@@ -181,10 +183,7 @@
         let wire: Wire = serde_json::from_str(text).map_err(|e| Bad::Unreadable(e.to_string()))?;
         Ok(match wire {
             Wire::Hb => Message::Beat,
-            Wire::Telemetry { zone } => {
-                self.zone(&zone)?;
-                Message::Collector
-            }
+            Wire::Telemetry { zone } => Message::Collector { zone: self.zone(&zone)? },
             Wire::Attach { proxy, zone, weight, fresh } => {
                 let [usual_per_s] = Self::figures([weight])?;
                 Message::Joining { proxy: self.proxy(proxy)?, zone: self.zone(&zone)?, usual_per_s, fresh }
@@ -248,6 +247,10 @@
     endpoints: Vec<Endpoint<'a>>,
 }
 
+/// The place of a zone or a kind of machine that the settings don't name: no request kind is bound to
+/// it. One such server must not hold up the list of all.
+pub const ELSEWHERE: u16 = u16::MAX;
+
 /// The server list, or what changed in it.
 #[derive(Debug, Default, PartialEq)]
 pub struct List {
@@ -266,9 +269,8 @@
             let [weight, started_ms] = Self::figures([server.weight, server.since_ms])?;
             list.lines.push(Listed {
                 server: server_id(&server.name),
-                zone: self.zone(&server.zone)?,
-                machine: place(&self.machines, &server.machine)
-                    .ok_or(Bad::Unusable("bad input: unknown machine"))?,
+                zone: place(&self.zones, &server.zone).unwrap_or(ELSEWHERE),
+                machine: place(&self.machines, &server.machine).unwrap_or(ELSEWHERE),
                 bay: server.group,
                 stage: match server.status {
                     Status::Serving => Stage::Ready,
--- a/crates/rookpulley-assigner/src/roster.rs
+++ b/crates/rookpulley-assigner/src/roster.rs
@@ -19,8 +19,8 @@
 
 /// On a watch that works something comes every 2 s.
 const SILENT: Duration = Duration::from_secs(3);
-const PAUSE: Duration = Duration::from_millis(50);
-const PAUSE_MOST: Duration = Duration::from_secs(1);
+const PAUSE_MS: f64 = 50.0;
+const PAUSE_MOST_MS: f64 = 1_000.0;
 const LINE_MOST: usize = 16 << 20;
 
 /// Why a watch or a call ended.
@@ -44,10 +44,27 @@
     Ended,
 }
 
+/// The pauses before dialling anew: growing while nothing is heard, and not in step with others.
+pub struct Pauses {
+    next_ms: f64,
+    rng: ChaCha8Rng,
+}
+
+impl Pauses {
+    pub fn new(seed: u64) -> Self {
+        Self { next_ms: PAUSE_MS, rng: ChaCha8Rng::seed_from_u64(seed) }
+    }
+
+    pub fn next(&mut self, heard: bool) -> Duration {
+        let ms = if heard { PAUSE_MS } else { self.next_ms };
+        self.next_ms = (2.0 * ms).min(PAUSE_MOST_MS);
+        Duration::from_secs_f64(ms * self.rng.random_range(0.5..1.0) / 1e3)
+    }
+}
+
 pub struct Roster {
     place: SocketAddr,
     version: Cell<u64>,
-    rng: RefCell<ChaCha8Rng>,
     front: Rc<Front>,
     /// The module asks for the list itself, and is told of each call's outcome.
     asked: bool,
@@ -55,22 +72,18 @@
 }
 
 impl Roster {
-    pub fn new(place: SocketAddr, version: u64, seed: u64, asked: bool, front: Rc<Front>) -> Rc<Self> {
-        let (version, rng) = (Cell::new(version), RefCell::new(ChaCha8Rng::seed_from_u64(seed)));
-        Rc::new(Self { place, version, rng, front, asked, watch: RefCell::default() })
+    pub fn new(place: SocketAddr, version: u64, asked: bool, front: Rc<Front>) -> Rc<Self> {
+        Rc::new(Self { place, version: Cell::new(version), front, asked, watch: RefCell::default() })
     }
 
     /// Follows the list for as long as the assigner runs, dialling anew after growing pauses.
-    pub async fn follow(self: Rc<Self>) {
-        let mut pause = PAUSE;
+    pub async fn follow(self: Rc<Self>, mut pauses: Pauses) {
         loop {
             let mut heard = false;
             let broken = self.watch(&mut heard).await;
             self.front.counters.one("watches broken");
             say!(self.front.log, "list", "the watch broke: {broken}; the list stays as it is");
-            pause = if heard { PAUSE } else { (2 * pause).min(PAUSE_MOST) };
-            let part = self.rng.borrow_mut().random_range(0.5..1.0);
-            tokio::time::sleep(pause.mul_f64(part)).await;
+            tokio::time::sleep(pauses.next(heard)).await;
         }
     }
 
--- a/crates/rookpulley-assigner/src/streams.rs
+++ b/crates/rookpulley-assigner/src/streams.rs
@@ -5,7 +5,7 @@
 use crate::messages::{Bad, LINE_MOST, Message, beat_answer, server_id};
 use crate::outbox::Outbox;
 use crate::say;
-use rookpulley::facts::{Input, ProxyId};
+use rookpulley::facts::{Input, ProxyId, ZoneId};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::io::ErrorKind;
@@ -17,11 +17,12 @@
 pub type ConnId = u64;
 
 /// In the order in which connections make room: those that never spoke first, streams never.
+/// Of the collectors of one zone all but the newest may be half-open.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Role {
     Silent,
     Stranger,
-    Collector,
+    Collector(ZoneId),
     Stream(ProxyId),
 }
 
@@ -53,11 +54,16 @@
         (id, conn)
     }
 
-    /// Ends the connection that has waited longest without having joined; false where all have.
+    /// Ends the connection that can best be done without; false where there is none.
     fn crowd_out(&self) -> bool {
         let open = self.open.borrow();
-        let strangers = open.iter().filter(|(_, c)| c.role.get() <= Role::Stranger);
-        let waiting = strangers.filter(|(_, c)| c.outbox.ordered().is_none());
+        let newer = |id: &ConnId, role| open.range(id + 1..).any(|(_, c)| c.role.get() == role);
+        let spare = open.iter().filter(|(id, c)| match c.role.get() {
+            Role::Silent | Role::Stranger => true,
+            role @ Role::Collector(_) => newer(id, role),
+            Role::Stream(_) => false,
+        });
+        let waiting = spare.filter(|(_, c)| c.outbox.ordered().is_none());
         let oldest = waiting.min_by_key(|(id, c)| (c.role.get(), **id));
         oldest.inspect(|(_, c)| c.outbox.end(Ending::Crowded)).is_some()
     }
@@ -105,10 +111,10 @@
     drop(socket);
     front.conns.held.set(front.conns.held.get() - held.len());
     front.conns.open.borrow_mut().remove(&id);
-    front.counters.one(&format!("ended {}", ending.name()));
+    front.counters.one(ending.count());
     let role = conn.role.get();
     if role > Role::Stranger || !matches!(ending, Ending::Closed | Ending::Crowded) {
-        say!(front.log, "ended", "{role:?}: {}", ending.name());
+        say!(front.log, "connection", "{role:?} {}", ending.count());
     }
     if let Role::Stream(proxy) = role {
         front.tell(Event::Ended { conn: id, proxy, ending }).await;
@@ -171,7 +177,9 @@
                     outbox.put(beat_answer());
                     front.counters.one("out beat answers");
                 }
-                (Role::Silent | Role::Stranger, Message::Collector) => conn.role.set(Role::Collector),
+                (Role::Silent | Role::Stranger, Message::Collector { zone }) => {
+                    conn.role.set(Role::Collector(zone));
+                }
                 (Role::Silent | Role::Stranger, Message::Joining { proxy, zone, usual_per_s, fresh }) => {
                     conn.role.set(Role::Stream(proxy));
                     let outbox = outbox.clone();
@@ -185,10 +193,10 @@
                     let input = Input::Usage { proxy, kind, came, bad, span_ms };
                     front.tell(Event::OnStream { conn: id, proxy, input }).await;
                 }
-                (Role::Collector, Message::Usage { proxy, kind, came, bad, span_ms }) => {
+                (Role::Collector(_), Message::Usage { proxy, kind, came, bad, span_ms }) => {
                     front.tell(Event::Report(Input::Usage { proxy, kind, came, bad, span_ms })).await;
                 }
-                (Role::Collector, Message::Heard { server, zone, tries, bad, mean_ms, span_ms, load }) => {
+                (Role::Collector(_), Message::Heard { server, zone, tries, bad, mean_ms, span_ms, load }) => {
                     let server = server_id(&server);
                     let heard = Input::Heard { zone, server, tries, bad, mean_ms, span_ms, load };
                     front.tell(Event::Report(heard)).await;
--- /dev/null
+++ b/crates/rookpulley-assigner/tests/sockets.rs
@@ -0,0 +1,773 @@
+//! The assigner on loopback sockets, against stand-ins of its own. Tests wait for what happens, not for
+//! a clock; where a stand-in has a pace of its own, a slower one changes nothing.
+
+use http_body_util::channel::{Channel, Sender};
+use http_body_util::combinators::BoxBody;
+use http_body_util::{BodyExt, Full};
+use hyper::body::Bytes;
+use hyper_util::rt::TokioIo;
+use rookpulley_assigner::driver::Front;
+use rookpulley_assigner::ending::{ALL, Ending};
+use rookpulley_assigner::log::Log;
+use rookpulley_assigner::roster::Pauses;
+use rookpulley_assigner::{Assigner, config};
+use serde_json::{Value, json};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpSocket, TcpStream, UdpSocket};
+use tokio::sync::{mpsc, oneshot, watch};
+use tokio::task::{LocalSet, spawn_local};
+use tokio::time::timeout;
+
+const LONG: Duration = Duration::from_secs(60);
+
+// ---- Stand-ins ----------------------------------------------------------------------------
+
+fn server(n: u32, status: &str, since_ms: f64) -> Value {
+    json!({"name": format!("s-{n}"), "address": format!("10.0.0.{n}:80"), "zone": "a", "type": "m",
+        "group": 0, "status": status, "weight": 1.0, "since_ms": since_ms})
+}
+
+fn list(index: u64, whole: bool, servers: &[Value]) -> String {
+    json!({"index": index, "snapshot": whole, "endpoints": servers}).to_string() + "\n"
+}
+
+fn serving(servers: std::ops::RangeInclusive<u32>) -> Vec<Value> {
+    servers.map(|n| server(n, "SERVING", 0.0)).collect()
+}
+
+/// A configuration of two zones, two request kinds, four proxies and servers s-1 to s-3.
+fn told(discovery: SocketAddr) -> Value {
+    let kind = |name: &str, effect: &str| {
+        json!({"name": name, "effect": effect, "group": "zone", "window_us": 600_000, "aim_us": 500_000,
+            "hard_limit_us": 2_000_000, "worth": 1.0})
+    };
+    json!({
+        "name": "n0", "listen": "127.0.0.1:0", "discovery": discovery, "seed": "00000000000000a7",
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 128},
+        "peer_listen": "127.0.0.1:0", "peers": [], "peers_all": "127.0.0.1:9",
+        "known": {"index": 7, "snapshot": true, "endpoints": serving(1..=3)},
+        "settings": {
+            "self_index": 0, "balancers": 2, "locality": 0, "areas": ["a", "b"], "kinds": ["m"],
+            "tick_us": 5_000, "registry_mode": "pushed", "load_info": {"fields": ["load_share", "depth"]},
+            "categories": [kind("read", "pure"), kind("write", "token")],
+            "limits": {"peers": true},
+            "family_info": {"agents": 4, "admission": "none", "usual_how": 1, "empty_for_us": 3_000_000,
+                "lines_per_s": 5_000, "envelope": 6, "backlog": 8_000, "transit_us": 90_000,
+                "push_delay_max_us": 400_000, "reports_per_s": 300},
+            "rules": {"drain_grace_us": 1_500_000, "cold_share": 0.3, "ramp_time_us": 9_000_000,
+                "fall_multiple": 3, "tip_after_us": 1_500_000}}})
+}
+
+type Body = BoxBody<Bytes, std::io::Error>;
+
+/// A call to the stand-in for discovery, and how it is to be answered.
+struct Call {
+    path: String,
+    answer: oneshot::Sender<hyper::Response<Body>>,
+}
+
+struct Discovery {
+    place: SocketAddr,
+    calls: mpsc::UnboundedReceiver<Call>,
+}
+
+impl Discovery {
+    async fn new() -> Self {
+        Self::at(TcpListener::bind("127.0.0.1:0").await.unwrap())
+    }
+
+    fn at(listener: TcpListener) -> Self {
+        let place = listener.local_addr().unwrap();
+        let (sender, calls) = mpsc::unbounded_channel();
+        spawn_local(async move {
+            while let Ok((socket, _)) = listener.accept().await {
+                let sender = sender.clone();
+                let service = hyper::service::service_fn(move |req: hyper::Request<_>| {
+                    let (answer, answered) = oneshot::channel();
+                    let _: &hyper::body::Incoming = req.body();
+                    _ = sender.send(Call { path: req.uri().to_string(), answer });
+                    async move { answered.await.map_err(|_| std::io::Error::other("no answer")) }
+                });
+                spawn_local(
+                    hyper::server::conn::http1::Builder::new()
+                        .serve_connection(TokioIo::new(socket), service),
+                );
+            }
+        });
+        Self { place, calls }
+    }
+
+    async fn call(&mut self) -> Call {
+        self.calls.recv().await.unwrap()
+    }
+
+    /// Takes the next watch and keeps it open.
+    async fn watch(&mut self) -> Watch {
+        self.call().await.watch()
+    }
+}
+
+struct Watch(Sender<Bytes, std::io::Error>);
+
+impl Watch {
+    async fn say(&mut self, text: &str) {
+        self.0.send_data(Bytes::from(text.to_string())).await.unwrap();
+    }
+}
+
+impl Call {
+    fn watch(self) -> Watch {
+        let (sender, body) = Channel::new(16);
+        _ = self.answer.send(hyper::Response::new(body.boxed()));
+        Watch(sender)
+    }
+
+    fn answer(self, status: u16, text: &str) {
+        let body = Full::new(Bytes::from(text.to_string())).map_err(std::io::Error::other).boxed();
+        _ = self.answer.send(hyper::Response::builder().status(status).body(body).unwrap());
+    }
+}
+
+type Lists = Vec<(u64, String)>;
+
+/// Discovery that works: whoever watches is told what came after the version it names.
+struct Agent {
+    place: SocketAddr,
+    lists: watch::Sender<Lists>,
+}
+
+impl Agent {
+    async fn new() -> Self {
+        let mut discovery = Discovery::new().await;
+        let (place, lists) = (discovery.place, watch::Sender::new(Lists::new()));
+        let told = lists.subscribe();
+        spawn_local(async move {
+            loop {
+                let call = discovery.call().await;
+                let since = call.path.rsplit_once("since=").unwrap().1.parse().unwrap();
+                spawn_local(Self::follow(call.watch(), told.clone(), since));
+            }
+        });
+        Self { place, lists }
+    }
+
+    async fn follow(mut watch: Watch, mut lists: watch::Receiver<Lists>, mut since: u64) {
+        loop {
+            let mut text = String::from("\n");
+            let after = since;
+            for (index, list) in lists.borrow_and_update().iter().filter(|(index, _)| *index > after) {
+                text += list;
+                since = since.max(*index);
+            }
+            if watch.0.send_data(Bytes::from(text)).await.is_err() {
+                return;
+            }
+            _ = timeout(Duration::from_secs(1), lists.changed()).await;
+        }
+    }
+
+    fn say(&self, index: u64, whole: bool, servers: &[Value]) {
+        self.lists.send_modify(|lists| lists.push((index, list(index, whole, servers))));
+    }
+}
+
+/// A connection to the assigner: a proxy, a collector or a stranger.
+struct Wire {
+    socket: TcpStream,
+    held: Vec<u8>,
+    proxy: u32,
+}
+
+fn joining(proxy: u32, fresh: bool) -> String {
+    json!({"msg": "attach", "proxy": proxy, "zone": "a", "weight": 9.5, "fresh": fresh}).to_string()
+}
+
+const COLLECTOR: &str = r#"{"msg":"telemetry","zone":"a"}"#;
+const BEAT: &str = r#"{"msg":"hb"}"#;
+
+impl Wire {
+    async fn dial(place: SocketAddr) -> Self {
+        Self { socket: TcpStream::connect(place).await.unwrap(), held: Vec::new(), proxy: 0 }
+    }
+
+    async fn join(place: SocketAddr, proxy: u32, fresh: bool) -> Self {
+        let mut wire = Self { proxy, ..Self::dial(place).await };
+        wire.say(&joining(proxy, fresh)).await;
+        wire
+    }
+
+    async fn say(&mut self, text: &str) {
+        _ = self.socket.write_all(format!("{text}\n").as_bytes()).await;
+    }
+
+    /// The next message; None once the connection has ended.
+    async fn hear(&mut self) -> Option<Value> {
+        loop {
+            if let Some(at) = self.held.iter().position(|b| *b == b'\n') {
+                let line: Vec<u8> = self.held.drain(..=at).collect();
+                return Some(serde_json::from_slice(&line).unwrap());
+            }
+            let mut bytes = [0; 4096];
+            match self.socket.read(&mut bytes).await {
+                Ok(0) | Err(_) => return None,
+                Ok(size) => self.held.extend_from_slice(&bytes[..size]),
+            }
+        }
+    }
+
+    /// Hears messages, answering their marks, up to one for which this holds.
+    async fn until(&mut self, what: &str, holds: impl Fn(&Value) -> bool) -> Value {
+        let listen = async {
+            loop {
+                let message = self.hear().await.unwrap_or_else(|| panic!("ended before {what}"));
+                if let Some(mark) = message["ticket"].as_u64() {
+                    let done = json!({"msg": "done", "proxy": self.proxy, "mark": mark, "took_ms": 90.5});
+                    self.say(&done.to_string()).await;
+                }
+                if holds(&message) {
+                    return message;
+                }
+            }
+        };
+        timeout(LONG, listen).await.unwrap_or_else(|_| panic!("waited long for {what}"))
+    }
+
+    async fn table(&mut self) -> Value {
+        self.until("a whole table", |m| m["whole"] == true && m["more"] != true).await
+    }
+
+    async fn beats(&mut self) -> bool {
+        self.say(BEAT).await;
+        while let Some(message) = self.hear().await {
+            if message["msg"] == "hb_ok" {
+                return true;
+            }
+        }
+        false
+    }
+}
+
+fn names(server: &str) -> impl Fn(&Value) -> bool + use<'_> {
+    move |message| message["out"].as_array().is_some_and(|out| out.iter().any(|s| s == server))
+}
+
+struct Running {
+    place: SocketAddr,
+    notes: Option<SocketAddr>,
+    front: Rc<Front>,
+}
+
+async fn run(told: &Value) -> Running {
+    let assigner = Assigner::bind(config::read(&told.to_string()).unwrap()).await.unwrap();
+    let (place, notes) = assigner.places();
+    let front = assigner.front.clone();
+    spawn_local(assigner.serve());
+    Running { place: place.unwrap(), notes, front }
+}
+
+impl Running {
+    /// Waits until only so many connections are open.
+    async fn alone(&self, open: usize) {
+        while self.front.conns.count() > open {
+            tokio::task::yield_now().await;
+        }
+    }
+
+    /// Waits until this was counted so often.
+    async fn counted(&self, what: &str, count: u64) {
+        let wait = async {
+            while self.front.counters.get(what) < count {
+                tokio::task::yield_now().await;
+            }
+        };
+        if timeout(LONG, wait).await.is_err() {
+            panic!("{what} was not counted {count} times: {:#?}", self.front.counters.lines());
+        }
+    }
+}
+
+/// Runs a test with an assigner whose discovery works.
+fn with_assigner<F: Future<Output = ()>>(test: impl FnOnce(Running, Agent) -> F) {
+    on_sockets(async {
+        let agent = Agent::new().await;
+        test(run(&told(agent.place)).await, agent).await;
+    });
+}
+
+fn on_sockets(test: impl Future<Output = ()>) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    LocalSet::new().block_on(&runtime.unwrap(), test);
+}
+
+// ---- Streams ------------------------------------------------------------------------------
+
+#[test]
+fn a_proxy_joins_and_is_bound_and_hears_of_a_drain() {
+    with_assigner(|running, agent| async move {
+        let mut proxy = Wire::join(running.place, 0, true).await;
+        let table = proxy.table().await;
+        assert_eq!(table["lines"].as_array().unwrap().len(), 3, "{table}");
+        running.counted("in marks answered", 1).await;
+        agent.say(8, false, &[server(2, "DRAINING", 0.0)]);
+        let message = proxy.until("s-2 shut out", names("s-2")).await;
+        assert!(message["ticket"].is_u64(), "{message}");
+        agent.say(9, false, &[server(3, "DELETED", 0.0)]);
+        proxy.until("s-3 shut out", names("s-3")).await;
+        // Back with a new start: let back with the line that brings it into the table again.
+        agent.say(10, true, &serving(1..=3));
+        proxy.until("s-2 back", |m| m["back"].to_string().contains("s-2")).await;
+    });
+}
+
+#[test]
+fn bytes_come_in_pieces_and_messages_together() {
+    with_assigner(|running, _agent| async move {
+        let mut proxy = Wire::dial(running.place).await;
+        for byte in format!("{}\n", joining(1, true)).bytes() {
+            proxy.socket.write_all(&[byte]).await.unwrap();
+            tokio::task::yield_now().await;
+        }
+        running.counted("in joinings", 1).await;
+        let usage = r#"{"msg":"client_stats","proxy":1,"class":"read","tries":19,"failed":0,"span_ms":1000.0,"new":[1]}"#;
+        proxy.say(&[usage, usage, BEAT, usage].join("\n")).await;
+        proxy.until("an answer to the beat", |m| m["msg"] == "hb_ok").await;
+        running.counted("in usage", 3).await;
+        proxy.table().await;
+    });
+}
+
+#[test]
+fn a_new_stream_replaces_the_old_whose_late_end_changes_nothing() {
+    with_assigner(|running, agent| async move {
+        let mut old = Wire::join(running.place, 2, true).await;
+        old.table().await;
+        let mut new = Wire::join(running.place, 2, false).await;
+        // Late input of the old one, read after the joining of the new.
+        running.counted("in joinings", 2).await;
+        old.say(r#"{"msg":"done","proxy":2,"mark":0,"took_ms":1.0}"#).await;
+        new.table().await;
+        assert!(old.hear().await.is_none());
+        running.counted(Ending::Replaced.count(), 1).await;
+        agent.say(8, false, &[server(1, "DRAINING", 0.0)]);
+        new.until("s-1 shut out", names("s-1")).await;
+        assert_eq!(running.front.counters.get(Ending::Closed.count()), 0);
+    });
+}
+
+#[test]
+fn a_reset_inside_a_message_is_a_leaving() {
+    with_assigner(|running, _agent| async move {
+        let mut proxy = Wire::join(running.place, 0, true).await;
+        proxy.table().await;
+        proxy.socket.write_all(br#"{"msg":"done","pro"#).await.unwrap();
+        proxy.socket.set_zero_linger().unwrap();
+        drop(proxy);
+        running.counted(Ending::Reset.count(), 1).await;
+        let mut again = Wire::join(running.place, 0, false).await;
+        again.table().await;
+    });
+}
+
+#[test]
+fn strangers_up_to_the_limit_turn_nobody_away() {
+    on_sockets(async {
+        let agent = Agent::new().await;
+        let mut told = told(agent.place);
+        told["limits"]["sockets"] = json!(40);
+        let running = run(&told).await;
+        let mut proxy = Wire::join(running.place, 0, true).await;
+        proxy.table().await;
+        let mut collector = Wire::dial(running.place).await;
+        collector.say(COLLECTOR).await;
+        running.counted("in collectors", 1).await;
+        let mut strangers = Vec::new();
+        for _ in 0..50 {
+            strangers.push(Wire::dial(running.place).await);
+        }
+        running.counted(Ending::Crowded.count(), 44).await;
+        let mut late = Wire::join(running.place, 1, true).await;
+        late.table().await;
+        assert!(proxy.beats().await && collector.beats().await);
+        assert_eq!(running.front.counters.get("most connections at once"), 8);
+        assert!(strangers[0].hear().await.is_none(), "the oldest go first");
+        // Collectors that come again and again while their old connections stay half-open.
+        let mut collectors = Vec::new();
+        for count in 2..20 {
+            let mut collector = Wire::dial(running.place).await;
+            collector.say(COLLECTOR).await;
+            running.counted("in collectors", count).await;
+            collectors.push(collector);
+        }
+        assert!(collectors.pop().unwrap().beats().await && late.beats().await);
+    });
+}
+
+#[test]
+fn a_reader_that_stops_reading_delays_nobody() {
+    with_assigner(|running, agent| async move {
+        let mut proxy = Wire::join(running.place, 0, true).await;
+        proxy.table().await;
+        let socket = TcpSocket::new_v4().unwrap();
+        socket.set_recv_buffer_size(4096).unwrap();
+        let mut deaf = socket.connect(running.place).await.unwrap();
+        let beats = format!("{BEAT}\n").repeat(4096);
+        spawn_local(async move { while deaf.write_all(beats.as_bytes()).await.is_ok() {} });
+        running.counted(Ending::Unread.count(), 1).await;
+        agent.say(8, false, &[server(1, "DRAINING", 0.0)]);
+        proxy.until("s-1 shut out", names("s-1")).await;
+    });
+}
+
+#[test]
+fn bad_input_is_felt_by_nobody_else() {
+    let long = "x".repeat(1 << 20);
+    let bad: Vec<(&str, Vec<u8>)> = [
+        ("not JSON", "hello"),
+        ("not an object", r#"["hb"]"#),
+        ("no msg", "{}"),
+        ("unknown msg", r#"{"msg":"dance"}"#),
+        ("a field missing", r#"{"msg":"done","proxy":0,"mark":1}"#),
+        ("a field of the wrong type", r#"{"msg":"done","proxy":0,"mark":"1","took_ms":1}"#),
+        ("a negative figure", r#"{"msg":"done","proxy":0,"mark":1,"took_ms":-1}"#),
+        ("a figure past all bounds", r#"{"msg":"done","proxy":0,"mark":1,"took_ms":1e999}"#),
+        ("another proxy's mark", r#"{"msg":"done","proxy":1,"mark":1,"took_ms":1}"#),
+        ("proxy out of range", r#"{"msg":"attach","proxy":4,"zone":"a","weight":1,"fresh":true}"#),
+        ("zone out of range", r#"{"msg":"attach","proxy":1,"zone":"z","weight":1,"fresh":true}"#),
+        ("kind out of range", r#"{"msg":"client_stats","proxy":0,"class":"no","tries":1,"failed":0,"span_ms":1}"#),
+        ("unknown server", r#"{"msg":"upstream_stats","zone":"a","server":"no","tries":1,"failed":0,"mean_ms":1,"span_ms":1}"#),
+        ("more failed than tried", r#"{"msg":"upstream_stats","zone":"a","server":"s-1","tries":1,"failed":2,"mean_ms":1,"span_ms":1}"#),
+        ("a second joining", r#"{"msg":"attach","proxy":1,"zone":"a","weight":1,"fresh":true}"#),
+        ("over a megabyte", &long),
+    ]
+    .into_iter()
+    .map(|(what, text)| (what, text.as_bytes().to_vec()))
+    .chain([("not UTF-8", b"{\"msg\":\"h\xffb\"}".to_vec())])
+    .collect();
+    with_assigner(|running, agent| async move {
+        let mut other = Wire::join(running.place, 3, true).await;
+        other.table().await;
+        let mut trace = String::new();
+        for (what, bytes) in bad {
+            trace += &format!("{what}:");
+            for (who, first) in [("stranger", ""), ("collector", COLLECTOR), ("proxy", &joining(0, true))] {
+                let before = running.front.counters.lines();
+                let mut wire = Wire::dial(running.place).await;
+                if !first.is_empty() {
+                    wire.say(first).await;
+                }
+                _ = wire.socket.write_all(&[&bytes[..], b"\n"].concat()).await;
+                let kept = wire.beats().await;
+                if !kept {
+                    running.alone(1).await;
+                }
+                let bad = |line: &&String| line.starts_with("bad") || line.starts_with("ended");
+                let news: Vec<String> = running.front.counters.lines().iter().filter(bad).cloned().collect();
+                let news: Vec<&str> =
+                    news.iter().filter(|l| !before.contains(l)).map(|l| count_name(l)).collect();
+                trace +=
+                    &format!("\n  a {who} {} ({})", if kept { "stays" } else { "goes" }, news.join(", "));
+                drop(wire);
+                running.alone(1).await;
+            }
+            trace += "\n";
+        }
+        insta::assert_snapshot!(trace);
+        agent.say(8, false, &[server(1, "DRAINING", 0.0)]);
+        other.until("s-1 shut out", names("s-1")).await;
+    });
+}
+
+fn count_name(line: &str) -> &str {
+    line.rsplit_once(' ').map_or(line, |(name, _)| name)
+}
+
+#[test]
+fn reports_of_a_collector_reach_the_module() {
+    with_assigner(|running, _agent| async move {
+        let mut proxy = Wire::join(running.place, 0, true).await;
+        proxy.table().await;
+        let mut collector = Wire::dial(running.place).await;
+        collector.say(COLLECTOR).await;
+        // s-1 fails all its tries while the others do well: the module strikes it.
+        let report = async {
+            loop {
+                for (n, failed) in [(1, 30), (2, 0), (3, 0)] {
+                    let heard = json!({"msg": "upstream_stats", "zone": "a", "server": format!("s-{n}"),
+                        "tries": 30, "failed": failed, "mean_ms": 40.5, "span_ms": 200.0,
+                        "load": {"util": 0.5, "queue": 1}});
+                    collector.say(&heard.to_string()).await;
+                }
+                tokio::time::sleep(Duration::from_millis(200)).await;
+            }
+        };
+        let none = |m: &Value| m["lines"].to_string().contains(r#"["s-1",0.0]"#);
+        tokio::select! {
+            _ = proxy.until("s-1 out of the table", none) => {}
+            () = report => {}
+        }
+    });
+}
+
+// ---- The list -----------------------------------------------------------------------------
+
+#[test]
+fn a_beat_is_answered_only_once_the_list_is_known() {
+    on_sockets(async {
+        let mut discovery = Discovery::new().await;
+        let mut told = told(discovery.place);
+        told["known"]["endpoints"] = json!([]);
+        let running = run(&told).await;
+        let mut wire = Wire::dial(running.place).await;
+        wire.say(BEAT).await;
+        let mut watch = discovery.watch().await;
+        assert_eq!(running.front.counters.get("connections taken"), 0, "taken without a list");
+        watch.say(&list(8, true, &serving(1..=2))).await;
+        assert_eq!(wire.hear().await.unwrap()["msg"], "hb_ok");
+    });
+}
+
+#[test]
+fn a_watch_that_breaks_is_resumed_and_nothing_is_skipped_or_taken_twice() {
+    on_sockets(async {
+        let mut discovery = Discovery::new().await;
+        let running = run(&told(discovery.place)).await;
+        let mut watch = discovery.watch().await;
+        let mut proxy = Wire::join(running.place, 0, true).await;
+        proxy.table().await;
+        let mut trace = String::new();
+        // In the middle of a line.
+        let change = list(8, false, &[server(1, "DRAINING", 0.0)]);
+        watch.say(&change[..40]).await;
+        drop(watch);
+        for what in ["refuses with an error", "no list", "a negative weight", "goes silent", "silent at once"]
+        {
+            let call = discovery.call().await;
+            trace += &format!("{}: {what}\n", call.path);
+            match what {
+                "refuses with an error" => call.answer(503, "busy"),
+                "no list" => call.watch().say("[]\n").await,
+                "a negative weight" => call.watch().say(&change.replace("1.0", "-1.0")).await,
+                "goes silent" => {
+                    let mut silent = call.watch();
+                    silent.say("\n").await;
+                    discovery.call().await.answer(200, "");
+                    drop(silent);
+                }
+                // Neither this call nor its connection is ever ended by the stand-in.
+                _ => discovery.call().await.answer(404, ""),
+            }
+        }
+        let call = discovery.call().await;
+        trace += &format!("{}: the change, twice, and an old one\n", call.path);
+        let mut watch = call.watch();
+        let old = list(3, false, &[server(3, "DELETED", 0.0)]);
+        watch.say(&[change.clone(), change, old].concat()).await;
+        proxy.until("s-1 shut out", names("s-1")).await;
+        drop(watch);
+        let call = discovery.call().await;
+        trace += &format!("{}: the whole list\n", call.path);
+        let mut watch = call.watch();
+        watch.say(&list(20, true, &serving(3..=3))).await;
+        let message = proxy.until("s-2 shut out", names("s-2")).await;
+        assert!(!names("s-3")(&message));
+        drop(watch);
+        trace += &format!("{}: at last\n", discovery.call().await.path);
+        insta::assert_snapshot!(trace);
+    });
+}
+
+#[test]
+fn an_absent_agent_is_dialled_until_it_is_there() {
+    on_sockets(async {
+        // An address that is ours, where nobody listens yet.
+        let socket = TcpSocket::new_v4().unwrap();
+        socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+        let running = run(&told(socket.local_addr().unwrap())).await;
+        let mut proxy = Wire::join(running.place, 0, true).await;
+        proxy.table().await;
+        running.counted("watches broken", 2).await;
+        let listener = socket.listen(8).unwrap();
+        let mut discovery = Discovery::at(listener);
+        assert_eq!(discovery.call().await.path, "/catalog/members?follow=1&since=7");
+    });
+}
+
+#[test]
+fn pauses_grow_while_nothing_is_heard() {
+    let mut pauses = Pauses::new(1);
+    let heard = [true, false, false, false, false, false, false, false, true, false];
+    let trace: Vec<String> = heard.map(|h| format!("{:.0}", pauses.next(h).as_secs_f64() * 1e3)).to_vec();
+    insta::assert_snapshot!(trace.join(" "));
+    assert_ne!(Pauses::new(2).next(true), Pauses::new(3).next(true), "not in step");
+}
+
+#[test]
+fn where_the_list_is_asked_for_the_module_asks() {
+    on_sockets(async {
+        let mut discovery = Discovery::new().await;
+        let mut told = told(discovery.place);
+        told["settings"]["registry_mode"] = json!("on_request");
+        let running = run(&told).await;
+        let mut proxy = Wire::join(running.place, 0, true).await;
+        discovery.call().await.answer(500, "");
+        // Its next call comes by its own alarm.
+        let mut watch = discovery.watch().await;
+        assert_eq!(running.front.counters.get("list calls failed"), 1);
+        proxy.table().await;
+        watch.say(&list(8, false, &[server(2, "DRAINING", 0.0)])).await;
+        proxy.until("s-2 shut out", names("s-2")).await;
+        drop(watch);
+        assert_eq!(discovery.call().await.path, "/catalog/members?follow=1&since=8");
+    });
+}
+
+// ---- Peers, start and end -----------------------------------------------------------------
+
+#[test]
+fn notes_go_to_the_peers_and_come_from_them_alone() {
+    on_sockets(async {
+        let agent = Agent::new().await;
+        let bind = || async { UdpSocket::bind("127.0.0.1:0").await.unwrap() };
+        let (all, peer, foreign) = (bind().await, bind().await, bind().await);
+        let mut told = told(agent.place);
+        told["peers"] = json!(["127.0.0.1:9", peer.local_addr().unwrap()]);
+        told["peers_all"] = json!(all.local_addr().unwrap());
+        let running = run(&told).await;
+        let mut proxy = Wire::join(running.place, 0, true).await;
+        proxy.table().await;
+        let mut note = [0; 512];
+        let (size, _) = all.recv_from(&mut note).await.unwrap();
+        assert!(size > 0 && size <= 256);
+        let place = running.notes.unwrap();
+        peer.send_to(&note[..size], place).await.unwrap();
+        foreign.send_to(&note[..size], place).await.unwrap();
+        peer.send_to(&[0; 300], place).await.unwrap();
+        running.counted("in notes", 1).await;
+        running.counted("notes refused", 2).await;
+        assert_eq!(running.front.counters.get("in notes"), 1);
+    });
+}
+
+#[test]
+fn a_configuration_that_cannot_be_used_gets_a_plain_message() {
+    let place: SocketAddr = "127.0.0.1:1".parse().unwrap();
+    let change = |at: &str, value: Value| {
+        let mut told = told(place);
+        *told.pointer_mut(at).unwrap() = value;
+        told.to_string()
+    };
+    let mut forbidden = told(place);
+    forbidden["settings"]["limits"]["peers"] = json!(false);
+    assert!(config::read(&forbidden.to_string()).unwrap().peers.is_none());
+    let said: Vec<String> = [
+        String::new(),
+        "{}".into(),
+        change("/listen", json!("here")),
+        change("/seed", json!("no number")),
+        change("/settings/tick_us", json!(null)),
+        change("/settings/family_info/backlog", json!("many")),
+        change("/known/endpoints/0/zone", json!("an unknown one is passed over")),
+        change("/known/endpoints/0/weight", json!(-1)),
+        change("/peers", json!(null)),
+    ]
+    .iter()
+    .map(|text| config::read(text).err().map_or("fine".into(), |e| e.to_string()))
+    .collect();
+    insta::assert_snapshot!(said.join("\n"));
+}
+
+#[test]
+fn every_ending_has_one_meaning() {
+    let lines = ALL.map(|ending| format!("{}: {:?}", ending.count(), ending.input(5)));
+    insta::assert_snapshot!(lines.join("\n"));
+}
+
+#[test]
+fn a_kind_of_log_line_has_its_share() {
+    let log = Log::new("n0".into(), 2);
+    let said: Vec<bool> = ["a", "a", "a", "b"].map(|kind| log.may_say(kind).is_some()).to_vec();
+    assert_eq!(said, [true, true, false, true]);
+}
+
+/// The program itself, on real time.
+mod program {
+    use super::told;
+    use std::io::{BufRead, BufReader, Lines, Write};
+    use std::net::TcpStream;
+    use std::process::{Child, ChildStderr, Command, Stdio};
+
+    struct Program {
+        child: Child,
+        log: Lines<BufReader<ChildStderr>>,
+        _folder: tempfile::TempDir,
+    }
+
+    fn start(told: &str) -> Program {
+        let folder = tempfile::tempdir().unwrap();
+        let path = folder.path().join("config.json");
+        std::fs::write(&path, told).unwrap();
+        let mut command = Command::new(env!("CARGO_BIN_EXE_rookpulley-assigner"));
+        let mut child = command.env("PROXY_CONFIG", path).stderr(Stdio::piped()).spawn().unwrap();
+        let log = BufReader::new(child.stderr.take().unwrap()).lines();
+        Program { child, log, _folder: folder }
+    }
+
+    impl Program {
+        fn line(&mut self, with: &str) -> String {
+            let mut lines = self.log.by_ref().map(Result::unwrap);
+            lines.find(|line| line.contains(with)).unwrap_or_else(|| panic!("it never said {with}"))
+        }
+
+        fn place(&mut self) -> String {
+            let line = self.line("listening at ");
+            line.split("listening at ").nth(1).unwrap().split(',').next().unwrap().to_string()
+        }
+
+        fn signal(&self, name: &str) {
+            let id = self.child.id().to_string();
+            assert!(Command::new("kill").args(["-s", name, &id]).status().unwrap().success());
+        }
+    }
+
+    fn beats(place: &str) -> bool {
+        let mut socket = TcpStream::connect(place).unwrap();
+        socket.write_all(b"{\"msg\":\"hb\"}\n").unwrap();
+        let mut line = String::new();
+        BufReader::new(socket).read_line(&mut line).unwrap();
+        line == "{\"msg\":\"hb_ok\"}\n"
+    }
+
+    #[test]
+    fn it_serves_again_after_a_kill_and_ends_on_a_term_with_its_counters() {
+        let mut told = told("127.0.0.1:1".parse().unwrap());
+        let mut program = start(&told.to_string());
+        let place = program.place();
+        assert!(beats(&place));
+        // Another one cannot have the same address.
+        told["listen"] = place.clone().into();
+        let mut second = start(&told.to_string());
+        assert!(second.line("can't be used").contains(&place));
+        assert!(!second.child.wait().unwrap().success());
+        program.child.kill().unwrap();
+        program.child.wait().unwrap();
+        let mut again = start(&told.to_string());
+        assert_eq!(again.place(), place);
+        assert!(beats(&place));
+        again.signal("USR1");
+        assert!(again.line("count: in beats").ends_with(" 1"));
+        again.signal("TERM");
+        again.line("told to end");
+        again.line("count: out beat answers");
+        assert!(again.child.wait().unwrap().success());
+    }
+
+    #[test]
+    fn without_a_configuration_it_does_not_start() {
+        let mut program = start("{");
+        program.line("the configuration is not what it should be");
+        assert!(!program.child.wait().unwrap().success());
+    }
+}
