A binding counts what it may let back, so that a mass rejoin stays within the queue

Found by reading: on sockets a proxy keeps what it shut out over a change of streams, so each line of a first table may need a line that lets its server back. The module counted the table alone and fills 0.8 of the queue with first tables; at the grown size, all proxies rejoining at once would have written up to 1.7 times that, over the limit. Change: the front tells what a line costs at the binding (ChannelFacts::bind_lines, 2 on sockets, 1 on the simulator's wire); the gate's sum for a first table uses it. Lines at fault: rules.rs, push, the size of a whole table. Checked by a drawn comparison of messages with the simulator's count and by a trace of the module.

Blank lines between messages are passed over.

--- a/crates/rookpulley-assigner/src/config.rs
+++ b/crates/rookpulley-assigner/src/config.rs
@@ -68,7 +68,9 @@
 pub fn read(text: &str) -> Result<Told, Unusable> {
     let file: File = serde_json::from_str(text)?;
     let seed = u64::from_str_radix(&file.seed, 16).map_err(|_| Unusable::Seed(file.seed.clone()))?;
-    let start = rookpulley_start::read_value(seed, &file.settings)?;
+    let mut start = rookpulley_start::read_value(seed, &file.settings)?;
+    // Each may have to let back a server that the proxy shut out on another assigner's word.
+    start.channel.bind_lines = 2.0;
     let facts = rookpulley_start::front_facts(&file.settings)?;
     let words = Words {
         zones: start.place.zones.clone(),
--- a/crates/rookpulley-assigner/src/streams.rs
+++ b/crates/rookpulley-assigner/src/streams.rs
@@ -158,6 +158,9 @@
             if line.len() >= LINE_MOST {
                 return Ending::TooLong;
             }
+            if line.trim_ascii().is_empty() {
+                continue;
+            }
             let message = match front.words.decode(line) {
                 Ok(message) => message,
                 Err(bad) => {
--- a/crates/rookpulley-assigner/tests/orders.rs
+++ b/crates/rookpulley-assigner/tests/orders.rs
@@ -171,17 +171,20 @@
         }
     }
 
-    /// Counts the lines that the orders cost at each proxy, levels apart.
-    fn carry_out(&mut self, effects: &[Effect]) -> BTreeMap<ProxyId, usize> {
-        let mut cost: BTreeMap<ProxyId, usize> = BTreeMap::new();
+    /// Counts the lines that the orders cost at each proxy, levels apart, and how many of them are
+    /// lines of tables.
+    fn carry_out(&mut self, effects: &[Effect]) -> BTreeMap<ProxyId, (usize, usize)> {
+        let mut cost: BTreeMap<ProxyId, (usize, usize)> = BTreeMap::new();
         for effect in effects {
             let uses = |bound: &BTreeMap<KindId, TableId>, t: &TableId| bound.values().any(|b| b == t);
             let kinds = |mask: u16| (0..KINDS.len()).filter(move |k| mask == 0 || mask >> k & 1 == 1);
-            let mut reached = BTreeMap::new();
+            let mut reached: BTreeMap<ProxyId, usize> = BTreeMap::new();
+            let mut tables = 0;
             match *effect {
                 Effect::Line { table, server, weight } => {
                     self.tables.entry(table).or_default().insert(server, weight);
                     self.tables.entry(table).or_default().retain(|_, weight| *weight > 0.0);
+                    tables = 1;
                     reached.extend(self.joined.iter().filter(|(_, b)| uses(b, &table)).map(|(p, _)| (*p, 1)));
                 }
                 Effect::Wipe { table } => {
@@ -193,7 +196,8 @@
                     let lines = self.tables.entry(table).or_default();
                     if let Some(bound) = self.joined.get_mut(&proxy) {
                         let shut = lines.keys().filter(|s| self.out.contains(*s)).count();
-                        reached.insert(proxy, 1 + lines.len() + shut);
+                        tables = lines.len();
+                        reached.insert(proxy, 1 + tables + shut);
                         bound.extend(kinds(mask).map(|kind| (kind, table)));
                     }
                 }
@@ -225,7 +229,10 @@
                 }
                 _ => {}
             }
-            reached.into_iter().for_each(|(proxy, lines)| *cost.entry(proxy).or_insert(0) += lines);
+            for (proxy, lines) in reached {
+                let (all, of_tables) = cost.entry(proxy).or_default();
+                (*all, *of_tables) = (*all + lines, *of_tables + tables);
+            }
         }
         cost
     }
@@ -285,9 +292,11 @@
                     text.lines().map(|part| serde_json::from_str(part).unwrap()).collect();
                 let levels = parts.iter().filter(|p| !p["level"].is_null()).count();
                 let settled: usize = parts.iter().map(|p| of(p, "out") + of(p, "back")).sum();
-                let lines = written.lines - levels - settled;
-                let most = cost.remove(&written.proxy).expect("a message that nobody ordered");
-                assert!(lines <= most, "seed {seed}: {lines} lines for {most}: {text}");
+                let (most, tables) = cost.remove(&written.proxy).expect("a message that nobody ordered");
+                let lines = written.lines - levels;
+                assert!(lines - settled <= most, "seed {seed}: {lines} lines for {most}: {text}");
+                // One more for each line of a table: what `bind_lines` has the module count.
+                assert!(lines <= most + tables, "seed {seed}: {lines} for {most} + {tables}: {text}");
             }
             assert!(cost.is_empty(), "seed {seed}: no message for {cost:?}");
             for (id, bound) in &wire.joined {
--- a/crates/rookpulley-assigner/tests/sockets.rs
+++ b/crates/rookpulley-assigner/tests/sockets.rs
@@ -727,8 +727,8 @@
         }
 
         fn signal(&self, name: &str) {
-            let id = self.child.id().to_string();
-            assert!(Command::new("kill").args(["-s", name, &id]).status().unwrap().success());
+            let kill = format!("kill -s {name} {}", self.child.id());
+            assert!(Command::new("sh").args(["-c", &kill]).status().unwrap().success());
         }
     }
 
--- a/crates/rookpulley-start/src/lib.rs
+++ b/crates/rookpulley-start/src/lib.rs
@@ -164,6 +164,7 @@
         channel: ChannelFacts {
             lines_per_s: family.num("lines_per_s")?,
             head_lines: family.num("envelope")?,
+            bind_lines: 1.0,
             backlog_lines: family.num("backlog")?,
             messages_most: family.num_or("messages_most", 0.0) as u32,
             messages_over_ms: family.num_or("counted_over_us", 0.0) / 1000.0,
--- a/src/facts.rs
+++ b/src/facts.rs
@@ -100,6 +100,8 @@
 pub struct ChannelFacts {
     pub lines_per_s: f64,
     pub head_lines: f64,
+    /// What a line of a whole table counts for at the binding, with all that has to go with it.
+    pub bind_lines: f64,
     pub backlog_lines: f64,
     /// 0: no such limit.
     pub messages_most: u32,
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -964,8 +964,8 @@
             if lines.is_empty() || (deltas.is_empty() && !bare) {
                 continue;
             }
-            let whole = lines.len() + self.valves.ordered.len() + 1;
-            let size = if bare { whole } else { deltas.len() } as f64;
+            let whole = lines.len() as f64 * self.pace.bind_lines + self.valves.ordered.len() as f64 + 1.0;
+            let size = if bare { whole } else { deltas.len() as f64 };
             let opening = if reached.contains_key(&id) { 0.0 } else { self.pace.head_lines + 1.0 };
             let waiting = self.channel.written - self.channel.left + reached.values().sum::<f64>();
             if waiting + opening + size > self.pace.backlog_lines * part {
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -220,6 +220,20 @@
     assert_snapshot!(desk.trace);
 }
 
+#[test]
+fn dear_bindings_wait_for_room() {
+    let mut tight = start();
+    (tight.channel.backlog_lines, tight.channel.bind_lines) = (40.0, 2.0);
+    let mut desk = Desk::new(tight, four());
+    desk.join(0, 0);
+    desk.join(1, 0);
+    desk.note("where each line of a first table may need another beside it, only one table fits");
+    desk.pass(1_000.0, |_| ());
+    desk.note("answered: the other follows");
+    desk.pass(1_500.0, |d| d.answer());
+    assert_snapshot!(desk.trace);
+}
+
 #[test]
 fn message_limit() {
     let mut few = start();
--- a/tests/desk/mod.rs
+++ b/tests/desk/mod.rs
@@ -57,6 +57,7 @@
         channel: ChannelFacts {
             lines_per_s: 1_000.0,
             head_lines: 6.0,
+            bind_lines: 1.0,
             backlog_lines: 1_500.0,
             messages_most: 0,
             messages_over_ms: 10_000.0,
