--- a/crates/rookpulley-assigner/src/driver.rs
+++ b/crates/rookpulley-assigner/src/driver.rs
@@ -44,8 +44,11 @@
         _ = self.events.send(event).await;
     }
 
-    /// Prints the counters.
+    /// Prints the counters, and the most memory that the system says was held.
     pub fn print(&self) {
+        let status = std::fs::read_to_string("/proc/self/status").unwrap_or_default();
+        let most = status.lines().find_map(|line| line.strip_prefix("VmHWM:")?.split_whitespace().next());
+        self.counters.most("most memory kB", most.and_then(|kb| kb.parse().ok()).unwrap_or(0));
         self.counters.lines().iter().for_each(|line| say!(self.log, "count", "{line}"));
     }
 }
@@ -182,7 +185,7 @@
             }
             Event::Report(input) => match &input {
                 Input::Heard { server, .. } if !self.names.contains_key(server) => {
-                    self.front.counters.one("bad input unknown server");
+                    self.front.counters.one("bad input: unknown server");
                     say!(self.front.log, "bad input", "from a collector: a server that was never listed");
                 }
                 _ => self.inputs.push(input),
--- a/crates/rookpulley-assigner/src/messages.rs
+++ b/crates/rookpulley-assigner/src/messages.rs
@@ -89,7 +89,7 @@
 impl Bad {
     pub fn count(&self) -> &'static str {
         match self {
-            Self::Unreadable(_) => "bad input unreadable",
+            Self::Unreadable(_) => "bad input: unreadable",
             Self::Unusable(why) => why,
         }
     }
--- a/crates/rookpulley-assigner/src/streams.rs
+++ b/crates/rookpulley-assigner/src/streams.rs
@@ -206,7 +206,7 @@
                 }
                 (Role::Silent | Role::Stranger, _) => return Ending::OutOfTurn,
                 (role, message) => {
-                    front.counters.one("bad input out of turn");
+                    front.counters.one("bad input: out of turn");
                     say!(front.log, "bad input", "from {role:?}: {} out of turn", message.name());
                 }
             }
--- a/crates/rookpulley-assigner/tests/sockets.rs
+++ b/crates/rookpulley-assigner/tests/sockets.rs
@@ -565,7 +565,8 @@
         let mut watch = call.watch();
         let old = list(3, false, &[server(3, "DELETED", 0.0)]);
         watch.say(&[change.clone(), change, old].concat()).await;
-        proxy.until("s-1 shut out", names("s-1")).await;
+        let message = proxy.until("s-1 shut out", names("s-1")).await;
+        assert!(!names("s-3")(&message), "{message}");
         drop(watch);
         let call = discovery.call().await;
         trace += &format!("{}: the whole list\n", call.path);
