--- a/crates/rookpulley-assigner/src/messages.rs
+++ b/crates/rookpulley-assigner/src/messages.rs
@@ -27,7 +27,6 @@
     [a, b, c, d, e, f]
 }
 
-#[derive(Debug, PartialEq)]
 pub enum Message {
     /// Asks whether the assigner can be used.
     Beat,
@@ -40,27 +39,13 @@
         usual_per_s: f64,
         fresh: bool,
     },
-    Applied {
+    /// What a proxy tells of itself: marks, usage.
+    OfProxy {
         proxy: ProxyId,
-        mark: u64,
-        took_ms: f64,
-    },
-    Usage {
-        proxy: ProxyId,
-        kind: KindId,
-        came: f64,
-        bad: f64,
-        span_ms: f64,
-    },
-    Heard {
-        server: String,
-        zone: ZoneId,
-        tries: f64,
-        bad: f64,
-        mean_ms: f64,
-        span_ms: f64,
-        load: Vec<f64>,
+        input: Input,
     },
+    /// What the proxies of a zone met.
+    Heard(Input),
 }
 
 impl Message {
@@ -69,9 +54,9 @@
             Self::Beat => "beats",
             Self::Collector { .. } => "collectors",
             Self::Joining { .. } => "joinings",
-            Self::Applied { .. } => "marks answered",
-            Self::Usage { .. } => "usage",
-            Self::Heard { .. } => "heard",
+            Self::OfProxy { input: Input::Applied { .. }, .. } => "marks answered",
+            Self::OfProxy { .. } => "usage",
+            Self::Heard(_) => "heard",
         }
     }
 }
@@ -190,13 +175,15 @@
             }
             Wire::Done { proxy, mark, took_ms } => {
                 let [took_ms] = Self::figures([took_ms])?;
-                Message::Applied { proxy: self.proxy(proxy)?, mark, took_ms }
+                let proxy = self.proxy(proxy)?;
+                Message::OfProxy { proxy, input: Input::Applied { proxy, mark, took_ms } }
             }
             Wire::ClientStats { proxy, class, tries, failed, span_ms } => {
                 let kind =
                     place(&self.kinds, &class).ok_or(Bad::Unusable("bad input: unknown request kind"))?;
                 let [came, bad, span_ms] = Self::figures([tries, failed, span_ms])?;
-                Message::Usage { proxy: self.proxy(proxy)?, kind: kind.into(), came, bad, span_ms }
+                let (proxy, kind) = (self.proxy(proxy)?, kind.into());
+                Message::OfProxy { proxy, input: Input::Usage { proxy, kind, came, bad, span_ms } }
             }
             Wire::UpstreamStats { zone, server, tries, failed, mean_ms, span_ms, load } => {
                 let [tries, bad, mean_ms, span_ms] =
@@ -206,8 +193,8 @@
                 }
                 let load = load.map_or(Vec::new(), |told| self.load(&told));
                 load.iter().try_for_each(|x| Self::figures([*x]).map(|_| ()))?;
-                let (zone, server) = (self.zone(&zone)?, server.into_owned());
-                Message::Heard { server, zone, tries, bad, mean_ms, span_ms, load }
+                let (zone, server) = (self.zone(&zone)?, server_id(&server));
+                Message::Heard(Input::Heard { zone, server, tries, bad, mean_ms, span_ms, load })
             }
             Wire::Unknown => return Err(Bad::Unusable("bad input: unknown message")),
         })
--- a/crates/rookpulley-assigner/src/streams.rs
+++ b/crates/rookpulley-assigner/src/streams.rs
@@ -2,7 +2,7 @@
 
 use crate::driver::{Event, Front};
 use crate::ending::Ending;
-use crate::messages::{Bad, LINE_MOST, Message, beat_answer, server_id};
+use crate::messages::{Bad, LINE_MOST, Message, beat_answer};
 use crate::outbox::Outbox;
 use crate::say;
 use rookpulley::facts::{Input, ProxyId, ZoneId};
@@ -188,21 +188,12 @@
                     let outbox = outbox.clone();
                     front.tell(Event::Joined { conn: id, outbox, proxy, zone, usual_per_s, fresh }).await;
                 }
-                (Role::Stream(own), Message::Applied { proxy, mark, took_ms }) if own == proxy => {
-                    let input = Input::Applied { proxy, mark, took_ms };
+                (Role::Stream(own), Message::OfProxy { proxy, input }) if own == proxy => {
                     front.tell(Event::OnStream { conn: id, proxy, input }).await;
                 }
-                (Role::Stream(own), Message::Usage { proxy, kind, came, bad, span_ms }) if own == proxy => {
-                    let input = Input::Usage { proxy, kind, came, bad, span_ms };
-                    front.tell(Event::OnStream { conn: id, proxy, input }).await;
-                }
-                (Role::Collector(_), Message::Usage { proxy, kind, came, bad, span_ms }) => {
-                    front.tell(Event::Report(Input::Usage { proxy, kind, came, bad, span_ms })).await;
-                }
-                (Role::Collector(_), Message::Heard { server, zone, tries, bad, mean_ms, span_ms, load }) => {
-                    let server = server_id(&server);
-                    let heard = Input::Heard { zone, server, tries, bad, mean_ms, span_ms, load };
-                    front.tell(Event::Report(heard)).await;
+                (Role::Collector(_), Message::Heard(input))
+                | (Role::Collector(_), Message::OfProxy { input: input @ Input::Usage { .. }, .. }) => {
+                    front.tell(Event::Report(input)).await;
                 }
                 (Role::Silent | Role::Stranger, _) => return Ending::OutOfTurn,
                 (role, message) => {
--- a/crates/rookpulley-assigner/tests/sockets.rs
+++ b/crates/rookpulley-assigner/tests/sockets.rs
@@ -673,6 +673,7 @@
         change("/listen", json!("here")),
         change("/seed", json!("no number")),
         change("/settings/tick_us", json!(null)),
+        change("/settings/tick_us", json!(-5)),
         change("/settings/family_info/backlog", json!("many")),
         change("/known/endpoints/0/zone", json!("an unknown one is passed over")),
         change("/known/endpoints/0/weight", json!(-1)),
--- a/crates/rookpulley-start/src/lib.rs
+++ b/crates/rookpulley-start/src/lib.rs
@@ -122,7 +122,9 @@
 pub fn front_facts(root: &Value) -> Result<FrontFacts, Unreadable> {
     let top = Part { path: "", value: root };
     let machines = top.list("kinds")?.iter().filter_map(Value::as_str).map(String::from).collect();
-    Ok(FrontFacts { machines, tick_ms: top.ms("tick_us")? })
+    let tick_ms = top.ms("tick_us")?;
+    let sound = tick_ms > 0.0 && tick_ms <= 60_000.0;
+    if sound { Ok(FrontFacts { machines, tick_ms }) } else { Err(top.wrong("tick_us", "a minute at most")) }
 }
 
 pub fn read_value(seed: u64, root: &Value) -> Result<Start, Unreadable> {
