--- a/crates/rookpulley-assigner/src/messages.rs
+++ b/crates/rookpulley-assigner/src/messages.rs
@@ -27,6 +27,7 @@
     [a, b, c, d, e, f]
 }
 
+#[derive(Debug)]
 pub enum Message {
     /// Asks whether the assigner can be used.
     Beat,
--- a/crates/rookpulley-assigner/tests/sockets.rs
+++ b/crates/rookpulley-assigner/tests/sockets.rs
@@ -685,6 +685,25 @@
     insta::assert_snapshot!(said.join("\n"));
 }
 
+#[test]
+fn messages_are_read_in_the_words_and_the_order_of_the_settings() {
+    let words = config::read(&told("127.0.0.1:1".parse().unwrap()).to_string()).unwrap().words;
+    let heard = |load: &str| {
+        r#"{"msg":"upstream_stats","zone":"b","server":"s-1","tries":4,"failed":4,"span_ms":1000.5"#
+            .to_string()
+            + load
+    };
+    let lines = [
+        joining(3, false),
+        r#"{"msg":"client_stats","proxy":1,"class":"write","tries":7,"failed":1,"span_ms":1000}"#.into(),
+        heard(r#","mean_ms":null,"load":{"queue":3.5,"more":1,"util":0.25}}"#),
+        heard(r#","mean_ms":0,"load":{"util":0.25}}"#),
+        heard("}"),
+    ];
+    let read = lines.map(|line| format!("{:?}", words.decode(line.as_bytes()).unwrap()));
+    insta::assert_snapshot!(read.join("\n"));
+}
+
 #[test]
 fn every_ending_has_one_meaning() {
     let lines = ALL.map(|ending| format!("{}: {:?}", ending.count(), ending.input(5)));
