SIGHUP moves the watch; spoilt input is dropped alone; one deadline for joining

At fault: messages::decode, where a missing field or another type made an object Unreadable and streams::live ended the stream for it; mean_ms.unwrap_or(0.0); no bound on a figure above 0; the driver, which passed marks on that were never ordered; streams::live, which knew no deadline; streams::accept, which spun where the system gave no connection and all had joined; roster::take, which set the version before the change was handed on, so a watch that was given up in between lost it.

Now: signals are taken before anything else; the file is read again on a thread of its own; the watch goes on at the new address from the version handed on. Fields are decoded one by one and counted by what is wrong with them. An unjoined connection has 1.5 s and 4 KiB a line; all unended lines together are bounded by fair shares. A flood crowds nobody out in its first 200 ms: a test with few descriptors showed that a joining on its way was cut off.

--- a/crates/rookpulley-assigner/src/config.rs
+++ b/crates/rookpulley-assigner/src/config.rs
@@ -4,8 +4,9 @@
 use rookpulley::facts::Start;
 use serde::Deserialize;
 use serde_json::Value;
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 
 #[derive(Debug, thiserror::Error)]
 pub enum Unusable {
@@ -52,7 +53,12 @@
     settings: Value,
 }
 
+/// What is told once: it takes a restart to change it.
+const FIXED: [&str; 7] = ["name", "listen", "limits", "peer_listen", "peers", "peers_all", "settings"];
+
 pub struct Told {
+    /// The fields that are told once, as they were written.
+    pub fixed: BTreeMap<String, Value>,
     pub name: String,
     pub listen: SocketAddr,
     pub discovery: SocketAddr,
@@ -67,6 +73,8 @@
 
 pub fn read(text: &str) -> Result<Told, Unusable> {
     let file: File = serde_json::from_str(text)?;
+    let mut fixed: BTreeMap<String, Value> = serde_json::from_str(text)?;
+    fixed.retain(|field, _| FIXED.contains(&field.as_str()));
     let seed = u64::from_str_radix(&file.seed, 16).map_err(|_| Unusable::Seed(file.seed.clone()))?;
     let mut start = rookpulley_start::read_value(seed, &file.settings)?;
     // Each may have to let back a server that the proxy shut out on another assigner's word.
@@ -89,10 +97,13 @@
         }),
     };
     let (name, listen, discovery, limits) = (file.name, file.listen, file.discovery, file.limits);
-    Ok(Told { name, listen, discovery, limits, peers, known, words, tick_ms: facts.tick_ms, start })
+    Ok(Told { fixed, name, listen, discovery, limits, peers, known, words, tick_ms: facts.tick_ms, start })
+}
+
+pub fn path_from_env() -> Result<PathBuf, Unusable> {
+    std::env::var_os("PROXY_CONFIG").map(PathBuf::from).ok_or(Unusable::NotNamed)
 }
 
-pub fn from_env() -> Result<Told, Unusable> {
-    let path = PathBuf::from(std::env::var_os("PROXY_CONFIG").ok_or(Unusable::NotNamed)?);
-    read(&std::fs::read_to_string(&path).map_err(|e| Unusable::File(path, e))?)
+pub fn load(path: &Path) -> Result<Told, Unusable> {
+    read(&std::fs::read_to_string(path).map_err(|e| Unusable::File(path.to_path_buf(), e))?)
 }
--- a/crates/rookpulley-assigner/src/driver.rs
+++ b/crates/rookpulley-assigner/src/driver.rs
@@ -173,7 +173,13 @@
                 self.inputs.push(Input::Joined { proxy, zone, usual_per_s, fresh });
             }
             Event::OnStream { conn, proxy, input } => match self.streams.get(&proxy) {
-                Some(stream) if stream.conn == conn => self.inputs.push(input),
+                Some(stream) if stream.conn == conn => match input {
+                    Input::Applied { mark, .. } if !self.orders.answered(proxy, mark) => {
+                        self.front.counters.one("bad input: mark not asked for");
+                        say!(self.front.log, "bad input", "from proxy {proxy}: mark {mark} not asked for");
+                    }
+                    input => self.inputs.push(input),
+                },
                 _ => self.front.counters.one("late input of old streams"),
             },
             Event::Ended { conn, proxy, ending } => {
--- a/crates/rookpulley-assigner/src/ending.rs
+++ b/crates/rookpulley-assigner/src/ending.rs
@@ -14,6 +14,8 @@
     TooLong,
     /// Its first message was neither a joining nor a collector's.
     OutOfTurn,
+    /// It had not joined in time.
+    NotJoined,
     /// A new stream of the same proxy took its place.
     Replaced,
     /// It left too much unread.
@@ -24,12 +26,13 @@
     Stopping,
 }
 
-pub const ALL: [Ending; 9] = [
+pub const ALL: [Ending; 10] = [
     Ending::Closed,
     Ending::Reset,
     Ending::Unreadable,
     Ending::TooLong,
     Ending::OutOfTurn,
+    Ending::NotJoined,
     Ending::Replaced,
     Ending::Unread,
     Ending::Crowded,
@@ -43,7 +46,7 @@
             Self::Closed | Self::Reset | Self::Unreadable | Self::TooLong => Some(Input::Left { proxy }),
             Self::Replaced | Self::Unread => Some(Input::Left { proxy }),
             // Those have not joined.
-            Self::OutOfTurn | Self::Crowded => None,
+            Self::OutOfTurn | Self::NotJoined | Self::Crowded => None,
             // Nothing is ordered any more.
             Self::Stopping => None,
         }
@@ -57,6 +60,7 @@
             Self::Unreadable => "ended: unreadable",
             Self::TooLong => "ended: too long a line",
             Self::OutOfTurn => "ended: out of turn",
+            Self::NotJoined => "ended: not joined in time",
             Self::Replaced => "ended: replaced",
             Self::Unread => "ended: left unread",
             Self::Crowded => "ended: crowded out",
--- a/crates/rookpulley-assigner/src/lib.rs
+++ b/crates/rookpulley-assigner/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod orders;
 pub mod outbox;
 pub mod peers;
+pub mod reload;
 pub mod roster;
 pub mod streams;
 
@@ -17,9 +18,11 @@
 use ending::Ending;
 use messages::List;
 use peers::Peers;
+use reload::Held;
 use rookpulley::facts::Start;
 use roster::{Pauses, Roster};
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::rc::Rc;
 use streams::Conns;
 use tokio::net::{TcpListener, UdpSocket};
@@ -43,13 +46,29 @@
     System(&'static str, std::io::Error),
 }
 
+/// The signals that the assigner answers. Once taken, none of them ends the program by itself.
+pub struct Signals {
+    stop: Signal,
+    print: Signal,
+    reload: Signal,
+}
+
+impl Signals {
+    /// Called within a runtime.
+    pub fn take() -> Result<Self, CannotRun> {
+        let take = |kind| signal(kind).map_err(|e| CannotRun::System("signals", e));
+        let (stop, print) = (take(SignalKind::terminate())?, take(SignalKind::user_defined1())?);
+        Ok(Self { stop, print, reload: take(SignalKind::hangup())? })
+    }
+}
+
 /// An assigner that holds its addresses and has not begun.
 pub struct Assigner {
     pub front: Rc<Front>,
     listener: TcpListener,
     notes: Option<Rc<Peers>>,
-    stop: Signal,
-    print: Signal,
+    signals: Signals,
+    held: Held,
     events: mpsc::Receiver<Event>,
     discovery: SocketAddr,
     known: List,
@@ -62,8 +81,8 @@
 }
 
 impl Assigner {
-    pub async fn bind(told: Told) -> Result<Self, CannotRun> {
-        let Told { name, listen, discovery, limits, peers, known, words, tick_ms, start } = told;
+    pub async fn bind(told: Told, path: PathBuf, signals: Signals) -> Result<Self, CannotRun> {
+        let Told { fixed, name, listen, discovery, limits, peers, known, words, tick_ms, start } = told;
         let listener = TcpListener::bind(listen).await.map_err(at("the address to listen at", listen))?;
         let mut notes = None;
         if let Some(places) = peers {
@@ -71,9 +90,6 @@
             let socket = UdpSocket::bind(place).await.map_err(at("the address for notes", place))?;
             notes = Some(Rc::new(Peers { socket, places, own: start.place.index }));
         }
-        let no_signal = |e| CannotRun::System("signals", e);
-        let stop = signal(SignalKind::terminate()).map_err(no_signal)?;
-        let print = signal(SignalKind::user_defined1()).map_err(no_signal)?;
         let (sender, events) = mpsc::channel(EVENTS);
         let most = limits.sockets.saturating_sub(OTHER_SOCKETS).max(1);
         let front = Rc::new(Front {
@@ -83,7 +99,8 @@
             conns: Conns::new(most, (limits.memory_mb * MB / 4.0) as usize),
             events: sender,
         });
-        Ok(Self { front, listener, notes, stop, print, events, discovery, known, tick_ms, start })
+        let held = Held { path, fixed };
+        Ok(Self { front, listener, notes, signals, held, events, discovery, known, tick_ms, start })
     }
 
     /// Where it listens, and where it takes notes.
@@ -95,12 +112,14 @@
     /// Serves until SIGTERM. Called within a `LocalSet`.
     pub async fn serve(self) {
         let place = self.places().0;
-        let Self { front, listener, notes, mut stop, mut print, mut events, known, start, .. } = self;
+        let Self { front, listener, notes, signals, mut events, known, start, .. } = self;
+        let Signals { mut stop, mut print, reload } = signals;
         let ask = start.list.asked;
         let roster = Roster::new(self.discovery, known.version, ask, front.clone());
         if !ask {
             tokio::task::spawn_local(roster.clone().follow(Pauses::new(start.seed)));
         }
+        tokio::task::spawn_local(self.held.follow(reload, roster.clone(), front.clone()));
         if let Some(peers) = &notes {
             tokio::task::spawn_local(peers.clone().listen(front.clone()));
         }
--- a/crates/rookpulley-assigner/src/messages.rs
+++ b/crates/rookpulley-assigner/src/messages.rs
@@ -2,12 +2,17 @@
 
 use rookpulley::facts::*;
 use serde::{Deserialize, Serialize};
+use serde_json::Value;
+use serde_json::value::RawValue;
 use std::borrow::Cow;
 use std::collections::BTreeMap;
 
 /// A line holds so many bytes at most, its end included.
 pub const LINE_MOST: usize = 1 << 20;
 
+/// Counts and milliseconds are within what 32 bits hold.
+const MOST: f64 = u32::MAX as f64;
+
 /// The names that messages use for what the module knows by its place.
 pub struct Words {
     pub zones: Vec<String>,
@@ -62,68 +67,82 @@
     }
 }
 
+/// Why a message can't be used.
 #[derive(Debug, PartialEq, thiserror::Error)]
 pub enum Bad {
-    /// The connection is over.
+    /// No object: nothing that follows can be trusted either.
     #[error("can't be read: {0}")]
     Unreadable(String),
-    /// It was read, but says nothing that can be used.
-    #[error("can't be used, {}", .0.trim_start_matches("bad input: "))]
-    Unusable(&'static str),
+    /// An object with a spoilt field; it is dropped alone.
+    #[error("can't be used: {field} {}", .wrong.words())]
+    Spoilt { field: &'static str, wrong: Wrong },
+}
+
+/// What can be wrong with a field.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Wrong {
+    Missing,
+    OtherType,
+    OutOfRange,
+    /// It names what does not exist.
+    Unknown,
+}
+
+impl Wrong {
+    fn words(self) -> &'static str {
+        match self {
+            Self::Missing => "missing",
+            Self::OtherType => "of another type",
+            Self::OutOfRange => "out of range",
+            Self::Unknown => "unknown",
+        }
+    }
 }
 
 impl Bad {
-    pub fn count(&self) -> &'static str {
+    pub fn count(&self) -> String {
         match self {
-            Self::Unreadable(_) => "bad input: unreadable",
-            Self::Unusable(why) => why,
+            Self::Unreadable(_) => "bad input: unreadable".into(),
+            Self::Spoilt { field, wrong } => format!("bad input: {field} {}", wrong.words()),
         }
     }
 }
 
-#[derive(Deserialize)]
-#[serde(tag = "msg", rename_all = "snake_case")]
-enum Wire<'a> {
-    Hb,
-    Telemetry {
-        #[serde(borrow)]
-        zone: Cow<'a, str>,
-    },
-    Attach {
-        proxy: u64,
-        #[serde(borrow)]
-        zone: Cow<'a, str>,
-        weight: f64,
-        fresh: bool,
-    },
-    Done {
-        proxy: u64,
-        mark: u64,
-        took_ms: f64,
-    },
-    ClientStats {
-        proxy: u64,
-        #[serde(borrow)]
-        class: Cow<'a, str>,
-        tries: f64,
-        failed: f64,
-        span_ms: f64,
-    },
-    UpstreamStats {
-        #[serde(borrow)]
-        zone: Cow<'a, str>,
-        #[serde(borrow)]
-        server: Cow<'a, str>,
-        tries: f64,
-        failed: f64,
-        #[serde(default)]
-        mean_ms: Option<f64>,
-        span_ms: f64,
-        #[serde(default)]
-        load: Option<BTreeMap<String, f64>>,
-    },
-    #[serde(other)]
-    Unknown,
+/// A message's fields, each still as it was written.
+struct Fields<'a>(BTreeMap<String, &'a RawValue>);
+
+impl<'a> Fields<'a> {
+    fn of(line: &'a [u8]) -> Result<Self, Bad> {
+        let text = std::str::from_utf8(line).map_err(|e| Bad::Unreadable(e.to_string()))?;
+        serde_json::from_str(text).map(Self).map_err(|e| Bad::Unreadable(e.to_string()))
+    }
+
+    fn raw(&self, field: &'static str) -> Result<&'a str, Bad> {
+        let told = self.0.get(field).map(|raw| raw.get()).filter(|raw| *raw != "null");
+        told.ok_or(Bad::Spoilt { field, wrong: Wrong::Missing })
+    }
+
+    fn get<T: Deserialize<'a>>(&self, field: &'static str) -> Result<T, Bad> {
+        serde_json::from_str(self.raw(field)?).map_err(|_| Bad::Spoilt { field, wrong: Wrong::OtherType })
+    }
+
+    /// The place of a name among those that the settings list.
+    fn place(&self, field: &'static str, names: &[String]) -> Result<u16, Bad> {
+        let name: Cow<str> = self.get(field)?;
+        place(names, &name).ok_or(Bad::Spoilt { field, wrong: Wrong::Unknown })
+    }
+
+    /// A number that is as it should be; one that its type can't hold is out of range, too.
+    fn number<T: Deserialize<'a>>(&self, field: &'static str, sound: impl Fn(&T) -> bool) -> Result<T, Bad> {
+        let raw = self.raw(field)?;
+        let number = raw.starts_with(|c: char| c == '-' || c.is_ascii_digit());
+        let wrong = if number { Wrong::OutOfRange } else { Wrong::OtherType };
+        serde_json::from_str(raw).ok().filter(sound).ok_or(Bad::Spoilt { field, wrong })
+    }
+
+    fn figure(&self, field: &'static str) -> Result<f64, Bad> {
+        self.number(field, |x| (0.0..=MOST).contains(x))
+    }
 }
 
 fn load_field(name: &str) -> LoadField {
@@ -139,67 +158,68 @@
 }
 
 impl Words {
-    fn proxy(&self, number: u64) -> Result<ProxyId, Bad> {
-        let known = number < u64::from(self.proxies);
-        let id = ProxyId::try_from(number).ok().filter(|_| known);
-        id.ok_or(Bad::Unusable("bad input: proxy out of range"))
-    }
-
-    fn zone(&self, name: &str) -> Result<ZoneId, Bad> {
-        place(&self.zones, name).ok_or(Bad::Unusable("bad input: unknown zone"))
+    fn proxy(&self, told: &Fields) -> Result<ProxyId, Bad> {
+        let known = |number: &u64| *number < u64::from(self.proxies);
+        Ok(told.number("proxy", known)? as ProxyId)
     }
 
-    fn figures<const N: usize>(figures: [f64; N]) -> Result<[f64; N], Bad> {
-        let sound = figures.iter().all(|x| x.is_finite() && *x >= 0.0);
-        if sound { Ok(figures) } else { Err(Bad::Unusable("bad input: a figure below 0")) }
-    }
-
-    /// The figures of a load report in the order of the settings; none where one is missing.
-    fn load(&self, told: &BTreeMap<String, f64>) -> Vec<f64> {
-        let find = |field: &LoadField| told.iter().find(|(name, _)| load_field(name) == *field);
-        let found: Option<Vec<f64>> = self.load.iter().map(|field| find(field).map(|(_, x)| *x)).collect();
-        found.unwrap_or_default()
+    /// The figures of a load report in the order of the settings.
+    fn load(&self, told: &Fields) -> Result<Vec<f64>, Bad> {
+        let spoilt = |wrong| Bad::Spoilt { field: "load", wrong };
+        if told.raw("load").is_err() {
+            return Ok(Vec::new());
+        }
+        let fields: BTreeMap<String, Value> = told.get("load")?;
+        let mut load = vec![None; self.load.len()];
+        for (name, figure) in &fields {
+            let Some(at) = self.load.iter().position(|field| *field == load_field(name)) else { continue };
+            let figure = figure.as_f64().ok_or(spoilt(Wrong::OtherType))?;
+            load[at] = Some(figure).filter(|x| (0.0..=MOST).contains(x));
+            load[at].ok_or(spoilt(Wrong::OutOfRange))?;
+        }
+        load.into_iter().collect::<Option<_>>().ok_or(spoilt(Wrong::Missing))
     }
 
     pub fn decode(&self, line: &[u8]) -> Result<Message, Bad> {
-        let text = std::str::from_utf8(line).map_err(|e| Bad::Unreadable(e.to_string()))?;
-        if !text.trim_start().starts_with('{') {
-            return Err(Bad::Unreadable("not an object".into()));
-        }
-        let wire: Wire = serde_json::from_str(text).map_err(|e| Bad::Unreadable(e.to_string()))?;
-        Ok(match wire {
-            Wire::Hb => Message::Beat,
-            Wire::Telemetry { zone } => Message::Collector { zone: self.zone(&zone)? },
-            Wire::Attach { proxy, zone, weight, fresh } => {
-                let [usual_per_s] = Self::figures([weight])?;
-                Message::Joining { proxy: self.proxy(proxy)?, zone: self.zone(&zone)?, usual_per_s, fresh }
-            }
-            Wire::Done { proxy, mark, took_ms } => {
-                let [took_ms] = Self::figures([took_ms])?;
-                let proxy = self.proxy(proxy)?;
+        let told = Fields::of(line)?;
+        let kind: Cow<str> = told.get("msg")?;
+        Ok(match &*kind {
+            "hb" => Message::Beat,
+            "telemetry" => Message::Collector { zone: told.place("zone", &self.zones)? },
+            "attach" => Message::Joining {
+                proxy: self.proxy(&told)?,
+                zone: told.place("zone", &self.zones)?,
+                usual_per_s: told.figure("weight")?,
+                fresh: told.get("fresh")?,
+            },
+            "done" => {
+                let (proxy, mark) = (self.proxy(&told)?, told.number("mark", |_| true)?);
+                let took_ms = told.figure("took_ms")?;
                 Message::OfProxy { proxy, input: Input::Applied { proxy, mark, took_ms } }
             }
-            Wire::ClientStats { proxy, class, tries, failed, span_ms } => {
-                let kind =
-                    place(&self.kinds, &class).ok_or(Bad::Unusable("bad input: unknown request kind"))?;
-                let [came, bad, span_ms] = Self::figures([tries, failed, span_ms])?;
-                let (proxy, kind) = (self.proxy(proxy)?, kind.into());
+            "client_stats" => {
+                let (proxy, kind) = (self.proxy(&told)?, told.place("class", &self.kinds)?.into());
+                let [came, bad, span_ms] = self.tries(&told)?;
                 Message::OfProxy { proxy, input: Input::Usage { proxy, kind, came, bad, span_ms } }
             }
-            Wire::UpstreamStats { zone, server, tries, failed, mean_ms, span_ms, load } => {
-                let [tries, bad, mean_ms, span_ms] =
-                    Self::figures([tries, failed, mean_ms.unwrap_or(0.0), span_ms])?;
-                if bad > tries {
-                    return Err(Bad::Unusable("bad input: more bad tries than tries"));
-                }
-                let load = load.map_or(Vec::new(), |told| self.load(&told));
-                load.iter().try_for_each(|x| Self::figures([*x]).map(|_| ()))?;
-                let (zone, server) = (self.zone(&zone)?, server_id(&server));
+            "upstream_stats" => {
+                let [tries, bad, span_ms] = self.tries(&told)?;
+                // Where none of the tries was good there is no mean of the good ones.
+                let mean_ms = if bad < tries { told.figure("mean_ms")? } else { 0.0 };
+                let zone = told.place("zone", &self.zones)?;
+                let server = server_id(&told.get::<Cow<str>>("server")?);
+                let load = self.load(&told)?;
                 Message::Heard(Input::Heard { zone, server, tries, bad, mean_ms, span_ms, load })
             }
-            Wire::Unknown => return Err(Bad::Unusable("bad input: unknown message")),
+            _ => return Err(Bad::Spoilt { field: "msg", wrong: Wrong::Unknown }),
         })
     }
+
+    /// Tries, failed ones and the span they fell in.
+    fn tries(&self, told: &Fields) -> Result<[f64; 3], Bad> {
+        let [tries, span_ms] = [told.figure("tries")?, told.figure("span_ms")?];
+        Ok([tries, told.number("failed", |x| (0.0..=tries).contains(x))?, span_ms])
+    }
 }
 
 // ---- The list -----------------------------------------------------------------------------
@@ -254,7 +274,10 @@
         let told: Endpoints = serde_json::from_str(text).map_err(|e| Bad::Unreadable(e.to_string()))?;
         let mut list = List { version: told.index, whole: told.snapshot, ..List::default() };
         for server in told.endpoints {
-            let [weight, started_ms] = Self::figures([server.weight, server.since_ms])?;
+            let [weight, started_ms] = [server.weight, server.since_ms];
+            if !(weight >= 0.0 && started_ms >= 0.0) {
+                return Err(Bad::Unreadable("a figure below 0".into()));
+            }
             list.lines.push(Listed {
                 server: server_id(&server.name),
                 zone: place(&self.zones, &server.zone).unwrap_or(ELSEWHERE),
--- a/crates/rookpulley-assigner/src/orders.rs
+++ b/crates/rookpulley-assigner/src/orders.rs
@@ -5,11 +5,14 @@
 
 use crate::messages::{LINE_MOST, Part};
 use rookpulley::facts::*;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 type Kinds = u16;
 type Level = (f64, Retry);
 
+/// So many marks wait for a stream's answer at most; of one that answers none the oldest are given up.
+const MARKS_MOST: usize = 256;
+
 /// The names of all servers that were ever listed.
 pub type Names = BTreeMap<ServerId, String>;
 
@@ -30,6 +33,8 @@
     shut: BTreeMap<ServerId, bool>,
     /// It may still shut out servers on the word of an assigner before.
     brought: bool,
+    /// Marks that were ordered of it and not answered, in their order.
+    marks: VecDeque<u64>,
 }
 
 #[derive(Default)]
@@ -112,7 +117,10 @@
     pub fn join(&mut self, proxy: ProxyId, fresh: bool) {
         self.leave(proxy);
         let (tables, levels, shut) = (BTreeSet::new(), BTreeMap::new(), BTreeMap::new());
-        self.streams.insert(proxy, Stream { tables, bound: 0, levels, shut, brought: !fresh });
+        self.streams.insert(
+            proxy,
+            Stream { tables, bound: 0, levels, shut, brought: !fresh, marks: VecDeque::new() },
+        );
     }
 
     pub fn leave(&mut self, proxy: ProxyId) {
@@ -123,6 +131,13 @@
         }
     }
 
+    /// Whether a mark was ordered of this stream and waits for its answer, as do those before it.
+    pub fn answered(&mut self, proxy: ProxyId, mark: u64) -> bool {
+        let Some(stream) = self.streams.get_mut(&proxy) else { return false };
+        let at = stream.marks.iter().position(|m| *m == mark);
+        at.is_some_and(|at| stream.marks.drain(..=at).len() > 0)
+    }
+
     /// The level that a kind has at a proxy: of two the lower, and the table's own way of retrying.
     fn level_of(&self, proxy: ProxyId, kind: KindId) -> Option<Level> {
         let stream = self.streams.get(&proxy)?;
@@ -244,6 +259,11 @@
         for (proxy, mut draft) in drafts {
             // Levels for all travel along with whatever goes to a proxy that has not been told them.
             self.tell_levels(proxy, self.all, false, &mut draft);
+            if let (Some(mark), Some(stream)) = (mark, self.streams.get_mut(&proxy)) {
+                let over = (stream.marks.len() + 1).saturating_sub(MARKS_MOST);
+                stream.marks.drain(..over);
+                stream.marks.push_back(mark);
+            }
             let (bytes, lines) = self.write(draft, mark, names);
             written.push(Written { proxy, bytes, lines });
         }
--- a/crates/rookpulley-assigner/src/roster.rs
+++ b/crates/rookpulley-assigner/src/roster.rs
@@ -1,7 +1,7 @@
 //! The server list: the watch, resumed where it broke, and the whole list on request.
 
 use crate::driver::{Event, Front};
-use crate::messages::Bad;
+use crate::messages::{Bad, List};
 use crate::say;
 use http_body_util::{BodyExt, Empty};
 use hyper::body::{Bytes, Incoming};
@@ -15,6 +15,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpStream;
+use tokio::sync::Notify;
 use tokio::task::{JoinHandle, JoinSet};
 
 /// On a watch that works something comes every 2 s.
@@ -63,7 +64,8 @@
 }
 
 pub struct Roster {
-    place: SocketAddr,
+    place: Cell<SocketAddr>,
+    moved: Notify,
     version: Cell<u64>,
     front: Rc<Front>,
     /// The module asks for the list itself, and is told of each call's outcome.
@@ -73,17 +75,38 @@
 
 impl Roster {
     pub fn new(place: SocketAddr, version: u64, asked: bool, front: Rc<Front>) -> Rc<Self> {
-        Rc::new(Self { place, version: Cell::new(version), front, asked, watch: RefCell::default() })
+        let (place, version, moved) = (Cell::new(place), Cell::new(version), Notify::new());
+        Rc::new(Self { place, moved, version, front, asked, watch: RefCell::default() })
     }
 
     /// Follows the list for as long as the assigner runs, dialling anew after growing pauses.
     pub async fn follow(self: Rc<Self>, mut pauses: Pauses) {
         loop {
-            let mut heard = false;
-            let broken = self.watch(&mut heard).await;
-            self.front.counters.one("watches broken");
-            say!(self.front.log, "list", "the watch broke: {broken}; the list stays as it is");
-            tokio::time::sleep(pauses.next(heard)).await;
+            let watch = async {
+                let mut heard = false;
+                let broken = self.watch(&mut heard).await;
+                self.front.counters.one("watches broken");
+                say!(self.front.log, "list", "the watch broke: {broken}; the list stays as it is");
+                tokio::time::sleep(pauses.next(heard)).await;
+            };
+            // What a watch that is given up had not handed on yet comes first on the next.
+            tokio::select! {
+                () = watch => {}
+                () = self.moved.notified() => {}
+            }
+        }
+    }
+
+    /// From now on discovery is there; a watch goes on from the version that is held.
+    pub fn move_to(self: &Rc<Self>, place: SocketAddr) {
+        if self.place.replace(place) == place {
+            return;
+        }
+        self.front.counters.one("watches moved");
+        if !self.asked {
+            self.moved.notify_one();
+        } else if self.watch.borrow().is_some() {
+            self.set_watch(true);
         }
     }
 
@@ -121,10 +144,11 @@
 
     async fn get(&self, path: &str, dialled: &mut JoinSet<()>) -> Result<Incoming, Broken> {
         self.front.counters.one("out list calls");
-        let socket = TcpStream::connect(self.place).await?;
+        let place = self.place.get();
+        let socket = TcpStream::connect(place).await?;
         let (mut sender, connection) = http1::handshake(TokioIo::new(socket)).await?;
         dialled.spawn_local(async move { _ = connection.await });
-        let req = hyper::Request::get(path).header("host", self.place.to_string());
+        let req = hyper::Request::get(path).header("host", place.to_string());
         // Built of fixed text, an address and numbers: there is nothing in it to refuse.
         let Ok(req) = req.body(Empty::<Bytes>::new()) else { return Err(Broken::Ended) };
         let answer = sender.send_request(req).await?;
@@ -181,20 +205,27 @@
         Ok(())
     }
 
-    /// Hands on what is new. A change that is known already, or that changes nothing, is passed over
-    /// unless a call is to be answered.
+    /// Hands on what is new. What is known already, or older (another agent may lag behind), is passed
+    /// over unless a call is to be answered.
     async fn take(&self, text: &[u8], answer: bool) -> Result<(), Broken> {
         let mut list = self.front.words.decode_list(std::str::from_utf8(text)?)?;
-        let new = list.whole || list.version > self.version.get();
+        // From here on nothing waits: a watch that is given up has handed a change on and holds its
+        // version, or neither.
+        let Ok(place) = self.front.events.reserve().await else { return Ok(()) };
+        let held = self.version.get();
+        let new = list.version > held || (list.whole && list.version == held);
+        if list.whole && !new {
+            self.front.counters.one("whole lists passed over");
+            say!(self.front.log, "list", "a whole list of version {} is older than {held}", list.version);
+        }
         if !new {
-            list.lines.clear();
-            list.names.clear();
+            list = List { version: held, ..List::default() };
         }
-        self.version.set(if new { list.version } else { self.version.get() });
+        self.version.set(list.version);
         self.front.counters.one(if list.whole { "in whole lists" } else { "in list changes" });
         if answer || list.whole || !list.lines.is_empty() {
             let scope = if list.whole { ListScope::Full } else { ListScope::Changes };
-            self.front.tell(Event::List { scope, list }).await;
+            place.send(Event::List { scope, list });
         }
         Ok(())
     }
--- a/crates/rookpulley-assigner/src/streams.rs
+++ b/crates/rookpulley-assigner/src/streams.rs
@@ -13,9 +13,21 @@
 use std::time::Duration;
 use tokio::io::Interest;
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Notify;
+use tokio::time::{Instant, sleep_until, timeout};
 
 pub type ConnId = u64;
 
+/// A connection has joined by this time after it was taken, or it is closed.
+const JOIN_WITHIN: Duration = Duration::from_millis(1_500);
+/// A line that comes before the joining holds so many bytes at most.
+const FIRST_LINE_MOST: usize = 4 * 1024;
+/// Whoever has been taken has this long to say who it is before it makes room for others: a joining
+/// that is on its way is not cut off by a flood.
+const SPEAK_WITHIN: Duration = Duration::from_millis(200);
+/// Where the system gives no more connections it is asked again after this.
+const ASK_AGAIN: Duration = Duration::from_millis(10);
+
 /// In the order in which connections make room: those that never spoke first, streams never.
 /// Of the collectors of one zone all but the newest may be half-open.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -27,15 +39,24 @@
 }
 
 struct Conn {
+    taken: Instant,
     role: Cell<Role>,
     outbox: Rc<Outbox>,
 }
 
+impl Conn {
+    fn joined(&self) -> bool {
+        self.role.get() > Role::Stranger
+    }
+}
+
 /// The open connections, and how many there may be.
 pub struct Conns {
     open: RefCell<BTreeMap<ConnId, Rc<Conn>>>,
     most: usize,
-    /// Bytes of lines that have not ended yet, and how many those of strangers may add up to.
+    /// A connection has ended.
+    ended: Notify,
+    /// Bytes of lines that have not ended yet, and how many they may add up to.
     held: Cell<usize>,
     held_most: usize,
     next: Cell<ConnId>,
@@ -44,17 +65,37 @@
 impl Conns {
     pub fn new(most: usize, held_most: usize) -> Self {
         let (open, held, next) = (RefCell::default(), Cell::new(0), Cell::new(0));
-        Self { open, most, held, held_most, next }
+        Self { open, most, ended: Notify::new(), held, held_most, next }
+    }
+
+    fn full(&self) -> bool {
+        self.count() >= self.most
+    }
+
+    /// Whether a line so long, not ended yet, is more than its connection may hold: a joined one a
+    /// whole message, but no more than its share where all together hold too much.
+    fn too_long(&self, held: usize, joined: bool) -> bool {
+        let share = self.held_most / self.count().max(1);
+        let most = if joined { LINE_MOST } else { FIRST_LINE_MOST };
+        held >= most || (self.held.get() > self.held_most && held > share)
+    }
+
+    fn leave(&self, id: ConnId, held: usize) {
+        self.held.set(self.held.get() - held);
+        self.open.borrow_mut().remove(&id);
+        self.ended.notify_one();
     }
 
     fn enter(&self) -> (ConnId, Rc<Conn>) {
         let id = self.next.replace(self.next.get() + 1);
-        let conn = Rc::new(Conn { role: Cell::new(Role::Silent), outbox: Rc::default() });
+        let conn =
+            Rc::new(Conn { taken: Instant::now(), role: Cell::new(Role::Silent), outbox: Rc::default() });
         self.open.borrow_mut().insert(id, conn.clone());
         (id, conn)
     }
 
-    /// Ends the connection that can best be done without; false where there is none.
+    /// Ends the connection that can best be done without, one at a time, once it has had its time to
+    /// speak; false where none can be done without.
     fn crowd_out(&self) -> bool {
         let open = self.open.borrow();
         let newer = |id: &ConnId, role| open.range(id + 1..).any(|(_, c)| c.role.get() == role);
@@ -63,9 +104,13 @@
             role @ Role::Collector(_) => newer(id, role),
             Role::Stream(_) => false,
         });
-        let waiting = spare.filter(|(_, c)| c.outbox.ordered().is_none());
-        let oldest = waiting.min_by_key(|(id, c)| (c.role.get(), **id));
-        oldest.inspect(|(_, c)| c.outbox.end(Ending::Crowded)).is_some()
+        let spare: Vec<_> = spare.collect();
+        if !spare.iter().any(|(_, c)| c.outbox.ordered().is_some()) {
+            let old = spare.iter().filter(|(_, c)| c.taken.elapsed() >= SPEAK_WITHIN);
+            let first = old.min_by_key(|(id, c)| (c.role.get(), **id));
+            _ = first.inspect(|(_, c)| c.outbox.end(Ending::Crowded));
+        }
+        !spare.is_empty()
     }
 
     pub fn count(&self) -> usize {
@@ -77,29 +122,28 @@
 pub async fn accept(listener: TcpListener, front: Rc<Front>) {
     loop {
         let socket = match listener.accept().await {
-            Ok((socket, _)) => Some(socket),
+            Ok((socket, _)) => socket,
             Err(e) => {
                 front.counters.one("connections not taken");
                 say!(front.log, "listen", "a connection was not taken: {e}");
-                None
+                front.conns.crowd_out();
+                tokio::time::sleep(ASK_AGAIN).await;
+                continue;
             }
         };
-        let crowded = socket.is_none() || front.conns.count() >= front.conns.most;
-        if crowded && !front.conns.crowd_out() && socket.is_some() {
+        // The one that makes room ends by its own task.
+        let mut room = true;
+        while room && front.conns.full() {
+            room = front.conns.crowd_out();
+            _ = timeout(ASK_AGAIN, front.conns.ended.notified()).await;
+        }
+        if !room {
             front.counters.one("connections turned away");
             say!(front.log, "listen", "turned away: all {} connections have joined", front.conns.count());
             continue;
         }
-        while crowded && front.conns.count() >= front.conns.most {
-            tokio::task::yield_now().await;
-        }
-        match socket {
-            Some(socket) => {
-                let (id, conn) = front.conns.enter();
-                tokio::task::spawn_local(serve(socket, id, conn, front.clone()));
-            }
-            None => tokio::time::sleep(Duration::from_millis(10)).await,
-        }
+        let (id, conn) = front.conns.enter();
+        tokio::task::spawn_local(serve(socket, id, conn, front.clone()));
     }
 }
 
@@ -109,8 +153,7 @@
     let mut held = Vec::new();
     let ending = live(&socket, id, &conn, &mut held, &front).await;
     drop(socket);
-    front.conns.held.set(front.conns.held.get() - held.len());
-    front.conns.open.borrow_mut().remove(&id);
+    front.conns.leave(id, held.len());
     front.counters.one(ending.count());
     let role = conn.role.get();
     if role > Role::Stranger || !matches!(ending, Ending::Closed | Ending::Crowded) {
@@ -124,6 +167,7 @@
 /// The life of a connection, from its first byte to its end.
 async fn live(socket: &TcpStream, id: ConnId, conn: &Conn, held: &mut Vec<u8>, front: &Front) -> Ending {
     let outbox = &conn.outbox;
+    let late = conn.taken + JOIN_WITHIN;
     loop {
         // Wait for bytes, for room to write, or for an order to end.
         let interest =
@@ -131,6 +175,7 @@
         tokio::select! {
             biased;
             () = outbox.stirred() => {}
+            () = sleep_until(late), if !conn.joined() => return Ending::NotJoined,
             ready = socket.ready(interest) => if ready.is_err() { return Ending::Reset },
         }
         if let Some(ending) = outbox.ordered() {
@@ -155,7 +200,7 @@
             let end = search + at;
             let line = &held[from..end];
             (from, search) = (end + 1, end + 1);
-            if line.len() >= LINE_MOST {
+            if line.len() >= if conn.joined() { LINE_MOST } else { FIRST_LINE_MOST } {
                 return Ending::TooLong;
             }
             if line.trim_ascii().is_empty() {
@@ -164,12 +209,12 @@
             let message = match front.words.decode(line) {
                 Ok(message) => message,
                 Err(bad) => {
-                    front.counters.one(bad.count());
+                    front.counters.one(&bad.count());
                     say!(front.log, "bad input", "from {:?}: {bad}", conn.role.get());
-                    match (bad, conn.role.get()) {
-                        (Bad::Unreadable(_), _) => return Ending::Unreadable,
-                        (_, Role::Silent | Role::Stranger) => return Ending::OutOfTurn,
-                        (Bad::Unusable(_), _) => continue,
+                    match bad {
+                        Bad::Unreadable(_) => return Ending::Unreadable,
+                        Bad::Spoilt { .. } if !conn.joined() => return Ending::OutOfTurn,
+                        Bad::Spoilt { .. } => continue,
                     }
                 }
             };
@@ -204,12 +249,9 @@
         }
         held.drain(..from);
         front.conns.held.set(front.conns.held.get() - from);
-        if held.len() >= LINE_MOST {
+        if front.conns.too_long(held.len(), conn.joined()) {
             return Ending::TooLong;
         }
-        if conn.role.get() <= Role::Stranger && front.conns.held.get() > front.conns.held_most {
-            return Ending::Crowded;
-        }
         if held.is_empty() {
             *held = Vec::new();
         }
--- a/crates/rookpulley-assigner/tests/sockets.rs
+++ b/crates/rookpulley-assigner/tests/sockets.rs
@@ -7,11 +7,13 @@
 use hyper::body::Bytes;
 use hyper_util::rt::TokioIo;
 use rookpulley::facts::Input;
+use rookpulley_assigner::counters::Counters;
 use rookpulley_assigner::driver::{Event, Front};
 use rookpulley_assigner::ending::{ALL, Ending};
 use rookpulley_assigner::log::Log;
-use rookpulley_assigner::roster::Pauses;
-use rookpulley_assigner::{Assigner, config};
+use rookpulley_assigner::roster::{Pauses, Roster};
+use rookpulley_assigner::streams::Conns;
+use rookpulley_assigner::{Assigner, Signals, config};
 use serde_json::{Value, json};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -263,7 +265,8 @@
 }
 
 async fn run(told: &Value) -> Running {
-    let assigner = Assigner::bind(config::read(&told.to_string()).unwrap()).await.unwrap();
+    let told = config::read(&told.to_string()).unwrap();
+    let assigner = Assigner::bind(told, "no file".into(), Signals::take().unwrap()).await.unwrap();
     let (place, notes) = assigner.places();
     let front = assigner.front.clone();
     spawn_local(assigner.serve());
@@ -391,9 +394,9 @@
         for _ in 0..50 {
             strangers.push(Wire::dial(running.place).await);
         }
-        running.counted(Ending::Crowded.count(), 44).await;
         let mut late = Wire::join(running.place, 1, true).await;
         late.table().await;
+        assert!(running.front.counters.get(Ending::Crowded.count()) > 0);
         assert!(proxy.beats().await && collector.beats().await);
         assert_eq!(running.front.counters.get("most connections at once"), 8);
         assert!(strangers[0].hear().await.is_none(), "the oldest go first");
@@ -409,6 +412,69 @@
     });
 }
 
+#[test]
+fn who_has_not_joined_in_time_gets_a_close_whatever_it_sends() {
+    with_assigner(|running, _agent| async move {
+        let mut proxy = Wire::join(running.place, 0, true).await;
+        proxy.table().await;
+        let mut late = Wire::dial(running.place).await;
+        let whole = joining(1, true);
+        let (first, rest) = whole.split_at(30);
+        late.socket.write_all(first.as_bytes()).await.unwrap();
+        let sent = [
+            ("", false),
+            (&first[..9], false),
+            (" ", true),
+            ("\n", true),
+            (&(BEAT.to_string() + "\n"), true),
+        ];
+        let sent = sent.map(|(text, again)| (text.to_string(), again));
+        let strangers = sent.into_iter().chain([("x".repeat(512), true)]).map(|(text, again)| async move {
+            let mut wire = Wire::dial(running.place).await.socket;
+            let (mut hears, mut says) = wire.split();
+            let mut heard = [0; 4096];
+            // What is said again is said for as long as it is taken.
+            let say = async {
+                while says.write_all(text.as_bytes()).await.is_ok() && again {
+                    tokio::time::sleep(Duration::from_millis(20)).await;
+                }
+                std::future::pending().await
+            };
+            tokio::select! {
+                () = async { while hears.read(&mut heard).await.is_ok_and(|size| size > 0) {} } => {}
+                () = say => {}
+            }
+        });
+        let closed: Vec<_> = strangers.map(spawn_local).collect();
+        late.say(rest).await;
+        late.table().await;
+        for closed in closed {
+            timeout(LONG, closed).await.expect("it was never closed").unwrap();
+        }
+        running.counted(Ending::NotJoined.count(), 5).await;
+        running.counted(Ending::TooLong.count(), 1).await;
+        assert!(proxy.beats().await && late.beats().await);
+    });
+}
+
+#[test]
+fn where_all_have_joined_a_newcomer_is_turned_away_until_one_leaves() {
+    on_sockets(async {
+        let agent = Agent::new().await;
+        let mut told = told(agent.place);
+        told["limits"]["sockets"] = json!(33);
+        let running = run(&told).await;
+        let mut proxy = Wire::join(running.place, 0, true).await;
+        proxy.table().await;
+        assert!(Wire::join(running.place, 1, true).await.hear().await.is_none());
+        running.counted("connections turned away", 1).await;
+        assert!(proxy.beats().await);
+        drop(proxy);
+        running.alone(0).await;
+        Wire::join(running.place, 1, true).await.table().await;
+    });
+}
+
 #[test]
 fn a_reader_that_stops_reading_delays_nobody() {
     with_assigner(|running, agent| async move {
@@ -444,6 +510,13 @@
         ("unknown server", r#"{"msg":"upstream_stats","zone":"a","server":"no","tries":1,"failed":0,"mean_ms":1,"span_ms":1}"#),
         ("more failed than tried", r#"{"msg":"upstream_stats","zone":"a","server":"s-1","tries":1,"failed":2,"mean_ms":1,"span_ms":1}"#),
         ("a second joining", r#"{"msg":"attach","proxy":1,"zone":"a","weight":1,"fresh":true}"#),
+        ("a mark never ordered", r#"{"msg":"done","proxy":0,"mark":40000,"took_ms":1}"#),
+        ("a mark out of its type's range", r#"{"msg":"done","proxy":0,"mark":1e30,"took_ms":1}"#),
+        ("no mean of good tries", r#"{"msg":"upstream_stats","zone":"a","server":"s-1","tries":2,"failed":1,"span_ms":1}"#),
+        ("a senseless load", r#"{"msg":"upstream_stats","zone":"a","server":"s-1","tries":1,"failed":1,"span_ms":1,"load":{"queue":-3,"util":0}}"#),
+        ("a load of which a part is missing", r#"{"msg":"upstream_stats","zone":"a","server":"s-1","tries":1,"failed":1,"span_ms":1,"load":{"util":0}}"#),
+        ("text after the object", r#"{"msg":"hb"}{"msg":"hb"}"#),
+        ("over 4 KiB", &format!(r#"{{"msg":"dance","to":"{}"}}"#, "x".repeat(4096))),
         ("over a megabyte", &long),
     ]
     .into_iter()
@@ -584,6 +657,43 @@
     });
 }
 
+#[test]
+fn a_change_that_was_not_handed_on_comes_first_at_the_new_address() {
+    on_sockets(async {
+        let (mut here, mut there) = (Discovery::new().await, Discovery::new().await);
+        let read = config::read(&told(here.place).to_string()).unwrap();
+        // One change fits; the next waits for the driver.
+        let (events, mut taken) = mpsc::channel(1);
+        let (log, conns) = (Log::new("n0".into(), 9), Conns::new(1, 1));
+        let front = Rc::new(Front { log, counters: Counters::default(), words: read.words, conns, events });
+        let running = Running { place: here.place, notes: None, front: front.clone() };
+        let roster = Roster::new(here.place, 7, false, front);
+        spawn_local(roster.clone().follow(Pauses::new(1)));
+        let mut watch = here.watch().await;
+        let change = |version, n| list(version, false, &[server(n, "DRAINING", 0.0)]);
+        watch.say(&[change(8, 1), change(9, 2)].concat()).await;
+        running.counted("in list changes", 1).await;
+        roster.move_to(there.place);
+        let call = there.call().await;
+        assert_eq!(call.path, "/catalog/members?follow=1&since=8");
+        // That agent lags behind at first: what it says last is older than what is held.
+        let mut watch = call.watch();
+        watch.say(&[list(6, true, &serving(1..=3)), change(8, 1), change(9, 2)].concat()).await;
+        let mut versions = Vec::new();
+        while versions.last() != Some(&9) {
+            let Some(Event::List { list, .. }) = taken.recv().await else { panic!("no list") };
+            versions.push(list.version);
+        }
+        assert_eq!(versions, [8, 9]);
+        assert_eq!(running.front.counters.get("whole lists passed over"), 1);
+        // The address that it has already changes nothing.
+        roster.move_to(there.place);
+        watch.say(&change(10, 3)).await;
+        assert!(matches!(taken.recv().await, Some(Event::List { list, .. }) if list.version == 10));
+        assert_eq!(running.front.counters.get("watches broken"), 0);
+    });
+}
+
 #[test]
 fn an_absent_agent_is_dialled_until_it_is_there() {
     on_sockets(async {
@@ -697,7 +807,7 @@
         joining(3, false),
         r#"{"msg":"client_stats","proxy":1,"class":"write","tries":7,"failed":1,"span_ms":1000}"#.into(),
         heard(r#","mean_ms":null,"load":{"queue":3.5,"more":1,"util":0.25}}"#),
-        heard(r#","mean_ms":0,"load":{"util":0.25}}"#),
+        heard(r#","mean_ms":0,"load":{"load_share":0.25,"depth":0}}"#),
         heard("}"),
     ];
     let read = lines.map(|line| format!("{:?}", words.decode(line.as_bytes()).unwrap()));
@@ -719,7 +829,7 @@
 
 /// The program itself, on real time.
 mod program {
-    use super::told;
+    use super::{Discovery, Wire, json, list, names, on_sockets, server, told};
     use std::io::{BufRead, BufReader, Lines, Write};
     use std::net::TcpStream;
     use std::process::{Child, ChildStderr, Command, Stdio};
@@ -727,17 +837,29 @@
     struct Program {
         child: Child,
         log: Lines<BufReader<ChildStderr>>,
-        _folder: tempfile::TempDir,
+        folder: tempfile::TempDir,
     }
 
     fn start(told: &str) -> Program {
+        start_within(told, 1024)
+    }
+
+    fn start_within(told: &str, descriptors: u32) -> Program {
         let folder = tempfile::tempdir().unwrap();
         let path = folder.path().join("config.json");
         std::fs::write(&path, told).unwrap();
-        let mut command = Command::new(env!("CARGO_BIN_EXE_rookpulley-assigner"));
-        let mut child = command.env("PROXY_CONFIG", path).stderr(Stdio::piped()).spawn().unwrap();
+        let run = format!("ulimit -n {descriptors}; exec {}", env!("CARGO_BIN_EXE_rookpulley-assigner"));
+        let mut command = Command::new("sh");
+        command.args(["-c", &run]).env("PROXY_CONFIG", path).stderr(Stdio::piped());
+        let mut child = command.spawn().unwrap();
         let log = BufReader::new(child.stderr.take().unwrap()).lines();
-        Program { child, log, _folder: folder }
+        Program { child, log, folder }
+    }
+
+    impl Drop for Program {
+        fn drop(&mut self) {
+            _ = self.child.kill();
+        }
     }
 
     impl Program {
@@ -746,6 +868,14 @@
             lines.find(|line| line.contains(with)).unwrap_or_else(|| panic!("it never said {with}"))
         }
 
+        /// Replaces its configuration and has it read again.
+        fn reload(&self, told: &str) {
+            let next = self.folder.path().join("next");
+            std::fs::write(&next, told).unwrap();
+            std::fs::rename(next, self.folder.path().join("config.json")).unwrap();
+            self.signal("HUP");
+        }
+
         fn place(&mut self) -> String {
             let line = self.line("listening at ");
             line.split("listening at ").nth(1).unwrap().split(',').next().unwrap().to_string()
@@ -789,6 +919,68 @@
         assert!(again.child.wait().unwrap().success());
     }
 
+    #[test]
+    fn a_new_configuration_moves_the_watch_and_no_stream_is_felt() {
+        on_sockets(async {
+            let (mut here, mut there) = (Discovery::new().await, Discovery::new().await);
+            let mut told = told(here.place);
+            let mut program = start(&told.to_string());
+            let place = program.place();
+            program.reload(&told.to_string());
+            let mut watch = here.watch().await;
+            let mut proxy = Wire::join(place.parse().unwrap(), 0, true).await;
+            proxy.table().await;
+            watch.say(&list(8, false, &[server(1, "DRAINING", 0.0)])).await;
+            proxy.until("s-1 shut out", names("s-1")).await;
+            program.reload("{");
+            program.line("all stays as it was");
+            watch.say(&list(9, false, &[server(1, "SERVING", 9.0)])).await;
+            proxy.until("s-1 back", |m| m["back"].to_string().contains("s-1")).await;
+            told["discovery"] = json!(there.place);
+            told["limits"]["sockets"] = json!(64);
+            program.reload(&told.to_string());
+            program.line("limits can't change while it runs");
+            let call = there.call().await;
+            assert_eq!(call.path, "/catalog/members?follow=1&since=9");
+            let mut moved = call.watch();
+            moved.say(&list(10, false, &[server(2, "DRAINING", 0.0)])).await;
+            proxy.until("s-2 shut out", names("s-2")).await;
+            assert!(proxy.beats().await, "the stream is the one it joined on");
+            // A file that is never read to its end holds up neither the proxies nor the end.
+            let fifo = program.folder.path().join("config.json");
+            std::fs::remove_file(&fifo).unwrap();
+            assert!(Command::new("mkfifo").arg(&fifo).status().unwrap().success());
+            program.signal("HUP");
+            assert!(proxy.beats().await);
+            program.signal("TERM");
+            program.line("told to end");
+            assert!(program.line("count: configurations refused").ends_with(" 1"));
+            assert!(program.line("count: configurations taken").ends_with(" 2"));
+            assert!(program.line("count: in joinings").ends_with(" 1"));
+            assert!(program.line("count: watches moved").ends_with(" 1"));
+            assert!(program.child.wait().unwrap().success());
+        });
+    }
+
+    #[test]
+    fn where_the_system_gives_no_more_connections_those_who_joined_are_served() {
+        let mut program = start_within(&told("127.0.0.1:1".parse().unwrap()).to_string(), 24);
+        let place = program.place();
+        let mut joined = TcpStream::connect(&place).unwrap();
+        joined.write_all(format!("{}\n", super::joining(0, true)).as_bytes()).unwrap();
+        let strangers: Vec<_> = (0..40).map(|_| TcpStream::connect(&place).unwrap()).collect();
+        program.line("a connection was not taken");
+        joined.write_all(b"{\"msg\":\"hb\"}\n").unwrap();
+        let mut lines = BufReader::new(joined).lines();
+        assert!(lines.any(|line| line.unwrap().contains("hb_ok")));
+        // Each of them is closed in the end, and the next is served.
+        for mut stranger in strangers {
+            assert!(matches!(std::io::Read::read(&mut stranger, &mut [0; 9]), Ok(0) | Err(_)));
+        }
+        assert!(beats(&place));
+        program.child.kill().unwrap();
+    }
+
     #[test]
     fn without_a_configuration_it_does_not_start() {
         let mut program = start("{");
