Usage is taken where reqs that came in a span before could not be served

A req that comes in one span and times out in the next makes failed larger than tries; the check added with the fields one by one (messages::tries) was right for what proxies met at a server, where both are of the same tries, and wrong for usage. The usage that was refused left out what came to those proxies, from which arcs and levels are sized.

--- a/crates/rookpulley-assigner/src/messages.rs
+++ b/crates/rookpulley-assigner/src/messages.rs
@@ -143,6 +143,14 @@
     fn figure(&self, field: &'static str) -> Result<f64, Bad> {
         self.number(field, |x| (0.0..=MOST).contains(x))
     }
+
+    fn figures<const N: usize>(&self, fields: [&'static str; N]) -> Result<[f64; N], Bad> {
+        let mut told = [0.0; N];
+        for (figure, field) in told.iter_mut().zip(fields) {
+            *figure = self.figure(field)?;
+        }
+        Ok(told)
+    }
 }
 
 fn load_field(name: &str) -> LoadField {
@@ -199,11 +207,15 @@
             }
             "client_stats" => {
                 let (proxy, kind) = (self.proxy(&told)?, told.place("class", &self.kinds)?.into());
-                let [came, bad, span_ms] = self.tries(&told)?;
+                // Those that could not be served may have come in a span before.
+                let [came, bad, span_ms] = told.figures(["tries", "failed", "span_ms"])?;
                 Message::OfProxy { proxy, input: Input::Usage { proxy, kind, came, bad, span_ms } }
             }
             "upstream_stats" => {
-                let [tries, bad, span_ms] = self.tries(&told)?;
+                let [tries, bad, span_ms] = told.figures(["tries", "failed", "span_ms"])?;
+                if bad > tries {
+                    return Err(Bad::Spoilt { field: "failed", wrong: Wrong::OutOfRange });
+                }
                 // Where none of the tries was good there is no mean of the good ones.
                 let mean_ms = if bad < tries { told.figure("mean_ms")? } else { 0.0 };
                 let zone = told.place("zone", &self.zones)?;
@@ -214,12 +226,6 @@
             _ => return Err(Bad::Spoilt { field: "msg", wrong: Wrong::Unknown }),
         })
     }
-
-    /// Tries, failed ones and the span they fell in.
-    fn tries(&self, told: &Fields) -> Result<[f64; 3], Bad> {
-        let [tries, span_ms] = [told.figure("tries")?, told.figure("span_ms")?];
-        Ok([tries, told.number("failed", |x| (0.0..=tries).contains(x))?, span_ms])
-    }
 }
 
 // ---- The list -----------------------------------------------------------------------------
--- a/crates/rookpulley-assigner/tests/sockets.rs
+++ b/crates/rookpulley-assigner/tests/sockets.rs
@@ -806,6 +806,7 @@
     let lines = [
         joining(3, false),
         r#"{"msg":"client_stats","proxy":1,"class":"write","tries":7,"failed":1,"span_ms":1000}"#.into(),
+        r#"{"msg":"client_stats","proxy":1,"class":"read","tries":0,"failed":2,"span_ms":1000}"#.into(),
         heard(r#","mean_ms":null,"load":{"queue":3.5,"more":1,"util":0.25}}"#),
         heard(r#","mean_ms":0,"load":{"load_share":0.25,"depth":0}}"#),
         heard("}"),
