Servers long gone are dropped by the module and the front

Seen by reading, with the probe's lines beside it: names, shown, the shut sets of orders, and the module's servers, heard and held only ever grew, also by servers that a list no longer has. Found flat and left as they are: tables (one for each proxy and group of kinds, so bounded by the settings), revisions (ten a table), marks (256 a stream), notes.

At fault: no line ever removed from those maps (driver::take, orders::carry_out, Fleet::take_list). Now the module drops a server that has left and is off the list for 10 s, once no joined proxy can hold it, and lifts its withdrawal; the front drops what it kept on that order. A stream that was told to shut it out counts as one that brought it, so it is let back with its first line when it returns. Servers gone also counted in how many there are to be judged against chance, which they no longer do.

Three tests: 196 servers replaced one after the other (known: 11 at the most), the front on sockets, and the stream that is told to let back what was forgotten.

--- a/crates/rookpulley-assigner/src/driver.rs
+++ b/crates/rookpulley-assigner/src/driver.rs
@@ -255,6 +255,13 @@
                         peers.send(to, &bytes, &self.front);
                     }
                 }
+                // Lifted for good: no list, table or proxy of ours names it any more.
+                Effect::Withdraw { server, out: false } if !self.controller.knows(&server) => {
+                    self.names.remove(&server);
+                    self.shown.remove(&rookpulley::state::show(server));
+                    self.orders.forget(&server);
+                    self.front.counters.one("servers forgotten");
+                }
                 Effect::Watch { on } => self.roster.set_watch(on),
                 Effect::Fetch => self.roster.fetch(),
                 // On sockets there is no way to probe.
--- a/crates/rookpulley-assigner/src/orders.rs
+++ b/crates/rookpulley-assigner/src/orders.rs
@@ -13,7 +13,7 @@
 /// So many marks wait for a stream's answer at most; of one that answers none the oldest are given up.
 const MARKS_MOST: usize = 256;
 
-/// The names of all servers that were ever listed.
+/// The names of the servers that orders may name.
 pub type Names = BTreeMap<ServerId, String>;
 
 #[derive(Default)]
@@ -138,6 +138,15 @@
         at.is_some_and(|at| stream.marks.drain(..=at).len() > 0)
     }
 
+    /// No order names this server any more. A stream that was told to shut it out may still do so.
+    pub fn forget(&mut self, server: &ServerId) {
+        self.shut.remove(server);
+        self.tables.values_mut().for_each(|table| _ = table.lines.remove(server));
+        for stream in self.streams.values_mut() {
+            stream.brought |= stream.shut.remove(server) == Some(true);
+        }
+    }
+
     /// The level that a kind has at a proxy: of two the lower, and the table's own way of retrying.
     fn level_of(&self, proxy: ProxyId, kind: KindId) -> Option<Level> {
         let stream = self.streams.get(&proxy)?;
--- a/crates/rookpulley-assigner/tests/orders.rs
+++ b/crates/rookpulley-assigner/tests/orders.rs
@@ -96,6 +96,19 @@
     assert_eq!((proxy.tables[0].len(), written.lines), (12_000, 12_000 + 2));
 }
 
+#[test]
+fn what_was_shut_out_is_let_back_also_after_it_was_forgotten() {
+    let mut orders = orders();
+    orders.join(0, true);
+    orders.carry_out(&[line(0, 0, 1.0), line(0, 1, 1.0), bind(0, 0, 0)], &names());
+    orders.carry_out(&[withdraw(1, true), line(0, 1, 0.0)], &names());
+    orders.carry_out(&[withdraw(1, false)], &names());
+    orders.forget(&server_id(&name(1)));
+    let written = orders.carry_out(&[line(0, 1, 0.5)], &names());
+    let text = String::from_utf8(written[0].bytes.clone()).unwrap();
+    assert!(text.contains(r#""back":["s-1"]"#), "{text}");
+}
+
 /// A proxy as the protocol has it.
 #[derive(Clone, Default)]
 struct Proxy {
--- a/crates/rookpulley-assigner/tests/sockets.rs
+++ b/crates/rookpulley-assigner/tests/sockets.rs
@@ -694,6 +694,23 @@
     });
 }
 
+#[test]
+fn a_server_long_gone_is_forgotten_and_let_back_when_it_returns() {
+    with_assigner(|running, agent| async move {
+        let mut proxy = Wire::join(running.place, 0, true).await;
+        proxy.table().await;
+        agent.say(8, false, &[server(3, "DELETED", 0.0)]);
+        proxy.until("s-3 shut out", names("s-3")).await;
+        running.counted("servers forgotten", 1).await;
+        let mut collector = Wire::dial(running.place).await;
+        let heard = r#"{"msg":"upstream_stats","zone":"a","server":"s-3","tries":1,"failed":1,"span_ms":1}"#;
+        collector.say(&[COLLECTOR, heard].join("\n")).await;
+        running.counted("bad input: unknown server", 1).await;
+        agent.say(9, false, &[server(3, "SERVING", 0.0)]);
+        proxy.until("s-3 back", |m| m["back"].to_string().contains("s-3")).await;
+    });
+}
+
 #[test]
 fn an_absent_agent_is_dialled_until_it_is_there() {
     on_sockets(async {
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -1,12 +1,11 @@
 //! The decisions of rookpulley, all of them.
 //!
-//! A front hands `Controller::new` what a start brings (`facts::Start`), then calls
-//! `Controller::handle` with the clock and what came in (`facts::Input`); the answer is the list of
-//! orders (`facts::Effect`), to be carried out in that order at that time. A killed controller
-//! starts over from its list alone. The interface is `facts.rs`; `ring.rs` keeps sums over time.
+//! A front hands `Controller::new` what a start brings, then calls `Controller::handle` with the clock and
+//! what came in; the answer is the list of orders, to be carried out in that order at that time. A killed
+//! controller starts over from its list alone. The interface is `facts.rs`; `ring.rs` keeps sums over time.
 //!
-//! Parts, in order: list & health, demand, arcs, revisions, ramp, channel pacing, retries &
-//! levels, and the controller with the gate that every order passes.
+//! Parts, in order: list & health, demand, arcs, revisions, ramp, channel pacing, retries & levels, and the
+//! controller with the gate that every order passes.
 
 use crate::facts::*;
 use crate::ring::Buckets;
@@ -47,9 +46,8 @@
 const HEALTH_SPAN_MS: f64 = 3_000.0;
 const HOLD_MS: f64 = 5_000.0;
 const HOLD_MOST_MS: f64 = 20_000.0;
-/// A server fails when over this share of its tries is bad, and so much more than the fleet's usual
-/// that chance would hardly show it at any one of so many servers. Fixed counts of tries struck
-/// sound servers by the hundred in a jam, and that moved their load on to the next.
+/// A server fails when over this share of its tries is bad, and so much more than the fleet's usual that
+/// chance would hardly show it at any one of so many. Fixed counts struck sound servers in a jam.
 const FAIL_SHARE: f64 = 0.5;
 const FAIL_TRIES: f64 = 4.0;
 const FAIL_FACTOR: f64 = 1.5;
@@ -58,16 +56,15 @@
 const DEAD_SHARE: f64 = 0.9;
 /// It strains when good answers take so many times the fleet's median, and this of the target.
 const STRAIN_RATIO: f64 = 1.6;
-/// In a jam it takes more: trims rove through a full fleet as strikes do.
+/// In a jam it takes more, lest trims rove through a full fleet.
 const STRAIN_IN_JAM: f64 = 3.0;
 const STRAIN_PART: f64 = 0.5;
 const STRAIN_TRIES: f64 = 8.0;
 const TRIM_TO: f64 = 0.75;
 
 impl Fleet {
-    /// Where a list that merely drops a server doesn't bind (`soft`), such a one stays while it
-    /// gives good answers. Guards against lists that are wrong for a while. Harm: one that is gone
-    /// for good is sent to until its failures are heard.
+    /// Where a list that merely drops a server doesn't bind (`soft`), such a one stays while it gives good
+    /// answers. Guards against wrong lists. Harm: one gone for good is sent to until it is heard to fail.
     fn take_list(&mut self, now: f64, scope: ListScope, lines: &[Listed], soft: bool, log: &mut Log) {
         let named: BTreeSet<ServerId> = lines.iter().map(|l| l.server).collect();
         let whole = matches!(scope, ListScope::Full | ListScope::Cached);
@@ -158,13 +155,13 @@
             let cue = match server.phase {
                 Phase::Struck if age >= server.hold_ms => Cue::HoldEnds,
                 Phase::Ramping if now - server.ramp_from_ms >= RAMP_MS => Cue::RampEnds,
-                // Guards against whatever leaves good answers out: crashed, hung, cut off, silent,
-                // faking errors. Harm: where all fail for reasons of their own, none is struck.
+                // Guards against whatever leaves good answers out: crashed, hung, cut off, silent, faking
+                // errors. Harm: where all fail for reasons of their own, none is struck.
                 _ if used && met.tries >= FAIL_TRIES && failing(&met) => {
                     if server.listed.stage == Stage::Gone { Cue::Departs } else { Cue::Fails }
                 }
-                // Guards against servers slower than listed: slow machines, neighbours, a queue that
-                // stands. Harm: a chance run of costly reqs costs a sound one a part for a while.
+                // Guards against servers slower than listed: slow machines, neighbours, a queue that stands.
+                // Harm: a chance run of costly reqs costs a sound one a part for a while.
                 _ if used && age >= long && good.good() >= STRAIN_TRIES && good.mean_ms() > strain_ms => {
                     Cue::Strains
                 }
@@ -183,7 +180,7 @@
 const ZONE_OFF: f64 = 0.2;
 const USAGE_SPAN_MS: f64 = 8_000.0;
 const LEVEL_SPAN_MS: f64 = 4_000.0;
-/// A proxy that nobody has named for this long brings nothing any more.
+/// A proxy that nobody has named for this long brings nothing any more; a server that is gone does nothing.
 const FORGET_MS: f64 = 10_000.0;
 const NAMED_EVERY_MS: f64 = 3_000.0;
 
@@ -251,9 +248,9 @@
 
 // ---- Arcs ---------------------------------------------------------------------------------
 
-/// A mean proxy's arc reaches over as many servers of its ring as spread it so that laying it loads
-/// none by over this part of its share; but so that all proxies together leave servers most of the
-/// connections they accept, and one controller's proxies can be written anew in a part of its queue.
+/// A mean proxy's arc reaches over as many servers as spread it so that laying it loads none by over this
+/// part of its share; but all proxies together leave servers most of the connections they accept, and one
+/// controller's proxies can be written anew in a part of its queue.
 const LAID_PART: f64 = 0.05;
 const CONNS_PART: f64 = 0.3;
 const WRITE_PART: f64 = 0.2;
@@ -267,8 +264,8 @@
     (x * STEPS).round() / STEPS
 }
 
-/// Says which part of a zone's demand goes to which zone: home as far as the room there reaches,
-/// the rest to where room is left. `demand` and `room` are shares of the whole.
+/// Says which part of a zone's demand goes to which zone: home as far as the room there reaches, the rest to
+/// where room is left. `demand` and `room` are shares of the whole.
 fn flows_of(zone: ZoneId, demand: &Shares, room: &Shares, slack: f64) -> Shares {
     let room_of = |z: &ZoneId| room.get(z).copied().unwrap_or(0.0) * (1.0 + slack);
     let wanted = |z: &ZoneId| demand.get(z).copied().unwrap_or(0.0);
@@ -321,8 +318,8 @@
 const TAINT_SHARE: f64 = 0.05;
 const TAINT_TRIES: f64 = 20.0;
 
-/// State, input, next state, effect. Lines proposed anew clear their taint; a taint rolls back,
-/// since the newest sound revision is the one published.
+/// State, input, next state, effect. Lines proposed anew clear their taint; a taint rolls back, since the
+/// newest sound revision is the one published.
 const REVISIONS: &[(Standing, Verdict, Standing, Filing)] = &[
     (Standing::Unknown, Verdict::Proposed, Standing::Sound, Filing::Append),
     (Standing::Sound, Verdict::Proposed, Standing::Sound, Filing::MoveNewest),
@@ -364,9 +361,8 @@
         sound.or(self.revisions.last())
     }
 
-    /// Taints the published revision when tries fail at its servers after the push. Failures at
-    /// servers that are struck don't count: those are out of the lines already, and one bad server
-    /// would taint every revision that names it.
+    /// Taints the published revision when tries fail at its servers after the push. Failures at servers that
+    /// are struck don't count: one bad server would taint every revision that names it.
     fn judge(&mut self, now: f64, period_ms: f64, zone: ZoneId, fleet: &mut Fleet) -> Option<String> {
         let trial = self.trial.take_if(|t| now >= t.from_ms + period_ms + TAINT_SPAN_MS)?;
         let met = fleet.met_on(now, zone, &self.held, TAINT_SPAN_MS);
@@ -399,8 +395,8 @@
     let Phase::Ramping = server.phase else {
         return if server.phase == Phase::Warm { 1.0 } else { 0.0 };
     };
-    // In a jam proxies keep away from servers that fail them and crowd whichever is left, whatever
-    // its weight: that pushed cold servers over. Harm: a zone that returns cold is used later.
+    // In a jam proxies crowd whichever server does not fail them, whatever its weight: that pushed cold ones
+    // over. Harm: a zone that returns cold is used later.
     let age = now - server.listed.started_ms;
     let sure = bounds.cold_share + (1.0 - bounds.cold_share) * (age / bounds.cold_ms).clamp(0.0, 1.0);
     if sure < 1.0 && sure * bounds.fall_multiple < sure_multiple {
@@ -412,11 +408,10 @@
 
 // ---- Channel pacing -----------------------------------------------------------------------
 
-/// How much of the limits may be used up by deltas, and by tables for proxies that have none.
+/// How much of the limits deltas may use up, and tables for proxies that have none.
 const DELTAS_PART: f64 = 0.5;
 const BARE_PART: f64 = 0.8;
-/// Answers show what has left the channel; between them it is taken to do this part of its stated
-/// pace, and far less while one is overdue. Guards against a channel that runs slow for a while.
+/// Answers show what has left the channel; till then it is taken to run slow, more so while one is late.
 const SLOW_PART: f64 = 0.25;
 const OVERDUE_PART: f64 = 0.05;
 const OVERDUE: f64 = 2.0;
@@ -504,9 +499,8 @@
         self.allowed_per_s = match row.3 {
             Valve::Cut => (CUT_TO * done_per_s.min(came)).max(CUT_LEAST * self.able_per_s),
             Valve::Lower => CUT_TO * (self.allowed_per_s + done_per_s) / 2.0,
-            // What is allowed runs away from what is done where it binds nothing; but where tries
-            // are refused, what is done tells nothing of the room.
-            // What was done well before tells it sooner: a jam leaves little done, then much room.
+            // What is allowed runs away from what is done where it binds nothing; but where tries are
+            // refused, what is done tells nothing of the room. What was done well before tells it sooner.
             Valve::Raise => {
                 let raised = raise * self.allowed_per_s.min(SLACK_OVER * done_per_s);
                 self.allowed_per_s.max(raised).max((self.allowed_per_s + self.able_per_s) / 2.0)
@@ -515,8 +509,8 @@
             Valve::Narrow | Valve::Widen => self.allowed_per_s,
             Valve::Release => EVERYTHING,
         };
-        // Guards against idle servers that refuse connections: the fewer a proxy uses, the more of
-        // its connections stand. Harm: after a loss not struck yet arcs are less even for a while.
+        // Guards against idle servers that refuse connections: of the fewer a proxy uses, more stand ready.
+        // Harm: after a loss not struck yet arcs are less even for a while.
         let reach_was = self.reach;
         self.reach = match row.3 {
             Valve::Narrow => (self.reach / 2.0).max(REACH_LEAST),
@@ -643,18 +637,16 @@
                 self.log.extend(table.judge(now, self.means.report_period_ms, p.zone, &mut self.fleet));
             }
             self.step_valves(now);
-            // Notes name each of our proxies well before it is forgotten: peers that knew only the
-            // heaviest misjudged the zones.
-            let joined = self.demand.proxies.values().filter(|p| p.joined).count() as f64;
-            out.extend(self.notes((joined * ROUND_MS / NAMED_EVERY_MS).ceil() as usize));
+            self.forget(now);
+            // Notes name each of our proxies well before it is forgotten, not only the heaviest.
+            out.extend(self.notes(ROUND_MS / NAMED_EVERY_MS));
         }
         if self.hasty && now < self.beat_ms && !std::mem::replace(&mut self.beat_set, true) {
             out.push(Effect::Alarm { in_ms: self.beat_ms - now, name: BEAT });
         }
         if round || (self.hasty && now >= self.beat_ms) {
             (self.hasty, self.beat_set, self.beat_ms) = (false, false, now + BEAT_MS);
-            // Whether the fleet jams is not known to a controller that has just started or hears
-            // little: such ones pushed cold servers over that their peers held back.
+            // One just started, or that hears little, knows of no jam: such ones pushed cold servers over.
             let sure = match self.valves.mode {
                 Mode::Open if now >= self.valves.stepped_ms => 0.0,
                 Mode::Tight if !self.valves.lanes => SURE_IN_JAM,
@@ -725,6 +717,22 @@
         }
     }
 
+    /// Drops the servers that are long gone, once no joined proxy can hold them. Their withdrawals are
+    /// lifted, so that one that comes back under its id is as good as any new one.
+    fn forget(&mut self, now: f64) {
+        let joined: Vec<_> = self.demand.proxies.iter().filter(|(_, p)| p.joined).map(|p| *p.0).collect();
+        let gone = |s: &Server| s.phase == Phase::Leaving && s.listed.stage == Stage::Gone;
+        let old = self.fleet.servers.iter().filter(|(_, s)| gone(s) && now - s.since_ms >= FORGET_MS);
+        let free = old.filter(|(id, _)| !joined.iter().any(|proxy| self.holds(*proxy, id)));
+        for id in free.map(|(id, _)| *id).collect::<Vec<_>>() {
+            self.fleet.servers.remove(&id);
+            self.fleet.withdrawals.insert(id, false);
+        }
+        let Fleet { servers, heard, held, .. } = &mut self.fleet;
+        heard.retain(|(id, _), _| servers.contains_key(id));
+        held.retain(|id, _| servers.contains_key(id));
+    }
+
     fn step_valves(&mut self, now: f64) {
         let used = self.fleet.servers.iter().filter(|(_, s)| s.part > 0.0).map(|(id, _)| *id);
         let (mut met, mut held, mut means) = (Met::default(), 0.0, Vec::new());
@@ -741,8 +749,7 @@
         let eased = self.valves.levels != Levels::Ignored;
         let late = quantile(means, if eased { CALM_FLEET } else { CALM_FLEET_UNEASED });
         met.time_ms = late.unwrap_or(met.mean_ms()) * met.good();
-        // What may be let in goes with the proxies: a peer's death brings its proxies and its share.
-        // What can be done well goes with the servers, too.
+        // What may be let in goes with the proxies joined; what can be done well goes with the servers, too.
         let sized: f64 = self.demand.proxies.values().filter(|p| p.joined).map(|p| p.sized_per_s).sum();
         let live: f64 = self.fleet.servers.values().map(|s| s.part * s.listed.weight).sum();
         if sized > 0.0 && live > 0.0 {
@@ -759,11 +766,9 @@
         self.log.extend(self.valves.step(now, met, held_ms, target_ms, came_per_s));
     }
 
-    /// The levels and retry modes that all proxies are to have: what is let in goes to the kinds
-    /// of the most value first.
+    /// The levels and retry modes for all proxies: what is let in goes to the kinds of the most value first.
     fn admits(&mut self, now: f64) -> Vec<(u16, f64, Retry)> {
-        // Always on proof that the first try never ran: no effect happens twice, and a try cut off
-        // goes on running, so repeating it adds load. In a jam the next server is as full.
+        // On proof that the first try never ran: one cut off goes on running. In a jam the next is as full.
         let retry = if self.valves.mode == Mode::Open { Retry::IfUnrun } else { Retry::Never };
         if self.valves.mode == Mode::Open || self.valves.levels == Levels::Ignored {
             return vec![(mask_of(0..self.kinds.len()), EVERYTHING, retry)];
@@ -870,8 +875,7 @@
         }
     }
 
-    /// The lines a table is to hold: the published revision's, less what is shut or struck, and
-    /// never above what a server may have now (an older revision knows nothing of a restart).
+    /// The published revision's lines, less what is shut or struck, none above what a server may have now.
     fn lines_of(&self, table: &Table, group: &KindGroup, zone: ZoneId) -> Lines {
         let mut lines = Lines::new();
         for (id, weight) in table.newest().into_iter().flat_map(|r| &r.lines) {
@@ -889,8 +893,8 @@
         lines
     }
 
-    /// Every order passes here: withdrawals first, then levels, then proxies without our tables,
-    /// then deltas; the last two only as far as the channel's and the proxies' limits reach.
+    /// Every order passes here: withdrawals, then levels, then proxies without our tables, then deltas; the
+    /// last two only as far as the channel's and the proxies' limits reach.
     fn gate(&mut self, now: f64, out: &mut Vec<Effect>) {
         self.channel.pass_time(now, self.pace.lines_per_s, self.pace.transit_most_ms);
         let joined: Vec<_> =
@@ -909,12 +913,9 @@
         let head = self.pace.head_lines + 1.0;
         let mut reached = Reached::new();
         for id in joined.iter().filter(|_| !orders.is_empty()) {
-            let held =
-                |o: &&Effect| !matches!(o, Effect::Withdraw { server, .. } if !self.holds(*id, server));
+            let held = |o: &&Effect| matches!(o, Effect::Withdraw { server, .. } if self.holds(*id, server));
             let lines = orders.iter().filter(held).count() as f64;
-            if lines > 0.0 {
-                reached.insert(*id, head + lines);
-            }
+            _ = (lines > 0.0).then(|| reached.insert(*id, head + lines));
         }
         // Levels go to everybody: where the queue has no room for that, they wait.
         let admits = self.admits(now);
--- a/src/state.rs
+++ b/src/state.rs
@@ -344,17 +344,22 @@
 }
 
 impl Controller {
-    /// Names at least so many of the joined proxies to the peers, those next whose turn it is.
-    pub(crate) fn notes(&mut self, count: usize) -> Vec<Effect> {
+    /// Names this part of the joined proxies to the peers at least, those next whose turn it is.
+    pub(crate) fn notes(&mut self, part: f64) -> Vec<Effect> {
         let joined = self.demand.proxies.iter().filter(|(_, p)| p.joined && self.means.peers);
         let mut own: Vec<NoteLine> = joined.map(|(id, p)| (*id, p.zone, p.met_per_s)).collect();
-        let count = count.max(NOTE_LINES).min(own.len());
+        let count = ((own.len() as f64 * part).ceil() as usize).max(NOTE_LINES).min(own.len());
         let first = self.noted % own.len().max(1);
         own.rotate_left(first);
         self.noted += count;
         own[..count].chunks(NOTE_LINES).map(|c| Effect::Note { to: None, bytes: write_note(c) }).collect()
     }
 
+    /// Whether an order can still name this server.
+    pub fn knows(&self, server: &ServerId) -> bool {
+        self.fleet.servers.contains_key(server)
+    }
+
     /// Whether a proxy holds this server; what it holds that is not of our tables is not known.
     pub(crate) fn holds(&self, proxy: ProxyId, server: &ServerId) -> bool {
         let tables = self.tables.range((proxy, 0)..=(proxy, usize::MAX)).map(|(_, table)| table);
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -81,6 +81,26 @@
     assert_snapshot!(desk.trace);
 }
 
+#[test]
+fn servers_long_gone_are_dropped_and_what_is_known_levels_off() {
+    let mut desk = settled(start());
+    desk.change(4, Stage::Gone, 0.0);
+    desk.pass(9_000.0, |d| d.answer());
+    assert_eq!(desk.known(), [1, 2, 3, 4], "a proxy may be late");
+    desk.pass(2_000.0, |d| d.answer());
+    assert_eq!(desk.known(), [1, 2, 3]);
+    desk.note("back under its id: it is used as a new one is");
+    desk.change(4, Stage::Ready, 0.0);
+    desk.pass(1_000.0, |d| d.answer());
+    assert_snapshot!(desk.trace);
+    for n in 5..=200 {
+        desk.change(n, Stage::Ready, 0.0);
+        desk.change(n - 4, Stage::Gone, 0.0);
+        desk.pass(2_000.0, |d| d.answer());
+        assert!(desk.known().len() <= 4 + 7, "{:?}", desk.known());
+    }
+}
+
 #[test]
 fn failing_server_is_struck_and_tried_again() {
     let mut desk = settled(start());
--- a/tests/desk/mod.rs
+++ b/tests/desk/mod.rs
@@ -166,6 +166,10 @@
         self.give(vec![Input::Usage { proxy, kind, came, bad: 0.0, span_ms: 1_000.0 }]);
     }
 
+    pub fn known(&self) -> Vec<u8> {
+        (1..=u8::MAX).filter(|n| self.controller.knows(&server(*n))).collect()
+    }
+
     pub fn now(&self) -> f64 {
         self.now
     }
