Reports of before a start are not held against a restarted server

Ruled out: wrong load reports, lost streams, a want of CPU. At fault: Fleet::turn, where Enter kept what was heard, and take, which believed what came just after.

Harm: a restart that fails at once shows up to 3 s later.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -110,7 +110,10 @@
             return false;
         };
         match turn {
-            Turn::Enter => server.ramp_from_ms = server.listed.started_ms,
+            Turn::Enter => {
+                server.ramp_from_ms = server.listed.started_ms;
+                self.heard.retain(|(at, _), _| *at != id);
+            }
             Turn::Reenter => server.ramp_from_ms = now,
             Turn::Trim => {
                 let grown = (server.part * TRIM_TO - ENTRY_PART).max(0.0) / (1.0 - ENTRY_PART);
@@ -155,13 +158,11 @@
             let cue = match server.phase {
                 Phase::Struck if age >= server.hold_ms => Cue::HoldEnds,
                 Phase::Ramping if now - server.ramp_from_ms >= RAMP_MS => Cue::RampEnds,
-                // Guards against whatever leaves good answers out: crashed, hung, cut off, silent, faking
-                // errors. Harm: where all fail for reasons of their own, none is struck.
+                // Against what is crashed, hung, cut off or fakes errors. Harm: where all fail, none is.
                 _ if used && met.tries >= FAIL_TRIES && failing(&met) => {
                     if server.listed.stage == Stage::Gone { Cue::Departs } else { Cue::Fails }
                 }
-                // Guards against servers slower than listed: slow machines, neighbours, a queue that stands.
-                // Harm: a chance run of costly reqs costs a sound one a part for a while.
+                // Against slow machines, neighbours, standing queues. Harm: dear reqs cost a sound one.
                 _ if used && age >= long && good.good() >= STRAIN_TRIES && good.mean_ms() > strain_ms => {
                     Cue::Strains
                 }
@@ -264,8 +265,7 @@
     (x * STEPS).round() / STEPS
 }
 
-/// Says which part of a zone's demand goes to which zone: home as far as the room there reaches, the rest to
-/// where room is left. `demand` and `room` are shares of the whole.
+/// Says which part of a zone's demand goes where: home first, the rest by room. All are shares of the whole.
 fn flows_of(zone: ZoneId, demand: &Shares, room: &Shares, slack: f64) -> Shares {
     let room_of = |z: &ZoneId| room.get(z).copied().unwrap_or(0.0) * (1.0 + slack);
     let wanted = |z: &ZoneId| demand.get(z).copied().unwrap_or(0.0);
@@ -318,8 +318,7 @@
 const TAINT_SHARE: f64 = 0.05;
 const TAINT_TRIES: f64 = 20.0;
 
-/// State, input, next state, effect. Lines proposed anew clear their taint; a taint rolls back, since the
-/// newest sound revision is the one published.
+/// State, input, next state, effect. A taint rolls back: the newest sound revision is the one published.
 const REVISIONS: &[(Standing, Verdict, Standing, Filing)] = &[
     (Standing::Unknown, Verdict::Proposed, Standing::Sound, Filing::Append),
     (Standing::Sound, Verdict::Proposed, Standing::Sound, Filing::MoveNewest),
@@ -395,8 +394,7 @@
     let Phase::Ramping = server.phase else {
         return if server.phase == Phase::Warm { 1.0 } else { 0.0 };
     };
-    // In a jam proxies crowd whichever server does not fail them, whatever its weight: that pushed cold ones
-    // over. Harm: a zone that returns cold is used later.
+    // In a jam proxies crowd whichever server does not fail them. Harm: a cold zone is used later.
     let age = now - server.listed.started_ms;
     let sure = bounds.cold_share + (1.0 - bounds.cold_share) * (age / bounds.cold_ms).clamp(0.0, 1.0);
     if sure < 1.0 && sure * bounds.fall_multiple < sure_multiple {
@@ -499,8 +497,7 @@
         self.allowed_per_s = match row.3 {
             Valve::Cut => (CUT_TO * done_per_s.min(came)).max(CUT_LEAST * self.able_per_s),
             Valve::Lower => CUT_TO * (self.allowed_per_s + done_per_s) / 2.0,
-            // What is allowed runs away from what is done where it binds nothing; but where tries are
-            // refused, what is done tells nothing of the room. What was done well before tells it sooner.
+            // What is allowed runs away from what is done where it binds nothing.
             Valve::Raise => {
                 let raised = raise * self.allowed_per_s.min(SLACK_OVER * done_per_s);
                 self.allowed_per_s.max(raised).max((self.allowed_per_s + self.able_per_s) / 2.0)
@@ -509,8 +506,7 @@
             Valve::Narrow | Valve::Widen => self.allowed_per_s,
             Valve::Release => EVERYTHING,
         };
-        // Guards against idle servers that refuse connections: of the fewer a proxy uses, more stand ready.
-        // Harm: after a loss not struck yet arcs are less even for a while.
+        // Against idle servers that refuse connections. Harm: after a loss arcs are less even for a while.
         let reach_was = self.reach;
         self.reach = match row.3 {
             Valve::Narrow => (self.reach / 2.0).max(REACH_LEAST),
@@ -699,6 +695,8 @@
                     }
                 }
             }
+            // Reports come late: this one tells of before the start. Harm: a restart that fails shows later.
+            Input::Heard { server, .. } if now < self.fleet.started_ms(server) + HEALTH_SPAN_MS => {}
             Input::Heard { zone, server, tries, bad, mean_ms, load, .. } => {
                 if let Some(held) = self.held_at.and_then(|at| load.get(at)) {
                     self.fleet.held.insert(*server, *held);
@@ -720,7 +718,7 @@
     /// Drops the servers that are long gone, once no joined proxy can hold them. Their withdrawals are
     /// lifted, so that one that comes back under its id is as good as any new one.
     fn forget(&mut self, now: f64) {
-        let joined: Vec<_> = self.demand.proxies.iter().filter(|(_, p)| p.joined).map(|p| *p.0).collect();
+        let joined = self.demand.joined();
         let gone = |s: &Server| s.phase == Phase::Leaving && s.listed.stage == Stage::Gone;
         let old = self.fleet.servers.iter().filter(|(_, s)| gone(s) && now - s.since_ms >= FORGET_MS);
         let free = old.filter(|(id, _)| !joined.iter().any(|proxy| self.holds(*proxy, id)));
@@ -893,12 +891,10 @@
         lines
     }
 
-    /// Every order passes here: withdrawals, then levels, then proxies without our tables, then deltas; the
-    /// last two only as far as the channel's and the proxies' limits reach.
+    /// Every order passes here: withdrawals, levels, and as far as limits reach bare proxies, then deltas.
     fn gate(&mut self, now: f64, out: &mut Vec<Effect>) {
         self.channel.pass_time(now, self.pace.lines_per_s, self.pace.transit_most_ms);
-        let joined: Vec<_> =
-            self.demand.proxies.iter().filter(|(_, p)| p.joined).map(|(id, _)| *id).collect();
+        let joined = self.demand.joined();
         if joined.is_empty() {
             self.channel.left = self.channel.written;
         }
--- a/src/state.rs
+++ b/src/state.rs
@@ -381,6 +381,11 @@
         })
     }
 
+    /// When a server last started, as the list says; 0: long ago, or not listed.
+    pub fn started_ms(&self, id: &ServerId) -> f64 {
+        self.servers.get(id).map_or(0.0, |s| s.listed.started_ms)
+    }
+
     pub fn hear(&mut self, now: f64, at: (ServerId, ZoneId), what: [f64; 3]) {
         self.heard.entry(at).or_insert_with(|| Buckets::new(500.0, 24)).add(now, what);
     }
@@ -408,6 +413,10 @@
 }
 
 impl Demand {
+    pub fn joined(&self) -> Vec<ProxyId> {
+        self.proxies.iter().filter(|(_, p)| p.joined).map(|(id, _)| *id).collect()
+    }
+
     /// What a peer says of proxies that are not joined here.
     pub fn take_note(&mut self, now: f64, bytes: &[u8]) {
         for (id, zone, per_s) in read_note(bytes) {
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -81,6 +81,27 @@
     assert_snapshot!(desk.trace);
 }
 
+#[test]
+fn what_was_met_before_a_start_is_not_held_against_a_server() {
+    let mut desk = settled(start());
+    let bad_at_s4 = |d: &mut Desk| {
+        d.answer();
+        (1..=3).for_each(|n| d.hear(n, 10.0, 0.0, 100.0));
+        d.hear(4, 8.0, 8.0, 0.0);
+    };
+    desk.pass(9_000.0, calm);
+    desk.pass(1_000.0, bad_at_s4);
+    let started = desk.now();
+    desk.change(4, Stage::Ready, started);
+    // Reports that were on their way.
+    desk.pass(2_900.0, bad_at_s4);
+    desk.pass(3_000.0, calm);
+    assert!(!desk.trace.contains("Fails"), "{}", desk.trace);
+    // What is told later on counts.
+    desk.pass(4_000.0, bad_at_s4);
+    assert!(desk.trace.contains("Ramping -> Struck on Fails"), "{}", desk.trace);
+}
+
 #[test]
 fn servers_long_gone_are_dropped_and_what_is_known_levels_off() {
     let mut desk = settled(start());
