A few full servers are no jam: each queue counts up to twice what two thirds stay under

In a jam strikes need 0.9 of the tries bad, nothing is tried again and kinds get lanes, so the slow servers kept their load and the sound ones lost room.

At fault: Controller::step_valves, which summed the reported queues: two queues of twenty passed for a jam of thirty servers. The time of answers was read off the usual server already, the queues were not. Ruled out: the watch that moves (every change came at both assigners), lost usage, restarts (the jam is seen before them).

Now each queue counts up to twice what two thirds of the servers stay under. Harm: a jam of less than a third of the fleet is not eased by levels; that part is trimmed and struck.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -733,17 +733,19 @@
 
     fn step_valves(&mut self, now: f64) {
         let used = self.fleet.servers.iter().filter(|(_, s)| s.part > 0.0).map(|(id, _)| *id);
-        let (mut met, mut held, mut means) = (Met::default(), 0.0, Vec::new());
+        let (mut met, mut held, mut means) = (Met::default(), Vec::new(), Vec::new());
         for id in used.collect::<Vec<_>>() {
             let at = self.fleet.met_at(now, id, JAM_SPAN_MS);
             if at.bad_share() <= DEAD_SHARE {
                 met = met.with([at.tries, at.bad, at.time_ms]);
                 means.extend((at.good() >= 3.0).then(|| at.mean_ms()));
-                held += self.fleet.held.get(&id).filter(|_| at.tries > 0.0).unwrap_or(&0.0);
+                held.push(self.fleet.held.get(&id).filter(|_| at.tries > 0.0).copied().unwrap_or(0.0));
             }
         }
         let came_per_s = self.demand.came.over(now, LEVEL_SPAN_MS).iter().sum::<f64>() / LEVEL_SPAN_MS * 1e3;
-        // A lesser part of the fleet that is slow is no jam: that part is trimmed instead.
+        // A lesser part of the fleet that is slow, or full, is no jam: that part is trimmed instead.
+        let most = 2.0 * quantile(held.clone(), CALM_FLEET).unwrap_or(0.0);
+        let held: f64 = held.iter().map(|h| h.min(most)).sum();
         let eased = self.valves.levels != Levels::Ignored;
         let late = quantile(means, if eased { CALM_FLEET } else { CALM_FLEET_UNEASED });
         met.time_ms = late.unwrap_or(met.mean_ms()) * met.good();
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -437,6 +437,27 @@
     assert_snapshot!(only(&desk.trace, "log"));
 }
 
+#[test]
+fn a_few_full_servers_are_no_jam_and_many_are() {
+    let mut queues = start();
+    queues.load_fields = vec![LoadField::Queue];
+    let mut desk = Desk::new(queues, (1..=10).map(|n| listed(n, 0)).collect());
+    desk.join(0, 0);
+    let full = |d: &mut Desk, servers: u8| {
+        d.answer();
+        d.usage(0, 0, 100.0);
+        for n in 1..=10 {
+            let (zone, server, load) = (0, server(n), vec![if n <= servers { 60.0 } else { 1.0 }]);
+            let (tries, bad, mean_ms, span_ms) = (10.0, 0.0, 100.0, 1_000.0);
+            d.give(vec![Input::Heard { zone, server, tries, bad, mean_ms, span_ms, load }]);
+        }
+    };
+    desk.pass(12_000.0, |d| full(d, 3));
+    assert!(!desk.trace.contains("Tight"), "{}", desk.trace);
+    desk.pass(4_000.0, |d| full(d, 6));
+    assert!(desk.trace.contains("levels Open -> Tight"), "{}", desk.trace);
+}
+
 #[test]
 fn nothing_more_goes_out_while_answers_are_overdue() {
     let mut slow = start();
