--- a/crates/rookpulley-assigner/src/streams.rs
+++ b/crates/rookpulley-assigner/src/streams.rs
@@ -156,7 +156,7 @@
     front.conns.leave(id, held.len());
     front.counters.one(ending.count());
     let role = conn.role.get();
-    if role > Role::Stranger || !matches!(ending, Ending::Closed | Ending::Crowded) {
+    if role > Role::Stranger || !matches!(ending, Ending::Closed | Ending::Crowded | Ending::NotJoined) {
         say!(front.log, "connection", "{role:?} {}", ending.count());
     }
     if let Role::Stream(proxy) = role {
