--- /dev/null
+++ b/crates/rookpulley-versions/src/book.rs
@@ -0,0 +1,152 @@
+//! History and ledger together: what an assigner asks of them, in the order in which it happens.
+//!
+//! The module decides a table's lines; the book names them, finds the shortest way for each dispatcher and
+//! says whom the module must write anew.
+
+use crate::delta::Update;
+use crate::history::{Bounds, History, NotKept};
+use crate::holder::Order;
+use crate::ledger::{Claim, Judged, Ledger, Patience};
+use crate::table::Table;
+use crate::version::{Issuer, Version};
+use crate::{DispatcherId, Kinds, TableId};
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+/// Those that left are shown for so long.
+const SHOWN_MS: f64 = 600_000.0;
+
+pub struct Book {
+    pub history: History,
+    pub ledger: Ledger,
+    patience: Patience,
+    /// What a dispatcher said at its joining, by request kinds, until its tables are known.
+    brought: BTreeMap<DispatcherId, BTreeMap<Kinds, Claim>>,
+    /// Which table a dispatcher has for which request kinds.
+    bound: BTreeMap<(DispatcherId, Kinds), TableId>,
+}
+
+impl Book {
+    pub fn new(issuer: Issuer, first: u64, bounds: Bounds, patience: Patience) -> Self {
+        let (brought, bound) = (BTreeMap::new(), BTreeMap::new());
+        Self {
+            history: History::new(issuer, first, bounds),
+            ledger: Ledger::default(),
+            patience,
+            brought,
+            bound,
+        }
+    }
+
+    /// Joins with what it says it holds; None: it says nothing of versions.
+    pub fn joins(&mut self, now: f64, dispatcher: DispatcherId, claims: Option<BTreeMap<Kinds, Claim>>) {
+        self.ledger.joins(now, dispatcher, claims.is_some(), &mut self.history);
+        self.ledger.forget(now - SHOWN_MS);
+        self.bound.retain(|(who, _), _| *who != dispatcher);
+        self.brought.remove(&dispatcher);
+        if let Some(claims) = claims.filter(|c| !c.is_empty()) {
+            self.brought.insert(dispatcher, claims);
+        }
+    }
+
+    pub fn leaves(&mut self, now: f64, dispatcher: DispatcherId) {
+        self.ledger.breaks(now, dispatcher, &mut self.history);
+        self.brought.remove(&dispatcher);
+    }
+
+    /// A table's lines as they stand now; a new version where they differ from its newest.
+    pub fn issue(&mut self, now: f64, id: TableId, table: Table) -> Option<Version> {
+        let issued = self.history.issue(now, id, table);
+        if issued.is_some() {
+            self.ledger.newer(now, id, &self.patience);
+        }
+        issued
+    }
+
+    /// Its table for these request kinds is this one: what it brought for them counts from now on.
+    pub fn binds(&mut self, now: f64, dispatcher: DispatcherId, kinds: Kinds, id: TableId) {
+        self.bound.insert((dispatcher, kinds), id);
+        let brought = self.brought.get_mut(&dispatcher).and_then(|b| b.remove(&kinds));
+        if let Some(claim) = brought {
+            self.ledger.brings(now, dispatcher, id, claim, &self.patience, &mut self.history);
+        }
+    }
+
+    pub fn table_for(&self, dispatcher: DispatcherId, kinds: Kinds) -> Option<TableId> {
+        self.bound.get(&(dispatcher, kinds)).copied()
+    }
+
+    pub fn speaks(&self, dispatcher: DispatcherId) -> bool {
+        self.ledger.entry(dispatcher).is_some_and(|e| e.joined && e.speaks)
+    }
+
+    /// The shortest way for a dispatcher to its table's newest version.
+    pub fn order(&self, dispatcher: DispatcherId, id: TableId) -> Option<Order> {
+        let newest = self.history.newest(id)?;
+        let base = self.ledger.base(dispatcher, id).and_then(|n| self.history.numbered(n));
+        let base: Option<&Table> = base.filter(|(of, _)| *of == id).map(|(_, i)| &*i.table);
+        Some(Order { version: newest.version.clone(), update: Update::to(base, &newest.table) })
+    }
+
+    /// One message was written: for these tables, with this mark.
+    pub fn wrote(&mut self, now: f64, dispatcher: DispatcherId, tables: &[TableId], mark: Option<u64>) {
+        let number = |id: &TableId| Some((*id, self.history.newest(*id)?.version.number));
+        let versions: Vec<_> = tables.iter().filter_map(number).collect();
+        self.ledger.told(now, dispatcher, &versions, mark, &self.patience, &mut self.history);
+    }
+
+    /// An answer to a mark, with what is held where that is said.
+    pub fn answers(
+        &mut self,
+        now: f64,
+        dispatcher: DispatcherId,
+        mark: u64,
+        claims: &BTreeMap<Kinds, Claim>,
+    ) {
+        if !self.speaks(dispatcher) {
+            return self.ledger.answers(now, dispatcher, mark, &self.patience, &mut self.history);
+        }
+        let table_for = |kinds: &Kinds| self.bound.get(&(dispatcher, *kinds)).copied();
+        let claims = claims.iter().filter_map(|(kinds, claim)| Some((table_for(kinds)?, claim.clone())));
+        let claims = claims.collect();
+        self.ledger.answers_with(now, dispatcher, mark, &claims, &self.patience, &mut self.history);
+    }
+
+    /// It refused an order and holds this.
+    pub fn refuses(&mut self, now: f64, dispatcher: DispatcherId, kinds: Kinds, claim: Option<Claim>) {
+        if let Some(id) = self.table_for(dispatcher, kinds) {
+            self.ledger.refuses(now, dispatcher, id, claim, &self.patience, &mut self.history);
+        }
+    }
+
+    /// Whom the module must write anew, by dispatcher and table.
+    pub fn due(&mut self, now: f64) -> Vec<(DispatcherId, TableId)> {
+        self.ledger.due(now, &self.patience)
+    }
+
+    /// The lines to go back to, by table: those of one version, or of all tables at its moment.
+    pub fn way_back(
+        &self,
+        version: &Version,
+        table: Option<TableId>,
+        all: bool,
+    ) -> Result<Vec<(TableId, Arc<Table>)>, NotKept> {
+        let (of, issued) = self.history.find(version)?;
+        if !all {
+            return match table {
+                Some(wanted) if wanted != of => {
+                    Err(NotKept::OtherTable { version: version.clone(), of, wanted })
+                }
+                _ => Ok(vec![(of, issued.table.clone())]),
+            };
+        }
+        let then = |id| Some((id, self.history.as_of(id, version.number)?.table.clone()));
+        Ok(self.history.tables().filter_map(then).collect())
+    }
+
+    /// Every joined dispatcher holds, and has proved, the newest version of each of its tables.
+    pub fn all_in_step(&self) -> bool {
+        let joined = self.ledger.entries().filter(|(_, e)| e.joined);
+        joined.flat_map(|(_, e)| e.tables()).all(|(_, held)| held.judged == Judged::InStep)
+    }
+}
--- /dev/null
+++ b/crates/rookpulley-versions/src/holder.rs
@@ -0,0 +1,106 @@
+//! The dispatcher's side of versions: one table, and what becomes of each order for it. Whatever comes, the
+//! table held is one that an assigner issued whole.
+
+use crate::delta::Update;
+use crate::table::{Digest, Table};
+use crate::version::Version;
+use std::sync::Arc;
+
+/// An order on a stream: brings the holder to this version.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Order {
+    pub version: Version,
+    pub update: Update,
+}
+
+/// What an order is, seen from what is held.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Seen {
+    /// It came on a stream that is no longer followed.
+    OldStream,
+    /// A newer order of this stream has been taken.
+    Overtaken,
+    /// It ends at the table held.
+    SameTable,
+    Whole,
+    /// A delta, or word that nothing changed, that starts from the table held.
+    Fits,
+    /// One that starts from another.
+    FitsNot,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    Applied,
+    /// The table is held already: only the version's name is taken.
+    Renamed,
+    PassedOver,
+    /// It is not applied, and the assigner is told what is held.
+    Refused,
+}
+
+/// What is seen, and what becomes of it.
+const HOLDING: &[(Seen, Verdict)] = &[
+    (Seen::OldStream, Verdict::PassedOver),
+    (Seen::Overtaken, Verdict::PassedOver),
+    (Seen::SameTable, Verdict::Renamed),
+    (Seen::Whole, Verdict::Applied),
+    (Seen::Fits, Verdict::Applied),
+    (Seen::FitsNot, Verdict::Refused),
+];
+
+#[derive(Clone, Debug, Default)]
+pub struct Holder {
+    stream: u64,
+    /// The newest version named on this stream.
+    newest: Option<u64>,
+    held: Option<(Version, Arc<Table>)>,
+}
+
+impl Holder {
+    /// A new stream is followed from now on; what is held stays.
+    pub fn follow(&mut self, stream: u64) {
+        (self.stream, self.newest) = (stream, None);
+    }
+
+    pub fn version(&self) -> Option<&Version> {
+        self.held.as_ref().map(|(version, _)| version)
+    }
+
+    pub fn table(&self) -> Option<&Arc<Table>> {
+        self.held.as_ref().map(|(_, table)| table)
+    }
+
+    pub fn digest(&self) -> Option<Digest> {
+        self.table().map(|t| t.digest())
+    }
+
+    /// Takes an order that came on this stream.
+    pub fn hear(&mut self, stream: u64, order: &Order) -> Verdict {
+        let held = self.table().cloned();
+        let mut next = None;
+        let seen = match &order.update {
+            _ if stream != self.stream => Seen::OldStream,
+            _ if self.newest.is_some_and(|n| order.version.number < n) => Seen::Overtaken,
+            update if held.as_ref().is_some_and(|t| t.digest() == update.digest()) => Seen::SameTable,
+            Update::Same(_) => Seen::FitsNot,
+            Update::Whole(table) => {
+                next = Some(table.clone());
+                Seen::Whole
+            }
+            Update::Delta(delta) => match held.as_ref().map(|t| delta.apply(t)) {
+                Some(Ok(table)) => {
+                    next = Some(Arc::new(table));
+                    Seen::Fits
+                }
+                _ => Seen::FitsNot,
+            },
+        };
+        let verdict = HOLDING.iter().find(|row| row.0 == seen).map_or(Verdict::Refused, |row| row.1);
+        if matches!(verdict, Verdict::Applied | Verdict::Renamed) {
+            self.newest = Some(order.version.number);
+            self.held = next.or(held).map(|table| (order.version.clone(), table));
+        }
+        verdict
+    }
+}
--- /dev/null
+++ b/crates/rookpulley-versions/src/ledger.rs
@@ -0,0 +1,440 @@
+//! What each dispatcher was told, has confirmed and claims, and the judgement on each of its tables.
+//!
+//! A dispatcher that speaks of versions says with each answer what it holds. One that does not (the
+//! platform's) answers marks alone: an answer proves all that was written before it on that stream.
+
+use crate::history::History;
+use crate::table::Digest;
+use crate::version::Version;
+use crate::{DispatcherId, TableId};
+use std::collections::{BTreeMap, VecDeque};
+
+/// So many marks wait for an answer at most; of a dispatcher that answers none the oldest are given up.
+pub const MARKS_MOST: usize = 256;
+
+/// Whether a dispatcher holds the newest version of its table.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Judged {
+    /// Nothing it said on this stream tells.
+    Unknown,
+    /// It holds an older one, or what it was told is still on its way.
+    Behind,
+    InStep,
+    /// What it was told has not reached it.
+    Lost,
+    /// It holds what was never issued here.
+    Diverged,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Cue {
+    /// An order for this table was written to it.
+    Told,
+    ProvesNewest,
+    ProvesOlder,
+    /// It holds something older than what it has proved, or than the answered order says.
+    ProvesLoss,
+    /// It names what was never issued here.
+    Strange,
+    /// A newer version was issued, and is not written yet.
+    Newer,
+    /// It answers nothing for longer than an answer takes.
+    Silent,
+    /// Its stream ended, or a new one began.
+    Breaks,
+}
+
+/// What follows from a judgement.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Act {
+    /// Nothing is owed; no answer is waited for on this account.
+    Rest,
+    /// An answer is waited for.
+    Await,
+    /// It is owed the table.
+    Owe,
+}
+
+/// State, input, next state, effect. What is not here changes nothing.
+pub const JUDGEMENT: &[(Judged, Cue, Judged, Act)] = &[
+    (Judged::Unknown, Cue::Told, Judged::Behind, Act::Await),
+    (Judged::Unknown, Cue::ProvesNewest, Judged::InStep, Act::Rest),
+    (Judged::Unknown, Cue::ProvesOlder, Judged::Behind, Act::Await),
+    (Judged::Unknown, Cue::ProvesLoss, Judged::Lost, Act::Owe),
+    (Judged::Unknown, Cue::Strange, Judged::Diverged, Act::Owe),
+    (Judged::Behind, Cue::Told, Judged::Behind, Act::Await),
+    (Judged::Behind, Cue::ProvesNewest, Judged::InStep, Act::Rest),
+    (Judged::Behind, Cue::ProvesOlder, Judged::Behind, Act::Await),
+    (Judged::Behind, Cue::ProvesLoss, Judged::Lost, Act::Owe),
+    (Judged::Behind, Cue::Strange, Judged::Diverged, Act::Owe),
+    (Judged::Behind, Cue::Silent, Judged::Lost, Act::Owe),
+    (Judged::Behind, Cue::Breaks, Judged::Unknown, Act::Rest),
+    (Judged::InStep, Cue::Told, Judged::Behind, Act::Await),
+    (Judged::InStep, Cue::Newer, Judged::Behind, Act::Rest),
+    (Judged::InStep, Cue::ProvesLoss, Judged::Lost, Act::Owe),
+    (Judged::InStep, Cue::Strange, Judged::Diverged, Act::Owe),
+    (Judged::InStep, Cue::Silent, Judged::Unknown, Act::Rest),
+    (Judged::InStep, Cue::Breaks, Judged::Unknown, Act::Rest),
+    (Judged::Lost, Cue::Told, Judged::Behind, Act::Await),
+    (Judged::Lost, Cue::ProvesNewest, Judged::InStep, Act::Rest),
+    (Judged::Lost, Cue::ProvesOlder, Judged::Behind, Act::Await),
+    (Judged::Lost, Cue::ProvesLoss, Judged::Lost, Act::Owe),
+    (Judged::Lost, Cue::Strange, Judged::Diverged, Act::Owe),
+    (Judged::Lost, Cue::Breaks, Judged::Unknown, Act::Rest),
+    (Judged::Diverged, Cue::Told, Judged::Behind, Act::Await),
+    (Judged::Diverged, Cue::ProvesNewest, Judged::InStep, Act::Rest),
+    (Judged::Diverged, Cue::ProvesOlder, Judged::Behind, Act::Await),
+    (Judged::Diverged, Cue::ProvesLoss, Judged::Lost, Act::Owe),
+    (Judged::Diverged, Cue::Strange, Judged::Diverged, Act::Owe),
+    (Judged::Diverged, Cue::Breaks, Judged::Unknown, Act::Rest),
+];
+
+/// How long answers are waited for.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Patience {
+    /// An answer that takes longer shows a loss.
+    pub answer_ms: f64,
+    /// What is owed again is owed after this, then after twice as long each time.
+    pub again_ms: f64,
+    pub again_most_ms: f64,
+}
+
+/// What a dispatcher says it holds. The digest decides; the version is for the operators' eyes.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Claim {
+    pub version: Option<Version>,
+    pub digest: Digest,
+}
+
+/// One dispatcher and one of its tables.
+#[derive(Clone, Debug)]
+pub struct Held {
+    pub judged: Judged,
+    /// The newest version written to it on this stream.
+    pub told: Option<u64>,
+    /// The newest that it has proved to hold on this stream.
+    pub confirmed: Option<u64>,
+    pub claimed: Option<Claim>,
+    /// Versions written since: the place of their messages in the stream, the number, and when.
+    on_way: VecDeque<(u64, u64, f64)>,
+    owed: bool,
+    owed_at_ms: f64,
+    wait_ms: f64,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Asked {
+    mark: u64,
+    /// The place of its message in the stream.
+    place: u64,
+    at_ms: f64,
+}
+
+/// One dispatcher: its stream, the marks it was asked for, its tables.
+#[derive(Clone, Debug, Default)]
+pub struct Entry {
+    pub joined: bool,
+    /// It says what it holds.
+    pub speaks: bool,
+    pub joined_ms: f64,
+    pub heard_ms: f64,
+    place: u64,
+    asked: VecDeque<Asked>,
+    tables: BTreeMap<TableId, Held>,
+}
+
+#[derive(Default)]
+pub struct Ledger {
+    entries: BTreeMap<DispatcherId, Entry>,
+}
+
+impl Held {
+    fn new() -> Self {
+        let (told, confirmed, claimed) = (None, None, None);
+        let (on_way, owed, owed_at_ms, wait_ms) = (VecDeque::new(), false, 0.0, 0.0);
+        Self { judged: Judged::Unknown, told, confirmed, claimed, on_way, owed, owed_at_ms, wait_ms }
+    }
+
+    /// Takes one step of the table above.
+    fn step(&mut self, now: f64, cue: Cue, patience: &Patience) {
+        let Some(row) = JUDGEMENT.iter().find(|row| row.0 == self.judged && row.1 == cue) else { return };
+        self.judged = row.2;
+        match row.3 {
+            Act::Rest => (self.owed, self.wait_ms) = (false, 0.0),
+            Act::Await => self.owed = false,
+            Act::Owe if self.owed => {}
+            Act::Owe => {
+                // The first time at once; a dispatcher that stays lost is not written to ever faster.
+                (self.owed, self.owed_at_ms) = (true, now + self.wait_ms);
+                self.wait_ms = (2.0 * self.wait_ms).clamp(patience.again_ms, patience.again_most_ms);
+            }
+        }
+    }
+
+    fn pinned(&self) -> [Option<u64>; 2] {
+        [self.told, self.confirmed.filter(|c| Some(*c) != self.told)]
+    }
+}
+
+impl Entry {
+    /// By table: what is held of it.
+    pub fn tables(&self) -> impl Iterator<Item = (TableId, &Held)> {
+        self.tables.iter().map(|(id, held)| (*id, held))
+    }
+
+    /// Since when the oldest unanswered mark waits.
+    pub fn waits_since_ms(&self) -> Option<f64> {
+        self.asked.front().map(|a| a.at_ms)
+    }
+
+    pub fn marks_waiting(&self) -> usize {
+        self.asked.len()
+    }
+}
+
+/// Changes what is held of a table, and moves the pins in the history along.
+fn repin(held: &mut Held, history: &mut History, change: impl FnOnce(&mut Held)) {
+    let before = held.pinned();
+    change(held);
+    let after = held.pinned();
+    after.into_iter().flatten().for_each(|n| history.pin(n));
+    before.into_iter().flatten().for_each(|n| history.unpin(n));
+}
+
+impl Ledger {
+    pub fn entries(&self) -> impl Iterator<Item = (DispatcherId, &Entry)> {
+        self.entries.iter().map(|(id, entry)| (*id, entry))
+    }
+
+    pub fn entry(&self, dispatcher: DispatcherId) -> Option<&Entry> {
+        self.entries.get(&dispatcher)
+    }
+
+    /// A new stream: what was told on the one before proves nothing here.
+    pub fn joins(&mut self, now: f64, dispatcher: DispatcherId, speaks: bool, history: &mut History) {
+        self.breaks(now, dispatcher, history);
+        let fresh = Entry { joined: true, speaks, joined_ms: now, heard_ms: now, ..Entry::default() };
+        self.entries.insert(dispatcher, fresh);
+    }
+
+    /// Its stream ended: nothing is pinned for it, and it is not forgotten before it comes again.
+    pub fn breaks(&mut self, now: f64, dispatcher: DispatcherId, history: &mut History) {
+        let Some(entry) = self.entries.get_mut(&dispatcher) else { return };
+        (entry.joined, entry.heard_ms) = (false, now);
+        entry.asked.clear();
+        let still = Patience { answer_ms: 0.0, again_ms: 0.0, again_most_ms: 0.0 };
+        for held in entry.tables.values_mut() {
+            repin(held, history, |held| (held.told, held.confirmed) = (None, None));
+            held.on_way.clear();
+            held.step(now, Cue::Breaks, &still);
+        }
+    }
+
+    /// One message was written to it: these versions, and a mark to be answered.
+    pub fn told(
+        &mut self,
+        now: f64,
+        dispatcher: DispatcherId,
+        versions: &[(TableId, u64)],
+        mark: Option<u64>,
+        patience: &Patience,
+        history: &mut History,
+    ) {
+        let Some(entry) = self.entries.get_mut(&dispatcher).filter(|e| e.joined) else { return };
+        entry.place += 1;
+        for (id, number) in versions {
+            let held = entry.tables.entry(*id).or_insert_with(Held::new);
+            repin(held, history, |held| held.told = Some(*number));
+            if matches!(held.judged, Judged::Lost | Judged::Diverged) {
+                held.on_way.clear();
+            }
+            held.on_way.push_back((entry.place, *number, now));
+            let over = held.on_way.len().saturating_sub(MARKS_MOST);
+            held.on_way.drain(..over);
+            held.step(now, Cue::Told, patience);
+        }
+        if let Some(mark) = mark {
+            let over = (entry.asked.len() + 1).saturating_sub(MARKS_MOST);
+            entry.asked.drain(..over);
+            entry.asked.push_back(Asked { mark, place: entry.place, at_ms: now });
+        }
+    }
+
+    /// Takes the answer to a mark; gives the place in the stream that it answers for.
+    fn take_answer(entry: &mut Entry, now: f64, mark: u64) -> Option<u64> {
+        entry.heard_ms = now;
+        let at = entry.asked.iter().position(|a| a.mark == mark)?;
+        entry.asked.drain(..=at).next_back().map(|a| a.place)
+    }
+
+    /// A newer version of this table was issued.
+    pub fn newer(&mut self, now: f64, id: TableId, patience: &Patience) {
+        for held in self.entries.values_mut().filter_map(|e| e.tables.get_mut(&id)) {
+            held.step(now, Cue::Newer, patience);
+        }
+    }
+
+    /// An answer to a mark, from one that says nothing of versions: all written before it has been applied.
+    pub fn answers(
+        &mut self,
+        now: f64,
+        dispatcher: DispatcherId,
+        mark: u64,
+        patience: &Patience,
+        history: &mut History,
+    ) {
+        let Some(entry) = self.entries.get_mut(&dispatcher).filter(|e| e.joined && !e.speaks) else { return };
+        let Some(place) = Self::take_answer(entry, now, mark) else { return };
+        for (id, held) in &mut entry.tables {
+            let done = held.on_way.partition_point(|(at, ..)| *at <= place);
+            let number = held.on_way.drain(..done).next_back().map(|(_, number, _)| number);
+            let Some(number) = number.or(held.confirmed) else { continue };
+            repin(held, history, |held| held.confirmed = Some(number));
+            let newest = history.newest(*id).is_some_and(|i| i.version.number == number);
+            held.step(now, if newest { Cue::ProvesNewest } else { Cue::ProvesOlder }, patience);
+        }
+    }
+
+    /// The answer to a mark, from one that speaks of versions, with what it holds by table. An answer that
+    /// comes twice, or to a mark never asked for, proves nothing.
+    pub fn answers_with(
+        &mut self,
+        now: f64,
+        dispatcher: DispatcherId,
+        mark: u64,
+        claims: &BTreeMap<TableId, Claim>,
+        patience: &Patience,
+        history: &mut History,
+    ) {
+        let Some(entry) = self.entries.get_mut(&dispatcher).filter(|e| e.joined && e.speaks) else { return };
+        let Some(place) = Self::take_answer(entry, now, mark) else { return };
+        for (id, held) in &mut entry.tables {
+            match claims.get(id) {
+                Some(claim) => Self::weigh(now, *id, held, claim.clone(), place, patience, history),
+                // It was told of this table and holds none.
+                None if held.on_way.iter().any(|(at, ..)| *at <= place) => {
+                    repin(held, history, |held| held.confirmed = None);
+                    held.claimed = None;
+                    held.step(now, Cue::ProvesLoss, patience);
+                }
+                None => {}
+            }
+        }
+    }
+
+    /// What a dispatcher that has just joined says it holds, before anything is written to it.
+    pub fn brings(
+        &mut self,
+        now: f64,
+        dispatcher: DispatcherId,
+        id: TableId,
+        claim: Claim,
+        patience: &Patience,
+        history: &mut History,
+    ) {
+        let Some(entry) = self.entries.get_mut(&dispatcher).filter(|e| e.joined && e.speaks) else { return };
+        let held = entry.tables.entry(id).or_insert_with(Held::new);
+        Self::weigh(now, id, held, claim, entry.place, patience, history);
+    }
+
+    /// Weighs a claim made once all up to this place in the stream had come or was lost. The version that it
+    /// names is not believed alone: the digest is looked up, and must be that of what was written up to there.
+    /// Nor is the digest alone, once something was written: one that holds the newest lines under an older
+    /// name takes them for old, and an order that was overtaken on the way would still move it.
+    fn weigh(
+        now: f64,
+        id: TableId,
+        held: &mut Held,
+        claim: Claim,
+        place: u64,
+        patience: &Patience,
+        history: &mut History,
+    ) {
+        let digest = |n: u64| history.numbered(n).map(|(_, i)| i.table.digest());
+        let answered = held.on_way.iter().rev().find(|(at, ..)| *at <= place).map(|(_, n, _)| *n);
+        let pending = held.on_way.iter().any(|(at, ..)| *at > place);
+        let least = answered.or(held.confirmed);
+        let same = least.filter(|n| digest(*n) == Some(claim.digest));
+        let known = same.or(history.with_digest(id, claim.digest).map(|i| i.version.number));
+        let newest = history.newest(id).filter(|i| i.table.digest() == claim.digest);
+        let named = newest.filter(|i| held.told.is_none() || claim.version.as_ref() == Some(&i.version));
+        let (cue, proved) = match (known, named) {
+            (None, _) => (Cue::Strange, None),
+            (_, Some(newest)) if !pending => (Cue::ProvesNewest, Some(newest.version.number)),
+            // Nothing is on its way any more that would bring it to what it was told.
+            (known, _) if !pending && held.told.is_some() && known != held.told => (Cue::ProvesLoss, known),
+            (known, _) if !pending && newest.is_some() && held.told.is_some() => (Cue::ProvesLoss, known),
+            (Some(number), _) if same.is_none() && least.is_some_and(|l| number < l) => {
+                (Cue::ProvesLoss, Some(number))
+            }
+            (known, _) => (Cue::ProvesOlder, known),
+        };
+        repin(held, history, |held| held.confirmed = proved);
+        held.on_way.retain(|(at, ..)| *at > place);
+        held.claimed = Some(claim);
+        held.step(now, cue, patience);
+    }
+
+    /// It refused an order for this table and holds this instead (None: nothing). That is a loss whatever it
+    /// holds: word of it may be older than what is on its way, so it never proves anybody in step.
+    pub fn refuses(
+        &mut self,
+        now: f64,
+        dispatcher: DispatcherId,
+        id: TableId,
+        claim: Option<Claim>,
+        patience: &Patience,
+        history: &mut History,
+    ) {
+        let Some(entry) = self.entries.get_mut(&dispatcher).filter(|e| e.joined && e.speaks) else { return };
+        entry.heard_ms = now;
+        let Some(held) = entry.tables.get_mut(&id) else { return };
+        let known = claim.as_ref().and_then(|c| history.with_digest(id, c.digest)).map(|i| i.version.number);
+        let cue = if claim.is_some() && known.is_none() { Cue::Strange } else { Cue::ProvesLoss };
+        repin(held, history, |held| held.confirmed = known);
+        held.claimed = claim;
+        held.step(now, cue, patience);
+    }
+
+    /// Time passes: who has been silent for too long, and who is owed a table by now.
+    pub fn due(&mut self, now: f64, patience: &Patience) -> Vec<(DispatcherId, TableId)> {
+        let mut due = Vec::new();
+        for (id, entry) in self.entries.iter_mut().filter(|(_, e)| e.joined) {
+            let waits = entry.asked.front().map(|a| a.at_ms);
+            for (table, held) in &mut entry.tables {
+                // What is owed already is waited for by nobody; what was written anew has its own time.
+                let since = held.on_way.front().map(|(_, _, at_ms)| *at_ms).or(waits);
+                if !held.owed && since.is_some_and(|at_ms| now - at_ms > patience.answer_ms) {
+                    held.step(now, Cue::Silent, patience);
+                }
+                if held.owed && now >= held.owed_at_ms {
+                    held.owed = false;
+                    // On a stream that loses nothing, silence is no loss: there it is a judgement alone.
+                    due.extend(entry.speaks.then_some((*id, *table)));
+                }
+            }
+        }
+        due
+    }
+
+    /// What a table's next order may start from: what was told last, or else what was brought along. Where
+    /// something was lost nothing is sure, and the whole table goes out.
+    pub fn base(&self, dispatcher: DispatcherId, id: TableId) -> Option<u64> {
+        let held = self.entries.get(&dispatcher)?.tables.get(&id)?;
+        match held.judged {
+            Judged::Behind | Judged::InStep => held.told.or(held.confirmed),
+            Judged::Unknown | Judged::Lost | Judged::Diverged => None,
+        }
+    }
+
+    /// How many tables are judged like this.
+    pub fn count(&self, judged: Judged) -> usize {
+        let joined = self.entries.values().filter(|e| e.joined);
+        joined.flat_map(|e| e.tables.values()).filter(|h| h.judged == judged).count()
+    }
+
+    /// Drops those that left before this time.
+    pub fn forget(&mut self, before_ms: f64) {
+        self.entries.retain(|_, e| e.joined || e.heard_ms >= before_ms);
+    }
+}
--- /dev/null
+++ b/crates/rookpulley-versions/tests/holding.rs
@@ -0,0 +1,312 @@
+//! The dispatcher's side, and the ledger by its hard cases.
+
+use rookpulley_versions::ledger::{Cue, JUDGEMENT, MARKS_MOST};
+use rookpulley_versions::*;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+const PATIENCE: Patience = Patience { answer_ms: 1_000.0, again_ms: 500.0, again_most_ms: 8_000.0 };
+
+fn table(n: u32) -> Arc<Table> {
+    let lines = (1..=6).map(|k| (Name::from(format!("s-{k}")), f64::from(k + if k == 1 { n } else { 0 })));
+    Arc::new(Table::of(lines).unwrap())
+}
+
+fn version(start: u64, number: u64) -> Version {
+    Version { issuer: Arc::new(Issuer { assigner: "n0".into(), start }), number }
+}
+
+fn delta(number: u64, from: u32, to: u32) -> Order {
+    Order { version: version(1, number), update: Update::Delta(Delta::between(&table(from), &table(to))) }
+}
+
+fn whole(number: u64, to: u32) -> Order {
+    Order { version: version(1, number), update: Update::Whole(table(to)) }
+}
+
+fn holding(n: u32, number: u64) -> Holder {
+    let mut holder = Holder::default();
+    holder.follow(7);
+    assert_eq!(holder.hear(7, &whole(number, n)), Verdict::Applied);
+    holder
+}
+
+#[test]
+fn a_delta_that_arrives_twice_changes_nothing() {
+    let mut holder = holding(1, 1);
+    assert_eq!(holder.hear(7, &delta(2, 1, 2)), Verdict::Applied);
+    assert_eq!(holder.hear(7, &delta(2, 1, 2)), Verdict::Renamed);
+    assert_eq!(holder.table(), Some(&table(2)));
+}
+
+#[test]
+fn a_delta_that_arrives_late_is_passed_over() {
+    let mut holder = holding(1, 1);
+    assert_eq!(holder.hear(7, &delta(3, 2, 3)), Verdict::Refused, "the one before it is on its way still");
+    assert_eq!(holder.table(), Some(&table(1)), "never half applied");
+    assert_eq!(holder.hear(7, &delta(2, 1, 2)), Verdict::Applied);
+    assert_eq!(holder.hear(7, &delta(3, 2, 3)), Verdict::Applied);
+    assert_eq!(holder.hear(7, &delta(2, 1, 2)), Verdict::PassedOver);
+    assert_eq!(holder.version(), Some(&version(1, 3)));
+}
+
+#[test]
+fn a_delta_after_the_whole_table_that_overtook_it_is_passed_over() {
+    let mut holder = holding(1, 1);
+    assert_eq!(holder.hear(7, &whole(4, 1)), Verdict::Renamed, "the way back to the lines held");
+    assert_eq!(holder.hear(7, &delta(2, 1, 2)), Verdict::PassedOver, "though it would fit");
+    assert_eq!(holder.hear(7, &whole(3, 9)), Verdict::PassedOver);
+    assert_eq!((holder.version(), holder.table()), (Some(&version(1, 4)), Some(&table(1))));
+}
+
+#[test]
+fn orders_of_the_old_assigner_on_their_way_are_passed_over_after_a_move() {
+    let mut holder = holding(1, 40);
+    holder.follow(8);
+    let of_new = Order { version: version(9, 2), update: Update::Whole(table(5)) };
+    assert_eq!(holder.hear(7, &whole(41, 6)), Verdict::PassedOver, "before the first order of the new one");
+    assert_eq!(holder.hear(8, &of_new), Verdict::Applied, "a smaller number of another start is newer here");
+    assert_eq!(holder.hear(7, &whole(42, 6)), Verdict::PassedOver);
+    assert_eq!(holder.version(), Some(&version(9, 2)));
+}
+
+#[test]
+fn word_that_nothing_changed_is_refused_by_whom_holds_something_else() {
+    let mut holder = holding(1, 1);
+    let same = Order { version: version(1, 2), update: Update::Same(table(2).digest()) };
+    assert_eq!(holder.hear(7, &same), Verdict::Refused);
+    assert_eq!(Holder::default().hear(0, &same), Verdict::Refused);
+}
+
+// ---- The ledger ---------------------------------------------------------------------------
+
+struct Desk {
+    book: Book,
+    now: f64,
+    mark: u64,
+}
+
+impl Desk {
+    /// A book with versions 1 to `newest` of table 0, and dispatcher 3 joined.
+    fn new(newest: u32, claims: Option<Claim>, speaks: bool) -> Self {
+        let issuer = Issuer { assigner: "n0".into(), start: 1 };
+        let book = Book::new(issuer, 1, Bounds { each: 300, bytes: 1 << 24 }, PATIENCE);
+        let mut desk = Self { book, now: 0.0, mark: 0 };
+        (1..=newest).for_each(|n| desk.issue(n));
+        let claims = claims.map(|c| BTreeMap::from([(1, c)]));
+        desk.book.joins(desk.now, 3, if speaks { Some(claims.unwrap_or_default()) } else { None });
+        desk.book.binds(desk.now, 3, 1, 0);
+        desk
+    }
+
+    fn issue(&mut self, n: u32) {
+        let table = Arc::unwrap_or_clone(table(n));
+        self.book.issue(self.now, 0, table);
+    }
+
+    fn write(&mut self) -> u64 {
+        self.mark += 1;
+        self.book.wrote(self.now, 3, &[0], Some(self.mark));
+        self.mark
+    }
+
+    fn answer(&mut self, mark: u64, holds: Option<u32>) {
+        let named = |d| self.book.history.with_digest(0, d).map(|i| i.version.clone());
+        let claim = |digest| Claim { version: named(digest), digest };
+        let claims = holds.map(|n| (1, claim(table(n).digest())));
+        self.book.answers(self.now, 3, mark, &claims.into_iter().collect());
+    }
+
+    fn judged(&self) -> Judged {
+        let entry = self.book.ledger.entry(3).unwrap();
+        entry.tables().next().map_or(Judged::Unknown, |(_, held)| held.judged)
+    }
+
+    fn pass(&mut self, ms: f64) -> usize {
+        self.now += ms;
+        self.book.due(self.now).len()
+    }
+}
+
+fn claim(assigner: &str, start: u64, number: u64, holds: u32) -> Claim {
+    let issuer = Arc::new(Issuer { assigner: assigner.into(), start });
+    Claim { version: Some(Version { issuer, number }), digest: table(holds).digest() }
+}
+
+#[test]
+fn a_claim_of_the_other_assigner_with_our_table_is_not_sent_it_again() {
+    let desk = Desk::new(3, Some(claim("n1", 77, 9, 3)), true);
+    assert_eq!(desk.judged(), Judged::InStep);
+    let update = desk.book.order(3, 0).unwrap().update;
+    assert_eq!(update, Update::Same(table(3).digest()), "equal digests mean equal tables");
+}
+
+#[test]
+fn a_claim_of_an_earlier_start_with_a_kept_table_gets_a_delta() {
+    let desk = Desk::new(3, Some(claim("n0", 0, 2, 2)), true);
+    assert_eq!(desk.judged(), Judged::Behind);
+    let Update::Delta(delta) = desk.book.order(3, 0).unwrap().update else { panic!("no delta") };
+    assert_eq!((delta.from, delta.to), (table(2).digest(), table(3).digest()));
+}
+
+#[test]
+fn a_claim_of_the_future_or_of_what_never_was_gets_a_whole_table() {
+    for strange in [claim("n0", 1, 900, 50), claim("n0", 1, 2, 51), claim("nobody", 8, 1, 52)] {
+        let mut desk = Desk::new(3, Some(strange), true);
+        assert_eq!(desk.judged(), Judged::Diverged);
+        assert_eq!(desk.pass(0.0), 1, "it is owed the table");
+        assert!(matches!(desk.book.order(3, 0).unwrap().update, Update::Whole(_)));
+        let mark = desk.write();
+        desk.answer(mark, Some(3));
+        assert_eq!(desk.judged(), Judged::InStep);
+    }
+}
+
+#[test]
+fn a_wrong_claim_after_an_answer_is_a_loss_and_is_paced() {
+    let mut desk = Desk::new(1, None, true);
+    let mark = desk.write();
+    desk.answer(mark, Some(1));
+    desk.issue(2);
+    let mut owed_at = Vec::new();
+    for _ in 0..6 {
+        let mark = desk.write();
+        desk.answer(mark, Some(1));
+        assert_eq!(desk.judged(), Judged::Lost, "it answers and still holds the old one");
+        let from = desk.now;
+        while desk.pass(100.0) == 0 {}
+        owed_at.push((desk.now - from).round());
+    }
+    assert_eq!(owed_at, [100.0, 500.0, 1_000.0, 2_000.0, 4_000.0, 8_000.0], "never ever faster");
+}
+
+#[test]
+fn the_newest_lines_under_an_older_name_are_a_loss() {
+    let mut desk = Desk::new(1, None, true);
+    let mark = desk.write();
+    desk.answer(mark, Some(1));
+    let old = desk.book.history.newest(0).unwrap().version.clone();
+    desk.issue(2);
+    desk.write();
+    desk.issue(1);
+    let mark = desk.write();
+    // It got neither; the order for version 2 may still come and would be taken.
+    let claim = Claim { version: Some(old), digest: table(1).digest() };
+    desk.book.answers(desk.now, 3, mark, &BTreeMap::from([(1, claim)]));
+    assert_eq!(desk.judged(), Judged::Lost);
+}
+
+#[test]
+fn an_answer_without_a_claim_is_a_loss() {
+    let mut desk = Desk::new(1, None, true);
+    let mark = desk.write();
+    desk.answer(mark, None);
+    assert_eq!(desk.judged(), Judged::Lost);
+}
+
+#[test]
+fn an_answer_that_comes_twice_proves_nothing_of_what_came_between() {
+    let mut desk = Desk::new(1, None, true);
+    let first = desk.write();
+    desk.answer(first, Some(1));
+    desk.issue(2);
+    desk.write();
+    desk.issue(1);
+    desk.write();
+    // The lines are those of the first version again; the old answer, doubled, seems to prove them held.
+    desk.answer(first, Some(1));
+    assert_eq!(desk.judged(), Judged::Behind);
+}
+
+#[test]
+fn a_silent_dispatcher_is_never_taken_for_one_in_step() {
+    let mut desk = Desk::new(1, None, true);
+    let mark = desk.write();
+    desk.answer(mark, Some(1));
+    assert_eq!(desk.judged(), Judged::InStep);
+    // A mark without a table, never answered.
+    desk.book.wrote(desk.now, 3, &[], Some(900));
+    assert_eq!((desk.pass(900.0), desk.judged()), (0, Judged::InStep));
+    assert_eq!((desk.pass(200.0), desk.judged()), (0, Judged::Unknown));
+    let mark = desk.write();
+    assert_eq!((desk.pass(1_100.0), desk.judged()), (1, Judged::Lost));
+    desk.answer(mark, Some(1));
+    assert_eq!(desk.judged(), Judged::InStep, "a late answer still tells");
+}
+
+#[test]
+fn marks_alone_feed_the_ledger_of_one_that_claims_nothing() {
+    let mut desk = Desk::new(1, None, false);
+    assert_eq!(desk.judged(), Judged::Unknown);
+    let first = desk.write();
+    desk.issue(2);
+    let second = desk.write();
+    desk.answer(first, None);
+    assert_eq!(desk.judged(), Judged::Behind);
+    desk.answer(second, None);
+    assert_eq!(desk.judged(), Judged::InStep);
+    desk.issue(3);
+    desk.write();
+    assert_eq!(desk.judged(), Judged::Behind);
+    assert_eq!((desk.pass(5_000.0), desk.judged()), (0, Judged::Lost), "known for lost, not written again");
+    desk.book.leaves(desk.now, 3);
+    assert_eq!(desk.judged(), Judged::Unknown);
+}
+
+#[test]
+fn with_256_unanswered_marks_the_oldest_are_given_up() {
+    let mut desk = Desk::new(1, None, false);
+    let marks: Vec<u64> = (2..=MARKS_MOST as u32 + 40)
+        .map(|n| {
+            desk.issue(n);
+            desk.write()
+        })
+        .collect();
+    let entry = desk.book.ledger.entry(3).unwrap();
+    assert_eq!(entry.marks_waiting(), MARKS_MOST);
+    desk.answer(marks[0], None);
+    assert_eq!(desk.judged(), Judged::Behind, "given up: proves nothing");
+    desk.answer(marks[marks.len() - 2], None);
+    assert_eq!(desk.judged(), Judged::Behind);
+    desk.answer(marks[marks.len() - 1], None);
+    assert_eq!(desk.judged(), Judged::InStep);
+    assert_eq!(desk.book.ledger.entry(3).unwrap().marks_waiting(), 0);
+}
+
+#[test]
+fn what_a_joined_dispatcher_holds_is_pinned_until_it_leaves() {
+    let mut desk = Desk::new(1, None, true);
+    let mark = desk.write();
+    desk.answer(mark, Some(1));
+    (2..=600).for_each(|n| desk.issue(n));
+    assert!(desk.book.history.numbered(1).is_some());
+    desk.book.leaves(desk.now, 3);
+    desk.issue(601);
+    assert!(desk.book.history.numbered(1).is_none());
+}
+
+#[test]
+fn the_table_of_judgements_has_one_row_for_a_state_and_a_cue() {
+    let mut rows: Vec<(Judged, Cue)> = JUDGEMENT.iter().map(|row| (row.0, row.1)).collect();
+    rows.sort();
+    rows.dedup();
+    assert_eq!(rows.len(), JUDGEMENT.len());
+    let breaks = JUDGEMENT.iter().filter(|row| row.1 == Cue::Breaks);
+    assert!(breaks.clone().count() == 4 && breaks.into_iter().all(|row| row.2 == Judged::Unknown));
+    assert!(JUDGEMENT.iter().all(|row| row.2 != Judged::InStep || row.1 == Cue::ProvesNewest));
+}
+
+#[test]
+fn the_way_back_names_a_table_or_a_moment_of_all() {
+    let mut desk = Desk::new(2, None, true);
+    desk.book.issue(0.0, 5, Arc::unwrap_or_clone(table(30)));
+    desk.issue(3);
+    desk.book.issue(0.0, 5, Arc::unwrap_or_clone(table(31)));
+    let back = |text: &str, table, all| desk.book.way_back(&text.parse().unwrap(), table, all);
+    let one = back("n0~0000000000000001~2", None, false).unwrap();
+    assert_eq!(one, [(0, table(2))]);
+    let all = back("n0~0000000000000001~3", None, true).unwrap();
+    assert_eq!(all, [(0, table(2)), (5, table(30))], "as they were when version 3 was the newest");
+    let said = back("n0~0000000000000001~2", Some(5), false).unwrap_err().to_string();
+    assert!(said.contains("of table 0, not of table 5"), "{said}");
+}
--- /dev/null
+++ b/crates/rookpulley-versions/tests/links.rs
@@ -0,0 +1,413 @@
+//! Two books and their dispatchers over links that lose, delay, double, reorder and cut, all from one seed;
+//! and the ledger against a plain model of what is known. Nothing here takes real time.
+
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use rookpulley_versions::*;
+use std::collections::BTreeMap;
+
+const PATIENCE: Patience = Patience { answer_ms: 400.0, again_ms: 100.0, again_most_ms: 1_600.0 };
+const KINDS: [Kinds; 2] = [0b01, 0b10];
+
+enum Message {
+    Down { mark: u64, orders: Vec<(Kinds, Order)> },
+    Answer { mark: u64, claims: BTreeMap<Kinds, Claim> },
+    Refusal { kinds: Kinds, claim: Option<Claim> },
+}
+
+struct Waiting {
+    due: f64,
+    stream: u64,
+    message: Message,
+}
+
+#[derive(Default)]
+struct Dispatcher {
+    holders: BTreeMap<Kinds, Holder>,
+    /// The assigner and the stream it is joined by.
+    at: Option<(usize, u64)>,
+}
+
+struct World {
+    rng: ChaCha8Rng,
+    now: f64,
+    books: Vec<Book>,
+    dispatchers: Vec<Dispatcher>,
+    streams: u64,
+    mark: u64,
+    wire: Vec<Waiting>,
+    /// What the modules would publish, by assigner and table.
+    wanted: BTreeMap<(usize, TableId), Table>,
+    loss: f64,
+    trouble: f64,
+    steps: u64,
+    whole: u64,
+    deltas: u64,
+    same: u64,
+}
+
+fn claim_of(holder: &Holder) -> Option<Claim> {
+    Some(Claim { version: holder.version().cloned(), digest: holder.digest()? })
+}
+
+impl World {
+    fn new(seed: u64, dispatchers: usize) -> Self {
+        let issuer = |n: u64| Issuer { assigner: format!("n{n}").into(), start: seed << 8 | n };
+        let bounds = Bounds { each: 6, bytes: 200_000 };
+        Self {
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            now: 0.0,
+            books: (0..2).map(|n| Book::new(issuer(n), 1, bounds, PATIENCE)).collect(),
+            dispatchers: (0..dispatchers).map(|_| Dispatcher::default()).collect(),
+            streams: 0,
+            mark: 0,
+            wire: Vec::new(),
+            wanted: BTreeMap::new(),
+            loss: 0.15,
+            trouble: 0.05,
+            steps: 0,
+            whole: 0,
+            deltas: 0,
+            same: 0,
+        }
+    }
+
+    fn chance(&mut self, of: f64) -> bool {
+        self.rng.random_range(0.0..1.0) < of
+    }
+
+    fn send(&mut self, stream: u64, message: impl Fn() -> Message) {
+        if self.chance(self.loss) {
+            return;
+        }
+        let copies = if self.chance(self.loss / 2.0) { 2 } else { 1 };
+        for _ in 0..copies {
+            let far = if self.chance(self.loss) { 300.0 } else { 60.0 };
+            let due = self.now + self.rng.random_range(5.0..far);
+            self.wire.push(Waiting { due, stream, message: message() });
+        }
+    }
+
+    fn lines(&mut self) -> Table {
+        // Few tables, so that old ones come back and both assigners issue the same.
+        let n = self.rng.random_range(0..6_u32);
+        Table::of(
+            (1..=8).map(|k| (Name::from(format!("s-{k}")), f64::from(if k > 3 { 2 } else { (n + k) % 4 }))),
+        )
+        .unwrap()
+    }
+
+    fn table_of(dispatcher: usize, kinds: Kinds) -> TableId {
+        (dispatcher * 2) as TableId + kinds / 2
+    }
+
+    /// Brings a dispatcher to what its assigner publishes, as a call of the module would.
+    fn write(&mut self, at: usize, who: usize, tables: &[Kinds]) {
+        let Some((_, stream)) = self.dispatchers[who].at.filter(|(a, _)| *a == at) else { return };
+        let mut orders = Vec::new();
+        for kinds in tables {
+            let id = Self::table_of(who, *kinds);
+            if !self.wanted.contains_key(&(at, id)) {
+                let lines = self.lines();
+                self.wanted.insert((at, id), lines);
+            }
+            self.books[at].issue(self.now, id, self.wanted[&(at, id)].clone());
+            if self.books[at].table_for(who as u16, *kinds).is_none() {
+                self.books[at].binds(self.now, who as u16, *kinds, id);
+            }
+            orders.push((*kinds, self.books[at].order(who as u16, id).unwrap()));
+        }
+        for (_, order) in &orders {
+            match order.update {
+                Update::Whole(_) => self.whole += 1,
+                Update::Delta(_) => self.deltas += 1,
+                Update::Same(_) => self.same += 1,
+            }
+        }
+        self.mark += 1;
+        let (mark, ids) = (self.mark, tables.iter().map(|k| Self::table_of(who, *k)).collect::<Vec<_>>());
+        self.books[at].wrote(self.now, who as u16, &ids, Some(mark));
+        self.send(stream, || Message::Down { mark, orders: orders.clone() });
+    }
+
+    fn join(&mut self, who: usize, at: usize) {
+        if let Some((old, _)) = self.dispatchers[who].at.take() {
+            self.books[old].leaves(self.now, who as u16);
+        }
+        self.streams += 1;
+        let (stream, dispatcher) = (self.streams, &mut self.dispatchers[who]);
+        dispatcher.at = Some((at, stream));
+        for kinds in KINDS {
+            dispatcher.holders.entry(kinds).or_default().follow(stream);
+        }
+        let claims = dispatcher.holders.iter().filter_map(|(k, h)| Some((*k, claim_of(h)?))).collect();
+        self.books[at].joins(self.now, who as u16, Some(claims));
+        self.write(at, who, &KINDS);
+    }
+
+    fn deliver(&mut self, waiting: Waiting) {
+        let Waiting { stream, message, .. } = waiting;
+        let who = self.dispatchers.iter().position(|d| d.at.is_some_and(|(_, s)| s == stream));
+        match message {
+            // An order of a stream that has ended reaches somebody all the same, as old orders do.
+            Message::Down { mark, orders } => {
+                let who = who.unwrap_or(stream as usize % self.dispatchers.len());
+                let (mut applied, mut refused) = (true, Vec::new());
+                for (kinds, order) in orders {
+                    let holder = self.dispatchers[who].holders.entry(kinds).or_default();
+                    match holder.hear(stream, &order) {
+                        Verdict::Refused => refused.push((kinds, claim_of(holder))),
+                        Verdict::PassedOver => applied = false,
+                        Verdict::Applied | Verdict::Renamed => {}
+                    }
+                }
+                for (kinds, claim) in refused.clone() {
+                    self.send(stream, || Message::Refusal { kinds, claim: claim.clone() });
+                }
+                if applied && refused.is_empty() {
+                    let holders = &self.dispatchers[who].holders;
+                    let claims: BTreeMap<_, _> =
+                        holders.iter().filter_map(|(k, h)| Some((*k, claim_of(h)?))).collect();
+                    self.send(stream, || Message::Answer { mark, claims: claims.clone() });
+                }
+            }
+            // What comes up on a stream that ended is not read any more.
+            Message::Answer { mark, claims } => {
+                let Some((who, (at, _))) = who.and_then(|w| Some((w, self.dispatchers[w].at?))) else {
+                    return;
+                };
+                self.books[at].answers(self.now, who as u16, mark, &claims);
+            }
+            Message::Refusal { kinds, claim } => {
+                let Some((who, (at, _))) = who.and_then(|w| Some((w, self.dispatchers[w].at?))) else {
+                    return;
+                };
+                self.books[at].refuses(self.now, who as u16, kinds, claim);
+            }
+        }
+    }
+
+    fn step(&mut self) {
+        self.steps += 1;
+        self.now += 10.0;
+        while let Some(at) = self.wire.iter().position(|w| w.due <= self.now) {
+            let waiting = self.wire.swap_remove(at);
+            self.deliver(waiting);
+        }
+        let who = self.rng.random_range(0..self.dispatchers.len());
+        if self.chance(self.trouble) {
+            let at = self.rng.random_range(0..2);
+            self.join(who, at);
+        }
+        if let Some((at, _)) = self.dispatchers[who].at.filter(|_| self.loss > 0.0 && self.trouble > 0.0) {
+            let kinds = KINDS[self.rng.random_range(0..2)];
+            let lines = self.lines();
+            self.wanted.insert((at, Self::table_of(who, kinds)), lines);
+            self.write(at, who, &[kinds]);
+        }
+        for at in 0..2 {
+            for (who, id) in self.books[at].due(self.now) {
+                self.write(at, who.into(), &[KINDS[usize::from(id % 2)]]);
+            }
+        }
+        self.check();
+    }
+
+    /// Whoever is judged in step holds the newest table, byte for byte.
+    fn check(&self) {
+        for (at, book) in self.books.iter().enumerate() {
+            for (who, entry) in book.ledger.entries() {
+                for (id, held) in entry.tables() {
+                    let dispatcher = &self.dispatchers[usize::from(who)];
+                    let here = dispatcher.at.is_some_and(|(a, _)| a == at);
+                    assert_eq!(entry.joined, here);
+                    let holds = dispatcher.holders[&KINDS[usize::from(id % 2)]].table();
+                    let newest = book.history.newest(id).map(|i| &i.table);
+                    if held.judged == Judged::InStep {
+                        assert_eq!(holds.map(|t| t.digest()), newest.map(|t| t.digest()));
+                        assert!(here, "who left is not in step");
+                    }
+                    let known = [held.confirmed, held.told].into_iter().flatten();
+                    known.for_each(|n| assert!(book.history.numbered(n).is_some(), "{n} was dropped"));
+                }
+            }
+            assert!(book.history.bytes() < 400_000);
+        }
+    }
+
+    /// The links lose nothing any more: everybody ends on one known version.
+    fn settle(&mut self) {
+        (self.loss, self.trouble) = (0.0, 0.0);
+        for _ in 0..800 {
+            self.step();
+        }
+        assert!(self.wire.is_empty(), "nothing is sent for ever");
+        for dispatcher in &self.dispatchers {
+            let Some((at, _)) = dispatcher.at else { continue };
+            for holder in dispatcher.holders.values() {
+                let version = holder.version().expect("it holds a table");
+                let (_, issued) =
+                    self.books[at].history.find(version).expect("a version known where it joined");
+                assert_eq!(holder.table().unwrap().canonical(), issued.table.canonical());
+            }
+        }
+        assert!(self.books.iter().all(Book::all_in_step));
+    }
+}
+
+fn play(seed: u64) -> World {
+    let mut world = World::new(seed, 24);
+    for who in 0..24 {
+        world.join(who, who % 2);
+    }
+    for _ in 0..1_000 {
+        world.step();
+    }
+    world.settle();
+    world
+}
+
+#[test]
+fn dispatchers_that_move_between_assigners_over_lossy_links_end_on_one_known_version() {
+    let only = std::env::var("SEED").ok().and_then(|s| s.parse().ok());
+    let (mut whole, mut deltas, mut same) = (0, 0, 0);
+    for seed in only.map_or(0..40, |s| s..s + 1) {
+        let world = std::panic::catch_unwind(|| play(seed));
+        let world = world.unwrap_or_else(|_| panic!("seed {seed} fails; alone: SEED={seed}"));
+        (whole, deltas, same) = (whole + world.whole, deltas + world.deltas, same + world.same);
+    }
+    println!("{whole} whole tables, {deltas} deltas, {same} orders that nothing changed");
+    assert!(only.is_some() || (whole > 1_000 && deltas > 1_000 && same > 100), "every kind of order is met");
+}
+
+#[test]
+fn a_mass_rejoin_to_the_other_assigner_sends_no_table_that_is_held_already() {
+    let mut world = World::new(1, 200);
+    (world.loss, world.trouble) = (0.0, 0.0);
+    for who in 0..200 {
+        for kinds in KINDS {
+            let (id, lines) = (World::table_of(who, kinds), world.lines());
+            (0..2).for_each(|at| _ = world.wanted.insert((at, id), lines.clone()));
+        }
+        world.join(who, 0);
+    }
+    (0..100).for_each(|_| world.step());
+    let whole = world.whole;
+    (0..200).for_each(|who| world.join(who, 1));
+    (0..100).for_each(|_| world.step());
+    assert_eq!((world.whole, world.same), (whole, 400), "both assigners publish the same lines");
+    assert!(world.books[1].all_in_step());
+}
+
+// ---- The ledger against a plain model -----------------------------------------------------
+
+/// What is known of one table of a dispatcher that answers marks alone, told from the whole story each
+/// time: every message ever written on this stream, and the marks answered.
+#[derive(Default)]
+struct Model {
+    joined: bool,
+    /// Version, mark, when, of each message of this stream; no version: one without a table.
+    written: Vec<(Option<u64>, u64, f64)>,
+    answered: Option<usize>,
+    newest: u64,
+    lost: bool,
+    quiet: bool,
+    /// The first message that is waited for since the last loss.
+    since: usize,
+}
+
+impl Model {
+    fn judged(&self) -> Judged {
+        let told = self.written.iter().filter_map(|w| w.0).next_back();
+        let proved = self.answered.and_then(|at| self.written[..=at].iter().filter_map(|w| w.0).next_back());
+        match (told, proved) {
+            (None, _) => Judged::Unknown,
+            _ if !self.joined => Judged::Unknown,
+            _ if self.lost => Judged::Lost,
+            (_, Some(proved)) if proved == self.newest && self.quiet => Judged::Unknown,
+            (_, Some(proved)) if proved == self.newest => Judged::InStep,
+            _ => Judged::Behind,
+        }
+    }
+
+    fn silent(&mut self, now: f64) {
+        let judged = self.judged();
+        let from = self.answered.map_or(0, |at| at + 1);
+        let waits = self.written[from..].first();
+        let table = self.written[from.max(self.since)..].iter().find(|w| w.0.is_some());
+        let waits = if judged == Judged::Behind { table } else { waits };
+        if waits.is_some_and(|w| now - w.2 > PATIENCE.answer_ms) {
+            match judged {
+                Judged::Behind => self.lost = true,
+                Judged::InStep => self.quiet = true,
+                _ => {}
+            }
+        }
+    }
+}
+
+/// 240 runs of 60 steps and more.
+#[test]
+fn the_ledger_agrees_with_a_plain_model() {
+    let mut steps = 0;
+    let mut seen = std::collections::BTreeSet::new();
+    for seed in 0..240_u64 {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let issuer = Issuer { assigner: "n0".into(), start: seed };
+        let mut book = Book::new(issuer, 1, Bounds { each: 4, bytes: 1 << 20 }, PATIENCE);
+        let (mut model, mut now, mut mark) = (Model::default(), 0.0, 0);
+        for step in 0..60 {
+            steps += 1;
+            // Quiet spells are longer than the patience now and then.
+            now += if rng.random_range(0..8) == 0 { 700.0 } else { rng.random_range(1.0..90.0) };
+            match rng.random_range(0..10) {
+                0 => {
+                    book.joins(now, 1, None);
+                    model = Model { joined: true, newest: model.newest, ..Model::default() };
+                }
+                1 if rng.random_range(0..3) == 0 => {
+                    book.leaves(now, 1);
+                    model.joined = false;
+                }
+                2..=5 => {
+                    model.newest += 1;
+                    let lines = [(Name::from("s"), model.newest as f64)];
+                    book.issue(now, 0, Table::of(lines).unwrap());
+                    mark += 1;
+                    book.wrote(now, 1, &[0], Some(mark));
+                    if model.joined {
+                        model.since = if model.lost { model.written.len() } else { model.since };
+                        model.written.push((Some(model.newest), mark, now));
+                        (model.lost, model.quiet) = (false, false);
+                    }
+                }
+                6 => {
+                    mark += 1;
+                    book.wrote(now, 1, &[], Some(mark));
+                    if model.joined {
+                        model.written.push((None, mark, now));
+                    }
+                }
+                _ => {
+                    // An answer to one of the marks that wait, or to one that does not.
+                    let from = model.answered.map_or(0, |at| at + 1);
+                    let at = rng.random_range(0..=model.written.len());
+                    let said = model.written.get(at).map_or(mark + 50, |w| w.1);
+                    book.answers(now, 1, said, &BTreeMap::new());
+                    if model.joined && at >= from && at < model.written.len() {
+                        model.answered = Some(at);
+                        (model.lost, model.quiet) = (false, false);
+                    }
+                }
+            }
+            book.due(now);
+            model.silent(now);
+            let held = book.ledger.entry(1).and_then(|e| e.tables().next());
+            let judged = held.map_or(Judged::Unknown, |(_, h)| h.judged);
+            seen.insert(judged);
+            assert_eq!(judged, model.judged(), "seed {seed}, step {step}");
+        }
+    }
+    assert!(steps >= 10_000);
+    assert_eq!(seen.len(), 4, "{seen:?}");
+}
--- a/crates/rookpulley-wirehost/src/wire.rs
+++ b/crates/rookpulley-wirehost/src/wire.rs
@@ -257,6 +257,8 @@
                 (91, [&table.to_le_bytes()[..], &addressed(server, &weight(*w))].concat())
             }
             Effect::Fetch => (92, Vec::new()),
+            // No operator speaks on this wire.
+            Effect::Back { .. } => return,
         };
         let end = self.records.len() + ACTION;
         self.records.push(code);
--- a/src/facts.rs
+++ b/src/facts.rs
@@ -260,6 +260,30 @@
         took_ms: f64,
         load: Vec<f64>,
     },
+    /// An operator wants these earlier lines for a table, until released.
+    GoBack {
+        table: TableId,
+        lines: Vec<(ServerId, f64)>,
+    },
+    Release {
+        table: TableId,
+    },
+    /// What was written of a table has not reached its proxy, or it holds something else: it is written whole
+    /// again, within the limits of the channel, as to one that has just joined.
+    Lost {
+        table: TableId,
+    },
+}
+
+/// What became of a way back.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Back {
+    /// So many of its lines can be used now.
+    Held { lines: usize, of: usize },
+    /// Nothing has changed.
+    Refused(&'static str),
+    /// The module's own lines are published again.
+    Ended(&'static str),
 }
 
 /// When proxies try again.
@@ -321,5 +345,9 @@
         in_ms: f64,
         name: u64,
     },
+    Back {
+        table: TableId,
+        what: Back,
+    },
     Log(String),
 }
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -11,8 +11,7 @@
 use crate::ring::Buckets;
 pub use crate::state::Controller;
 use crate::state::*;
-use rand::{RngExt, SeedableRng};
-use rand_chacha::ChaCha8Rng;
+use rand::RngExt;
 use std::collections::{BTreeMap, BTreeSet};
 
 const ROUND_MS: f64 = 1_000.0;
@@ -324,6 +323,12 @@
     (Standing::Sound, Verdict::Proposed, Standing::Sound, Filing::MoveNewest),
     (Standing::Tainted, Verdict::Proposed, Standing::Sound, Filing::MoveNewest),
     (Standing::Sound, Verdict::Failed, Standing::Tainted, Filing::Keep),
+    (Standing::Unknown, Verdict::Recalled, Standing::Held, Filing::Append),
+    (Standing::Sound, Verdict::Recalled, Standing::Held, Filing::MoveNewest),
+    (Standing::Tainted, Verdict::Recalled, Standing::Held, Filing::MoveNewest),
+    (Standing::Held, Verdict::Failed, Standing::Tainted, Filing::Keep),
+    (Standing::Held, Verdict::Released, Standing::Sound, Filing::Keep),
+    (Standing::Sound, Verdict::Released, Standing::Sound, Filing::MoveNewest),
 ];
 
 impl Table {
@@ -343,7 +348,8 @@
             _ => {}
         }
         let over = self.revisions.len().saturating_sub(DEPTH);
-        self.revisions.drain(..over);
+        let oldest = self.revisions.extract_if(.., |r| r.standing != Standing::Held);
+        oldest.take(over).for_each(drop);
     }
 
     fn propose(&mut self, lines: Lines) {
@@ -354,10 +360,17 @@
         }
     }
 
-    /// The newest untainted revision, or the newest where all are tainted.
+    /// The newest untainted revision, or the newest where all are tainted; an operator's way back aside.
     fn newest(&self) -> Option<&Revision> {
         let sound = self.revisions.iter().rfind(|r| r.standing == Standing::Sound);
-        sound.or(self.revisions.last())
+        sound.or(self.revisions.iter().rfind(|r| r.standing != Standing::Held))
+    }
+
+    /// Ends a way back, if there is one; the lines last cut are the newest again unless they are tainted.
+    fn release(&mut self) -> bool {
+        let names = self.recalled().map(|r| [r.name, self.cut]);
+        names.into_iter().flatten().for_each(|name| self.file(name, Verdict::Released, Lines::new()));
+        std::mem::take(&mut self.back)
     }
 
     /// Taints the published revision when tries fail at its servers after the push. Failures at servers that
@@ -371,12 +384,12 @@
         }
         let (id, was) = (self.id, self.published);
         self.file(was, Verdict::Failed, Lines::new());
-        let next = self.newest()?;
-        let (what, next) = match next.standing {
-            Standing::Sound => ("rolled back to", next.name),
-            _ => ("all tainted, keeps", next.name),
-        };
-        Some(format!("table {id} revision {was:016x} tainted, {what} {next:016x}: {met}, prior {prior:.3}"))
+        let next = self.recalled().or_else(|| self.newest())?;
+        let what = if next.standing == Standing::Sound { "rolled back to" } else { "all tainted, keeps" };
+        Some(format!(
+            "table {id} revision {was:016x} tainted, {what} {:016x}: {met}, prior {prior:.3}",
+            next.name
+        ))
     }
 }
 
@@ -537,11 +550,11 @@
 }
 
 /// Where no levels can be set, each kind has tables of its own, so that lanes can be drawn.
-fn group_kinds(kinds: &[ReqKind], apart: bool) -> Vec<KindGroup> {
+fn group_kinds(kinds: &[ReqKind], levels: Levels) -> Vec<KindGroup> {
     let mut groups: Vec<KindGroup> = Vec::new();
     for (id, kind) in kinds.iter().enumerate() {
         let place = |k: &ReqKind| (k.zones.clone(), k.machines.clone(), k.own_zone);
-        match groups.iter_mut().find(|g| !apart && place(&g.like) == place(kind)) {
+        match groups.iter_mut().find(|g| levels != Levels::Ignored && place(&g.like) == place(kind)) {
             Some(group) => group.kinds.push(id),
             None => groups.push(KindGroup { kinds: vec![id], like: kind.clone() }),
         }
@@ -571,43 +584,13 @@
 
 impl Controller {
     pub fn new(now: f64, start: Start) -> Self {
-        let mut kinds = start.kinds;
-        kinds.truncate(KINDS);
-        let came = Buckets::new(1_000.0, 24);
-        let position = |field| start.load_fields.iter().position(|f| *f == field);
-        Self {
-            rng: ChaCha8Rng::seed_from_u64(start.seed),
-            groups: group_kinds(&kinds, start.habits.levels == Levels::Ignored),
-            kinds,
-            bounds: start.bounds,
-            pace: start.channel,
-            means: start.means,
-            held_at: position(LoadField::Held).or(position(LoadField::Queue)),
-            queue_only: position(LoadField::Held).is_none(),
-            list_asked: start.list.asked,
-            ask_again_ms: ROUND_MS,
-            proxies: f64::from(start.place.proxies.max(1)),
-            controllers: f64::from(start.place.controllers.max(1)),
-            fleet: Fleet::default(),
-            demand: Demand { proxies: BTreeMap::new(), came, zones: BTreeMap::new() },
-            tables: BTreeMap::new(),
-            channel: Channel { as_of_ms: now, ..Channel::default() },
-            valves: Valves {
-                levels: start.habits.levels,
-                allowed_per_s: EVERYTHING,
-                reach: 1.0,
-                // What is done each second is not known before reports cover the span.
-                stepped_ms: now + 2.0 * JAM_SPAN_MS,
-                ..Valves::default()
-            },
-            started: false,
-            hasty: false,
-            // Up to the first round proxies are still joining and peers' notes on their way.
-            beat_ms: now + 2.0 * ROUND_MS,
-            beat_set: false,
-            noted: 0,
-            log: Log::new(),
-        }
+        let groups = group_kinds(&start.kinds[..start.kinds.len().min(KINDS)], start.habits.levels);
+        let mut new = Self::blank(now, start, groups);
+        (new.ask_again_ms, new.valves.allowed_per_s, new.valves.reach) = (ROUND_MS, EVERYTHING, 1.0);
+        // What is done each second is not known before reports cover the span; and up to the first round
+        // proxies are still joining and peers' notes on their way.
+        (new.valves.stepped_ms, new.beat_ms) = (now + 2.0 * JAM_SPAN_MS, now + 2.0 * ROUND_MS);
+        new
     }
 
     /// Takes in what came and answers with orders.
@@ -619,6 +602,8 @@
             out.extend(self.list_asked.then_some(Effect::Watch { on: true }));
         }
         inputs.iter().for_each(|input| self.take(now, input, &mut out));
+        let told = |i: &Input| matches!(i, Input::GoBack { .. } | Input::Release { .. } | Input::Lost { .. });
+        self.hasty |= inputs.iter().any(told);
         let round = inputs.iter().any(|i| matches!(i, Input::Alarm { name: ROUND }));
         if round || inputs.iter().any(|i| matches!(i, Input::Heard { .. })) {
             let target_ms = self.demand.usual_target_ms(now, &self.kinds);
@@ -652,6 +637,7 @@
             if self.means.slices == 0 {
                 self.cut_tables(now);
             }
+            self.end_ways_back(&mut out);
             self.gate(now, &mut out);
         }
         out.extend(self.log.drain(..).map(Effect::Log));
@@ -711,10 +697,69 @@
                     p.came.add(now, what);
                 }
             }
+            Input::GoBack { table, lines } => {
+                let what = self.go_back(*table, lines.iter().copied().collect());
+                out.push(Effect::Back { table: *table, what });
+            }
+            Input::Release { table } => {
+                let ended = self.tables.values_mut().any(|t| t.id == *table && t.release());
+                let what = if ended { Back::Ended("released") } else { Back::Refused("it is not held") };
+                out.push(Effect::Back { table: *table, what });
+            }
+            Input::Lost { table } => {
+                self.tables.values_mut().filter(|t| t.id == *table).for_each(|t| t.bound = false);
+            }
             _ => {}
         }
     }
 
+    /// Holds earlier lines for a table, if any of them can be used now.
+    fn go_back(&mut self, id: TableId, lines: Lines) -> Back {
+        let Some((at, table)) = self.tables.iter().find(|(_, t)| t.id == id) else {
+            return Back::Refused("there is no such table");
+        };
+        let (at, of, usable) = (*at, lines.len(), self.usable(&lines, *at, table).len());
+        if usable == 0 {
+            return Back::Refused("it would leave request kinds bare: no warm server of it is left");
+        }
+        if let Some(table) = self.tables.get_mut(&at) {
+            table.release();
+            table.file(name_of(&lines), Verdict::Recalled, lines);
+            table.back = true;
+        }
+        Back::Held { lines: usable, of }
+    }
+
+    /// What can be used now of earlier lines: no server that is drained, gone, struck or closed to the kinds,
+    /// and of one that still ramps no more than its part of the module's own lines. Harm: none warm, no way.
+    fn usable(&self, lines: &Lines, (proxy, g): (ProxyId, usize), table: &Table) -> Lines {
+        let (own, group, zone) = (self.own_lines(table, proxy, g), &self.groups[g], self.zone_of(proxy));
+        let near = |l: &Listed| group.open(l) && (!group.like.own_zone || l.zone == zone);
+        let server = |id| self.fleet.servers.get(id).filter(|s| s.part > 0.0 && near(&s.listed));
+        let known = lines.iter().filter_map(|(id, weight)| Some((*id, *weight, server(id)?)));
+        let (cold, warm): (Vec<_>, Vec<_>) = known.partition(|(_, _, s)| s.phase == Phase::Ramping);
+        let mut usable: Lines = warm.iter().map(|(id, w, s)| (*id, w.min(s.listed.weight))).collect();
+        let part = usable.values().sum::<f64>() / own.values().sum::<f64>().max(1e-9);
+        let most = |id, w: f64, s: &Server| (w * s.part).min(own.get(&id).unwrap_or(&0.0) * part);
+        usable.extend(cold.into_iter().map(|(id, w, s)| (id, most(id, w, s))).filter(|(_, w)| *w > 0.0));
+        usable
+    }
+
+    /// Ends each way back that was tainted, or of which no line can be used any more.
+    fn end_ways_back(&mut self, out: &mut Vec<Effect>) {
+        let why = |at, table: &Table| match table.recalled() {
+            None => Some("it was tainted"),
+            Some(r) if self.usable(&r.lines, at, table).is_empty() => Some("no warm server of it is left"),
+            _ => None,
+        };
+        let held = self.tables.iter().filter(|(_, t)| t.back);
+        let ended: Vec<_> = held.filter_map(|(at, t)| Some((*at, t.id, why(*at, t)?))).collect();
+        for (at, id, why) in ended {
+            self.tables.get_mut(&at).map(Table::release);
+            out.push(Effect::Back { table: id, what: Back::Ended(why) });
+        }
+    }
+
     /// Drops the servers that are long gone, once no joined proxy can hold them. Their withdrawals are
     /// lifted, so that one that comes back under its id is as good as any new one.
     fn forget(&mut self, now: f64) {
@@ -876,7 +921,8 @@
     }
 
     /// The published revision's lines, less what is shut or struck, none above what a server may have now.
-    fn lines_of(&self, table: &Table, group: &KindGroup, zone: ZoneId) -> Lines {
+    fn own_lines(&self, table: &Table, proxy: ProxyId, g: usize) -> Lines {
+        let (group, zone) = (&self.groups[g], self.zone_of(proxy));
         let mut lines = Lines::new();
         for (id, weight) in table.newest().into_iter().flat_map(|r| &r.lines) {
             if let Some(server) = self.fleet.servers.get(id).filter(|s| s.part > 0.0) {
@@ -956,7 +1002,10 @@
             if urgent != (bare || table.held.keys().all(left)) {
                 continue;
             }
-            let lines = self.lines_of(table, group, zone);
+            let lines = match table.recalled() {
+                Some(back) => self.usable(&back.lines, (id, g), table),
+                None => self.own_lines(table, id, g),
+            };
             let changed = lines.iter().filter(|(s, w)| table.held.get(*s) != Some(*w)).map(|(s, w)| (*s, *w));
             let dropped = table.held.keys().filter(|s| !lines.contains_key(*s)).map(|s| (*s, 0.0));
             let deltas: Vec<(ServerId, f64)> = changed.chain(dropped).collect();
@@ -980,7 +1029,7 @@
                 out.push(Effect::Bind { proxy: id, table: table.id, kinds });
             }
             (table.bound, table.held) = (true, lines);
-            let published = table.newest().map_or(0, |r| r.name);
+            let published = table.recalled().or_else(|| table.newest()).map_or(0, |r| r.name);
             if table.published != published {
                 table.published = published;
                 let mark = self.channel.next_mark;
--- a/src/state.rs
+++ b/src/state.rs
@@ -2,6 +2,7 @@
 
 use crate::facts::*;
 use crate::ring::Buckets;
+use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use std::collections::BTreeMap;
 
@@ -119,12 +120,16 @@
     Unknown,
     Sound,
     Tainted,
+    /// An operator went back to it.
+    Held,
 }
 
 #[derive(Clone, Copy, PartialEq)]
 pub enum Verdict {
     Proposed,
     Failed,
+    Recalled,
+    Released,
 }
 
 pub struct Revision {
@@ -153,6 +158,8 @@
     /// What the table holds by the orders that went out.
     pub held: Lines,
     pub bound: bool,
+    /// An operator went back; said until it has ended.
+    pub back: bool,
 }
 
 pub fn name_of(lines: &Lines) -> u64 {
@@ -160,6 +167,13 @@
     twox_hash::XxHash64::oneshot(0, &bytes.collect::<Vec<u8>>())
 }
 
+impl Table {
+    /// The revision that an operator went back to.
+    pub fn recalled(&self) -> Option<&Revision> {
+        self.revisions.iter().find(|r| r.standing == Standing::Held)
+    }
+}
+
 /// What may still wait in the channel. It is emptied in order, so an answer to a mark shows that
 /// all written before has left; without answers it is taken to run slow.
 #[derive(Default)]
@@ -344,6 +358,44 @@
 }
 
 impl Controller {
+    /// What a start brings, with nothing known and nothing allowed yet.
+    pub(crate) fn blank(now: f64, start: Start, groups: Vec<KindGroup>) -> Self {
+        let mut kinds = start.kinds;
+        kinds.truncate(KINDS);
+        let came = Buckets::new(1_000.0, 24);
+        let position = |field| start.load_fields.iter().position(|f| *f == field);
+        Self {
+            rng: ChaCha8Rng::seed_from_u64(start.seed),
+            groups,
+            kinds,
+            bounds: start.bounds,
+            pace: start.channel,
+            means: start.means,
+            held_at: position(LoadField::Held).or(position(LoadField::Queue)),
+            queue_only: position(LoadField::Held).is_none(),
+            list_asked: start.list.asked,
+            ask_again_ms: 0.0,
+            proxies: f64::from(start.place.proxies.max(1)),
+            controllers: f64::from(start.place.controllers.max(1)),
+            fleet: Fleet::default(),
+            demand: Demand { proxies: BTreeMap::new(), came, zones: BTreeMap::new() },
+            tables: BTreeMap::new(),
+            channel: Channel { as_of_ms: now, ..Channel::default() },
+            valves: Valves { levels: start.habits.levels, ..Valves::default() },
+            started: false,
+            hasty: false,
+            beat_ms: now,
+            beat_set: false,
+            noted: 0,
+            log: Log::new(),
+        }
+    }
+
+    /// The zone that a proxy last joined from.
+    pub(crate) fn zone_of(&self, proxy: ProxyId) -> ZoneId {
+        self.demand.proxies.get(&proxy).map_or(0, |p| p.zone)
+    }
+
     /// Names this part of the joined proxies to the peers at least, those next whose turn it is.
     pub(crate) fn notes(&mut self, part: f64) -> Vec<Effect> {
         let joined = self.demand.proxies.iter().filter(|(_, p)| p.joined && self.means.peers);
--- /dev/null
+++ b/tests/way_back.rs
@@ -0,0 +1,270 @@
+//! The way back, by printed traces and by a property over random days.
+
+#[expect(dead_code, reason = "other tests use more of it")]
+mod desk;
+
+use desk::{Desk, kind, listed, server, start};
+use insta::assert_snapshot;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use rookpulley::facts::*;
+use rookpulley::rules::Controller;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Two proxies on four warm servers, past the first round, all answered.
+fn settled() -> Desk {
+    let mut desk = Desk::new(start(), (1..=4).map(|n| listed(n, 0)).collect());
+    desk.join(0, 0);
+    desk.join(1, 0);
+    desk.pass(1_500.0, |d| d.answer());
+    desk
+}
+
+trait Operator {
+    /// An operator goes back to these lines of a table.
+    fn go_back(&mut self, table: TableId, lines: &[(u8, f64)]);
+    fn release(&mut self, table: TableId);
+}
+
+impl Operator for Desk {
+    fn go_back(&mut self, table: TableId, lines: &[(u8, f64)]) {
+        let lines = lines.iter().map(|(n, weight)| (server(*n), *weight)).collect();
+        self.give(vec![Input::GoBack { table, lines }]);
+    }
+
+    fn release(&mut self, table: TableId) {
+        self.give(vec![Input::Release { table }]);
+    }
+}
+
+fn calm(desk: &mut Desk) {
+    desk.answer();
+    (1..=5).for_each(|n| desk.hear(n, 10.0, 0.0, 100.0));
+}
+
+const OLD: &[(u8, f64)] = &[(1, 2.0), (2, 2.0), (3, 1.0)];
+
+#[test]
+fn it_holds_through_newer_lists_until_released() {
+    let mut desk = settled();
+    desk.note("back to three servers; the other table stays");
+    desk.go_back(0, OLD);
+    desk.pass(1_500.0, calm);
+    desk.note("a new server comes: t1 takes it in, t0 does not");
+    desk.change(5, Stage::Ready, 0.0);
+    desk.pass(3_000.0, calm);
+    desk.note("another way back takes its place");
+    desk.go_back(0, &[(1, 1.0), (4, 1.0)]);
+    desk.pass(1_500.0, calm);
+    desk.note("released; and once more, which is refused");
+    desk.release(0);
+    desk.pass(1_500.0, calm);
+    desk.release(0);
+    assert_snapshot!(desk.trace);
+}
+
+#[test]
+fn a_drain_between_a_rollback_and_its_answers_acts_at_once() {
+    let mut desk = settled();
+    desk.go_back(0, OLD);
+    desk.note("no answer yet; s2 drains, and comes back without a later start only as a ramp");
+    desk.change(2, Stage::Draining, 0.0);
+    desk.pass(700.0, |_| ());
+    desk.pass(2_000.0, calm);
+    desk.note("s2 starts anew: usable again, cold");
+    let started = desk.now();
+    desk.change(2, Stage::Ready, started);
+    desk.pass(3_000.0, calm);
+    assert_snapshot!(desk.trace);
+}
+
+#[test]
+fn a_rollback_to_a_table_that_names_a_node_now_gone() {
+    let mut desk = settled();
+    desk.change(3, Stage::Gone, 0.0);
+    desk.pass(1_500.0, calm);
+    desk.note("s3 and s9 are gone: they are left out");
+    desk.go_back(0, &[(1, 2.0), (3, 2.0), (9, 2.0)]);
+    desk.pass(1_500.0, calm);
+    assert_snapshot!(desk.trace);
+}
+
+#[test]
+fn a_rollback_to_a_table_whose_nodes_have_all_drained_is_refused() {
+    let mut desk = settled();
+    desk.change(1, Stage::Draining, 0.0);
+    desk.change(2, Stage::Draining, 0.0);
+    desk.pass(1_500.0, calm);
+    desk.note("refused with the reason; the present table stays");
+    desk.go_back(0, &[(1, 2.0), (2, 2.0)]);
+    desk.go_back(77, &[(3, 2.0)]);
+    desk.pass(1_500.0, calm);
+    desk.note("held, and then its last server drains: it ends, and nobody is left bare");
+    desk.go_back(0, &[(3, 2.0)]);
+    desk.pass(1_500.0, calm);
+    desk.change(3, Stage::Draining, 0.0);
+    desk.pass(1_500.0, calm);
+    assert_snapshot!(desk.trace);
+}
+
+#[test]
+fn a_rollback_never_gives_a_cold_server_more_than_the_module_does() {
+    let mut desk = settled();
+    let started = desk.now();
+    desk.change(1, Stage::Ready, started);
+    desk.pass(1_500.0, calm);
+    desk.note("s1 is cold: it was one of two lines, and the module gives it none yet");
+    desk.go_back(0, &[(1, 2.0), (2, 2.0)]);
+    desk.pass(1_500.0, calm);
+    desk.note("cold alone is as good as bare");
+    desk.go_back(1, &[(1, 2.0)]);
+    assert_snapshot!(desk.trace);
+}
+
+#[test]
+fn a_rollback_ends_when_it_is_tainted() {
+    let mut desk = settled();
+    desk.pass(6_000.0, calm);
+    desk.note("failures at its servers after the push");
+    desk.go_back(0, OLD);
+    let some_bad = |desk: &mut Desk| {
+        desk.answer();
+        (1..=4).for_each(|n| desk.hear(n, 20.0, 3.0, 100.0));
+    };
+    desk.pass(6_000.0, some_bad);
+    assert_snapshot!(desk.trace);
+}
+
+#[test]
+fn a_rollback_during_a_mass_rejoin_holds_for_whom_comes() {
+    let mut desk = settled();
+    desk.note("both leave, the operator goes back, both come again");
+    desk.give(vec![Input::Left { proxy: 0 }, Input::Left { proxy: 1 }]);
+    desk.go_back(0, OLD);
+    desk.join(0, 0);
+    desk.join(1, 0);
+    desk.pass(1_500.0, calm);
+    assert_snapshot!(desk.trace);
+}
+
+#[test]
+fn a_lost_table_is_written_whole_again() {
+    let mut desk = settled();
+    desk.note("t1 was lost on the way");
+    desk.give(vec![Input::Lost { table: 1 }]);
+    desk.pass(700.0, calm);
+    assert_snapshot!(desk.trace);
+}
+
+// ---- Random days --------------------------------------------------------------------------
+
+/// What the orders have said so far, and what the list says.
+#[derive(Default)]
+struct Seen {
+    tables: BTreeMap<TableId, BTreeMap<ServerId, f64>>,
+    bound: BTreeMap<TableId, ProxyId>,
+    drained: BTreeSet<ServerId>,
+    held: BTreeSet<TableId>,
+}
+
+/// Random lists, joinings, failures and ways back: no order ever names a server that is drained, no table
+/// that was bound is left without a line while a ready server is listed, and a cold server has no greater
+/// part of a table held than of one that is not.
+#[test]
+fn no_way_back_names_a_drained_server_or_leaves_a_table_bare() {
+    let (mut held, mut refused, mut ended) = (0, 0, 0);
+    for seed in 0..60_u64 {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let mut told = start();
+        told.kinds = vec![kind("view", 1.0, Repeat::Replayable), kind("book", 2.0, Repeat::NonReplayable)];
+        let mut now = 1e5;
+        let mut controller = Controller::new(now, told);
+        let mut seen = Seen::default();
+        let (mut alarms, mut mark, mut old) = (Vec::new(), None, Vec::new());
+        let lines = (1..=8).map(|n| listed(n, 0)).collect();
+        let mut inputs = vec![Input::List { scope: ListScope::Cached, version: 1, lines }];
+        inputs.extend((0..3).map(|proxy| Input::Joined { proxy, zone: 0, usual_per_s: 9.0, fresh: true }));
+        for step in 0..400 {
+            let who = format!("seed {seed}, step {step}");
+            for input in &inputs {
+                if let Input::List { lines, .. } = input {
+                    for l in lines {
+                        match l.stage {
+                            Stage::Ready => _ = seen.drained.remove(&l.server),
+                            _ => _ = seen.drained.insert(l.server),
+                        }
+                    }
+                }
+            }
+            for effect in controller.handle(now, &inputs) {
+                match effect {
+                    Effect::Alarm { in_ms, name } => alarms.push((now + in_ms, name)),
+                    Effect::Line { table, server, weight } => {
+                        let lines = seen.tables.entry(table).or_default();
+                        if weight > 0.0 {
+                            assert!(!seen.drained.contains(&server), "{who}: a drained server is written");
+                            lines.insert(server, weight);
+                        } else {
+                            lines.remove(&server);
+                        }
+                    }
+                    Effect::Bind { proxy, table, .. } => _ = seen.bound.insert(table, proxy),
+                    Effect::Mark { mark: m, .. } => mark = Some(m),
+                    Effect::Back { table, what } => match what {
+                        Back::Held { lines, of } => {
+                            assert!(lines > 0 && lines <= of, "{who}");
+                            (held, _) = (held + 1, seen.held.insert(table));
+                        }
+                        Back::Refused(_) => refused += 1,
+                        Back::Ended(_) => (ended, _) = (ended + 1, seen.held.remove(&table)),
+                    },
+                    _ => {}
+                }
+            }
+            let ready = 8 - seen.drained.len();
+            for (table, lines) in seen.tables.iter().filter(|(t, _)| seen.bound.contains_key(t) && ready > 0)
+            {
+                assert!(!lines.is_empty(), "{who}: table {table} is bare");
+            }
+            old.push(seen.tables.clone());
+            now += rng.random_range(50.0..400.0);
+            inputs.clear();
+            alarms.retain(|(due, name)| {
+                let later = *due > now;
+                _ = (!later).then(|| inputs.push(Input::Alarm { name: *name }));
+                later
+            });
+            inputs.extend(
+                mark.take()
+                    .into_iter()
+                    .flat_map(|mark| (0..3).map(move |proxy| Input::Applied { proxy, mark, took_ms: 90.0 })),
+            );
+            let n = rng.random_range(1..=8_u8);
+            match rng.random_range(0..12) {
+                0 | 1 if seen.drained.len() < 6 => {
+                    let line = Listed { stage: Stage::Draining, ..listed(n, 0) };
+                    inputs.push(Input::List { scope: ListScope::Changes, version: 2, lines: vec![line] });
+                }
+                2 => {
+                    let line = Listed { started_ms: now, ..listed(n, 0) };
+                    inputs.push(Input::List { scope: ListScope::Changes, version: 2, lines: vec![line] });
+                }
+                3..=5 => {
+                    let then: &BTreeMap<_, _> = &old[rng.random_range(0..old.len())];
+                    let table = rng.random_range(0..3);
+                    let lines = then.get(&table).cloned().unwrap_or_default().into_iter().collect();
+                    inputs.push(Input::GoBack { table, lines });
+                }
+                6 => inputs.push(Input::Release { table: rng.random_range(0..3) }),
+                7 => inputs.push(Input::Lost { table: rng.random_range(0..3) }),
+                _ => {
+                    let bad = if rng.random_range(0..6) == 0 { 15.0 } else { 0.0 };
+                    let (tries, mean_ms, span_ms, load) = (20.0, 90.0, 1_000.0, Vec::new());
+                    let server = server(n);
+                    inputs.push(Input::Heard { zone: 0, server, tries, bad, mean_ms, span_ms, load });
+                }
+            }
+        }
+    }
+    assert!(held > 500 && refused > 50 && ended > 300, "held {held}, refused {refused}, ended {ended}");
+}
