--- a/crates/rookpulley-assigner/src/config.rs
+++ b/crates/rookpulley-assigner/src/config.rs
@@ -86,6 +86,7 @@
         kinds: start.kinds.iter().map(|k| k.name.clone()).collect(),
         load: start.load_fields.clone(),
         proxies: start.place.proxies,
+        versions: false,
     };
     let known = words.decode_list(&file.known.to_string())?;
     let peers = match start.means.peers {
--- a/crates/rookpulley-assigner/src/driver.rs
+++ b/crates/rookpulley-assigner/src/driver.rs
@@ -3,7 +3,8 @@
 use crate::counters::Counters;
 use crate::ending::Ending;
 use crate::log::Log;
-use crate::messages::{ELSEWHERE, List, Words, server_id};
+use crate::messages::{ELSEWHERE, Holds, List, Words, server_id};
+use crate::operators::WaysBack;
 use crate::orders::{Names, Orders};
 use crate::outbox::Outbox;
 use crate::peers::Peers;
@@ -12,6 +13,8 @@
 use crate::streams::{ConnId, Conns};
 use rookpulley::facts::*;
 use rookpulley::rules::Controller;
+use rookpulley_operators::Asked;
+use rookpulley_versions::{Book, Claim, Kinds};
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
@@ -20,13 +23,26 @@
 
 /// What connections, the list and peers tell the driver.
 pub enum Event {
-    Joined { conn: ConnId, outbox: Rc<Outbox>, proxy: ProxyId, zone: ZoneId, usual_per_s: f64, fresh: bool },
-    OnStream { conn: ConnId, proxy: ProxyId, input: Input },
+    Joined(Joined),
+    OnStream { conn: ConnId, proxy: ProxyId, input: Input, holds: Holds },
+    Refused { conn: ConnId, proxy: ProxyId, kinds: Kinds, holds: Option<Claim> },
     Ended { conn: ConnId, proxy: ProxyId, ending: Ending },
     Report(Input),
     List { scope: ListScope, list: List },
     ListFailed,
     Note { from: u16, bytes: Vec<u8> },
+    Asked(Asked),
+}
+
+/// A proxy's joining.
+pub struct Joined {
+    pub conn: ConnId,
+    pub outbox: Rc<Outbox>,
+    pub proxy: ProxyId,
+    pub zone: ZoneId,
+    pub usual_per_s: f64,
+    pub fresh: bool,
+    pub holds: Option<Holds>,
 }
 
 /// What every task has at hand.
@@ -102,6 +118,7 @@
     inputs: Vec<Input>,
     peers: Option<Rc<Peers>>,
     roster: Rc<Roster>,
+    ways_back: WaysBack,
 }
 
 impl Driver {
@@ -113,11 +130,12 @@
         tick_ms: f64,
         peers: Option<Rc<Peers>>,
         roster: Rc<Roster>,
+        book: Option<Book>,
     ) -> Self {
         let clock = Clock::start();
         let mut driver = Self {
             tick_ms,
-            orders: Orders::new(front.words.kinds.clone()),
+            orders: Orders::new(front.words.kinds.clone(), book),
             controller: Controller::new(clock.now_ms(), start),
             names: Names::new(),
             shown: BTreeMap::new(),
@@ -129,6 +147,7 @@
             clock,
             peers,
             roster,
+            ways_back: WaysBack::default(),
         };
         driver.take(Event::List { scope: ListScope::Cached, list: known });
         driver.call();
@@ -143,7 +162,9 @@
     pub async fn turn(&mut self, events: &mut mpsc::Receiver<Event>) {
         let next_tick = Instant::now() + Duration::from_secs_f64(self.tick_ms / 1e3);
         let due = self.alarms.keys().next().map(|(us, _)| self.clock.at_ms(*us as f64 / 1e3));
-        let due = due.unwrap_or_else(|| Instant::now() + Duration::from_secs(3600));
+        let idle = self.orders.book.as_ref().map_or(3_600_000.0, Book::look_ms);
+        let idle = Duration::from_secs_f64(idle / 1e3);
+        let due = due.unwrap_or_else(|| Instant::now() + idle).min(Instant::now() + idle);
         if self.inputs.is_empty() {
             tokio::select! {
                 Some(event) = events.recv() => self.take(event),
@@ -163,18 +184,20 @@
     /// Turns what came into the module's input.
     fn take(&mut self, event: Event) {
         match event {
-            Event::Joined { conn, outbox, proxy, zone, usual_per_s, fresh } => {
+            Event::Joined(Joined { conn, outbox, proxy, zone, usual_per_s, fresh, holds }) => {
                 if let Some(before) = self.streams.insert(proxy, Stream { conn, outbox }) {
                     before.outbox.end(Ending::Replaced);
                     self.inputs.extend(Ending::Replaced.input(proxy));
                 }
-                self.orders.join(proxy, fresh);
+                self.orders.join(self.clock.now_ms(), proxy, fresh, holds);
                 self.front.counters.most("most proxies joined", self.streams.len() as u64);
                 self.inputs.push(Input::Joined { proxy, zone, usual_per_s, fresh });
             }
-            Event::OnStream { conn, proxy, input } => match self.streams.get(&proxy) {
+            Event::OnStream { conn, proxy, input, holds } => match self.streams.get(&proxy) {
                 Some(stream) if stream.conn == conn => match input {
-                    Input::Applied { mark, .. } if !self.orders.answered(proxy, mark) => {
+                    Input::Applied { mark, .. }
+                        if !self.orders.answered(self.clock.now_ms(), proxy, mark, &holds) =>
+                    {
                         self.front.counters.one("bad input: mark not asked for");
                         say!(self.front.log, "bad input", "from proxy {proxy}: mark {mark} not asked for");
                     }
@@ -182,10 +205,23 @@
                 },
                 _ => self.front.counters.one("late input of old streams"),
             },
+            Event::Refused { conn, proxy, kinds, holds } => {
+                match (self.streams.get(&proxy), &mut self.orders.book) {
+                    (Some(stream), Some(book)) if stream.conn == conn => {
+                        say!(self.front.log, "version", "proxy {proxy} refused an order, it holds {holds:?}");
+                        book.refuses(self.clock.now_ms(), proxy, kinds, holds);
+                    }
+                    _ => self.front.counters.one("late input of old streams"),
+                }
+            }
+            Event::Asked(asked) => {
+                let inputs = self.ways_back.take(self.clock.now_ms(), asked, &self.orders);
+                self.inputs.extend(inputs);
+            }
             Event::Ended { conn, proxy, ending } => {
                 if self.streams.get(&proxy).is_some_and(|s| s.conn == conn) {
                     self.streams.remove(&proxy);
-                    self.orders.leave(proxy);
+                    self.orders.leave(self.clock.now_ms(), proxy);
                     self.inputs.extend(ending.input(proxy));
                 }
             }
@@ -220,6 +256,22 @@
         }
     }
 
+    /// Tells the module of tables that did not reach their proxy, or that it holds otherwise.
+    fn owed(&mut self, now: f64) {
+        let Some(book) = &mut self.orders.book else { return };
+        let mut owed = std::mem::take(&mut self.orders.owed);
+        for (proxy, table) in book.due(now) {
+            say!(
+                self.front.log,
+                "version",
+                "proxy {proxy} does not hold table {table} as told: written anew"
+            );
+            owed.insert(table);
+        }
+        self.front.counters.add("tables owed", owed.len() as u64);
+        self.inputs.extend(owed.into_iter().map(|table| Input::Lost { table }));
+    }
+
     /// Calls the module with what came and the alarms that are due, and carries out what it orders.
     fn call(&mut self) {
         let now = self.clock.now_ms();
@@ -227,13 +279,14 @@
         while let Some(alarm) = self.alarms.first_entry().filter(|a| a.key().0 <= due) {
             self.inputs.push(Input::Alarm { name: alarm.remove() });
         }
+        self.owed(now);
         if self.inputs.is_empty() {
             return;
         }
         let effects = self.controller.handle(now, &self.inputs);
         self.inputs.clear();
         self.front.counters.one("calls of the module");
-        for written in self.orders.carry_out(&effects, &self.names) {
+        for written in self.orders.carry_out(now, &effects, &self.names) {
             self.front.counters.one("out messages");
             self.front.counters.add("out lines", written.lines as u64);
             self.front.counters.add("out bytes", written.bytes.len() as u64);
@@ -262,6 +315,10 @@
                     self.orders.forget(&server);
                     self.front.counters.one("servers forgotten");
                 }
+                Effect::Back { table, what } => {
+                    say!(self.front.log, "way back", "table {table}: {what:?}");
+                    self.ways_back.hear(table, &what);
+                }
                 Effect::Watch { on } => self.roster.set_watch(on),
                 Effect::Fetch => self.roster.fetch(),
                 // On sockets there is no way to probe.
--- a/crates/rookpulley-assigner/src/lib.rs
+++ b/crates/rookpulley-assigner/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod ending;
 pub mod log;
 pub mod messages;
+pub mod operators;
 pub mod orders;
 pub mod outbox;
 pub mod peers;
@@ -17,9 +18,12 @@
 use driver::{Driver, Event, Front};
 use ending::Ending;
 use messages::List;
+use operators::Asking;
 use peers::Peers;
 use reload::Held;
 use rookpulley::facts::Start;
+use rookpulley_operators::{BadFile, Operators};
+use rookpulley_versions::Book;
 use roster::{Pauses, Roster};
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -40,6 +44,8 @@
 pub enum CannotRun {
     #[error("{0}")]
     Config(#[from] config::Unusable),
+    #[error("the operators' file {0}")]
+    Operators(#[from] BadFile),
     #[error("{what} {place} can't be used: {why}")]
     Address { what: &'static str, place: SocketAddr, why: std::io::Error },
     #[error("the system gives no {0}: {1}")]
@@ -74,6 +80,8 @@
     known: List,
     tick_ms: f64,
     start: Start,
+    asking: Option<Asking>,
+    book: Option<Book>,
 }
 
 fn at(what: &'static str, place: SocketAddr) -> impl FnOnce(std::io::Error) -> CannotRun {
@@ -81,8 +89,17 @@
 }
 
 impl Assigner {
-    pub async fn bind(told: Told, path: PathBuf, signals: Signals) -> Result<Self, CannotRun> {
-        let Told { fixed, name, listen, discovery, limits, peers, known, words, tick_ms, start } = told;
+    pub async fn bind(
+        told: Told,
+        path: PathBuf,
+        signals: Signals,
+        operators: &Operators,
+    ) -> Result<Self, CannotRun> {
+        let Told { fixed, name, listen, discovery, limits, peers, known, mut words, tick_ms, start } = told;
+        // Both are off, and hold nothing, unless the operators' own file names them.
+        let asking = Asking::bind(operators.address.as_ref()).await?;
+        let book = operators.versions.map(|keep| operators::book(&name, keep, &start.channel));
+        words.versions = book.is_some();
         let listener = TcpListener::bind(listen).await.map_err(at("the address to listen at", listen))?;
         let mut notes = None;
         if let Some(places) = peers {
@@ -100,7 +117,25 @@
             events: sender,
         });
         let held = Held { path, fixed };
-        Ok(Self { front, listener, notes, signals, held, events, discovery, known, tick_ms, start })
+        Ok(Self {
+            front,
+            listener,
+            notes,
+            signals,
+            held,
+            events,
+            discovery,
+            known,
+            tick_ms,
+            start,
+            asking,
+            book,
+        })
+    }
+
+    /// Where operators reach it.
+    pub fn operators_place(&self) -> Option<SocketAddr> {
+        self.asking.as_ref().and_then(Asking::place)
     }
 
     /// Where it listens, and where it takes notes.
@@ -112,7 +147,7 @@
     /// Serves until SIGTERM. Called within a `LocalSet`.
     pub async fn serve(self) {
         let place = self.places().0;
-        let Self { front, listener, notes, signals, mut events, known, start, .. } = self;
+        let Self { front, listener, notes, signals, mut events, known, start, asking, book, .. } = self;
         let Signals { mut stop, mut print, reload } = signals;
         let ask = start.list.asked;
         let roster = Roster::new(self.discovery, known.version, ask, front.clone());
@@ -123,10 +158,13 @@
         if let Some(peers) = &notes {
             tokio::task::spawn_local(peers.clone().listen(front.clone()));
         }
+        if let Some(asking) = asking {
+            asking.begin(&front);
+        }
         if let Some(place) = place {
             say!(front.log, "start", "listening at {place}, {} servers known", known.lines.len());
         }
-        let mut driver = Driver::start(front.clone(), start, known, self.tick_ms, notes, roster);
+        let mut driver = Driver::start(front.clone(), start, known, self.tick_ms, notes, roster, book);
         let mut listener = Some(listener);
         loop {
             // Nobody is answered before the list is known.
--- a/crates/rookpulley-assigner/src/log.rs
+++ b/crates/rookpulley-assigner/src/log.rs
@@ -1,8 +1,15 @@
-//! What the program prints: short lines on standard error, a few of a kind in each stretch of time.
+//! What the program prints: short lines on standard error, a few of a kind in each stretch of time. Lines are
+//! `tracing` events; as text they are written as `name kind: text`, as JSON one object each.
 
+use rookpulley_operators::file::LogForm;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
+use std::fmt::{self, Write};
 use std::time::{Duration, Instant};
+use tracing::field::{Field, Visit};
+use tracing_subscriber::fmt::FmtContext;
+use tracing_subscriber::fmt::format::{FormatEvent, FormatFields, Writer};
+use tracing_subscriber::registry::LookupSpan;
 
 const STRETCH: Duration = Duration::from_secs(10);
 
@@ -11,7 +18,7 @@
 macro_rules! say {
     ($log:expr, $kind:expr, $($text:tt)*) => {
         if let Some(left_out) = $log.may_say($kind) {
-            eprintln!("{} {}: {}{left_out}", $log.name, $kind, format_args!($($text)*));
+            tracing::info!(name = $log.name, kind = $kind, "{}{left_out}", format_args!($($text)*));
         }
     };
 }
@@ -57,3 +64,60 @@
         Some(note)
     }
 }
+
+/// Takes the lines of this process to standard error from now on. Called once, by the program itself.
+pub fn begin(form: LogForm) {
+    let lines = tracing_subscriber::fmt().with_writer(std::io::stderr).with_ansi(false);
+    let set = match form {
+        LogForm::Text => tracing::subscriber::set_global_default(lines.event_format(Text).finish()),
+        LogForm::Json => {
+            let lines = lines.json().flatten_event(true).with_target(false).with_current_span(false);
+            tracing::subscriber::set_global_default(lines.with_span_list(false).finish())
+        }
+    };
+    // Set already: somebody else in this process takes the lines.
+    _ = set;
+}
+
+/// `name kind: text`.
+struct Text;
+
+#[derive(Default)]
+struct Line {
+    name: String,
+    kind: String,
+    text: String,
+}
+
+impl Visit for Line {
+    fn record_str(&mut self, field: &Field, value: &str) {
+        match field.name() {
+            "name" => self.name = value.into(),
+            "kind" => self.kind = value.into(),
+            _ => {}
+        }
+    }
+
+    fn record_debug(&mut self, field: &Field, value: &dyn fmt::Debug) {
+        if field.name() == "message" {
+            _ = write!(self.text, "{value:?}");
+        }
+    }
+}
+
+impl<S, N> FormatEvent<S, N> for Text
+where
+    S: tracing::Subscriber + for<'a> LookupSpan<'a>,
+    N: for<'a> FormatFields<'a> + 'static,
+{
+    fn format_event(
+        &self,
+        _: &FmtContext<'_, S, N>,
+        mut writer: Writer<'_>,
+        event: &tracing::Event<'_>,
+    ) -> fmt::Result {
+        let mut line = Line::default();
+        event.record(&mut line);
+        writeln!(writer, "{} {}: {}", line.name, line.kind, line.text)
+    }
+}
--- a/crates/rookpulley-assigner/src/main.rs
+++ b/crates/rookpulley-assigner/src/main.rs
@@ -1,9 +1,36 @@
 //! Starts one assigner by the file that `PROXY_CONFIG` names.
 
-use rookpulley_assigner::{Assigner, CannotRun, Signals, config};
+use clap::Parser;
+use rookpulley_assigner::{Assigner, CannotRun, Signals, config, log};
+use rookpulley_operators::{Operators, file};
+use std::path::PathBuf;
 use std::process::ExitCode;
 
-fn start() -> Result<(), CannotRun> {
+/// One assigner: tables to proxies, by what they and discovery tell.
+///
+/// PROXY_CONFIG names its configuration.
+///
+/// Example: PROXY_CONFIG=deploy/example.json rookpulley-assigner --operators deploy/operators.star
+#[derive(Parser)]
+#[command(version)]
+struct Given {
+    /// The operators' own file; what it does not name, and all without one, is off
+    #[arg(long, env = "ROOKPULLEY_OPERATORS", value_name = "FILE")]
+    operators: Option<PathBuf>,
+    /// Reads both files, says what is wrong with them and ends
+    #[arg(long)]
+    check: bool,
+}
+
+fn start(given: Given) -> Result<(), CannotRun> {
+    let operators = given.operators.as_deref().map(file::load).transpose()?;
+    let operators: Operators = operators.unwrap_or_default();
+    if given.check {
+        config::load(&config::path_from_env()?)?;
+        println!("both files can be used");
+        return Ok(());
+    }
+    log::begin(operators.log);
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(|e| CannotRun::System("runtime", e))?;
     let ended = tokio::task::LocalSet::new().block_on(&runtime, async {
@@ -11,7 +38,7 @@
         let signals = Signals::take()?;
         let path = config::path_from_env()?;
         let told = config::load(&path)?;
-        Assigner::bind(told, path, signals).await?.serve().await;
+        Assigner::bind(told, path, signals, &operators).await?.serve().await;
         Ok(())
     });
     // Tasks that still run are dropped: their connections end with the process, and a file that
@@ -21,7 +48,7 @@
 }
 
 fn main() -> ExitCode {
-    match start() {
+    match start(Given::parse()) {
         Ok(()) => ExitCode::SUCCESS,
         Err(why) => {
             eprintln!("rookpulley-assigner: {why}");
--- a/crates/rookpulley-assigner/src/messages.rs
+++ b/crates/rookpulley-assigner/src/messages.rs
@@ -1,6 +1,7 @@
 //! Messages, decoded once into small typed values and encoded once. Only here stand the wire's words.
 
 use rookpulley::facts::*;
+use rookpulley_versions::{Claim, Kinds};
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 use serde_json::value::RawValue;
@@ -20,6 +21,8 @@
     pub kinds: Vec<String>,
     pub load: Vec<LoadField>,
     pub proxies: u32,
+    /// Proxies may say which versions they hold; off, nothing is read of it.
+    pub versions: bool,
 }
 
 fn place(names: &[String], name: &str) -> Option<u16> {
@@ -44,16 +47,28 @@
         zone: ZoneId,
         usual_per_s: f64,
         fresh: bool,
+        /// What it holds, by request kinds; None: it says nothing of versions.
+        holds: Option<Holds>,
     },
     /// What a proxy tells of itself: marks, usage.
     OfProxy {
         proxy: ProxyId,
         input: Input,
+        holds: Holds,
+    },
+    /// It did not take an order for the table of these request kinds, and holds this instead.
+    Refused {
+        proxy: ProxyId,
+        kinds: Kinds,
+        holds: Option<Claim>,
     },
     /// What the proxies of a zone met.
     Heard(Input),
 }
 
+/// What a proxy says it holds, by the request kinds of its tables.
+pub type Holds = BTreeMap<Kinds, Claim>;
+
 impl Message {
     pub fn name(&self) -> &'static str {
         match self {
@@ -62,6 +77,7 @@
             Self::Joining { .. } => "joinings",
             Self::OfProxy { input: Input::Applied { .. }, .. } => "marks answered",
             Self::OfProxy { .. } => "usage",
+            Self::Refused { .. } => "orders refused",
             Self::Heard(_) => "heard",
         }
     }
@@ -165,7 +181,42 @@
     }
 }
 
+/// What a proxy holds for some request kinds, as it is written.
+#[derive(Deserialize)]
+struct Held<'a> {
+    #[serde(borrow)]
+    classes: Vec<Cow<'a, str>>,
+    #[serde(borrow)]
+    version: Option<Cow<'a, str>>,
+    #[serde(borrow)]
+    digest: Cow<'a, str>,
+}
+
+fn claim(field: &'static str, version: Option<Cow<str>>, digest: &str) -> Result<Claim, Bad> {
+    let wrong = Wrong::OutOfRange;
+    let version = version.map(|v| v.parse().map_err(|_| Bad::Spoilt { field, wrong })).transpose()?;
+    Ok(Claim { version, digest: digest.parse().map_err(|_| Bad::Spoilt { field, wrong })? })
+}
+
 impl Words {
+    /// Request kinds by their names, as bits.
+    fn mask(&self, field: &'static str, names: &[Cow<str>]) -> Result<Kinds, Bad> {
+        let place = |name: &Cow<str>| place(&self.kinds, name).filter(|at| *at < Kinds::BITS as u16);
+        let bits = names.iter().map(|n| place(n).map(|at| 1 << at));
+        bits.sum::<Option<Kinds>>().ok_or(Bad::Spoilt { field, wrong: Wrong::Unknown })
+    }
+
+    fn holds(&self, told: &Fields) -> Result<Option<Holds>, Bad> {
+        if !self.versions || told.raw("holds").is_err() {
+            return Ok(None);
+        }
+        let held: Vec<Held> = told.get("holds")?;
+        let each = held
+            .into_iter()
+            .map(|h| Ok((self.mask("holds", &h.classes)?, claim("holds", h.version, &h.digest)?)));
+        each.collect::<Result<_, _>>().map(Some)
+    }
+
     fn proxy(&self, told: &Fields) -> Result<ProxyId, Bad> {
         let known = |number: &u64| *number < u64::from(self.proxies);
         Ok(told.number("proxy", known)? as ProxyId)
@@ -199,17 +250,20 @@
                 zone: told.place("zone", &self.zones)?,
                 usual_per_s: told.figure("weight")?,
                 fresh: told.get("fresh")?,
+                holds: self.holds(&told)?,
             },
             "done" => {
                 let (proxy, mark) = (self.proxy(&told)?, told.number("mark", |_| true)?);
                 let took_ms = told.figure("took_ms")?;
-                Message::OfProxy { proxy, input: Input::Applied { proxy, mark, took_ms } }
+                let holds = self.holds(&told)?.unwrap_or_default();
+                Message::OfProxy { proxy, input: Input::Applied { proxy, mark, took_ms }, holds }
             }
             "client_stats" => {
                 let (proxy, kind) = (self.proxy(&told)?, told.place("class", &self.kinds)?.into());
                 // Those that could not be served may have come in a span before.
                 let [came, bad, span_ms] = told.figures(["tries", "failed", "span_ms"])?;
-                Message::OfProxy { proxy, input: Input::Usage { proxy, kind, came, bad, span_ms } }
+                let input = Input::Usage { proxy, kind, came, bad, span_ms };
+                Message::OfProxy { proxy, input, holds: Holds::new() }
             }
             "upstream_stats" => {
                 let [tries, bad, span_ms] = told.figures(["tries", "failed", "span_ms"])?;
@@ -223,6 +277,18 @@
                 let load = self.load(&told)?;
                 Message::Heard(Input::Heard { zone, server, tries, bad, mean_ms, span_ms, load })
             }
+            "refused" if self.versions => {
+                let proxy = self.proxy(&told)?;
+                let classes: Vec<Cow<str>> = told.get("classes")?;
+                let kinds = self.mask("classes", &classes)?;
+                let holds = match told.raw("digest") {
+                    Ok(_) => {
+                        Some(claim("digest", told.get("version").ok(), &told.get::<Cow<str>>("digest")?)?)
+                    }
+                    Err(_) => None,
+                };
+                Message::Refused { proxy, kinds, holds }
+            }
             _ => return Err(Bad::Spoilt { field: "msg", wrong: Wrong::Unknown }),
         })
     }
@@ -323,6 +389,14 @@
     pub lines: Option<Vec<(&'a str, f64)>>,
     #[serde(skip_serializing_if = "Option::is_none")]
     pub level: Option<f64>,
+    /// The version that these lines bring the table to, and the digest it then has.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub version: Option<String>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub digest: Option<String>,
+    /// The digest that the table must have before.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub from: Option<String>,
     #[serde(skip_serializing_if = "Option::is_none")]
     pub retry: Option<u8>,
     #[serde(skip_serializing_if = "Vec::is_empty")]
--- /dev/null
+++ b/crates/rookpulley-assigner/src/operators.rs
@@ -0,0 +1,242 @@
+//! What operators ask while the assigner runs: answers from the book, and ways back, which the module decides.
+
+use crate::CannotRun;
+use crate::driver::{Event, Front};
+use crate::messages::server_id;
+use crate::orders::{Orders, places};
+use rookpulley::facts::{Back, ChannelFacts, Input, TableId};
+use rookpulley_operators::address;
+use rookpulley_operators::asks::{
+    Answer, Ask, Asked, BackList, BackRow, DiffList, DiffRow, HolderList, HolderRow, Refusal, VersionList,
+    VersionRow,
+};
+use rookpulley_operators::file::{Keep, Reach, Token};
+use rookpulley_versions::version::start_of;
+use rookpulley_versions::{Book, Bounds, Delta, History, Issuer, Judged, Patience, Version};
+use std::collections::BTreeSet;
+use std::hash::{BuildHasher, RandomState};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{SystemTime, UNIX_EPOCH};
+use tokio::net::TcpListener;
+use tokio::sync::{mpsc, oneshot};
+
+/// So many asks wait at once at most.
+const ASKS: usize = 16;
+
+/// The operators' address, held and not served yet.
+pub struct Asking {
+    listener: TcpListener,
+    token: Option<Token>,
+}
+
+impl Asking {
+    /// Nothing is opened where the operators' file names no address.
+    pub async fn bind(reach: Option<&Reach>) -> Result<Option<Self>, CannotRun> {
+        let Some(Reach { listen: place, token_file }) = reach else { return Ok(None) };
+        let token = token_file.as_deref().map(Token::load).transpose()?;
+        let why = |why| CannotRun::Address { what: "the operators' address", place: *place, why };
+        let listener = TcpListener::bind(place).await.map_err(why)?;
+        Ok(Some(Self { listener, token }))
+    }
+
+    pub fn place(&self) -> Option<SocketAddr> {
+        self.listener.local_addr().ok()
+    }
+
+    /// Serves from now on. Called within a `LocalSet`.
+    pub fn begin(self, front: &Rc<Front>) {
+        let (sender, mut asks) = mpsc::channel::<Asked>(ASKS);
+        let counted = front.clone();
+        let count: address::Count = Rc::new(move |what| counted.counters.one(what));
+        tokio::task::spawn_local(address::serve(self.listener, self.token, sender, count));
+        let front = front.clone();
+        tokio::task::spawn_local(async move {
+            while let Some(asked) = asks.recv().await {
+                front.tell(Event::Asked(asked)).await;
+            }
+        });
+    }
+}
+
+/// The book of one start. The start's name must never come again, also where the seed of the configuration
+/// does: its part of chance is the process's own.
+pub fn book(name: &str, keep: Keep, channel: &ChannelFacts) -> Book {
+    let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    let chance = RandomState::new().hash_one(std::process::id()) as u32;
+    let start = start_of(unix.as_secs_f64() * 1e3, chance);
+    let bounds = Bounds { each: keep.each, bytes: keep.bytes };
+    Book::new(
+        Issuer { assigner: name.into(), start },
+        1,
+        bounds,
+        Patience::for_transit(channel.transit_most_ms),
+    )
+}
+
+/// Ways back that the module has been asked for, and whom to answer.
+struct Waiting {
+    tables: BTreeSet<TableId>,
+    releases: bool,
+    rows: Vec<BackRow>,
+    answer: oneshot::Sender<Answer>,
+}
+
+#[derive(Default)]
+pub struct WaysBack {
+    waiting: Vec<Waiting>,
+    /// Tables that an operator holds back.
+    pub held: BTreeSet<TableId>,
+}
+
+fn refused(status: u16, what: impl Into<String>, instead: &str) -> Answer {
+    Answer::Refused { refusal: Refusal::new(status, what, Some(instead)) }
+}
+
+fn row(table: TableId, what: &Back) -> BackRow {
+    let blank = BackRow { table, what: String::new(), why: None, usable: None, of: None };
+    match what {
+        Back::Held { lines, of } => {
+            BackRow { what: "held".into(), usable: Some(*lines), of: Some(*of), ..blank }
+        }
+        Back::Refused(why) => BackRow { what: "refused".into(), why: Some(why.to_string()), ..blank },
+        Back::Ended(why) => BackRow { what: "ended".into(), why: Some(why.to_string()), ..blank },
+    }
+}
+
+impl WaysBack {
+    /// Answers an ask at once, or gives what the module is to be told for it.
+    pub fn take(&mut self, now: f64, asked: Asked, orders: &Orders) -> Vec<Input> {
+        let Asked { ask, answer } = asked;
+        let Some(book) = &orders.book else {
+            let instead = "write versions() into the operators' file and start the assigner anew";
+            _ = answer.send(refused(409, "versions are not kept here", instead));
+            return Vec::new();
+        };
+        let said = match ask {
+            Ask::Versions { table } => Ok(versions(&book.history, table)),
+            Ask::Holders => Ok(holders(now, book, orders, &self.held)),
+            Ask::Diff { from, to } => Ok(diff(&book.history, &from, &to)),
+            Ask::Rollback { to, table, all } => go_back(book, &to, table, all),
+            Ask::Release { table } => match table {
+                Some(table) => Err(vec![Input::Release { table }]),
+                None if self.held.is_empty() => Ok(refused(409, "no table is held back", "see holders")),
+                None => Err(self.held.iter().map(|table| Input::Release { table: *table }).collect()),
+            },
+        };
+        match said {
+            Ok(now_known) => {
+                // Whoever asked may have gone.
+                _ = answer.send(now_known);
+                Vec::new()
+            }
+            Err(inputs) => {
+                let table = |i: &Input| match i {
+                    Input::GoBack { table, .. } | Input::Release { table } => Some(*table),
+                    _ => None,
+                };
+                let releases = inputs.iter().any(|i| matches!(i, Input::Release { .. }));
+                let tables = inputs.iter().filter_map(table).collect();
+                self.waiting.push(Waiting { tables, releases, rows: Vec::new(), answer });
+                inputs
+            }
+        }
+    }
+
+    /// What the module made of a way back; whoever waits for no further table is answered.
+    pub fn hear(&mut self, table: TableId, what: &Back) {
+        match what {
+            Back::Held { .. } => _ = self.held.insert(table),
+            Back::Ended(_) => _ = self.held.remove(&table),
+            Back::Refused(_) => {}
+        }
+        let ended = matches!(what, Back::Ended(_));
+        let waits = |w: &&mut Waiting| w.tables.contains(&table) && (w.releases || !ended);
+        let Some(waiting) = self.waiting.iter_mut().find(waits) else { return };
+        waiting.tables.remove(&table);
+        waiting.rows.push(row(table, what));
+        for done in self.waiting.extract_if(.., |w| w.tables.is_empty()) {
+            _ = done.answer.send(Answer::Back(BackList { tables: done.rows }));
+        }
+    }
+}
+
+fn versions(history: &History, table: Option<TableId>) -> Answer {
+    let kept = history.all().filter(|(id, _)| table.is_none_or(|t| t == *id));
+    let rows = kept.map(|(id, issued)| VersionRow {
+        version: issued.version.to_string(),
+        table: id,
+        digest: issued.table.digest().to_string(),
+        lines: issued.table.len(),
+        issued_ms: issued.at_ms.round(),
+        newest: issued.until.is_none(),
+        in_use: issued.pinned(),
+    });
+    let issuer = history.issuer();
+    let (assigner, start) = (issuer.assigner.to_string(), format!("{:016x}", issuer.start));
+    Answer::Versions(VersionList { assigner, start, versions: rows.collect() })
+}
+
+fn judged(judged: Judged) -> &'static str {
+    match judged {
+        Judged::Unknown => "unknown",
+        Judged::Behind => "behind",
+        Judged::InStep => "in step",
+        Judged::Lost => "lost",
+        Judged::Diverged => "diverged",
+    }
+}
+
+fn holders(now: f64, book: &Book, orders: &Orders, held_back: &BTreeSet<TableId>) -> Answer {
+    let named = |n: Option<u64>| n.map(|n| book.history.version(n).to_string());
+    let mut holders = Vec::new();
+    for (dispatcher, entry) in book.ledger.entries() {
+        for (table, held) in entry.tables() {
+            let kinds = places(book.kinds_of(dispatcher, table));
+            holders.push(HolderRow {
+                dispatcher,
+                joined: entry.joined,
+                speaks: entry.speaks,
+                kinds: kinds.filter_map(|k| orders.kinds().get(k).cloned()).collect(),
+                table,
+                judged: judged(held.judged).into(),
+                told: named(held.told),
+                confirmed: named(held.confirmed),
+                claimed: held.claimed.as_ref().and_then(|c| c.version.as_ref()).map(Version::to_string),
+                waits_ms: entry.waits_since_ms().map(|since| (now - since).max(0.0).round()),
+                back: held_back.contains(&table),
+            });
+        }
+    }
+    Answer::Holders(HolderList { assigner: book.history.issuer().assigner.to_string(), holders })
+}
+
+fn diff(history: &History, from: &str, to: &str) -> Answer {
+    let find = |text: &str| {
+        let version: Version = text.parse().map_err(|e| refused(400, format!("{e}"), "see versions"))?;
+        let found = history.find(&version).map_err(|e| refused(404, format!("{e}"), "see versions"))?;
+        Ok::<_, Answer>(found.1.table.clone())
+    };
+    let (a, b) = match (find(from), find(to)) {
+        (Ok(a), Ok(b)) => (a, b),
+        (Err(answer), _) | (_, Err(answer)) => return answer,
+    };
+    let delta = Delta::between(&a, &b);
+    let row = |name: &str| DiffRow { server: name.into(), from: a.weight(name), to: b.weight(name) };
+    let lines = delta.changes.iter().map(|(name, _)| row(name)).collect();
+    let (delta_bytes, whole_bytes) = (delta.canonical_len(), b.canonical_len());
+    Answer::Diff(DiffList { from: from.into(), to: to.into(), lines, delta_bytes, whole_bytes })
+}
+
+fn go_back(book: &Book, to: &str, table: Option<TableId>, all: bool) -> Result<Answer, Vec<Input>> {
+    let version: Version = match to.parse() {
+        Ok(version) => version,
+        Err(e) => return Ok(refused(400, format!("{e}"), "see versions")),
+    };
+    let ways = match book.way_back(&version, table, all) {
+        Ok(ways) => ways,
+        Err(e) => return Ok(refused(404, format!("{e}"), "see versions")),
+    };
+    let lines = |table: &rookpulley_versions::Table| table.lines().map(|(n, w)| (server_id(n), w)).collect();
+    Err(ways.iter().map(|(id, table)| Input::GoBack { table: *id, lines: lines(table) }).collect())
+}
--- a/crates/rookpulley-assigner/src/orders.rs
+++ b/crates/rookpulley-assigner/src/orders.rs
@@ -3,8 +3,10 @@
 //! The tables, levels and withdrawals of the module's orders are kept here, with what each stream has
 //! been told of them, so that a message says what the order means and no more.
 
-use crate::messages::{LINE_MOST, Part};
+use crate::messages::{Holds, LINE_MOST, Part};
 use rookpulley::facts::*;
+use rookpulley_versions as versions;
+use rookpulley_versions::{Book, Judged, Name, Update};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 type Kinds = u16;
@@ -43,6 +45,8 @@
     whole: bool,
     lines: Vec<(ServerId, f64)>,
     level: Option<Level>,
+    /// Where the proxy speaks of versions: which one this brings it to.
+    order: Option<versions::Order>,
 }
 
 /// One proxy's message as it grows.
@@ -67,9 +71,15 @@
     levels: BTreeMap<KindId, Level>,
     shut: BTreeSet<ServerId>,
     streams: BTreeMap<ProxyId, Stream>,
+    /// The versions of all tables and who holds them, where the operators want them.
+    pub book: Option<Book>,
+    /// Names as the book has them.
+    known: BTreeMap<ServerId, Name>,
+    /// Tables that a proxy is owed and that the module has not counted: it is asked to write them anew.
+    pub owed: BTreeSet<TableId>,
 }
 
-fn places(mask: Kinds) -> impl Iterator<Item = KindId> {
+pub fn places(mask: Kinds) -> impl Iterator<Item = KindId> {
     (0..Kinds::BITS as KindId).filter(move |k| mask >> k & 1 == 1)
 }
 
@@ -107,15 +117,23 @@
 }
 
 impl Orders {
-    pub fn new(kinds: Vec<String>) -> Self {
+    pub fn new(kinds: Vec<String>, book: Option<Book>) -> Self {
         let all = ((1_u32 << kinds.len().min(16)) - 1) as Kinds;
         let (tables, levels, streams) = (BTreeMap::new(), BTreeMap::new(), BTreeMap::new());
-        Self { kinds, all, tables, levels, shut: BTreeSet::new(), streams }
+        let (shut, known, owed) = (BTreeSet::new(), BTreeMap::new(), BTreeSet::new());
+        Self { kinds, all, tables, levels, shut, streams, book, known, owed }
+    }
+
+    pub fn kinds(&self) -> &[String] {
+        &self.kinds
     }
 
     /// A proxy has joined: bound to none of our tables, told nothing yet.
-    pub fn join(&mut self, proxy: ProxyId, fresh: bool) {
-        self.leave(proxy);
+    pub fn join(&mut self, now: f64, proxy: ProxyId, fresh: bool, holds: Option<Holds>) {
+        self.leave(now, proxy);
+        if let Some(book) = &mut self.book {
+            book.joins(now, proxy, holds);
+        }
         let (tables, levels, shut) = (BTreeSet::new(), BTreeMap::new(), BTreeMap::new());
         self.streams.insert(
             proxy,
@@ -123,7 +141,10 @@
         );
     }
 
-    pub fn leave(&mut self, proxy: ProxyId) {
+    pub fn leave(&mut self, now: f64, proxy: ProxyId) {
+        if let Some(book) = &mut self.book {
+            book.leaves(now, proxy);
+        }
         for id in self.streams.remove(&proxy).into_iter().flat_map(|s| s.tables) {
             if let Some(table) = self.tables.get_mut(&id) {
                 table.users.remove(&proxy);
@@ -132,15 +153,20 @@
     }
 
     /// Whether a mark was ordered of this stream and waits for its answer, as do those before it.
-    pub fn answered(&mut self, proxy: ProxyId, mark: u64) -> bool {
+    pub fn answered(&mut self, now: f64, proxy: ProxyId, mark: u64, holds: &Holds) -> bool {
         let Some(stream) = self.streams.get_mut(&proxy) else { return false };
         let at = stream.marks.iter().position(|m| *m == mark);
-        at.is_some_and(|at| stream.marks.drain(..=at).len() > 0)
+        let waited = at.is_some_and(|at| stream.marks.drain(..=at).len() > 0);
+        if let Some(book) = self.book.as_mut().filter(|_| waited) {
+            book.answers(now, proxy, mark, holds);
+        }
+        waited
     }
 
     /// No order names this server any more. A stream that was told to shut it out may still do so.
     pub fn forget(&mut self, server: &ServerId) {
         self.shut.remove(server);
+        self.known.remove(server);
         self.tables.values_mut().for_each(|table| _ = table.lines.remove(server));
         for stream in self.streams.values_mut() {
             stream.brought |= stream.shut.remove(server) == Some(true);
@@ -196,12 +222,13 @@
     }
 
     /// Carries out the orders of one call, in their order. Effects that are no orders are passed over.
-    pub fn carry_out(&mut self, effects: &[Effect], names: &Names) -> Vec<Written> {
+    pub fn carry_out(&mut self, now: f64, effects: &[Effect], names: &Names) -> Vec<Written> {
         let mut drafts: BTreeMap<ProxyId, Draft> = BTreeMap::new();
-        let mut mark = None;
+        let (mut mark, mut changed, mut binds) = (None, BTreeSet::new(), Vec::new());
         for effect in effects {
             match *effect {
                 Effect::Line { table, server, weight } => {
+                    changed.insert(table);
                     let table = self.tables.entry(table).or_default();
                     match weight > 0.0 {
                         true => _ = table.lines.insert(server, weight),
@@ -216,6 +243,7 @@
                     }
                 }
                 Effect::Wipe { table } => {
+                    changed.insert(table);
                     let table = self.tables.entry(table).or_default();
                     (table.lines, table.levels) = (BTreeMap::new(), BTreeMap::new());
                     for (proxy, kinds) in table.users.clone() {
@@ -225,6 +253,9 @@
                 Effect::Bind { proxy, table, kinds } => {
                     let kinds = if kinds == 0 { self.all } else { kinds & self.all };
                     if self.streams.contains_key(&proxy) {
+                        changed.insert(table);
+                        self.begin_anew(proxy, table);
+                        binds.push((proxy, kinds, table));
                         let lines = self.bind(proxy, table, kinds);
                         self.start_anew(proxy, kinds, lines, drafts.entry(proxy).or_default());
                     }
@@ -264,8 +295,10 @@
                 _ => {}
             }
         }
+        self.issue(now, &changed, &binds, names);
         let mut written = Vec::new();
         for (proxy, mut draft) in drafts {
+            let told = self.name_versions(proxy, &mut draft);
             // Levels for all travel along with whatever goes to a proxy that has not been told them.
             self.tell_levels(proxy, self.all, false, &mut draft);
             if let (Some(mark), Some(stream)) = (mark, self.streams.get_mut(&proxy)) {
@@ -273,6 +306,9 @@
                 stream.marks.drain(..over);
                 stream.marks.push_back(mark);
             }
+            if let Some(book) = &mut self.book {
+                book.wrote(now, proxy, &told, mark);
+            }
             let (bytes, lines) = self.write(draft, mark, names);
             written.push(Written { proxy, bytes, lines });
         }
@@ -296,10 +332,97 @@
         table.lines.iter().map(|(s, w)| (*s, *w)).collect()
     }
 
+    /// The tables that changed are issued, where the operators want versions; then what proxies brought along
+    /// counts for the tables that they were bound to.
+    fn issue(
+        &mut self,
+        now: f64,
+        changed: &BTreeSet<TableId>,
+        binds: &[(ProxyId, Kinds, TableId)],
+        names: &Names,
+    ) {
+        let Some(book) = &mut self.book else { return };
+        for id in changed {
+            let Some(table) = self.tables.get(id) else { continue };
+            let mut lines = Vec::with_capacity(table.lines.len());
+            for (server, weight) in &table.lines {
+                let known = self.known.get(server).cloned();
+                let name = known.or_else(|| names.get(server).map(|n| Name::from(n.as_str())));
+                let Some(name) = name else { continue };
+                self.known.entry(*server).or_insert_with(|| name.clone());
+                lines.push((name, *weight));
+            }
+            // The module's lines are above 0 and a server has one name: there is no other case.
+            let Ok(issued) = versions::Table::of(lines) else { continue };
+            book.issue(now, *id, issued);
+        }
+        for (proxy, kinds, id) in binds {
+            book.binds(now, *proxy, *kinds, *id);
+        }
+    }
+
+    /// A proxy that lost what was written may have lost word of who is shut out, too.
+    fn begin_anew(&mut self, proxy: ProxyId, id: TableId) {
+        let Some(book) = &self.book else { return };
+        let held = book.ledger.entry(proxy).and_then(|e| e.tables().find(|(of, _)| *of == id));
+        let lost = held.is_some_and(|(_, h)| matches!(h.judged, Judged::Lost | Judged::Diverged));
+        if let Some(stream) = self.streams.get_mut(&proxy).filter(|_| lost) {
+            (stream.shut, stream.brought) = (BTreeMap::new(), true);
+        }
+    }
+
+    /// Where a proxy speaks of versions, its lines become the shortest way from what it holds to the newest
+    /// version. A whole table that the module has not counted is not written: it is owed. Gives the tables
+    /// that the message brings up to date.
+    fn name_versions(&mut self, proxy: ProxyId, draft: &mut Draft) -> Vec<TableId> {
+        let Some(book) = &self.book else { return Vec::new() };
+        let Some(stream) = self.streams.get(&proxy) else { return Vec::new() };
+        let (mut told, mut retell) = (Vec::new(), 0);
+        for id in &stream.tables {
+            let users = self.tables.get(id).and_then(|t| t.users.get(&proxy));
+            let Some(kinds) = users.copied() else { continue };
+            let touched = |p: &&mut Piece| p.kinds == kinds && (p.whole || !p.lines.is_empty());
+            if !book.speaks(proxy) {
+                told.extend(draft.pieces.iter_mut().any(|p| touched(&&mut *p)).then_some(*id));
+                continue;
+            }
+            let mut pieces = draft.pieces.iter_mut().filter(touched);
+            let Some(piece) = pieces.next() else { continue };
+            let counted = pieces.fold(piece.whole, |whole, later| {
+                // What came later in the same call is in the newest version already.
+                later.lines.clear();
+                piece.level = later.level.or(piece.level);
+                whole | std::mem::take(&mut later.whole)
+            });
+            let Some(order) = book.order(proxy, *id) else { continue };
+            let (whole, lines) = match &order.update {
+                Update::Same(_) => (false, Vec::new()),
+                Update::Delta(delta) => (false, delta.changes.clone()),
+                Update::Whole(_) if !counted && book.ledger.base(proxy, *id).is_none() => {
+                    piece.lines.clear();
+                    self.owed.insert(*id);
+                    continue;
+                }
+                Update::Whole(table) => (true, table.lines().map(|(n, w)| (n.clone(), w)).collect()),
+            };
+            retell |= if whole && !counted { kinds } else { 0 };
+            piece.whole = whole;
+            piece.lines = lines.into_iter().map(|(n, w)| (crate::messages::server_id(&n), w)).collect();
+            piece.order = Some(order);
+            told.push(*id);
+        }
+        draft.pieces.retain(|p| p.whole || !p.lines.is_empty() || p.level.is_some() || p.order.is_some());
+        // A whole table makes the proxy forget its levels.
+        if retell != 0 {
+            self.tell_levels(proxy, retell, true, draft);
+        }
+        told
+    }
+
     /// A whole table for these kinds, with the levels that it makes the proxy forget.
     fn start_anew(&mut self, proxy: ProxyId, kinds: Kinds, lines: Vec<(ServerId, f64)>, draft: &mut Draft) {
         lines.iter().for_each(|(server, _)| self.settle(proxy, *server, draft));
-        draft.pieces.push(Piece { kinds, whole: true, lines, level: None });
+        draft.pieces.push(Piece { kinds, whole: true, lines, ..Piece::default() });
         self.tell_levels(proxy, kinds, true, draft);
     }
 
@@ -315,12 +438,20 @@
             let (level, retry) = (piece.level.map(|(l, _)| l), piece.level.map(|(_, r)| r as u8));
             let mut runs = runs_that_fit(&lines);
             let first = runs.next().or(piece.whole.then(Vec::new));
+            let order = piece.order.as_ref();
+            let from = order.and_then(|o| match &o.update {
+                Update::Delta(delta) => Some(delta.from.to_string()),
+                Update::Same(_) | Update::Whole(_) => None,
+            });
             let opening = Part {
                 kinds: kinds.clone(),
                 whole: piece.whole,
                 lines: first,
                 level,
                 retry,
+                version: order.map(|o| o.version.to_string()),
+                digest: order.map(|o| o.update.digest().to_string()),
+                from,
                 ..Part::default()
             };
             let rest = runs.map(|lines| Part { kinds: kinds.clone(), lines: Some(lines), ..Part::default() });
--- a/crates/rookpulley-assigner/src/streams.rs
+++ b/crates/rookpulley-assigner/src/streams.rs
@@ -1,6 +1,6 @@
 //! Connections at the assigner's address: streams of proxies, collectors, and strangers.
 
-use crate::driver::{Event, Front};
+use crate::driver::{Event, Front, Joined};
 use crate::ending::Ending;
 use crate::messages::{Bad, LINE_MOST, Message, beat_answer};
 use crate::outbox::Outbox;
@@ -228,13 +228,20 @@
                 (Role::Silent | Role::Stranger, Message::Collector { zone }) => {
                     conn.role.set(Role::Collector(zone));
                 }
-                (Role::Silent | Role::Stranger, Message::Joining { proxy, zone, usual_per_s, fresh }) => {
+                (
+                    Role::Silent | Role::Stranger,
+                    Message::Joining { proxy, zone, usual_per_s, fresh, holds },
+                ) => {
                     conn.role.set(Role::Stream(proxy));
                     let outbox = outbox.clone();
-                    front.tell(Event::Joined { conn: id, outbox, proxy, zone, usual_per_s, fresh }).await;
+                    let joined = Joined { conn: id, outbox, proxy, zone, usual_per_s, fresh, holds };
+                    front.tell(Event::Joined(joined)).await;
                 }
-                (Role::Stream(own), Message::OfProxy { proxy, input }) if own == proxy => {
-                    front.tell(Event::OnStream { conn: id, proxy, input }).await;
+                (Role::Stream(own), Message::OfProxy { proxy, input, holds }) if own == proxy => {
+                    front.tell(Event::OnStream { conn: id, proxy, input, holds }).await;
+                }
+                (Role::Stream(own), Message::Refused { proxy, kinds, holds }) if own == proxy => {
+                    front.tell(Event::Refused { conn: id, proxy, kinds, holds }).await;
                 }
                 (Role::Collector(_), Message::Heard(input))
                 | (Role::Collector(_), Message::OfProxy { input: input @ Input::Usage { .. }, .. }) => {
--- a/crates/rookpulley-assigner/tests/orders.rs
+++ b/crates/rookpulley-assigner/tests/orders.rs
@@ -21,7 +21,7 @@
 }
 
 fn orders() -> Orders {
-    Orders::new(KINDS.map(String::from).to_vec())
+    Orders::new(KINDS.map(String::from).to_vec(), None)
 }
 
 fn line(table: TableId, n: usize, weight: f64) -> Effect {
@@ -49,13 +49,13 @@
     let (mut orders, mut trace) = (orders(), String::new());
     let mut step = |orders: &mut Orders, what: &str, effects: Vec<Effect>| {
         trace += &format!("-- {what}\n");
-        for written in orders.carry_out(&effects, &names()) {
+        for written in orders.carry_out(0.0, &effects, &names()) {
             let text = String::from_utf8(written.bytes).unwrap();
             trace += &format!("p{}, {} lines:\n{text}", written.proxy, written.lines);
         }
     };
-    orders.join(0, true);
-    orders.join(1, false);
+    orders.join(0.0, 0, true, None);
+    orders.join(0.0, 1, false, None);
     let all = admit(None, 0, 1.0, Retry::IfUnrun);
     step(&mut orders, "a level for all reaches the joined", vec![all, mark(1, false)]);
     let first = vec![line(0, 0, 2.0), line(0, 1, 0.5), bind(0, 0, 0), mark(2, false)];
@@ -68,10 +68,10 @@
     step(&mut orders, "in a table again: let back with its line", vec![line(1, 2, 0.25), mark(7, false)]);
     let lower = vec![admit(Some(1), 0b010, 0.5, Retry::Never), mark(8, true)];
     step(&mut orders, "a level for one kind of one table, and a mark for all", lower);
-    orders.join(1, false);
+    orders.join(0.0, 1, false, None);
     step(&mut orders, "p1 came anew: changes wait until it is bound", vec![line(0, 4, 1.0), mark(9, false)]);
     step(&mut orders, "then it gets the whole table", vec![bind(1, 0, 0), mark(10, false)]);
-    orders.leave(1);
+    orders.leave(0.0, 1);
     let gone = vec![line(0, 4, 0.0), bind(1, 0, 0), withdraw(4, true), mark(11, true)];
     step(&mut orders, "p1 left: nothing goes there", gone);
     let wipe = vec![Effect::Wipe { table: 0 }, line(0, 5, 1.0), mark(12, false)];
@@ -84,11 +84,11 @@
     let long = |n: usize| format!("server-{n:0200}");
     let names: Names = (0..12_000).map(|n| (server_id(&long(n)), long(n))).collect();
     let mut orders = orders();
-    orders.join(0, true);
+    orders.join(0.0, 0, true, None);
     let mut effects: Vec<Effect> =
         names.keys().map(|server| Effect::Line { table: 0, server: *server, weight: 1.0 }).collect();
     effects.extend([bind(0, 0, 0), mark(1, false)]);
-    let written = orders.carry_out(&effects, &names).remove(0);
+    let written = orders.carry_out(0.0, &effects, &names).remove(0);
     let mut proxy = Proxy::default();
     let parts = proxy.hear(&written);
     assert!(written.bytes.split(|b| *b == b'\n').all(|part| part.len() < LINE_MOST));
@@ -99,12 +99,12 @@
 #[test]
 fn what_was_shut_out_is_let_back_also_after_it_was_forgotten() {
     let mut orders = orders();
-    orders.join(0, true);
-    orders.carry_out(&[line(0, 0, 1.0), line(0, 1, 1.0), bind(0, 0, 0)], &names());
-    orders.carry_out(&[withdraw(1, true), line(0, 1, 0.0)], &names());
-    orders.carry_out(&[withdraw(1, false)], &names());
+    orders.join(0.0, 0, true, None);
+    orders.carry_out(0.0, &[line(0, 0, 1.0), line(0, 1, 1.0), bind(0, 0, 0)], &names());
+    orders.carry_out(0.0, &[withdraw(1, true), line(0, 1, 0.0)], &names());
+    orders.carry_out(0.0, &[withdraw(1, false)], &names());
     orders.forget(&server_id(&name(1)));
-    let written = orders.carry_out(&[line(0, 1, 0.5)], &names());
+    let written = orders.carry_out(0.0, &[line(0, 1, 0.5)], &names());
     let text = String::from_utf8(written[0].bytes.clone()).unwrap();
     assert!(text.contains(r#""back":["s-1"]"#), "{text}");
 }
@@ -281,21 +281,21 @@
             match rng.random_range(0..8) {
                 // Its stream breaks, and another assigner shuts out what it likes.
                 0 => {
-                    orders.leave(id);
+                    orders.leave(0.0, id);
                     wire.joined.remove(&id);
                     proxy.out.insert(name(rng.random_range(0..SERVERS)));
                 }
                 1 | 2 => {
                     let fresh = rng.random_bool(0.3);
                     *proxy = if fresh { Proxy::default() } else { proxy.clone() };
-                    orders.join(id, fresh);
+                    orders.join(0.0, id, fresh, None);
                     wire.joined.insert(id, BTreeMap::new());
                 }
                 _ => {}
             }
             let effects = drawn(&mut rng, number);
             let mut cost = wire.carry_out(&effects);
-            for written in orders.carry_out(&effects, &names()) {
+            for written in orders.carry_out(0.0, &effects, &names()) {
                 let proxy = proxies.get_mut(&written.proxy).unwrap();
                 proxy.hear(&written);
                 // What the protocol adds: levels in pieces, and servers let back or shut with a line.
--- a/crates/rookpulley-assigner/tests/sockets.rs
+++ b/crates/rookpulley-assigner/tests/sockets.rs
@@ -1,11 +1,6 @@
 //! The assigner on loopback sockets, against stand-ins of its own. Tests wait for what happens, not for
 //! a clock; where a stand-in has a pace of its own, a slower one changes nothing.
 
-use http_body_util::channel::{Channel, Sender};
-use http_body_util::combinators::BoxBody;
-use http_body_util::{BodyExt, Full};
-use hyper::body::Bytes;
-use hyper_util::rt::TokioIo;
 use rookpulley::facts::Input;
 use rookpulley_assigner::counters::Counters;
 use rookpulley_assigner::driver::{Event, Front};
@@ -14,250 +9,20 @@
 use rookpulley_assigner::roster::{Pauses, Roster};
 use rookpulley_assigner::streams::Conns;
 use rookpulley_assigner::{Assigner, Signals, config};
+use rookpulley_operators::Operators;
+use rookpulley_standin::discovery::{Agent, Discovery};
+use rookpulley_standin::lists::{list, server, serving, told};
+use rookpulley_standin::wire::{BEAT, COLLECTOR, LONG, Wire, joining, names};
 use serde_json::{Value, json};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpSocket, TcpStream, UdpSocket};
-use tokio::sync::{mpsc, oneshot, watch};
+use tokio::net::{TcpSocket, UdpSocket};
+use tokio::sync::mpsc;
 use tokio::task::{LocalSet, spawn_local};
 use tokio::time::timeout;
 
-/// Nothing here takes so long unless it never comes.
-const LONG: Duration = Duration::from_secs(30);
-
-// ---- Stand-ins ----------------------------------------------------------------------------
-
-fn server(n: u32, status: &str, since_ms: f64) -> Value {
-    json!({"name": format!("s-{n}"), "address": format!("10.0.0.{n}:80"), "zone": "a", "type": "m",
-        "group": 0, "status": status, "weight": 1.0, "since_ms": since_ms})
-}
-
-fn list(index: u64, whole: bool, servers: &[Value]) -> String {
-    json!({"index": index, "snapshot": whole, "endpoints": servers}).to_string() + "\n"
-}
-
-fn serving(servers: std::ops::RangeInclusive<u32>) -> Vec<Value> {
-    servers.map(|n| server(n, "SERVING", 0.0)).collect()
-}
-
-/// A configuration of two zones, two request kinds, four proxies and servers s-1 to s-3.
-fn told(discovery: SocketAddr) -> Value {
-    let kind = |name: &str, effect: &str| {
-        json!({"name": name, "effect": effect, "group": "zone", "window_us": 600_000, "aim_us": 500_000,
-            "hard_limit_us": 2_000_000, "worth": 1.0})
-    };
-    json!({
-        "name": "n0", "listen": "127.0.0.1:0", "discovery": discovery, "seed": "00000000000000a7",
-        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 128},
-        "peer_listen": "127.0.0.1:0", "peers": [], "peers_all": "127.0.0.1:9",
-        "known": {"index": 7, "snapshot": true, "endpoints": serving(1..=3)},
-        "settings": {
-            "self_index": 0, "balancers": 2, "locality": 0, "areas": ["a", "b"], "kinds": ["m"],
-            "tick_us": 5_000, "registry_mode": "pushed", "load_info": {"fields": ["load_share", "depth"]},
-            "categories": [kind("read", "pure"), kind("write", "token")],
-            "limits": {"peers": true},
-            "family_info": {"agents": 4, "admission": "none", "usual_how": 1, "empty_for_us": 3_000_000,
-                "lines_per_s": 5_000, "envelope": 6, "backlog": 8_000, "transit_us": 90_000,
-                "push_delay_max_us": 400_000, "reports_per_s": 300},
-            "rules": {"drain_grace_us": 1_500_000, "cold_share": 0.3, "ramp_time_us": 9_000_000,
-                "fall_multiple": 3, "tip_after_us": 1_500_000}}})
-}
-
-type Body = BoxBody<Bytes, std::io::Error>;
-
-/// A call to the stand-in for discovery, and how it is to be answered.
-struct Call {
-    path: String,
-    answer: oneshot::Sender<hyper::Response<Body>>,
-}
-
-struct Discovery {
-    place: SocketAddr,
-    calls: mpsc::UnboundedReceiver<Call>,
-}
-
-impl Discovery {
-    async fn new() -> Self {
-        Self::at(TcpListener::bind("127.0.0.1:0").await.unwrap())
-    }
-
-    fn at(listener: TcpListener) -> Self {
-        let place = listener.local_addr().unwrap();
-        let (sender, calls) = mpsc::unbounded_channel();
-        spawn_local(async move {
-            while let Ok((socket, _)) = listener.accept().await {
-                let sender = sender.clone();
-                let service = hyper::service::service_fn(move |req: hyper::Request<_>| {
-                    let (answer, answered) = oneshot::channel();
-                    let _: &hyper::body::Incoming = req.body();
-                    _ = sender.send(Call { path: req.uri().to_string(), answer });
-                    async move { answered.await.map_err(|_| std::io::Error::other("no answer")) }
-                });
-                spawn_local(
-                    hyper::server::conn::http1::Builder::new()
-                        .serve_connection(TokioIo::new(socket), service),
-                );
-            }
-        });
-        Self { place, calls }
-    }
-
-    async fn call(&mut self) -> Call {
-        self.calls.recv().await.unwrap()
-    }
-
-    /// Takes the next watch and keeps it open.
-    async fn watch(&mut self) -> Watch {
-        self.call().await.watch()
-    }
-}
-
-struct Watch(Sender<Bytes, std::io::Error>);
-
-impl Watch {
-    async fn say(&mut self, text: &str) {
-        self.0.send_data(Bytes::from(text.to_string())).await.unwrap();
-    }
-}
-
-impl Call {
-    fn watch(self) -> Watch {
-        let (sender, body) = Channel::new(16);
-        _ = self.answer.send(hyper::Response::new(body.boxed()));
-        Watch(sender)
-    }
-
-    fn answer(self, status: u16, text: &str) {
-        let body = Full::new(Bytes::from(text.to_string())).map_err(std::io::Error::other).boxed();
-        _ = self.answer.send(hyper::Response::builder().status(status).body(body).unwrap());
-    }
-}
-
-type Lists = Vec<(u64, String)>;
-
-/// Discovery that works: whoever watches is told what came after the version it names.
-struct Agent {
-    place: SocketAddr,
-    lists: watch::Sender<Lists>,
-}
-
-impl Agent {
-    async fn new() -> Self {
-        let mut discovery = Discovery::new().await;
-        let (place, lists) = (discovery.place, watch::Sender::new(Lists::new()));
-        let told = lists.subscribe();
-        spawn_local(async move {
-            loop {
-                let call = discovery.call().await;
-                let since = call.path.rsplit_once("since=").unwrap().1.parse().unwrap();
-                spawn_local(Self::follow(call.watch(), told.clone(), since));
-            }
-        });
-        Self { place, lists }
-    }
-
-    async fn follow(mut watch: Watch, mut lists: watch::Receiver<Lists>, mut since: u64) {
-        loop {
-            let mut text = String::from("\n");
-            let after = since;
-            for (index, list) in lists.borrow_and_update().iter().filter(|(index, _)| *index > after) {
-                text += list;
-                since = since.max(*index);
-            }
-            if watch.0.send_data(Bytes::from(text)).await.is_err() {
-                return;
-            }
-            _ = timeout(Duration::from_secs(1), lists.changed()).await;
-        }
-    }
-
-    fn say(&self, index: u64, whole: bool, servers: &[Value]) {
-        self.lists.send_modify(|lists| lists.push((index, list(index, whole, servers))));
-    }
-}
-
-/// A connection to the assigner: a proxy, a collector or a stranger.
-struct Wire {
-    socket: TcpStream,
-    held: Vec<u8>,
-    proxy: u32,
-}
-
-fn joining(proxy: u32, fresh: bool) -> String {
-    json!({"msg": "attach", "proxy": proxy, "zone": "a", "weight": 9.5, "fresh": fresh}).to_string()
-}
-
-const COLLECTOR: &str = r#"{"msg":"telemetry","zone":"a"}"#;
-const BEAT: &str = r#"{"msg":"hb"}"#;
-
-impl Wire {
-    async fn dial(place: SocketAddr) -> Self {
-        Self { socket: TcpStream::connect(place).await.unwrap(), held: Vec::new(), proxy: 0 }
-    }
-
-    async fn join(place: SocketAddr, proxy: u32, fresh: bool) -> Self {
-        let mut wire = Self { proxy, ..Self::dial(place).await };
-        wire.say(&joining(proxy, fresh)).await;
-        wire
-    }
-
-    async fn say(&mut self, text: &str) {
-        _ = self.socket.write_all(format!("{text}\n").as_bytes()).await;
-    }
-
-    /// The next message; None once the connection has ended.
-    async fn hear(&mut self) -> Option<Value> {
-        loop {
-            if let Some(at) = self.held.iter().position(|b| *b == b'\n') {
-                let line: Vec<u8> = self.held.drain(..=at).collect();
-                return Some(serde_json::from_slice(&line).unwrap());
-            }
-            let mut bytes = [0; 4096];
-            match self.socket.read(&mut bytes).await {
-                Ok(0) | Err(_) => return None,
-                Ok(size) => self.held.extend_from_slice(&bytes[..size]),
-            }
-        }
-    }
-
-    /// Hears messages, answering their marks, up to one for which this holds.
-    async fn until(&mut self, what: &str, holds: impl Fn(&Value) -> bool) -> Value {
-        let listen = async {
-            loop {
-                let message = self.hear().await.unwrap_or_else(|| panic!("ended before {what}"));
-                if let Some(mark) = message["ticket"].as_u64() {
-                    let done = json!({"msg": "done", "proxy": self.proxy, "mark": mark, "took_ms": 90.5});
-                    self.say(&done.to_string()).await;
-                }
-                if holds(&message) {
-                    return message;
-                }
-            }
-        };
-        timeout(LONG, listen).await.unwrap_or_else(|_| panic!("waited long for {what}"))
-    }
-
-    async fn table(&mut self) -> Value {
-        self.until("a whole table", |m| m["whole"] == true && m["more"] != true).await
-    }
-
-    async fn beats(&mut self) -> bool {
-        self.say(BEAT).await;
-        while let Some(message) = self.hear().await {
-            if message["msg"] == "hb_ok" {
-                return true;
-            }
-        }
-        false
-    }
-}
-
-fn names(server: &str) -> impl Fn(&Value) -> bool + use<'_> {
-    move |message| message["out"].as_array().is_some_and(|out| out.iter().any(|s| s == server))
-}
-
 struct Running {
     place: SocketAddr,
     notes: Option<SocketAddr>,
@@ -266,7 +31,9 @@
 
 async fn run(told: &Value) -> Running {
     let told = config::read(&told.to_string()).unwrap();
-    let assigner = Assigner::bind(told, "no file".into(), Signals::take().unwrap()).await.unwrap();
+    let assigner = Assigner::bind(told, "no file".into(), Signals::take().unwrap(), &Operators::default())
+        .await
+        .unwrap();
     let (place, notes) = assigner.places();
     let front = assigner.front.clone();
     spawn_local(assigner.serve());
@@ -354,7 +121,7 @@
         new.table().await;
         // Input of the old one that was read before its end and comes after the joining of the new.
         let input = Input::Applied { proxy: 2, mark: 0, took_ms: 1.0 };
-        running.front.tell(Event::OnStream { conn: 0, proxy: 2, input }).await;
+        running.front.tell(Event::OnStream { conn: 0, proxy: 2, input, holds: Default::default() }).await;
         running.counted("late input of old streams", 1).await;
         assert!(old.hear().await.is_none());
         running.counted(Ending::Replaced.count(), 1).await;
--- /dev/null
+++ b/crates/rookpulley-assigner/tests/versions.rs
@@ -0,0 +1,462 @@
+//! Versions on sockets: two assigners, dispatchers and discovery on loopback, with links between them that
+//! lose, double, delay, reorder and cut, and operators who go back at random moments.
+
+use http_body_util::{BodyExt, Full};
+use hyper::body::Bytes;
+use hyper_util::rt::TokioIo;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use rookpulley_assigner::driver::Front;
+use rookpulley_assigner::{Assigner, Signals, config};
+use rookpulley_operators::Operators;
+use rookpulley_operators::asks::{HolderList, HolderRow, VersionList};
+use rookpulley_operators::file;
+use rookpulley_standin::discovery::Agent;
+use rookpulley_standin::lists::{server, serving, told};
+use rookpulley_standin::wire::{LONG, Wire, names};
+use rookpulley_standin::{Checker, Dispatcher, Faults, Link};
+use serde_json::{Value, json};
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::path::Path;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::task::{LocalSet, spawn_local};
+use tokio::time::{Instant, sleep, timeout};
+
+fn on_sockets<T>(test: impl Future<Output = T>) -> T {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    LocalSet::new().block_on(&runtime.unwrap(), async { timeout(2 * LONG, test).await.expect("it hangs") })
+}
+
+struct Running {
+    place: SocketAddr,
+    operators: SocketAddr,
+    front: Rc<Front>,
+}
+
+fn switched_on() -> Operators {
+    let text = "address(listen = \"127.0.0.1:0\")\nversions(keep = 24, megabytes = 8)\n";
+    file::read(Path::new("operators.star"), text).unwrap()
+}
+
+async fn run(told: &Value) -> Running {
+    let told = config::read(&told.to_string()).unwrap();
+    let signals = Signals::take().unwrap();
+    let assigner = Assigner::bind(told, "no file".into(), signals, &switched_on()).await.unwrap();
+    let (place, operators) = (assigner.places().0.unwrap(), assigner.operators_place().unwrap());
+    let front = assigner.front.clone();
+    spawn_local(assigner.serve());
+    Running { place, operators, front }
+}
+
+/// Calls the operators' address.
+async fn call(place: SocketAddr, method: &str, path: &str, body: Value) -> (u16, Value) {
+    let socket = TcpStream::connect(place).await.unwrap();
+    let (mut sender, connection) = hyper::client::conn::http1::handshake(TokioIo::new(socket)).await.unwrap();
+    spawn_local(connection);
+    let request = hyper::Request::builder().method(method).uri(path).header("host", "127.0.0.1");
+    let request = request.header("content-type", "application/json");
+    let request = request.body(Full::new(Bytes::from(body.to_string()))).unwrap();
+    let answer = sender.send_request(request).await.unwrap();
+    let status = answer.status().as_u16();
+    let bytes = answer.into_body().collect().await.unwrap().to_bytes();
+    (status, serde_json::from_slice(&bytes).unwrap())
+}
+
+impl Running {
+    async fn holders(&self) -> Vec<HolderRow> {
+        let (_, list) = call(self.operators, "GET", "/v1/holders", Value::Null).await;
+        serde_json::from_value::<HolderList>(list).unwrap().holders
+    }
+
+    async fn versions(&self) -> VersionList {
+        let (_, list) = call(self.operators, "GET", "/v1/versions", Value::Null).await;
+        serde_json::from_value(list).unwrap()
+    }
+
+    /// Waits until all its joined dispatchers are judged so.
+    async fn until_all(&self, judged: &str, count: usize) -> Vec<HolderRow> {
+        let wait = async {
+            loop {
+                let rows: Vec<_> = self.holders().await.into_iter().filter(|r| r.joined).collect();
+                if rows.len() == count && rows.iter().all(|r| r.judged == judged) {
+                    return rows;
+                }
+                sleep(Duration::from_millis(20)).await;
+            }
+        };
+        match timeout(LONG / 2, wait).await {
+            Ok(rows) => rows,
+            Err(_) => panic!("not all {count} are {judged}: {:#?}", self.holders().await),
+        }
+    }
+}
+
+const KINDS: [&str; 2] = ["read", "write"];
+const SERVERS: u32 = 8;
+const GRACE_MS: f64 = 3_500.0;
+
+/// Two request kinds that go to servers of all zones, a few dispatchers and a short channel.
+fn settings(discovery: SocketAddr, name: &str, dispatchers: u32) -> Value {
+    let mut told = told(discovery);
+    (told["name"], told["known"]["endpoints"]) = (json!(name), json!(serving(1..=SERVERS)));
+    told["limits"]["sockets"] = json!(512);
+    told["settings"]["family_info"]["agents"] = json!(dispatchers);
+    told["settings"]["family_info"]["push_delay_max_us"] = json!(80_000);
+    told["settings"]["family_info"]["transit_us"] = json!(20_000);
+    told["settings"]["rules"]["drain_grace_us"] = json!(3_000_000);
+    told["settings"]["limits"]["peers"] = json!(false);
+    told
+}
+
+const TROUBLE: Faults =
+    Faults { lose: 0.12, double: 0.06, delay: 0.3, late_ms: 60.0, cut: 0.02, cut_pause_ms: 2_500.0 };
+
+#[derive(Debug, Default)]
+struct Tally {
+    rollbacks: u64,
+    held: u64,
+    lost: u64,
+    doubled: u64,
+    cuts: u64,
+    refused: u64,
+    routed: u64,
+    whole: u64,
+    deltas: u64,
+    same: u64,
+}
+
+/// One run: four seconds of trouble, then quiet links, then the checks.
+async fn play(seed: u64) -> Result<Tally, String> {
+    const SPEAKING: u64 = 24;
+    const PLAIN: u64 = 4;
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let agent = Agent::new().await;
+    let all = (SPEAKING + PLAIN) as u32;
+    let assigners =
+        [run(&settings(agent.place, "n0", all)).await, run(&settings(agent.place, "n1", all)).await];
+    let checker = Rc::new(RefCell::new(Checker::new(GRACE_MS)));
+    let see = checker.clone();
+    let seen: Rc<dyn Fn(_)> = Rc::new(move |what| see.borrow_mut().see(what));
+    let streams = Rc::new(Cell::new(0));
+    let mut links = Vec::new();
+    for (n, assigner) in assigners.iter().enumerate() {
+        let seed = seed << 4 | n as u64;
+        links.push(Link::open(assigner.place, seed, TROUBLE, streams.clone(), seen.clone()).await.unwrap());
+    }
+    // What the platform's dispatchers speak runs on streams that lose nothing.
+    let mut clean = Vec::new();
+    for assigner in &assigners {
+        let faults = Faults { cut: 0.02, cut_pause_ms: 1_000.0, ..Faults::default() };
+        clean.push(Link::open(assigner.place, seed, faults, streams.clone(), seen.clone()).await.unwrap());
+    }
+    let mut dispatchers = Vec::new();
+    for id in 0..SPEAKING + PLAIN {
+        let speaks = id < SPEAKING;
+        let dispatcher = Dispatcher::new(id, &KINDS, speaks, seed, seen.clone());
+        let through = if speaks { &links } else { &clean };
+        let mut places = [through[0].place, through[1].place];
+        places.rotate_left((id % 2) as usize);
+        dispatcher.dial(&places);
+        dispatcher.run();
+        dispatcher.route(10);
+        dispatchers.push(dispatcher);
+    }
+    let mut tally = Tally::default();
+    let (from, mut index, mut drained) = (Instant::now(), 100, Vec::new());
+    while from.elapsed() < Duration::from_secs(4) {
+        sleep(Duration::from_millis(rng.random_range(60..240))).await;
+        index += 1;
+        match rng.random_range(0..10) {
+            0 | 1 if drained.len() < 4 => {
+                let n = rng.random_range(1..=SERVERS);
+                if !drained.contains(&n) {
+                    drained.push(n);
+                    agent.say(index, false, &[server(n, "DRAINING", 0.0)]);
+                    checker.borrow_mut().drains(&format!("s-{n}"));
+                }
+            }
+            2 if !drained.is_empty() && rng.random_range(0..2) == 0 => {
+                let n = drained.remove(0);
+                let unix = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap();
+                checker.borrow_mut().starts(&format!("s-{n}"));
+                agent.say(index, false, &[server(n, "SERVING", unix.as_secs_f64() * 1e3)]);
+            }
+            3 | 4 => {
+                // A new weight: a change of the list that is neither a drain nor a start.
+                let n = rng.random_range(1..=SERVERS);
+                if !drained.contains(&n) {
+                    let mut line = server(n, "SERVING", 0.0);
+                    line["weight"] = json!([1.0, 1.5, 2.0][rng.random_range(0..3)]);
+                    agent.say(index, false, &[line]);
+                }
+            }
+            5..=8 => {
+                let assigner = &assigners[rng.random_range(0..2)];
+                let kept = assigner.versions().await.versions;
+                if kept.is_empty() {
+                    continue;
+                }
+                let to = &kept[rng.random_range(0..kept.len())].version;
+                let all = rng.random_range(0..2) == 0;
+                let (_, answer) =
+                    call(assigner.operators, "POST", "/v1/rollback", json!({"to": to, "all": all})).await;
+                let rows = answer["tables"].as_array().cloned().unwrap_or_default();
+                tally.rollbacks += 1;
+                tally.held += rows.iter().filter(|r| r["what"] == "held").count() as u64;
+            }
+            _ => {
+                let assigner = &assigners[rng.random_range(0..2)];
+                call(assigner.operators, "POST", "/v1/release", json!({"all": true})).await;
+            }
+        }
+    }
+    // The links lose nothing any more; who was cut off joins again and stays.
+    links.iter().chain(&clean).for_each(|link| link.set(Faults::default()));
+    dispatchers.iter().for_each(|d| d.rest());
+    let settled = async {
+        loop {
+            let (a, b) = (assigners[0].holders().await, assigners[1].holders().await);
+            let joined: Vec<_> = a.iter().chain(&b).filter(|r| r.joined).collect();
+            let tables: usize = joined.len();
+            // Each dispatcher is joined to one assigner, with one table for its kinds or one each.
+            let at = |id: u64| joined.iter().filter(|r| u64::from(r.dispatcher) == id).count();
+            if tables > 0
+                && (0..SPEAKING + PLAIN).all(|id| at(id) == KINDS.len())
+                && joined.iter().all(|r| r.judged == "in step")
+            {
+                return;
+            }
+            sleep(Duration::from_millis(50)).await;
+        }
+    };
+    if timeout(Duration::from_secs(15), settled).await.is_err() {
+        let mut rows = assigners[0].holders().await;
+        rows.extend(assigners[1].holders().await);
+        rows.retain(|r| r.joined && r.judged != "in step");
+        return Err(format!("not all in step: {rows:#?}"));
+    }
+    // The quiet lasts while all is asked.
+    let mut holders = Vec::new();
+    for assigner in &assigners {
+        let kept = assigner.versions().await;
+        for row in assigner.holders().await.into_iter().filter(|r| r.joined) {
+            let told = row.told.clone().ok_or("told nothing")?;
+            let version =
+                kept.versions.iter().find(|v| v.version == told).ok_or(format!("{told} unknown"))?;
+            holders.push((row, version.clone()));
+        }
+    }
+    let checker = checker.borrow();
+    for dispatcher in &dispatchers {
+        let own = holders.iter().filter(|(row, _)| u64::from(row.dispatcher) == dispatcher.id);
+        for (row, version) in own {
+            let who = format!("dispatcher {}, {:?}", row.dispatcher, row.kinds);
+            let held = &dispatcher.tables()[&row.kinds[0]];
+            if rookpulley_standin::checker::digest(held) != version.digest {
+                return Err(format!("{who} holds {held:?}, which is not {version:?}"));
+            }
+            if row.speaks {
+                let must = checker.must_hold(dispatcher.id);
+                let found = must.iter().find(|(name, ..)| *name == version.version);
+                let (_, digest, lines) =
+                    found.ok_or(format!("{who}: {version:?} never reached it: {must:?}"))?;
+                if (digest, lines) != (&version.digest, held) {
+                    return Err(format!("{who} holds {held:?}, by the sockets it must hold {lines:?}"));
+                }
+                if !dispatcher.versions().values().any(|v| *v == version.version) {
+                    return Err(format!("{who} names {:?}, told {version:?}", dispatcher.versions()));
+                }
+            }
+        }
+    }
+    if !checker.broken.is_empty() {
+        return Err(checker.broken.iter().take(3).cloned().collect::<Vec<_>>().join("; "));
+    }
+    for link in links.iter().chain(&clean) {
+        tally.lost += link.lost.get();
+        tally.doubled += link.doubled.get();
+        tally.cuts += link.cuts.get();
+    }
+    tally.refused = dispatchers.iter().map(|d| d.refused.get()).sum();
+    (tally.routed, tally.whole, tally.deltas, tally.same) =
+        (checker.routed, checker.whole, checker.deltas, checker.same);
+    Ok(tally)
+}
+
+/// 40 seeds, a few at a time. `SEED=n` plays one alone.
+#[test]
+fn two_assigners_lossy_links_and_forced_rollbacks_end_on_known_versions() {
+    const AT_ONCE: usize = 10;
+    let only: Option<u64> = std::env::var("SEED").ok().and_then(|s| s.parse().ok());
+    let seeds: Vec<u64> = only.map_or((0..40).collect(), |seed| vec![seed]);
+    let mut failed = Vec::new();
+    let mut sums = Tally::default();
+    for wave in seeds.chunks(AT_ONCE) {
+        let runs: Vec<_> = wave
+            .iter()
+            .map(|seed| {
+                (
+                    *seed,
+                    std::thread::spawn({
+                        let seed = *seed;
+                        move || on_sockets(play(seed))
+                    }),
+                )
+            })
+            .collect();
+        for (seed, run) in runs {
+            match run.join() {
+                Ok(Ok(t)) => {
+                    sums.rollbacks += t.rollbacks;
+                    sums.held += t.held;
+                    sums.lost += t.lost;
+                    sums.doubled += t.doubled;
+                    sums.cuts += t.cuts;
+                    sums.refused += t.refused;
+                    sums.routed += t.routed;
+                    sums.whole += t.whole;
+                    sums.deltas += t.deltas;
+                    sums.same += t.same;
+                }
+                Ok(Err(why)) => failed.push(format!("seed {seed} (alone: SEED={seed}): {why}")),
+                Err(_) => failed.push(format!("seed {seed} (alone: SEED={seed}) panicked")),
+            }
+        }
+    }
+    println!("{sums:?}");
+    assert!(failed.is_empty(), "{} seeds fail:\n{}", failed.len(), failed.join("\n"));
+    let met =
+        [sums.rollbacks, sums.held, sums.lost, sums.doubled, sums.cuts, sums.refused, sums.deltas, sums.same];
+    assert!(only.is_some() || met.iter().all(|n| *n > 20), "too little was met: {sums:?}");
+}
+
+// ---- By hand ------------------------------------------------------------------------------
+
+/// One assigner, two dispatchers that are told by hand, and discovery.
+fn by_hand<F: Future<Output = ()>>(test: impl FnOnce(Running, Agent, Wire) -> F) {
+    on_sockets(async {
+        let agent = Agent::new().await;
+        let running = run(&settings(agent.place, "n0", 4)).await;
+        let mut proxy = Wire::join(running.place, 0, true).await;
+        proxy.table().await;
+        test(running, agent, proxy).await;
+    });
+}
+
+async fn back(running: &Running, to: &str, all: bool) -> (u16, Value) {
+    call(running.operators, "POST", "/v1/rollback", json!({"to": to, "all": all})).await
+}
+
+#[test]
+fn one_that_answers_marks_alone_is_in_step_by_them_and_unknown_once_it_falls_silent() {
+    by_hand(|running, agent, mut proxy| async move {
+        let rows = running.until_all("in step", 2).await;
+        assert!(rows.iter().all(|r| !r.speaks && r.claimed.is_none() && r.told == r.confirmed));
+        // It hears of a change and answers nothing from now on.
+        agent.say(101, false, &[server(1, "DRAINING", 0.0)]);
+        let listen = async { while proxy.hear().await.is_some_and(|m| m["out"].is_null()) {} };
+        timeout(LONG, listen).await.unwrap();
+        running.until_all("lost", 2).await;
+        assert_eq!(
+            running.front.counters.get("tables owed"),
+            0,
+            "on the platform's streams nothing is sent again"
+        );
+    });
+}
+
+#[test]
+fn a_rollback_never_sends_to_a_drained_server_and_outlives_newer_lists() {
+    by_hand(|running, agent, mut proxy| async move {
+        let first = running.versions().await.versions[0].version.clone();
+        agent.say(101, false, &[server(2, "DRAINING", 0.0)]);
+        proxy.until("s-2 shut out", names("s-2")).await;
+        let (status, answer) = back(&running, &first, false).await;
+        assert_eq!((status, &answer["tables"][0]["what"]), (200, &json!("held")), "{answer}");
+        assert_eq!(answer["tables"][0]["usable"], json!(SERVERS - 1));
+        // A newer list: a drain among it acts at once, a new server stays out of what is held.
+        let unix = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap();
+        let fresh = server(9, "SERVING", unix.as_secs_f64() * 1e3 - 60_000.0);
+        agent.say(102, false, &[server(3, "DRAINING", 0.0)]);
+        proxy.until("s-3 shut out", names("s-3")).await;
+        agent.say(103, false, &[fresh]);
+        proxy.until("s-9 in the other table", |m| m["lines"].to_string().contains("s-9")).await;
+        let rows = running.until_all("in step", 2).await;
+        let held: Vec<_> = rows.iter().filter(|r| r.back).collect();
+        assert_eq!(held.len(), 1);
+        let newest = held[0].told.clone().unwrap();
+        let (_, diff) =
+            call(running.operators, "GET", &format!("/v1/diff?from={first}&to={newest}"), Value::Null).await;
+        let gone: Vec<&str> =
+            diff["lines"].as_array().unwrap().iter().map(|l| l["server"].as_str().unwrap()).collect();
+        assert_eq!(gone, ["s-2", "s-3"], "{diff}");
+        let (status, _) = call(running.operators, "POST", "/v1/release", json!({"all": true})).await;
+        assert_eq!(status, 200);
+        proxy.until("s-9 in its own lines again", |m| m["lines"].to_string().contains("s-9")).await;
+        let (status, _) = call(running.operators, "POST", "/v1/release", json!({"all": true})).await;
+        assert_eq!(status, 409, "nothing is held any more");
+    });
+}
+
+#[test]
+fn what_can_not_be_gone_back_to_is_refused_with_the_reason() {
+    by_hand(|running, agent, mut proxy| async move {
+        let first = running.versions().await.versions[0].version.clone();
+        let (start, _) = first.rsplit_once('~').unwrap();
+        for (to, status, why) in [
+            (format!("{start}~999"), 404, "was never issued"),
+            ("n1~0000000000000001~1".to_string(), 404, "another assigner"),
+            ("n0~0000000000000001~1".to_string(), 404, "an earlier start"),
+            ("yesterday".to_string(), 400, "write it as"),
+        ] {
+            let (got, answer) = back(&running, &to, false).await;
+            assert!(got == status && answer.to_string().contains(why), "{got} {answer}");
+        }
+        // All its servers drain; others come in their place.
+        let mut lines: Vec<Value> = (1..=SERVERS).map(|n| server(n, "DRAINING", 0.0)).collect();
+        lines.extend((11..=14).map(|n| server(n, "SERVING", 1.0)));
+        agent.say(101, false, &lines);
+        proxy.until("s-1 shut out", names("s-1")).await;
+        let (status, answer) = back(&running, &first, true).await;
+        assert_eq!(status, 409, "{answer}");
+        let rows = answer["tables"].as_array().unwrap();
+        assert!(rows.iter().all(|r| r["why"].as_str().unwrap().contains("bare")), "{answer}");
+        assert!(running.holders().await.iter().all(|r| !r.back));
+    });
+}
+
+#[test]
+fn a_dispatcher_that_comes_over_with_the_same_table_is_not_sent_it_again() {
+    on_sockets(async {
+        let agent = Agent::new().await;
+        let one = run(&settings(agent.place, "n0", 4)).await;
+        let other = run(&settings(agent.place, "n1", 4)).await;
+        let checker = Rc::new(RefCell::new(Checker::new(GRACE_MS)));
+        let see = checker.clone();
+        let streams = Rc::new(Cell::new(0));
+        let seen: Rc<dyn Fn(_)> = Rc::new(move |what| see.borrow_mut().see(what));
+        let mut links = Vec::new();
+        for at in [&one, &other] {
+            let link =
+                Link::open(at.place, 1, Faults::default(), streams.clone(), seen.clone()).await.unwrap();
+            links.push(link);
+        }
+        let dispatcher = Dispatcher::new(0, &KINDS, true, 1, seen);
+        dispatcher.dial(&[links[0].place, links[1].place]);
+        dispatcher.run();
+        one.until_all("in step", KINDS.len()).await;
+        let whole = checker.borrow().whole;
+        assert_eq!((whole, checker.borrow().same), (2, 0));
+        // Cut off, it comes to the other with both tables.
+        links[0].cut_all();
+        let rows = other.until_all("in step", KINDS.len()).await;
+        assert!(rows.iter().all(|r| r.told.as_ref().unwrap().starts_with("n1~")));
+        let checker = checker.borrow();
+        assert_eq!(checker.whole, whole, "no table was sent again");
+        assert!(checker.same >= 2 && checker.broken.is_empty());
+        drop(agent);
+    });
+}
--- /dev/null
+++ b/crates/rookpulley-standin/src/discovery.rs
@@ -0,0 +1,128 @@
+//! Discovery as the assigner meets it: HTTP with a watch, scripted call by call or keeping a list of its own.
+
+use crate::lists::list;
+use http_body_util::channel::{Channel, Sender};
+use http_body_util::combinators::BoxBody;
+use http_body_util::{BodyExt, Full};
+use hyper::body::Bytes;
+use hyper_util::rt::TokioIo;
+use serde_json::Value;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::sync::{mpsc, oneshot, watch};
+use tokio::task::spawn_local;
+use tokio::time::timeout;
+
+pub type Body = BoxBody<Bytes, std::io::Error>;
+
+/// A call to the stand-in for discovery, and how it is to be answered.
+pub struct Call {
+    pub path: String,
+    pub answer: oneshot::Sender<hyper::Response<Body>>,
+}
+
+pub struct Discovery {
+    pub place: SocketAddr,
+    pub calls: mpsc::UnboundedReceiver<Call>,
+}
+
+impl Discovery {
+    pub async fn new() -> Self {
+        Self::at(TcpListener::bind("127.0.0.1:0").await.unwrap())
+    }
+
+    pub fn at(listener: TcpListener) -> Self {
+        let place = listener.local_addr().unwrap();
+        let (sender, calls) = mpsc::unbounded_channel();
+        spawn_local(async move {
+            while let Ok((socket, _)) = listener.accept().await {
+                let sender = sender.clone();
+                let service = hyper::service::service_fn(move |req: hyper::Request<_>| {
+                    let (answer, answered) = oneshot::channel();
+                    let _: &hyper::body::Incoming = req.body();
+                    _ = sender.send(Call { path: req.uri().to_string(), answer });
+                    async move { answered.await.map_err(|_| std::io::Error::other("no answer")) }
+                });
+                spawn_local(
+                    hyper::server::conn::http1::Builder::new()
+                        .serve_connection(TokioIo::new(socket), service),
+                );
+            }
+        });
+        Self { place, calls }
+    }
+
+    pub async fn call(&mut self) -> Call {
+        self.calls.recv().await.unwrap()
+    }
+
+    /// Takes the next watch and keeps it open.
+    pub async fn watch(&mut self) -> Watch {
+        self.call().await.watch()
+    }
+}
+
+pub struct Watch(pub Sender<Bytes, std::io::Error>);
+
+impl Watch {
+    pub async fn say(&mut self, text: &str) {
+        self.0.send_data(Bytes::from(text.to_string())).await.unwrap();
+    }
+}
+
+impl Call {
+    pub fn watch(self) -> Watch {
+        let (sender, body) = Channel::new(16);
+        _ = self.answer.send(hyper::Response::new(body.boxed()));
+        Watch(sender)
+    }
+
+    pub fn answer(self, status: u16, text: &str) {
+        let body = Full::new(Bytes::from(text.to_string())).map_err(std::io::Error::other).boxed();
+        _ = self.answer.send(hyper::Response::builder().status(status).body(body).unwrap());
+    }
+}
+
+pub type Lists = Vec<(u64, String)>;
+
+/// Discovery that works: whoever watches is told what came after the version it names.
+pub struct Agent {
+    pub place: SocketAddr,
+    lists: watch::Sender<Lists>,
+}
+
+impl Agent {
+    pub async fn new() -> Self {
+        let mut discovery = Discovery::new().await;
+        let (place, lists) = (discovery.place, watch::Sender::new(Lists::new()));
+        let told = lists.subscribe();
+        spawn_local(async move {
+            loop {
+                let call = discovery.call().await;
+                let since = call.path.rsplit_once("since=").unwrap().1.parse().unwrap();
+                spawn_local(Self::follow(call.watch(), told.clone(), since));
+            }
+        });
+        Self { place, lists }
+    }
+
+    pub async fn follow(mut watch: Watch, mut lists: watch::Receiver<Lists>, mut since: u64) {
+        loop {
+            let mut text = String::from("\n");
+            let after = since;
+            for (index, list) in lists.borrow_and_update().iter().filter(|(index, _)| *index > after) {
+                text += list;
+                since = since.max(*index);
+            }
+            if watch.0.send_data(Bytes::from(text)).await.is_err() {
+                return;
+            }
+            _ = timeout(Duration::from_secs(1), lists.changed()).await;
+        }
+    }
+
+    pub fn say(&self, index: u64, whole: bool, servers: &[Value]) {
+        self.lists.send_modify(|lists| lists.push((index, list(index, whole, servers))));
+    }
+}
--- a/crates/rookpulley-versions/src/book.rs
+++ b/crates/rookpulley-versions/src/book.rs
@@ -16,6 +16,9 @@
 /// Those that left are shown for so long.
 const SHOWN_MS: f64 = 600_000.0;
 
+/// In the time that an answer takes, those that are late are looked for so often.
+const LOOKS: f64 = 8.0;
+
 pub struct Book {
     pub history: History,
     pub ledger: Ledger,
@@ -76,6 +79,12 @@
         self.bound.get(&(dispatcher, kinds)).copied()
     }
 
+    /// The request kinds that a dispatcher has this table for.
+    pub fn kinds_of(&self, dispatcher: DispatcherId, table: TableId) -> Kinds {
+        let own = self.bound.range((dispatcher, 0)..=(dispatcher, Kinds::MAX));
+        own.filter(|(_, id)| **id == table).fold(0, |all, ((_, kinds), _)| all | kinds)
+    }
+
     pub fn speaks(&self, dispatcher: DispatcherId) -> bool {
         self.ledger.entry(dispatcher).is_some_and(|e| e.joined && e.speaks)
     }
@@ -119,6 +128,11 @@
         }
     }
 
+    /// So often it is worth while to ask who is due.
+    pub fn look_ms(&self) -> f64 {
+        self.patience.answer_ms / LOOKS
+    }
+
     /// Whom the module must write anew, by dispatcher and table.
     pub fn due(&mut self, now: f64) -> Vec<(DispatcherId, TableId)> {
         self.ledger.due(now, &self.patience)
--- a/crates/rookpulley-versions/src/history.rs
+++ b/crates/rookpulley-versions/src/history.rs
@@ -66,7 +66,8 @@
         &self.issuer
     }
 
-    fn version(&self, number: u64) -> Version {
+    /// A number of this start, as a version.
+    pub fn version(&self, number: u64) -> Version {
         Version { issuer: self.issuer.clone(), number }
     }
 
--- a/crates/rookpulley-versions/src/ledger.rs
+++ b/crates/rookpulley-versions/src/ledger.rs
@@ -99,6 +99,19 @@
     pub again_most_ms: f64,
 }
 
+/// An answer is late after twice the longest way, and what a dispatcher's own work takes.
+const ANSWER_WAYS: f64 = 2.0;
+const ANSWER_WORK_MS: f64 = 100.0;
+const AGAIN_MOST_MS: f64 = 30_000.0;
+
+impl Patience {
+    /// For a channel that takes so long at most.
+    pub fn for_transit(most_ms: f64) -> Self {
+        let answer_ms = ANSWER_WAYS * most_ms + ANSWER_WORK_MS;
+        Self { answer_ms, again_ms: most_ms, again_most_ms: AGAIN_MOST_MS }
+    }
+}
+
 /// What a dispatcher says it holds. The digest decides; the version is for the operators' eyes.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Claim {
