--- a/crates/rookpulley-assigner/tests/versions.rs
+++ b/crates/rookpulley-assigner/tests/versions.rs
@@ -191,7 +191,7 @@
     let mut dispatchers = Vec::new();
     for id in 0..SPEAKING + PLAIN {
         let speaks = id < SPEAKING;
-        let dispatcher = Dispatcher::new(id, &KINDS, speaks, seed, seen.clone());
+        let dispatcher = Dispatcher::new(id, "a", &KINDS, speaks, seed, seen.clone());
         let through = if speaks { &links } else { &clean };
         let mut places = [through[0].place, through[1].place];
         places.rotate_left((id % 2) as usize);
@@ -455,7 +455,7 @@
                 Link::open(at.place, 1, Faults::default(), streams.clone(), seen.clone()).await.unwrap();
             links.push(link);
         }
-        let dispatcher = Dispatcher::new(0, &KINDS, true, 1, seen);
+        let dispatcher = Dispatcher::new(0, "a", &KINDS, true, 1, seen);
         dispatcher.dial(&[links[0].place, links[1].place]);
         dispatcher.run();
         one.until_all("in step", KINDS.len()).await;
--- /dev/null
+++ b/crates/rookpulley-cli/src/call.rs
@@ -0,0 +1,116 @@
+//! One call to an assigner's operators' address.
+
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Bytes;
+use hyper::header::{AUTHORIZATION, CONTENT_TYPE, HOST};
+use hyper_util::rt::TokioIo;
+use rookpulley_operators::asks::Refusal;
+use serde_json::Value;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+
+const WITHIN: Duration = Duration::from_secs(15);
+const ANSWER_MOST: usize = 64 << 20;
+
+#[derive(Debug, thiserror::Error)]
+pub enum CannotAsk {
+    #[error(
+        "no assigner answers at {at}: {why}; is it started with --operators, and does the file name this address()?"
+    )]
+    Unreachable { at: SocketAddr, why: String },
+    #[error("{0}")]
+    No(Refusal),
+    #[error("the answer from {at} can't be read: {why}; is another program there?")]
+    Unreadable { at: SocketAddr, why: String },
+    #[error("the token file {} can't be read: {why}", file.display())]
+    Token { file: PathBuf, why: std::io::Error },
+}
+
+impl CannotAsk {
+    /// The code that the command ends with.
+    pub fn code(&self) -> u8 {
+        match self {
+            Self::No(_) => 1,
+            Self::Unreachable { .. } | Self::Unreadable { .. } | Self::Token { .. } => 3,
+        }
+    }
+}
+
+pub struct Place {
+    at: SocketAddr,
+    token: Option<String>,
+}
+
+/// A version as part of a path.
+pub fn escaped(text: &str) -> String {
+    let plain = |b: u8| b.is_ascii_alphanumeric() || b"-._~".contains(&b);
+    text.bytes().map(|b| if plain(b) { (b as char).to_string() } else { format!("%{b:02X}") }).collect()
+}
+
+impl Place {
+    pub fn of(at: SocketAddr, token_file: Option<&Path>) -> Result<Self, CannotAsk> {
+        let read = |file: &Path| {
+            let text = std::fs::read_to_string(file);
+            let text = text.map_err(|why| CannotAsk::Token { file: file.into(), why })?;
+            Ok(text.lines().next().unwrap_or_default().trim().to_string())
+        };
+        Ok(Self { at, token: token_file.map(read).transpose()? })
+    }
+
+    /// The status and the answer; an answer that is an error is one here.
+    pub fn ask<T: serde::de::DeserializeOwned>(
+        &self,
+        method: &str,
+        path: &str,
+        body: Option<&Value>,
+    ) -> Result<(u16, T), CannotAsk> {
+        let unreachable = |why: String| CannotAsk::Unreachable { at: self.at, why };
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+        let runtime = runtime.map_err(|e| unreachable(e.to_string()))?;
+        let answered = runtime.block_on(async { timeout(WITHIN, self.call(method, path, body)).await });
+        let answered =
+            answered.unwrap_or_else(|_| Err(format!("nothing came within {} s", WITHIN.as_secs())));
+        let (status, bytes) = answered.map_err(unreachable)?;
+        let unreadable = |e: serde_json::Error| CannotAsk::Unreadable { at: self.at, why: e.to_string() };
+        let mut value: Value = serde_json::from_slice(&bytes).map_err(unreadable)?;
+        if !value["error"].is_null() {
+            let refusal: Refusal = serde_json::from_value(value["error"].take()).map_err(unreadable)?;
+            return Err(CannotAsk::No(refusal));
+        }
+        Ok((status, serde_json::from_value(value).map_err(unreadable)?))
+    }
+
+    async fn call(&self, method: &str, path: &str, body: Option<&Value>) -> Result<(u16, Bytes), String> {
+        let socket = TcpStream::connect(self.at).await.map_err(|e| e.to_string())?;
+        let (mut sender, connection) =
+            hyper::client::conn::http1::handshake(TokioIo::new(socket)).await.map_err(|e| e.to_string())?;
+        let mut request =
+            hyper::Request::builder().method(method).uri(path).header(HOST, self.at.to_string());
+        if let Some(token) = &self.token {
+            request = request.header(AUTHORIZATION, format!("Bearer {token}"));
+        }
+        if body.is_some() {
+            request = request.header(CONTENT_TYPE, "application/json");
+        }
+        let body = Full::new(Bytes::from(body.map(Value::to_string).unwrap_or_default()));
+        let request = request.body(body).map_err(|e| e.to_string())?;
+        let answer = async {
+            let answer = sender.send_request(request).await.map_err(|e| e.to_string())?;
+            let status = answer.status().as_u16();
+            let body = Limited::new(answer.into_body(), ANSWER_MOST).collect().await;
+            Ok((status, body.map_err(|e| e.to_string())?.to_bytes()))
+        };
+        // The connection does its work beside the answer, and ends with it.
+        tokio::pin!(answer, connection);
+        tokio::select! {
+            answer = &mut answer => answer,
+            ended = &mut connection => match ended {
+                Ok(()) => answer.await,
+                Err(e) => Err(e.to_string()),
+            },
+        }
+    }
+}
--- a/crates/rookpulley-standin/src/discovery.rs
+++ b/crates/rookpulley-standin/src/discovery.rs
@@ -94,13 +94,17 @@
 
 impl Agent {
     pub async fn new() -> Self {
-        let mut discovery = Discovery::new().await;
+        Self::at(TcpListener::bind("127.0.0.1:0").await.unwrap())
+    }
+
+    pub fn at(listener: TcpListener) -> Self {
+        let mut discovery = Discovery::at(listener);
         let (place, lists) = (discovery.place, watch::Sender::new(Lists::new()));
         let told = lists.subscribe();
         spawn_local(async move {
             loop {
                 let call = discovery.call().await;
-                let since = call.path.rsplit_once("since=").unwrap().1.parse().unwrap();
+                let since = call.path.rsplit_once("since=").and_then(|(_, n)| n.parse().ok()).unwrap_or(0);
                 spawn_local(Self::follow(call.watch(), told.clone(), since));
             }
         });
--- a/crates/rookpulley-standin/src/dispatcher.rs
+++ b/crates/rookpulley-standin/src/dispatcher.rs
@@ -32,6 +32,7 @@
 
 pub struct Dispatcher {
     pub id: u64,
+    zone: String,
     kinds: Vec<String>,
     speaks: bool,
     held: RefCell<Held>,
@@ -46,9 +47,17 @@
 }
 
 impl Dispatcher {
-    pub fn new(id: u64, kinds: &[&str], speaks: bool, seed: u64, seen: Rc<dyn Fn(Seen)>) -> Rc<Self> {
+    pub fn new(
+        id: u64,
+        zone: &str,
+        kinds: &[&str],
+        speaks: bool,
+        seed: u64,
+        seen: Rc<dyn Fn(Seen)>,
+    ) -> Rc<Self> {
         Rc::new(Self {
             id,
+            zone: zone.into(),
             kinds: kinds.iter().map(|k| k.to_string()).collect(),
             speaks,
             held: RefCell::new(Held { fresh: true, ..Held::default() }),
@@ -162,7 +171,7 @@
         let joining = {
             let mut held = self.held.borrow_mut();
             held.holders.values_mut().for_each(|h| h.follow(stream));
-            let mut joining = json!({"msg": "attach", "proxy": self.id, "zone": "a", "weight": 9.5,
+            let mut joining = json!({"msg": "attach", "proxy": self.id, "zone": self.zone, "weight": 9.5,
                 "fresh": held.fresh});
             if self.speaks {
                 joining["holds"] = self.holds(&held);
--- a/crates/rookpulley-standin/src/wire.rs
+++ b/crates/rookpulley-standin/src/wire.rs
@@ -29,6 +29,10 @@
         Self { socket: TcpStream::connect(place).await.unwrap(), held: Vec::new(), proxy: 0 }
     }
 
+    pub async fn try_dial(place: SocketAddr) -> std::io::Result<Self> {
+        Ok(Self { socket: TcpStream::connect(place).await?, held: Vec::new(), proxy: 0 })
+    }
+
     pub async fn join(place: SocketAddr, proxy: u32, fresh: bool) -> Self {
         let mut wire = Self { proxy, ..Self::dial(place).await };
         wire.say(&joining(proxy, fresh)).await;
