--- /dev/null
+++ b/crates/rookpulley-assigner/examples/tick.rs
@@ -0,0 +1,202 @@
+//! What one call of the driver costs: the module and the orders, without sockets, over twenty simulated
+//! seconds of 400 dispatchers and 120 servers. `tools/tick-against COMMIT` runs it beside an earlier version,
+//! which is built with `--cfg earlier`.
+
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use rookpulley::facts::*;
+use rookpulley::rules::Controller;
+use rookpulley_assigner::messages::server_id;
+use rookpulley_assigner::orders::{Names, Orders};
+use std::time::Instant;
+
+#[cfg(earlier)]
+mod api {
+    use super::*;
+
+    pub fn new(kinds: Vec<String>, _: bool) -> Orders {
+        Orders::new(kinds)
+    }
+
+    pub fn join(orders: &mut Orders, _: f64, proxy: ProxyId) {
+        orders.join(proxy, true);
+    }
+
+    pub fn answered(orders: &mut Orders, _: f64, proxy: ProxyId, mark: u64) {
+        orders.answered(proxy, mark);
+    }
+
+    pub fn carry_out(
+        orders: &mut Orders,
+        _: f64,
+        effects: &[Effect],
+        names: &Names,
+    ) -> Vec<(ProxyId, usize)> {
+        orders.carry_out(effects, names).into_iter().map(|w| (w.proxy, w.bytes.len())).collect()
+    }
+}
+
+#[cfg(not(earlier))]
+mod api {
+    use super::*;
+    use rookpulley_assigner::messages::Holds;
+    use rookpulley_versions::{Book, Bounds, Issuer, Patience};
+
+    pub fn new(kinds: Vec<String>, versions: bool) -> Orders {
+        let issuer = Issuer { assigner: "n0".into(), start: 1 };
+        let bounds = Bounds { each: 8, bytes: 16 << 20 };
+        Orders::new(kinds, versions.then(|| Book::new(issuer, 1, bounds, Patience::for_transit(400.0))))
+    }
+
+    pub fn join(orders: &mut Orders, now: f64, proxy: ProxyId) {
+        orders.join(now, proxy, true, None);
+    }
+
+    pub fn answered(orders: &mut Orders, now: f64, proxy: ProxyId, mark: u64) {
+        orders.answered(now, proxy, mark, &Holds::new());
+    }
+
+    pub fn carry_out(
+        orders: &mut Orders,
+        now: f64,
+        effects: &[Effect],
+        names: &Names,
+    ) -> Vec<(ProxyId, usize)> {
+        if let Some(book) = &mut orders.book {
+            assert!(book.due(now).is_empty());
+        }
+        orders.carry_out(now, effects, names).into_iter().map(|w| (w.proxy, w.bytes.len())).collect()
+    }
+}
+
+const PROXIES: ProxyId = 400;
+const SERVERS: usize = 120;
+
+fn listed(n: usize, stage: Stage, started_ms: f64) -> Listed {
+    let zone = (n % 3) as ZoneId;
+    Listed {
+        server: server_id(&format!("s-{n}")),
+        zone,
+        machine: 0,
+        bay: zone,
+        stage,
+        weight: 1.0,
+        started_ms,
+    }
+}
+
+fn start() -> Start {
+    let kind = |name: &str| ReqKind {
+        name: name.into(),
+        response_target_ms: 1_000.0,
+        client_timeout_ms: 3_000.0,
+        value: 1.0,
+        late_value_share: 0.1,
+        repeat: Repeat::Replayable,
+        writes: false,
+        zones: vec![],
+        machines: vec![],
+        own_zone: false,
+    };
+    let zones = vec!["a".into(), "b".into(), "c".into()];
+    Start {
+        seed: 7,
+        place: Place { controllers: 2, zones, proxies: u32::from(PROXIES), ..Place::default() },
+        kinds: vec![kind("view"), kind("book")],
+        bounds: RuleBounds {
+            bare_ms: 3_000.0,
+            drain_grace_ms: 2_000.0,
+            cold_share: 0.25,
+            cold_ms: 15_000.0,
+            fall_multiple: 3.0,
+            fall_ms: 2_000.0,
+            only_draining_binds: false,
+        },
+        channel: ChannelFacts {
+            lines_per_s: 50_000.0,
+            head_lines: 6.0,
+            bind_lines: 2.0,
+            backlog_lines: 100_000.0,
+            messages_most: 0,
+            messages_over_ms: 10_000.0,
+            transit_ms: 100.0,
+            transit_most_ms: 300.0,
+        },
+        habits: ProxyHabits::default(),
+        list: ListFacts::default(),
+        means: Means { report_period_ms: 1_000.0, conns_least: f64::INFINITY, ..Means::default() },
+        load_fields: vec![],
+    }
+}
+
+fn main() {
+    let versions = std::env::args().nth(1).is_some_and(|a| a == "versions");
+    let mut rng = ChaCha8Rng::seed_from_u64(7);
+    let names: Names = (0..SERVERS).map(|n| (server_id(&format!("s-{n}")), format!("s-{n}"))).collect();
+    let mut controller = Controller::new(0.0, start());
+    let mut orders = api::new(vec!["view".into(), "book".into()], versions);
+    let lines = (0..SERVERS).map(|n| listed(n, Stage::Ready, 0.0)).collect();
+    let mut inputs = vec![Input::List { scope: ListScope::Cached, version: 1, lines }];
+    let mut alarms: Vec<(f64, u64)> = Vec::new();
+    let mut answers: Vec<(f64, ProxyId, u64)> = Vec::new();
+    let (mut took, mut calls, mut bytes, mut messages) = (0.0, 0, 0, 0);
+    for tick in 0..4_000_u32 {
+        let now = f64::from(tick) * 5.0;
+        if tick < u32::from(PROXIES) {
+            let proxy = tick as ProxyId;
+            api::join(&mut orders, now, proxy);
+            inputs.push(Input::Joined { proxy, zone: proxy % 3, usual_per_s: 10.0, fresh: true });
+        }
+        for _ in 0..3 {
+            let server = server_id(&format!("s-{}", rng.random_range(0..SERVERS)));
+            let (zone, load) = (rng.random_range(0..3), Vec::new());
+            inputs.push(Input::Heard {
+                zone,
+                server,
+                tries: 9.0,
+                bad: 0.0,
+                mean_ms: 90.0,
+                span_ms: 1e3,
+                load,
+            });
+            let (proxy, kind) = (rng.random_range(0..PROXIES), rng.random_range(0..2));
+            inputs.push(Input::Usage { proxy, kind, came: 10.0, bad: 0.0, span_ms: 1e3 });
+        }
+        if tick % 200 == 199 {
+            let n = rng.random_range(0..SERVERS);
+            let stage = if rng.random_range(0..2) == 0 { Stage::Draining } else { Stage::Ready };
+            let lines = vec![listed(n, stage, now)];
+            inputs.push(Input::List { scope: ListScope::Changes, version: 2, lines });
+        }
+        alarms.retain(|(due, name)| {
+            _ = (*due <= now).then(|| inputs.push(Input::Alarm { name: *name }));
+            *due > now
+        });
+        let due: Vec<_> = answers.extract_if(.., |(due, ..)| *due <= now).collect();
+        let from = Instant::now();
+        for (_, proxy, mark) in due {
+            api::answered(&mut orders, now, proxy, mark);
+            inputs.push(Input::Applied { proxy, mark, took_ms: 90.0 });
+        }
+        let effects = controller.handle(now, &inputs);
+        let written = api::carry_out(&mut orders, now, &effects, &names);
+        took += from.elapsed().as_secs_f64();
+        calls += 1;
+        inputs.clear();
+        let mark =
+            effects.iter().find_map(|e| if let Effect::Mark { mark, .. } = e { Some(*mark) } else { None });
+        for (proxy, size) in written {
+            (bytes, messages) = (bytes + size, messages + 1);
+            answers.extend(mark.map(|mark| (now + 90.0, proxy, mark)));
+        }
+        for effect in effects {
+            if let Effect::Alarm { in_ms, name } = effect {
+                alarms.push((now + in_ms, name));
+            }
+        }
+    }
+    println!(
+        "{:.3} us a call, {calls} calls, {messages} messages, {bytes} bytes",
+        took / f64::from(calls) * 1e6
+    );
+}
--- a/crates/rookpulley-assigner/src/messages.rs
+++ b/crates/rookpulley-assigner/src/messages.rs
@@ -389,11 +389,12 @@
     pub lines: Option<Vec<(&'a str, f64)>>,
     #[serde(skip_serializing_if = "Option::is_none")]
     pub level: Option<f64>,
-    /// The version that these lines bring the table to, and the digest it then has.
+    /// The version that these lines bring the table to (its number alone where what is held was told on this
+    /// stream), and the digest it then has.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub version: Option<String>,
     #[serde(skip_serializing_if = "Option::is_none")]
-    pub digest: Option<String>,
+    pub to: Option<String>,
     /// The digest that the table must have before.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub from: Option<String>,
--- a/crates/rookpulley-assigner/src/orders.rs
+++ b/crates/rookpulley-assigner/src/orders.rs
@@ -47,6 +47,7 @@
     level: Option<Level>,
     /// Where the proxy speaks of versions: which one this brings it to.
     order: Option<versions::Order>,
+    short: bool,
 }
 
 /// One proxy's message as it grows.
@@ -408,6 +409,8 @@
             retell |= if whole && !counted { kinds } else { 0 };
             piece.whole = whole;
             piece.lines = lines.into_iter().map(|(n, w)| (crate::messages::server_id(&n), w)).collect();
+            // A delta on what this stream was told goes on from a version that is known there.
+            piece.short = matches!(order.update, Update::Delta(_)) && book.told(proxy, *id);
             piece.order = Some(order);
             told.push(*id);
         }
@@ -449,8 +452,8 @@
                 lines: first,
                 level,
                 retry,
-                version: order.map(|o| o.version.to_string()),
-                digest: order.map(|o| o.update.digest().to_string()),
+                version: order.map(|o| if piece.short { o.version.short() } else { o.version.to_string() }),
+                to: order.map(|o| o.update.digest().to_string()),
                 from,
                 ..Part::default()
             };
--- /dev/null
+++ b/crates/rookpulley-cli/tests/command.rs
@@ -0,0 +1,194 @@
+//! The command against an operators' address that answers by script.
+
+use assert_cmd::Command;
+use rookpulley_operators::address;
+use rookpulley_operators::asks::{
+    Answer, Ask, BackList, BackRow, DiffList, DiffRow, HolderList, HolderRow, Refusal, VersionList,
+    VersionRow,
+};
+use rookpulley_operators::file::Token;
+use serde_json::Value;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::mpsc::{Receiver, channel};
+
+const OLD: &str = "n0~00000000000000aa~1";
+const NEW: &str = "n0~00000000000000aa~2";
+
+fn holder(dispatcher: u16, joined: bool, judged: &str) -> HolderRow {
+    HolderRow {
+        dispatcher,
+        joined,
+        speaks: dispatcher == 0,
+        kinds: vec!["show".into()],
+        table: dispatcher,
+        judged: judged.into(),
+        told: Some(NEW.into()),
+        confirmed: Some(OLD.into()),
+        claimed: (dispatcher == 0).then(|| OLD.into()),
+        waits_ms: (judged == "behind").then_some(240.0),
+        back: false,
+    }
+}
+
+fn answer(ask: &Ask) -> Answer {
+    let row = |version: &str, newest| VersionRow {
+        version: version.into(),
+        table: 0,
+        digest: "faYpF0JPvc5sB0KrU_JiMQ".into(),
+        lines: 4,
+        issued_ms: 0.0,
+        newest,
+        in_use: newest,
+    };
+    let back =
+        |table, what: &str| BackRow { table, what: what.into(), why: None, usable: Some(3), of: Some(4) };
+    match ask {
+        Ask::Versions { .. } => Answer::Versions(VersionList {
+            assigner: "n0".into(),
+            start: "00000000000000aa".into(),
+            versions: vec![row(OLD, false), row(NEW, true)],
+        }),
+        Ask::Holders => {
+            let holders =
+                vec![holder(0, true, "in step"), holder(1, true, "behind"), holder(2, false, "unknown")];
+            Answer::Holders(HolderList { assigner: "n0".into(), holders })
+        }
+        Ask::Diff { from, to } => {
+            let lines = vec![DiffRow { server: "s-1".into(), from: Some(1.0), to: None }];
+            let lines = if from == to { Vec::new() } else { lines };
+            Answer::Diff(DiffList {
+                from: from.clone(),
+                to: to.clone(),
+                lines,
+                delta_bytes: 50,
+                whole_bytes: 80,
+            })
+        }
+        Ask::Rollback { to, .. } if to == OLD => Answer::Back(BackList { tables: vec![back(0, "held")] }),
+        Ask::Rollback { to, .. } if to == NEW => Answer::Back(BackList { tables: vec![back(0, "refused")] }),
+        Ask::Rollback { to, .. } => {
+            let refusal = Refusal::new(404, format!("{to} was never issued"), Some("see versions"));
+            Answer::Refused { refusal }
+        }
+        Ask::Release { .. } => Answer::Back(BackList { tables: vec![back(0, "ended")] }),
+    }
+}
+
+/// An address on a thread of its own, and the asks that came to it.
+fn answering(token: Option<&'static str>) -> (SocketAddr, Receiver<Ask>) {
+    let (tell_place, place) = channel();
+    let (tell, asked) = channel();
+    std::thread::spawn(move || {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+        tokio::task::LocalSet::new().block_on(&runtime, async {
+            let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+            tell_place.send(listener.local_addr().unwrap()).unwrap();
+            let (sender, mut asks) = tokio::sync::mpsc::channel(4);
+            tokio::task::spawn_local(address::serve(listener, token.map(Token::of), sender, Rc::new(|_| ())));
+            while let Some(a) = asks.recv().await {
+                let answered = answer(&a.ask);
+                // The test may have ended.
+                _ = (tell.send(a.ask), a.answer.send(answered));
+            }
+        });
+    });
+    (place.recv().unwrap(), asked)
+}
+
+fn run(at: SocketAddr, args: &[&str]) -> (i32, String, String) {
+    let mut command = Command::cargo_bin("rookpulley").unwrap();
+    command.env_remove("ROOKPULLEY_AT").env_remove("ROOKPULLEY_TOKEN_FILE");
+    let output = command.args(["--at", &at.to_string()]).args(args).output().unwrap();
+    let text = |bytes| String::from_utf8(bytes).unwrap();
+    (output.status.code().unwrap(), text(output.stdout), text(output.stderr))
+}
+
+#[test]
+fn answers_are_shown_as_tables_and_end_with_codes_for_scripts() {
+    let (at, asked) = answering(None);
+    for (args, code, wanted) in [
+        (&["versions"][..], 0, &["n0, started as 00000000000000aa", OLD, "yes"][..]),
+        (&["versions", "--table", "0"], 0, &[NEW]),
+        (
+            &["holders"],
+            0,
+            &["in step", "behind", "left", "marks alone", "240 ms", "1 of 2 tables in step at n0"],
+        ),
+        (&["holders", "--check"], 1, &["1 of 2"]),
+        (&["diff", OLD, NEW], 1, &["s-1", "1 lines differ; as a delta 50 bytes"]),
+        (&["diff", OLD, OLD], 0, &["the same lines"]),
+        (&["rollback", OLD], 0, &["held", "3 of 4 lines"]),
+        (&["rollback", NEW, "--all"], 1, &["refused"]),
+        (&["release", "--all"], 0, &["ended"]),
+        (&["release", "--table", "3"], 0, &["ended"]),
+    ] {
+        let (got, out, err) = run(at, args);
+        assert!(got == code && wanted.iter().all(|w| out.contains(w)), "{args:?} {got}: {out}{err}");
+        assert!(err.is_empty(), "{err}");
+    }
+    let asks: Vec<Ask> = asked.try_iter().collect();
+    assert_eq!(asks[1], Ask::Versions { table: Some(0) });
+    assert_eq!(asks[7], Ask::Rollback { to: NEW.into(), table: None, all: true });
+    assert_eq!((&asks[8], &asks[9]), (&Ask::Release { table: None }, &Ask::Release { table: Some(3) }));
+}
+
+#[test]
+fn json_holds_what_the_address_said() {
+    let (at, _asked) = answering(None);
+    for args in
+        [&["versions"][..], &["holders"], &["diff", OLD, NEW], &["rollback", OLD], &["release", "--all"]]
+    {
+        let (_, out, _) = run(at, &[&["--json"], args].concat());
+        let said: Value = serde_json::from_str(&out).expect(&out);
+        assert!(said.is_object() && said["error"].is_null() && out.lines().count() == 1, "{out}");
+    }
+    let (code, out, _) = run(at, &["--json", "rollback", "n0~00000000000000aa~9"]);
+    let said: Value = serde_json::from_str(&out).unwrap();
+    assert_eq!(
+        (code, said["error"]["what"].as_str()),
+        (1, Some("n0~00000000000000aa~9 was never issued; see versions"))
+    );
+}
+
+#[test]
+fn who_cannot_ask_hears_why_and_what_to_do() {
+    let (at, _asked) = answering(Some("a-token-of-some-length"));
+    let (code, _, err) = run(at, &["holders"]);
+    assert!(code == 1 && err.contains("the token is missing or wrong"), "{code} {err}");
+    let file = std::env::temp_dir().join(format!("rookpulley-token-{}", std::process::id()));
+    std::fs::write(&file, "a-token-of-some-length\n").unwrap();
+    let (code, ..) = run(at, &["holders", "--token-file", file.to_str().unwrap()]);
+    assert_eq!(code, 0);
+    std::fs::remove_file(&file).unwrap();
+    let (code, _, err) = run(at, &["holders", "--token-file", file.to_str().unwrap()]);
+    assert!(code == 3 && err.contains("token file"), "{code} {err}");
+    // Nobody listens there: the listener of a port just given back.
+    let gone = std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let (code, _, err) = run(gone, &["holders"]);
+    assert!(code == 3 && err.contains("--operators"), "{code} {err}");
+    for args in [&["rollback"][..], &["release"], &["release", "--all", "--table", "1"], &["dance"], &[]] {
+        assert_eq!(run(at, args).0, 2, "{args:?}");
+    }
+}
+
+#[test]
+fn every_command_shows_an_example_in_its_help() {
+    let at = "127.0.0.1:1".parse().unwrap();
+    for what in ["versions", "holders", "diff", "rollback", "release", "check"] {
+        let (code, out, _) = run(at, &[what, "--help"]);
+        assert!(code == 0 && out.contains(&format!("Example: rookpulley {what}")), "{out}");
+    }
+    let (_, out, _) = run(at, &["--help"]);
+    assert!(out.contains("operators' address") && out.contains("Ends with 0"), "{out}");
+}
+
+#[test]
+fn the_operators_file_in_the_repository_can_be_used() {
+    let at = "127.0.0.1:1".parse().unwrap();
+    let file = concat!(env!("CARGO_MANIFEST_DIR"), "/../../deploy/operators.star");
+    let (code, out, _) = run(at, &["check", file]);
+    assert!(code == 0 && out.contains("127.0.0.1:3990") && out.contains("8 of each table"), "{out}");
+    let (code, _, err) = run(at, &["check", concat!(env!("CARGO_MANIFEST_DIR"), "/Cargo.toml")]);
+    assert!(code == 1 && err.contains("Cargo.toml:"), "{err}");
+}
--- a/crates/rookpulley-standin/src/checker.rs
+++ b/crates/rookpulley-standin/src/checker.rs
@@ -147,7 +147,11 @@
                 self.passed_over += 1;
                 continue;
             }
-            let ends = part["digest"].as_str().unwrap_or_default();
+            // A number alone is of the issuer that the table held has.
+            let issuer = copy.version.rsplit_once('~').map_or("", |(issuer, _)| issuer);
+            let version =
+                if version.starts_with('~') { format!("{issuer}{version}") } else { version.into() };
+            let ends = part["to"].as_str().unwrap_or_default();
             let holds = digest(&copy.lines);
             let mut next = copy.lines.clone();
             if part["whole"] == true {
@@ -176,7 +180,7 @@
                 self.broken.push(format!("dispatcher {dispatcher}: version {version} took effect twice"));
             }
             self.applied += 1;
-            (copy.lines, copy.newest, copy.version) = (next, number, version.into());
+            (copy.lines, copy.newest, copy.version) = (next, number, version);
         }
     }
 
--- a/crates/rookpulley-standin/src/dispatcher.rs
+++ b/crates/rookpulley-standin/src/dispatcher.rs
@@ -4,7 +4,7 @@
 use crate::checker::Seen;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use rookpulley_versions::{Delta, Holder, Kinds, Name, Order, Table, Update, Verdict};
+use rookpulley_versions::{Delta, Holder, Kinds, Name, Order, Table, Update, Verdict, Version};
 use serde_json::{Value, json};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
@@ -235,7 +235,7 @@
                 }
                 continue;
             }
-            let (Some(version), Some(digest)) = (part["version"].as_str(), part["digest"].as_str()) else {
+            let (Some(version), Some(digest)) = (part["version"].as_str(), part["to"].as_str()) else {
                 continue;
             };
             // A long table goes on in the next parts.
@@ -243,7 +243,15 @@
                 |p: &&Value| p["lines"].is_array() && p["version"].is_null() && self.mask(p) == kinds;
             let rest = parts[at + 1..].iter().take_while(goes_on).flat_map(lines);
             let changes: Vec<_> = lines(part).into_iter().chain(rest).collect();
-            let (Ok(version), Ok(to)) = (version.parse(), digest.parse()) else { continue };
+            let of = held.holders.get(&kinds).and_then(Holder::version).cloned();
+            let (version, to) = (Version::read(version, of.as_ref()), digest.parse());
+            let (Ok(version), Ok(to)) = (version, to) else {
+                // The order that would have named the issuer was lost.
+                all = false;
+                let classes = self.names(kinds);
+                said.push(json!({"msg": "refused", "proxy": self.id, "classes": classes}));
+                continue;
+            };
             let update = match part["from"].as_str().and_then(|f| f.parse().ok()) {
                 Some(from) => Some(Update::Delta(Delta { from, to, changes })),
                 None if part["whole"] == true => {
--- a/crates/rookpulley-versions/src/book.rs
+++ b/crates/rookpulley-versions/src/book.rs
@@ -85,6 +85,11 @@
         own.filter(|(_, id)| **id == table).fold(0, |all, ((_, kinds), _)| all | kinds)
     }
 
+    /// Whether a version of this table was written on the dispatcher's stream.
+    pub fn told(&self, dispatcher: DispatcherId, table: TableId) -> bool {
+        self.ledger.entry(dispatcher).and_then(|e| e.table(table)).is_some_and(|held| held.told.is_some())
+    }
+
     pub fn speaks(&self, dispatcher: DispatcherId) -> bool {
         self.ledger.entry(dispatcher).is_some_and(|e| e.joined && e.speaks)
     }
--- a/crates/rookpulley-versions/src/ledger.rs
+++ b/crates/rookpulley-versions/src/ledger.rs
@@ -153,7 +153,8 @@
     pub heard_ms: f64,
     place: u64,
     asked: VecDeque<Asked>,
-    tables: BTreeMap<TableId, Held>,
+    /// In the order of their ids; a dispatcher has a few.
+    tables: Vec<(TableId, Held)>,
 }
 
 #[derive(Default)]
@@ -195,6 +196,25 @@
         self.tables.iter().map(|(id, held)| (*id, held))
     }
 
+    pub fn table(&self, id: TableId) -> Option<&Held> {
+        let at = self.tables.binary_search_by_key(&id, |(id, _)| *id).ok()?;
+        Some(&self.tables[at].1)
+    }
+
+    fn table_mut(&mut self, id: TableId) -> Option<&mut Held> {
+        let at = self.tables.binary_search_by_key(&id, |(id, _)| *id).ok()?;
+        Some(&mut self.tables[at].1)
+    }
+
+    fn table_or_new(&mut self, id: TableId) -> &mut Held {
+        let at = self.tables.binary_search_by_key(&id, |(id, _)| *id).unwrap_or_else(|at| {
+            self.tables.reserve_exact(1);
+            self.tables.insert(at, (id, Held::new()));
+            at
+        });
+        &mut self.tables[at].1
+    }
+
     /// Since when the oldest unanswered mark waits.
     pub fn waits_since_ms(&self) -> Option<f64> {
         self.asked.front().map(|a| a.at_ms)
@@ -236,7 +256,7 @@
         (entry.joined, entry.heard_ms) = (false, now);
         entry.asked.clear();
         let still = Patience { answer_ms: 0.0, again_ms: 0.0, again_most_ms: 0.0 };
-        for held in entry.tables.values_mut() {
+        for (_, held) in &mut entry.tables {
             repin(held, history, |held| (held.told, held.confirmed) = (None, None));
             held.on_way.clear();
             held.step(now, Cue::Breaks, &still);
@@ -256,12 +276,13 @@
         let Some(entry) = self.entries.get_mut(&dispatcher).filter(|e| e.joined) else { return };
         entry.place += 1;
         for (id, number) in versions {
-            let held = entry.tables.entry(*id).or_insert_with(Held::new);
+            let place = entry.place;
+            let held = entry.table_or_new(*id);
             repin(held, history, |held| held.told = Some(*number));
             if matches!(held.judged, Judged::Lost | Judged::Diverged) {
                 held.on_way.clear();
             }
-            held.on_way.push_back((entry.place, *number, now));
+            held.on_way.push_back((place, *number, now));
             let over = held.on_way.len().saturating_sub(MARKS_MOST);
             held.on_way.drain(..over);
             held.step(now, Cue::Told, patience);
@@ -282,7 +303,7 @@
 
     /// A newer version of this table was issued.
     pub fn newer(&mut self, now: f64, id: TableId, patience: &Patience) {
-        for held in self.entries.values_mut().filter_map(|e| e.tables.get_mut(&id)) {
+        for held in self.entries.values_mut().filter_map(|e| e.table_mut(id)) {
             held.step(now, Cue::Newer, patience);
         }
     }
@@ -346,8 +367,8 @@
         history: &mut History,
     ) {
         let Some(entry) = self.entries.get_mut(&dispatcher).filter(|e| e.joined && e.speaks) else { return };
-        let held = entry.tables.entry(id).or_insert_with(Held::new);
-        Self::weigh(now, id, held, claim, entry.place, patience, history);
+        let place = entry.place;
+        Self::weigh(now, id, entry.table_or_new(id), claim, place, patience, history);
     }
 
     /// Weighs a claim made once all up to this place in the stream had come or was lost. The version that it
@@ -401,7 +422,7 @@
     ) {
         let Some(entry) = self.entries.get_mut(&dispatcher).filter(|e| e.joined && e.speaks) else { return };
         entry.heard_ms = now;
-        let Some(held) = entry.tables.get_mut(&id) else { return };
+        let Some(held) = entry.table_mut(id) else { return };
         let known = claim.as_ref().and_then(|c| history.with_digest(id, c.digest)).map(|i| i.version.number);
         let cue = if claim.is_some() && known.is_none() { Cue::Strange } else { Cue::ProvesLoss };
         repin(held, history, |held| held.confirmed = known);
@@ -433,7 +454,7 @@
     /// What a table's next order may start from: what was told last, or else what was brought along. Where
     /// something was lost nothing is sure, and the whole table goes out.
     pub fn base(&self, dispatcher: DispatcherId, id: TableId) -> Option<u64> {
-        let held = self.entries.get(&dispatcher)?.tables.get(&id)?;
+        let held = self.entries.get(&dispatcher)?.table(id)?;
         match held.judged {
             Judged::Behind | Judged::InStep => held.told.or(held.confirmed),
             Judged::Unknown | Judged::Lost | Judged::Diverged => None,
@@ -443,7 +464,7 @@
     /// How many tables are judged like this.
     pub fn count(&self, judged: Judged) -> usize {
         let joined = self.entries.values().filter(|e| e.joined);
-        joined.flat_map(|e| e.tables.values()).filter(|h| h.judged == judged).count()
+        joined.flat_map(|e| &e.tables).filter(|(_, h)| h.judged == judged).count()
     }
 
     /// Drops those that left before this time.
--- a/crates/rookpulley-versions/src/version.rs
+++ b/crates/rookpulley-versions/src/version.rs
@@ -57,6 +57,25 @@
     }
 }
 
+impl Version {
+    /// The number alone, `~17`: of the same issuer as another version that is known where it is read.
+    pub fn short(&self) -> String {
+        format!("~{}", self.number)
+    }
+
+    /// Reads a version, or a number alone where `of` tells the issuer.
+    pub fn read(text: &str, of: Option<&Version>) -> Result<Self, NoVersion> {
+        match (text.strip_prefix('~'), of) {
+            (Some(number), Some(of)) => {
+                let wrong = |why| NoVersion { text: text.into(), why };
+                let number = number.parse().map_err(|_| wrong("its number is no whole number"))?;
+                Ok(Self { issuer: of.issuer.clone(), number })
+            }
+            _ => text.parse(),
+        }
+    }
+}
+
 /// The name of a start: the millisecond it began (44 bits) and 20 bits of chance, so that neither a clock
 /// set back nor two starts in one millisecond give the same.
 pub fn start_of(unix_ms: f64, chance: u32) -> u64 {
