--- a/crates/rookpulley-assigner/src/driver.rs
+++ b/crates/rookpulley-assigner/src/driver.rs
@@ -119,6 +119,8 @@
     peers: Option<Rc<Peers>>,
     roster: Rc<Roster>,
     ways_back: WaysBack,
+    /// When the book is next asked who is owed a table.
+    look_at_ms: f64,
 }
 
 impl Driver {
@@ -148,6 +150,7 @@
             peers,
             roster,
             ways_back: WaysBack::default(),
+            look_at_ms: 0.0,
         };
         driver.take(Event::List { scope: ListScope::Cached, list: known });
         driver.call();
@@ -260,7 +263,11 @@
     fn owed(&mut self, now: f64) {
         let Some(book) = &mut self.orders.book else { return };
         let mut owed = std::mem::take(&mut self.orders.owed);
-        for (proxy, table) in book.due(now) {
+        let due = if now < self.look_at_ms { Vec::new() } else { book.due(now) };
+        if now >= self.look_at_ms {
+            self.look_at_ms = now + book.look_ms();
+        }
+        for (proxy, table) in due {
             say!(
                 self.front.log,
                 "version",
--- a/crates/rookpulley-versions/src/book.rs
+++ b/crates/rookpulley-versions/src/book.rs
@@ -10,7 +10,7 @@
 use crate::table::Table;
 use crate::version::{Issuer, Version};
 use crate::{DispatcherId, Kinds, TableId};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 /// Those that left are shown for so long.
@@ -27,17 +27,20 @@
     brought: BTreeMap<DispatcherId, BTreeMap<Kinds, Claim>>,
     /// Which table a dispatcher has for which request kinds.
     bound: BTreeMap<(DispatcherId, Kinds), TableId>,
+    /// The same the other way round.
+    users: BTreeMap<TableId, BTreeSet<DispatcherId>>,
 }
 
 impl Book {
     pub fn new(issuer: Issuer, first: u64, bounds: Bounds, patience: Patience) -> Self {
-        let (brought, bound) = (BTreeMap::new(), BTreeMap::new());
+        let (brought, bound, users) = (BTreeMap::new(), BTreeMap::new(), BTreeMap::new());
         Self {
             history: History::new(issuer, first, bounds),
             ledger: Ledger::default(),
             patience,
             brought,
             bound,
+            users,
         }
     }
 
@@ -45,7 +48,9 @@
     pub fn joins(&mut self, now: f64, dispatcher: DispatcherId, claims: Option<BTreeMap<Kinds, Claim>>) {
         self.ledger.joins(now, dispatcher, claims.is_some(), &mut self.history);
         self.ledger.forget(now - SHOWN_MS);
-        self.bound.retain(|(who, _), _| *who != dispatcher);
+        for (_, id) in self.bound.extract_if((dispatcher, 0)..=(dispatcher, Kinds::MAX), |_, _| true) {
+            self.users.entry(id).and_modify(|users| _ = users.remove(&dispatcher));
+        }
         self.brought.remove(&dispatcher);
         if let Some(claims) = claims.filter(|c| !c.is_empty()) {
             self.brought.insert(dispatcher, claims);
@@ -60,8 +65,8 @@
     /// A table's lines as they stand now; a new version where they differ from its newest.
     pub fn issue(&mut self, now: f64, id: TableId, table: Table) -> Option<Version> {
         let issued = self.history.issue(now, id, table);
-        if issued.is_some() {
-            self.ledger.newer(now, id, &self.patience);
+        for who in self.users.get(&id).into_iter().flatten().filter(|_| issued.is_some()) {
+            self.ledger.newer(now, *who, id, &self.patience);
         }
         issued
     }
@@ -69,6 +74,7 @@
     /// Its table for these request kinds is this one: what it brought for them counts from now on.
     pub fn binds(&mut self, now: f64, dispatcher: DispatcherId, kinds: Kinds, id: TableId) {
         self.bound.insert((dispatcher, kinds), id);
+        self.users.entry(id).or_default().insert(dispatcher);
         let brought = self.brought.get_mut(&dispatcher).and_then(|b| b.remove(&kinds));
         if let Some(claim) = brought {
             self.ledger.brings(now, dispatcher, id, claim, &self.patience, &mut self.history);
--- a/crates/rookpulley-versions/src/ledger.rs
+++ b/crates/rookpulley-versions/src/ledger.rs
@@ -301,9 +301,9 @@
         entry.asked.drain(..=at).next_back().map(|a| a.place)
     }
 
-    /// A newer version of this table was issued.
-    pub fn newer(&mut self, now: f64, id: TableId, patience: &Patience) {
-        for held in self.entries.values_mut().filter_map(|e| e.table_mut(id)) {
+    /// A newer version of this table was issued, which this dispatcher has.
+    pub fn newer(&mut self, now: f64, dispatcher: DispatcherId, id: TableId, patience: &Patience) {
+        if let Some(held) = self.entries.get_mut(&dispatcher).and_then(|e| e.table_mut(id)) {
             held.step(now, Cue::Newer, patience);
         }
     }
