--- a/crates/rookpulley-assigner/tests/versions.rs
+++ b/crates/rookpulley-assigner/tests/versions.rs
@@ -471,3 +471,47 @@
         drop(agent);
     });
 }
+
+/// The program itself, with or without an operators' file: its lines, and how many descriptors it holds.
+fn program(operators: Option<&str>) -> (Vec<String>, usize) {
+    use std::io::{BufRead, BufReader};
+    use std::process::{Command, Stdio};
+    let folder = tempfile::tempdir().unwrap();
+    // Nobody listens there: the watch breaks again and again, which is one line after the other.
+    let gone = std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let config = folder.path().join("config.json");
+    std::fs::write(&config, settings(gone, "n0", 4).to_string()).unwrap();
+    let mut command = Command::new(env!("CARGO_BIN_EXE_rookpulley-assigner"));
+    command.env("PROXY_CONFIG", &config).env_remove("ROOKPULLEY_OPERATORS").stderr(Stdio::piped());
+    if let Some(text) = operators {
+        let file = folder.path().join("operators.star");
+        std::fs::write(&file, text).unwrap();
+        command.arg("--operators").arg(file);
+    }
+    let mut child = command.spawn().unwrap();
+    let lines = BufReader::new(child.stderr.take().unwrap()).lines().map(Result::unwrap);
+    let lines: Vec<String> = lines.take(3).collect();
+    // Between two dials of the watch: the fewest of many counts.
+    let count = |_| std::fs::read_dir(format!("/proc/{}/fd", child.id())).unwrap().count();
+    let descriptors = (0..200).map(count).min().unwrap();
+    child.kill().unwrap();
+    child.wait().unwrap();
+    (lines, descriptors)
+}
+
+#[test]
+fn what_is_off_costs_no_descriptor_and_lines_are_text_or_json() {
+    let (plain, off) = program(None);
+    assert!(plain[0].starts_with("n0 start: listening at 127.0.0.1:"), "{plain:?}");
+    let (_, empty) = program(Some("# nothing\n"));
+    assert_eq!(off, empty);
+    let all = "address(listen = \"127.0.0.1:0\")\nversions()\nlog(form = \"json\")\n";
+    let (lines, on) = program(Some(all));
+    assert_eq!(on, off + 1, "the operators' address");
+    for line in &lines {
+        let said: Value = serde_json::from_str(line).expect(line);
+        assert!(said["name"] == "n0" && said["kind"].is_string() && said["message"].is_string(), "{line}");
+    }
+    let (lines, _) = program(Some("versions(keep = 1)\n"));
+    assert!(lines[0].contains("operators.star:1:1: keep = 1 is out of range; write a figure"), "{lines:?}");
+}
