--- /dev/null
+++ b/crates/rookpulley-files/src/read.rs
@@ -0,0 +1,193 @@
+//! A file's bytes become a candidate, or the reason why not.
+#![expect(clippy::too_many_arguments, reason = "a word of the file has as many")]
+
+use rookpulley_lists::{Candidate, Entry};
+use rookpulley_operators::script::{self, BadFile, Bounds};
+use starlark::any::ProvidesStaticType;
+use starlark::environment::GlobalsBuilder;
+use starlark::eval::Evaluator;
+use starlark::starlark_module;
+use starlark::values::Value;
+use starlark::values::float::UnpackFloat;
+use starlark::values::none::NoneType;
+use std::cell::RefCell;
+use std::path::Path;
+
+/// 10,000 servers take about a megabyte.
+pub const BOUNDS: Bounds = Bounds { bytes: 8 << 20, calls: 200_000 };
+pub const KNOWN: &str = "generation(), loss(), server() and end()";
+
+/// Why a file is not taken. Nothing of it is used then.
+#[derive(Clone, Debug, PartialEq, thiserror::Error)]
+pub enum NotTaken {
+    #[error("byte {0} is no UTF-8 text")]
+    NotText(usize),
+    /// It may be whole later: an editor is still at it, or it was cut off.
+    #[error("it does not end with its closing statement: it was cut off or is still being written; {0}")]
+    NotWhole(String),
+    #[error(
+        "its seal is {said:?} and does not fit: it was changed since, or is being written over; {instead}"
+    )]
+    Seal { said: String, instead: String },
+    #[error("it says {said} servers and names {found}; {instead}")]
+    Count { said: usize, found: usize, instead: String },
+    #[error("{0}")]
+    Script(#[from] BadFile),
+}
+
+/// What to write where a file is meant to be whole.
+fn instead(body: &str, servers: usize) -> String {
+    let closing = closing(body, servers);
+    format!("where it is whole, write {closing} as the last line, or run `rookpulley servers seal`")
+}
+
+/// The seal over all before the closing statement: 48 bits of BLAKE3, for slips and not against malice.
+pub fn seal(body: &str) -> String {
+    data_encoding::BASE64URL_NOPAD.encode(&blake3::hash(body.as_bytes()).as_bytes()[..6])
+}
+
+pub fn closing(body: &str, servers: usize) -> String {
+    format!("end(servers = {servers}, seal = {:?})", seal(body))
+}
+
+/// The text before the closing statement, and that statement, if the last line is a whole one.
+pub fn parts(text: &str) -> (&str, Option<&str>) {
+    let end = text.trim_end();
+    let from = end.rfind('\n').map_or(0, |at| at + 1);
+    let last = &end[from..];
+    if last.starts_with("end(") && last.ends_with(')') { (&text[..from], Some(last)) } else { (text, None) }
+}
+
+#[derive(Default, ProvidesStaticType)]
+struct Said(RefCell<Found>);
+
+#[derive(Default)]
+struct Found {
+    candidate: Candidate,
+    generation: Option<u64>,
+    end: Option<(usize, String)>,
+}
+
+fn said<'a>(eval: &'a Evaluator) -> anyhow::Result<&'a Said> {
+    let said = eval.extra.and_then(|extra| extra.downcast_ref::<Said>());
+    said.ok_or_else(|| anyhow::anyhow!("called outside a server file"))
+}
+
+/// When a server last started: Unix milliseconds, or a time such as 2026-12-01T10:00:00Z.
+fn started(value: Value) -> anyhow::Result<f64> {
+    let wrong = || {
+        anyhow::anyhow!("started = {value} is no time; write \"2026-12-01T10:00:00Z\", or Unix milliseconds")
+    };
+    if let Some(text) = value.unpack_str() {
+        let time: jiff::Timestamp = text.parse().map_err(|_| wrong())?;
+        return Ok(time.as_millisecond() as f64);
+    }
+    value.to_string().parse::<f64>().ok().filter(|ms| ms.is_finite() && *ms >= 0.0).ok_or_else(wrong)
+}
+
+#[starlark_module]
+fn words(builder: &mut GlobalsBuilder) {
+    fn generation(
+        #[starlark(require = pos)] number: Value,
+        eval: &mut Evaluator,
+    ) -> anyhow::Result<NoneType> {
+        let number: u64 = number.to_string().parse().map_err(|_| {
+            anyhow::anyhow!("generation({number}) is no whole number from 0 on; write one more than before")
+        })?;
+        let mut found = said(eval)?.0.borrow_mut();
+        match found.generation.replace(number) {
+            None => Ok(NoneType),
+            Some(_) => Err(anyhow::anyhow!("generation() is called twice; write one call for it")),
+        }
+    }
+
+    fn loss(#[starlark(require = pos)] part: UnpackFloat, eval: &mut Evaluator) -> anyhow::Result<NoneType> {
+        said(eval)?.0.borrow_mut().candidate.loss = Some(part.0);
+        Ok(NoneType)
+    }
+
+    fn server<'v>(
+        #[starlark(require = pos)] name: &str,
+        #[starlark(require = pos)] address: &str,
+        #[starlark(require = named)] zone: &str,
+        #[starlark(require = named)] weight: UnpackFloat,
+        #[starlark(require = named, default = "")] machine: &str,
+        #[starlark(require = named, default = 0)] bay: i32,
+        #[starlark(require = named, default = false)] drains: bool,
+        #[starlark(require = named)] started: Option<Value<'v>>,
+        eval: &mut Evaluator<'v, '_, '_>,
+    ) -> anyhow::Result<NoneType> {
+        let started_ms = started.map(self::started).transpose()?.unwrap_or(0.0);
+        let bay =
+            u16::try_from(bay).map_err(|_| anyhow::anyhow!("bay = {bay}; write a figure from 0 to 65535"))?;
+        let place = eval.call_stack_top_location().map(|span| {
+            let from = span.resolve_span().begin;
+            (from.line + 1, from.column + 1)
+        });
+        let entry = Entry {
+            name: name.into(),
+            address: address.into(),
+            zone: zone.into(),
+            machine: machine.into(),
+            bay,
+            weight: weight.0,
+            drains,
+            started_ms,
+            place,
+        };
+        said(eval)?.0.borrow_mut().candidate.entries.push(entry);
+        Ok(NoneType)
+    }
+
+    fn end(
+        #[starlark(require = named)] servers: i32,
+        #[starlark(require = named)] seal: &str,
+        eval: &mut Evaluator,
+    ) -> anyhow::Result<NoneType> {
+        let mut found = said(eval)?.0.borrow_mut();
+        match found.end.replace((usize::try_from(servers).unwrap_or(usize::MAX), seal.into())) {
+            None => Ok(NoneType),
+            Some(_) => Err(anyhow::anyhow!("end() is called twice; write it once, as the last line")),
+        }
+    }
+}
+
+fn run(file: &Path, text: &str) -> Result<Found, NotTaken> {
+    let said: Said = script::run(file, text, BOUNDS, words, KNOWN)?;
+    Ok(said.0.into_inner())
+}
+
+/// The servers that a body names, without a closing statement.
+pub fn body(file: &Path, text: &str) -> Result<Candidate, NotTaken> {
+    let found = run(file, text)?;
+    let missing = || BadFile {
+        file: file.into(),
+        at: Some((1, 1)),
+        what: "generation() is missing; write generation(1), and one more with every change".into(),
+    };
+    let generation = found.generation.ok_or_else(missing)?;
+    Ok(Candidate { generation, ..found.candidate })
+}
+
+/// A whole file, or why it is not taken.
+pub fn read(file: &Path, bytes: &[u8]) -> Result<Candidate, NotTaken> {
+    let text = std::str::from_utf8(bytes).map_err(|e| NotTaken::NotText(e.valid_up_to()))?;
+    let (before, last) = parts(text);
+    let Some(last) = last else {
+        // Told with the line to write where what is there can be read.
+        let hint = run(file, before).ok().map(|f| instead(before, f.candidate.entries.len()));
+        let hint = hint.unwrap_or_else(|| "nothing of it is used until it has its last line".into());
+        return Err(NotTaken::NotWhole(hint));
+    };
+    let closing = run(file, last)?.end.unwrap_or_default();
+    if closing.1 != seal(before) {
+        let count = run(file, before).map(|f| f.candidate.entries.len());
+        let hint = count.map(|n| instead(before, n)).unwrap_or_else(|e| e.to_string());
+        return Err(NotTaken::Seal { said: closing.1, instead: hint });
+    }
+    let candidate = body(file, before)?;
+    match candidate.entries.len() {
+        found if found == closing.0 => Ok(candidate),
+        found => Err(NotTaken::Count { said: closing.0, found, instead: instead(before, found) }),
+    }
+}
--- a/crates/rookpulley-operators/src/file.rs
+++ b/crates/rookpulley-operators/src/file.rs
@@ -7,25 +7,18 @@
 //! log(form = "json")
 //! ```
 
-use crate::plain;
+pub use crate::script::BadFile;
+use crate::script::{self, Bounds};
 use starlark::any::ProvidesStaticType;
-use starlark::environment::{Globals, GlobalsBuilder, Module};
+use starlark::environment::GlobalsBuilder;
 use starlark::eval::Evaluator;
 use starlark::starlark_module;
-use starlark::syntax::{AstModule, Dialect, DialectTypes};
 use starlark::values::none::{NoneOr, NoneType};
-use starlark_syntax::syntax::module::AstModuleFields;
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 
-const BYTES_MOST: u64 = 16 * 1024;
-/// The parser goes as deep as a script does: enough for one of that length that nests at every letter. What
-/// is not touched costs nothing.
-const STACK: usize = 256 << 20;
-const STEPS_MOST: u64 = 10_000;
-const HEAP_MOST: usize = 16 << 20;
-const DEPTH_MOST: usize = 50;
+const BYTES_MOST: usize = 16 * 1024;
 const TOKEN_LEAST: usize = 16;
 
 /// Where operators reach the assigner.
@@ -58,20 +51,6 @@
     pub log: LogForm,
 }
 
-/// What is wrong with the file, and where.
-#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
-#[error("{}{}: {what}", file.display(), place(*at))]
-pub struct BadFile {
-    pub file: PathBuf,
-    /// Line and column, both from 1.
-    pub at: Option<(usize, usize)>,
-    pub what: String,
-}
-
-fn place(at: Option<(usize, usize)>) -> String {
-    at.map_or(String::new(), |(line, column)| format!(":{line}:{column}"))
-}
-
 #[derive(Default, ProvidesStaticType)]
 struct Said(RefCell<Found>);
 
@@ -149,70 +128,10 @@
     }
 }
 
-/// Wider than what a script may hold, so that `plain` and not the parser says what to write instead.
-const DIALECT: Dialect = Dialect {
-    enable_def: true,
-    enable_lambda: true,
-    enable_load: true,
-    enable_keyword_only_arguments: true,
-    enable_types: DialectTypes::Disable,
-    enable_load_reexport: false,
-    enable_top_level_stmt: true,
-    enable_f_strings: false,
-    ..Dialect::Standard
-};
-
-fn wrong(file: &Path, error: &starlark::Error) -> BadFile {
-    let at = error.span().map(|span| {
-        let from = span.resolve_span().begin;
-        (from.line + 1, from.column + 1)
-    });
-    let what = format!("{}", error.without_diagnostic());
-    // What a script may not use at all is told by what to write instead.
-    let what = match what.lines().next().unwrap_or_default() {
-        text if text.starts_with("Variable `") && text.contains("not found") => {
-            format!("{text}; the file knows address(), versions() and log()")
-        }
-        text => text.to_string(),
-    };
-    BadFile { file: file.into(), at, what }
-}
-
 /// Reads a script. `file` is named in errors only.
 pub fn read(file: &Path, text: &str) -> Result<Operators, BadFile> {
-    let plain = |what: String| BadFile { file: file.into(), at: None, what };
-    if text.len() as u64 > BYTES_MOST {
-        return Err(plain(format!("{} bytes are too many; {BYTES_MOST} are the most", text.len())));
-    }
-    std::thread::scope(|scope| {
-        let thread = std::thread::Builder::new().stack_size(STACK);
-        let reading = thread.spawn_scoped(scope, || evaluate(file, text));
-        let reading = reading.map_err(|e| plain(format!("can't be evaluated: {e}")))?;
-        reading.join().unwrap_or_else(|_| Err(plain("can't be evaluated".into())))
-    })
-}
-
-fn evaluate(file: &Path, text: &str) -> Result<Operators, BadFile> {
-    let plain = |what: String| BadFile { file: file.into(), at: None, what };
-    let name = file.display().to_string();
-    let script = AstModule::parse(&name, text.into(), &DIALECT).map_err(|e| wrong(file, &e))?;
-    plain::statement(script.statement(), DEPTH_MOST).map_err(|e| {
-        let from = script.codemap().file_span(e.span).resolve_span().begin;
-        BadFile { file: file.into(), at: Some((from.line + 1, from.column + 1)), what: e.what }
-    })?;
-    let globals: Globals = GlobalsBuilder::new().with(words).build();
-    let said = Said::default();
-    Module::with_temp_heap(|module| {
-        let mut eval = Evaluator::new(&module);
-        eval.extra = Some(&said);
-        let bounds = [
-            eval.set_max_tick_count(STEPS_MOST),
-            eval.set_max_heap_size(HEAP_MOST),
-            eval.set_max_callstack_size(DEPTH_MOST),
-        ];
-        bounds.into_iter().collect::<anyhow::Result<()>>().map_err(|e| plain(e.to_string()))?;
-        eval.eval_module(script, &globals).map(|_| ()).map_err(|e| wrong(file, &e))
-    })?;
+    let bounds = Bounds { bytes: BYTES_MOST, calls: 10_000 };
+    let said: Said = script::run(file, text, bounds, words, "address(), versions() and log()")?;
     let Found { address, versions, log } = said.0.into_inner();
     Ok(Operators { address, versions, log: log.unwrap_or_default() })
 }
@@ -220,7 +139,7 @@
 pub fn load(file: &Path) -> Result<Operators, BadFile> {
     let plain = |what: String| BadFile { file: file.into(), at: None, what };
     let size = std::fs::metadata(file).map_err(|e| plain(format!("can't be read: {e}")))?;
-    if !size.is_file() || size.len() > BYTES_MOST {
+    if !size.is_file() || size.len() > BYTES_MOST as u64 {
         return Err(plain(format!("it must be a plain file of at most {BYTES_MOST} bytes")));
     }
     let text = std::fs::read_to_string(file).map_err(|e| plain(format!("can't be read: {e}")))?;
--- a/crates/rookpulley-operators/src/lib.rs
+++ b/crates/rookpulley-operators/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod asks;
 pub mod file;
 mod plain;
+pub mod script;
 
 pub use asks::{Answer, Ask, Asked, Refusal};
 pub use file::{BadFile, Operators};
--- a/crates/rookpulley-operators/src/plain.rs
+++ b/crates/rookpulley-operators/src/plain.rs
@@ -91,3 +91,54 @@
         ExprP::Not(_) | ExprP::BitNot(_) | ExprP::FString(_) => not_plain(value.span, "this form"),
     }
 }
+
+const NESTS_MOST: usize = 64;
+const OPERATORS_MOST: usize = 1_000;
+const WORDS_MOST: usize = 100;
+
+/// Looks a long script over before it is parsed: what stands outside of texts and comments may nest a little and
+/// hold a few operators. Gives the line where it does not.
+pub fn look_over(text: &str) -> Result<(), (usize, String)> {
+    let (mut line, mut depth, mut operators, mut words, mut word) = (1, 0_usize, 0, 0, String::new());
+    let (mut quote, mut escaped, mut comment, mut last) = (None, false, false, ' ');
+    for c in text.chars() {
+        if c == '\n' {
+            (line, comment, escaped) = (line + 1, false, false);
+            // A text goes on over lines in triple quotes only, which no list of servers needs.
+            if quote.take().is_some() {
+                return Err((line - 1, format!("a text that goes on over lines can't be used: {WRITE}")));
+            }
+        } else if comment {
+            continue;
+        } else if let Some(open) = quote {
+            quote = if c == open && !escaped { None } else { quote };
+            escaped = c == '\\' && !escaped;
+            last = '"';
+            continue;
+        }
+        if c.is_ascii_alphabetic() || c == '_' {
+            word.push(c);
+            operators += usize::from(last == '.');
+        } else {
+            let counted = ["if", "else", "and", "or", "not", "in", "lambda", "for", "def"];
+            words += usize::from(counted.contains(&word.as_str()));
+            word.clear();
+        }
+        match c {
+            '#' => comment = true,
+            '"' | '\'' => (quote, escaped) = (Some(c), false),
+            '(' | '[' | '{' => {
+                depth += 1;
+                operators += usize::from(matches!(last, ')' | ']' | '}'));
+            }
+            ')' | ']' | '}' => depth = depth.saturating_sub(1),
+            '+' | '-' | '~' | '*' | '/' | '%' | '&' | '|' | '^' | '<' | '>' | '!' => operators += 1,
+            _ => {}
+        }
+        last = if c.is_whitespace() { last } else { c };
+        if depth > NESTS_MOST || operators > OPERATORS_MOST || words > WORDS_MOST {
+            return Err((line, format!("so much that is worked out can't be used: {WRITE}")));
+        }
+    }
+    Ok(())
+}
