Servers listed by a file: the assigner follows it, discovery's drains still count

servers(file = ...) in the operators' file; off, nothing is opened or followed. The file's list reaches the module as its server list; discovery counts for drains and starts alone once a file was taken.

--- a/crates/rookpulley-assigner/src/driver.rs
+++ b/crates/rookpulley-assigner/src/driver.rs
@@ -10,10 +10,13 @@
 use crate::peers::Peers;
 use crate::roster::Roster;
 use crate::say;
+use crate::servers::Servers;
 use crate::streams::{ConnId, Conns};
 use rookpulley::facts::*;
 use rookpulley::rules::Controller;
+use rookpulley_files::watch::Found;
 use rookpulley_operators::Asked;
+use rookpulley_operators::asks::{Answer, Ask, Refusal};
 use rookpulley_versions::{Book, Claim, Kinds};
 use std::collections::BTreeMap;
 use std::rc::Rc;
@@ -32,6 +35,7 @@
     ListFailed,
     Note { from: u16, bytes: Vec<u8> },
     Asked(Asked),
+    File(Found),
 }
 
 /// A proxy's joining.
@@ -102,6 +106,13 @@
     outbox: Rc<Outbox>,
 }
 
+/// What the operators' file switched on.
+#[derive(Default)]
+pub struct Switched {
+    pub book: Option<Book>,
+    pub servers: Option<Servers>,
+}
+
 pub struct Driver {
     front: Rc<Front>,
     clock: Clock,
@@ -121,6 +132,8 @@
     ways_back: WaysBack,
     /// When the book is next asked who is owed a table.
     look_at_ms: f64,
+    /// Where a file lists the servers.
+    servers: Option<Servers>,
 }
 
 impl Driver {
@@ -132,8 +145,9 @@
         tick_ms: f64,
         peers: Option<Rc<Peers>>,
         roster: Rc<Roster>,
-        book: Option<Book>,
+        switched: Switched,
     ) -> Self {
+        let Switched { book, servers } = switched;
         let clock = Clock::start();
         let mut driver = Self {
             tick_ms,
@@ -151,6 +165,7 @@
             roster,
             ways_back: WaysBack::default(),
             look_at_ms: 0.0,
+            servers,
         };
         driver.take(Event::List { scope: ListScope::Cached, list: known });
         driver.call();
@@ -217,6 +232,15 @@
                     _ => self.front.counters.one("late input of old streams"),
                 }
             }
+            Event::Asked(Asked { ask: Ask::Servers, answer }) => {
+                let instead =
+                    "write servers(file = ...) into the operators' file and start the assigner anew";
+                let none = || Refusal::new(409, "no file lists the servers here", Some(instead));
+                let now = self.clock.now_ms();
+                let shown = self.servers.as_ref().map(|s| Answer::Servers(s.shown(now)));
+                // Whoever asked may have gone.
+                _ = answer.send(shown.unwrap_or_else(|| Answer::Refused { refusal: none() }));
+            }
             Event::Asked(asked) => {
                 let inputs = self.ways_back.take(self.clock.now_ms(), asked, &self.orders);
                 self.inputs.extend(inputs);
@@ -236,20 +260,19 @@
                 _ => self.inputs.push(input),
             },
             Event::List { scope, list } => {
-                for (line, name) in list.lines.iter().zip(list.names) {
-                    if line.zone == ELSEWHERE || line.machine == ELSEWHERE {
-                        self.front.counters.one("servers of unknown zone or machine");
-                        say!(
-                            self.front.log,
-                            "list",
-                            "{name} is of a zone or machine that the settings don't name"
-                        );
-                    }
-                    debug_assert_eq!(line.server, server_id(&name));
-                    self.shown.entry(rookpulley::state::show(line.server)).or_insert(line.server);
-                    self.names.entry(line.server).or_insert(name);
+                let now = self.clock.now_ms();
+                let (scope, list) = match &mut self.servers {
+                    Some(servers) => servers.seen(now, scope, list, &self.front),
+                    None => (scope, list),
+                };
+                self.list(scope, list);
+            }
+            Event::File(found) => {
+                let now = self.clock.now_ms();
+                let taken = self.servers.as_mut().and_then(|s| s.take(now, found, &self.front));
+                if let Some((scope, list)) = taken {
+                    self.list(scope, list);
                 }
-                self.inputs.push(Input::List { scope, version: list.version, lines: list.lines });
             }
             Event::ListFailed => {
                 let (scope, version, lines) = (ListScope::Failed, 0, Vec::new());
@@ -279,6 +302,20 @@
         self.inputs.extend(owed.into_iter().map(|table| Input::Lost { table }));
     }
 
+    /// A list for the module; names are learnt from it.
+    fn list(&mut self, scope: ListScope, list: List) {
+        for (line, name) in list.lines.iter().zip(list.names) {
+            if line.zone == ELSEWHERE || line.machine == ELSEWHERE {
+                self.front.counters.one("servers of unknown zone or machine");
+                say!(self.front.log, "list", "{name} is of a zone or machine that the settings don't name");
+            }
+            debug_assert_eq!(line.server, server_id(&name));
+            self.shown.entry(rookpulley::state::show(line.server)).or_insert(line.server);
+            self.names.entry(line.server).or_insert(name);
+        }
+        self.inputs.push(Input::List { scope, version: list.version, lines: list.lines });
+    }
+
     /// Calls the module with what came and the alarms that are due, and carries out what it orders.
     fn call(&mut self) {
         let now = self.clock.now_ms();
@@ -287,6 +324,9 @@
             self.inputs.push(Input::Alarm { name: alarm.remove() });
         }
         self.owed(now);
+        if let Some((scope, list)) = self.servers.as_mut().and_then(|s| s.pass(now, &self.front)) {
+            self.list(scope, list);
+        }
         if self.inputs.is_empty() {
             return;
         }
--- a/crates/rookpulley-assigner/src/lib.rs
+++ b/crates/rookpulley-assigner/src/lib.rs
@@ -12,10 +12,11 @@
 pub mod peers;
 pub mod reload;
 pub mod roster;
+pub mod servers;
 pub mod streams;
 
 use config::Told;
-use driver::{Driver, Event, Front};
+use driver::{Driver, Event, Front, Switched};
 use ending::Ending;
 use messages::List;
 use operators::Asking;
@@ -23,8 +24,8 @@
 use reload::Held;
 use rookpulley::facts::Start;
 use rookpulley_operators::{BadFile, Operators};
-use rookpulley_versions::Book;
 use roster::{Pauses, Roster};
+use servers::Servers;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::rc::Rc;
@@ -81,7 +82,7 @@
     tick_ms: f64,
     start: Start,
     asking: Option<Asking>,
-    book: Option<Book>,
+    switched: Switched,
 }
 
 fn at(what: &'static str, place: SocketAddr) -> impl FnOnce(std::io::Error) -> CannotRun {
@@ -100,6 +101,7 @@
         let asking = Asking::bind(operators.address.as_ref()).await?;
         let book = operators.versions.map(|keep| operators::book(&name, keep, &start.channel));
         words.versions = book.is_some();
+        let servers = operators.servers.clone().map(|file| Servers::new(file, &start, &words));
         let listener = TcpListener::bind(listen).await.map_err(at("the address to listen at", listen))?;
         let mut notes = None;
         if let Some(places) = peers {
@@ -129,7 +131,7 @@
             tick_ms,
             start,
             asking,
-            book,
+            switched: Switched { book, servers },
         })
     }
 
@@ -147,7 +149,7 @@
     /// Serves until SIGTERM. Called within a `LocalSet`.
     pub async fn serve(self) {
         let place = self.places().0;
-        let Self { front, listener, notes, signals, mut events, known, start, asking, book, .. } = self;
+        let Self { front, listener, notes, signals, mut events, known, start, asking, switched, .. } = self;
         let Signals { mut stop, mut print, reload } = signals;
         let ask = start.list.asked;
         let roster = Roster::new(self.discovery, known.version, ask, front.clone());
@@ -158,13 +160,16 @@
         if let Some(peers) = &notes {
             tokio::task::spawn_local(peers.clone().listen(front.clone()));
         }
+        if let Some(servers) = &switched.servers {
+            servers.begin(&front);
+        }
         if let Some(asking) = asking {
             asking.begin(&front);
         }
         if let Some(place) = place {
             say!(front.log, "start", "listening at {place}, {} servers known", known.lines.len());
         }
-        let mut driver = Driver::start(front.clone(), start, known, self.tick_ms, notes, roster, book);
+        let mut driver = Driver::start(front.clone(), start, known, self.tick_ms, notes, roster, switched);
         let mut listener = Some(listener);
         loop {
             // Nobody is answered before the list is known.
--- a/crates/rookpulley-assigner/src/operators.rs
+++ b/crates/rookpulley-assigner/src/operators.rs
@@ -115,6 +115,7 @@
         };
         let said = match ask {
             Ask::Versions { table } => Ok(versions(&book.history, table)),
+            Ask::Servers => Ok(refused(409, "no file lists the servers here", "see the operators' file")),
             Ask::Holders => Ok(holders(now, book, orders, &self.held)),
             Ask::Diff { from, to } => Ok(diff(&book.history, &from, &to)),
             Ask::Rollback { to, table, all } => go_back(book, &to, table, all),
--- /dev/null
+++ b/crates/rookpulley-assigner/src/servers.rs
@@ -0,0 +1,148 @@
+//! Servers listed by a file: what the file and discovery say, turned into lists for the module.
+
+use crate::driver::{Event, Front};
+use crate::messages::{ELSEWHERE, List, Words, server_id};
+use crate::say;
+use rookpulley::facts::{ListScope, Listed, Stage, Start};
+use rookpulley_files::watch::{Found, follow};
+use rookpulley_lists::{Facts, Kind, Lists, Told};
+use rookpulley_operators::asks::{ServerList, ServerRow};
+use std::path::PathBuf;
+use std::rc::Rc;
+use tokio::sync::mpsc;
+
+pub struct Servers {
+    file: PathBuf,
+    lists: Lists,
+    not_taken: Option<String>,
+    pass_at_ms: f64,
+}
+
+/// What lists must fit: the names and kinds of the deployment's settings.
+fn facts(start: &Start, words: &Words) -> Facts {
+    let names = |places: &[u16], of: &[String]| {
+        places.iter().filter_map(|p| of.get(usize::from(*p)).cloned()).collect()
+    };
+    let kinds = start.kinds.iter().map(|k| Kind {
+        name: k.name.clone(),
+        zones: names(&k.zones, &words.zones),
+        machines: names(&k.machines, &words.machines),
+        own_zone: k.own_zone,
+    });
+    let (zones, machines) = (words.zones.clone(), words.machines.clone());
+    Facts { zones, machines, kinds: kinds.collect(), asking: Vec::new() }
+}
+
+impl Servers {
+    pub fn new(file: PathBuf, start: &Start, words: &Words) -> Self {
+        let lists = Lists::new(facts(start, words), start.bounds.drain_grace_ms);
+        Self { file, lists, not_taken: None, pass_at_ms: 0.0 }
+    }
+
+    /// Follows the file from now on; what is found comes as events. Called within a `LocalSet`.
+    pub fn begin(&self, front: &Rc<Front>) {
+        let (sender, mut found) = mpsc::channel(1);
+        tokio::task::spawn_local(follow(self.file.clone(), sender));
+        let front = front.clone();
+        tokio::task::spawn_local(async move {
+            while let Some(found) = found.recv().await {
+                front.tell(Event::File(found)).await;
+            }
+        });
+    }
+
+    /// What was found at the file's place: the list for the module, if it is taken.
+    pub fn take(&mut self, now: f64, found: Found, front: &Front) -> Option<(ListScope, List)> {
+        let first = self.lists.held().is_none();
+        let why = match found {
+            Found::List(candidate) => {
+                let (generation, count) = (candidate.generation, candidate.entries.len());
+                match self.lists.offer(now, candidate) {
+                    Ok(told) => {
+                        self.not_taken = None;
+                        front.counters.one("server files taken");
+                        say!(front.log, "servers", "generation {generation} taken, {count} servers");
+                        // The first one takes the place of whatever discovery told.
+                        let (scope, told) = if first {
+                            (ListScope::Full, self.lists.whole())
+                        } else {
+                            (ListScope::Changes, told)
+                        };
+                        return Some((scope, list(told, &front.words)));
+                    }
+                    Err(refused) => format!("generation {generation} is refused: {refused}"),
+                }
+            }
+            Found::Not(why) => why,
+            Found::Gone(why) => format!("there is no file to read: {why}"),
+        };
+        front.counters.one("server files not taken");
+        say!(front.log, "servers", "{}: {why}; the last good list stays", self.file.display());
+        self.not_taken = Some(why);
+        None
+    }
+
+    /// Discovery's list: before a file was taken it counts as ever, after that for drains and starts alone.
+    pub fn seen(&mut self, now: f64, scope: ListScope, seen: List, front: &Front) -> (ListScope, List) {
+        let held = self.lists.held().is_some();
+        let mut told = Vec::new();
+        for (line, name) in seen.lines.iter().zip(&seen.names) {
+            // What discovery merely drops says nothing of a server that the file lists.
+            if line.stage != Stage::Gone {
+                let drains = line.stage == Stage::Draining;
+                told.extend(self.lists.seen_by_discovery(now, name, drains, line.started_ms));
+            }
+        }
+        if held { (ListScope::Changes, list(told, &front.words)) } else { (scope, seen) }
+    }
+
+    /// Whose grace is over.
+    pub fn pass(&mut self, now: f64, front: &Front) -> Option<(ListScope, List)> {
+        if now < self.pass_at_ms {
+            return None;
+        }
+        self.pass_at_ms = now + self.lists.look_ms();
+        let told = self.lists.pass(now);
+        (!told.is_empty()).then(|| (ListScope::Changes, list(told, &front.words)))
+    }
+
+    pub fn shown(&self, now: f64) -> ServerList {
+        let rows = self.lists.whole().into_iter().map(|t| ServerRow {
+            server: t.entry.name,
+            address: t.entry.address,
+            zone: t.entry.zone,
+            machine: t.entry.machine,
+            bay: t.entry.bay,
+            weight: t.entry.weight,
+            stage: if t.stage == Stage::Ready { "ready" } else { "draining" }.into(),
+            started_ms: t.entry.started_ms,
+        });
+        let held = self.lists.held();
+        ServerList {
+            file: self.file.display().to_string(),
+            generation: held.map(|h| h.generation),
+            age_ms: held.map(|_| (now - self.lists.accepted_ms()).round()),
+            not_taken: self.not_taken.clone(),
+            servers: rows.collect(),
+        }
+    }
+}
+
+fn list(told: Vec<Told>, words: &Words) -> List {
+    let mut list = List::default();
+    for Told { entry, stage } in told {
+        let place =
+            |of: &[String], name: &str| of.iter().position(|n| n == name).map_or(ELSEWHERE, |p| p as u16);
+        list.lines.push(Listed {
+            server: server_id(&entry.name),
+            zone: place(&words.zones, &entry.zone),
+            machine: place(&words.machines, &entry.machine),
+            bay: entry.bay,
+            stage,
+            weight: entry.weight,
+            started_ms: entry.started_ms,
+        });
+        list.names.push(entry.name);
+    }
+    list
+}
--- a/crates/rookpulley-lists/src/lib.rs
+++ b/crates/rookpulley-lists/src/lib.rs
@@ -13,4 +13,4 @@
 
 pub use candidate::{Candidate, Entry, Facts, Kind, Place, Reason, Refused};
 pub use membership::{Cue, MEMBERSHIP, Member, State};
-pub use merge::{Lists, Source, Told};
+pub use merge::{Lists, Told};
--- a/crates/rookpulley-lists/src/merge.rs
+++ b/crates/rookpulley-lists/src/merge.rs
@@ -12,11 +12,8 @@
 /// Remembered names of servers that no list names any more; of more the oldest drains are given up.
 const REMEMBERED_MOST: usize = 50_000;
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Source {
-    File,
-    Discovery,
-}
+/// A server is told as gone within this part of the grace after it.
+const LOOKS: f64 = 8.0;
 
 /// A server as the module is to be told.
 #[derive(Clone, Debug, PartialEq)]
@@ -133,6 +130,11 @@
         self.tell(&changed)
     }
 
+    /// So often it is worth while to ask whose grace is over.
+    pub fn look_ms(&self) -> f64 {
+        self.grace_ms / LOOKS
+    }
+
     /// Time passes: whose grace is over.
     pub fn pass(&mut self, now: f64) -> Vec<Told> {
         let over = |m: &Member| m.state == State::Draining && now - m.drained_ms >= self.grace_ms;
--- a/crates/rookpulley-operators/src/asks.rs
+++ b/crates/rookpulley-operators/src/asks.rs
@@ -17,6 +17,8 @@
     Diff { from: VersionText, to: VersionText },
     /// Back to an earlier version: of its own table, or of all tables as they were then.
     Rollback { to: VersionText, table: Option<u16>, all: bool },
+    /// The servers, as the file that lists them and discovery have it.
+    Servers,
     /// Ends a way back: of one table, or all of them.
     Release { table: Option<u16> },
 }
@@ -106,6 +108,30 @@
     pub tables: Vec<BackRow>,
 }
 
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ServerRow {
+    pub server: String,
+    pub address: String,
+    pub zone: String,
+    pub machine: String,
+    pub bay: u16,
+    pub weight: f64,
+    /// ready or draining.
+    pub stage: String,
+    pub started_ms: f64,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ServerList {
+    pub file: String,
+    /// Of the list in force; None: none was taken yet, and discovery's list counts.
+    pub generation: Option<u64>,
+    pub age_ms: Option<f64>,
+    /// Why what stands at the file's place now is not taken.
+    pub not_taken: Option<String>,
+    pub servers: Vec<ServerRow>,
+}
+
 /// Why an ask is not answered; `status` is that of HTTP.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize, thiserror::Error)]
 #[error("{what}{}", instead.as_ref().map(|i| format!("; {i}")).unwrap_or_default())]
@@ -130,6 +156,7 @@
     Holders(HolderList),
     Diff(DiffList),
     Back(BackList),
+    Servers(ServerList),
     Refused {
         #[serde(rename = "error")]
         refusal: Refusal,
@@ -199,6 +226,7 @@
             Ok(Ask::Versions { table: find("table").map(number).transpose()? })
         }
         ("GET", "/v1/holders") => known(&[]).map(|()| Ask::Holders),
+        ("GET", "/v1/servers") => known(&[]).map(|()| Ask::Servers),
         ("GET", "/v1/diff") => {
             known(&["from", "to"])?;
             Ok(Ask::Diff { from: must("from")?, to: must("to")? })
@@ -222,14 +250,15 @@
                 (table, _) => Ok(Ask::Release { table }),
             }
         }
-        (_, "/v1/versions" | "/v1/holders" | "/v1/diff") => {
+        (_, "/v1/versions" | "/v1/holders" | "/v1/diff" | "/v1/servers") => {
             Err(Refusal::new(405, format!("{method} is not for {path}"), Some("use GET")))
         }
         (_, "/v1/rollback" | "/v1/release") => {
             Err(Refusal::new(405, format!("{method} is not for {path}"), Some("use POST")))
         }
         _ => {
-            let known = "there are /v1/versions, /v1/holders, /v1/diff, /v1/rollback and /v1/release";
+            let known =
+                "there are /v1/versions, /v1/holders, /v1/diff, /v1/servers, /v1/rollback and /v1/release";
             Err(Refusal::new(404, format!("{path} is unknown"), Some(known)))
         }
     }
--- a/crates/rookpulley-operators/src/file.rs
+++ b/crates/rookpulley-operators/src/file.rs
@@ -48,6 +48,8 @@
 pub struct Operators {
     pub address: Option<Reach>,
     pub versions: Option<Keep>,
+    /// The file that lists the servers.
+    pub servers: Option<PathBuf>,
     pub log: LogForm,
 }
 
@@ -58,6 +60,7 @@
 struct Found {
     address: Option<Reach>,
     versions: Option<Keep>,
+    servers: Option<PathBuf>,
     log: Option<LogForm>,
 }
 
@@ -117,6 +120,14 @@
         Ok(NoneType)
     }
 
+    fn servers(#[starlark(require = named)] file: &str, eval: &mut Evaluator) -> anyhow::Result<NoneType> {
+        if file.is_empty() {
+            return Err(anyhow::anyhow!("file is empty; write the path of the file that lists the servers"));
+        }
+        once(&mut said(eval)?.0.borrow_mut().servers, "servers", PathBuf::from(file))?;
+        Ok(NoneType)
+    }
+
     fn log(#[starlark(require = named)] form: &str, eval: &mut Evaluator) -> anyhow::Result<NoneType> {
         let form = match form {
             "text" => LogForm::Text,
@@ -131,9 +142,9 @@
 /// Reads a script. `file` is named in errors only.
 pub fn read(file: &Path, text: &str) -> Result<Operators, BadFile> {
     let bounds = Bounds { bytes: BYTES_MOST, calls: 10_000 };
-    let said: Said = script::run(file, text, bounds, words, "address(), versions() and log()")?;
-    let Found { address, versions, log } = said.0.into_inner();
-    Ok(Operators { address, versions, log: log.unwrap_or_default() })
+    let said: Said = script::run(file, text, bounds, words, "address(), versions(), servers() and log()")?;
+    let Found { address, versions, servers, log } = said.0.into_inner();
+    Ok(Operators { address, versions, servers, log: log.unwrap_or_default() })
 }
 
 pub fn load(file: &Path) -> Result<Operators, BadFile> {
--- a/crates/rookpulley-operators/tests/file.rs
+++ b/crates/rookpulley-operators/tests/file.rs
@@ -11,13 +11,14 @@
 #[test]
 fn what_is_not_named_is_off() {
     assert_eq!(told("# nothing\n"), Ok(Operators::default()));
-    let all = "PORT = \"3990\"\naddress(listen = \"127.0.0.1:\" + PORT)\nversions(keep = 4)\nlog(form = \"json\")\n";
+    let all = "PORT = \"3990\"\naddress(listen = \"127.0.0.1:\" + PORT)\nversions(keep = 4)\nservers(file = \"/etc/servers.star\")\nlog(form = \"json\")\n";
     let listen = "127.0.0.1:3990".parse().unwrap();
     assert_eq!(
         told(all),
         Ok(Operators {
             address: Some(Reach { listen, token_file: None }),
             versions: Some(Keep { each: 4, bytes: 16 << 20 }),
+            servers: Some("/etc/servers.star".into()),
             log: LogForm::Json,
         })
     );
@@ -36,8 +37,12 @@
     ("versions(megabytes = 9999)", &["megabytes", "from 1 to 4096"]),
     ("versions(keep = 2.5)", &["operators.star:1:"]),
     ("versions()\nversions()", &["operators.star:2:1", "called twice"]),
+    ("servers(file = \"\")", &["operators.star:1:1", "write the path"]),
     ("log(form = \"xml\")", &["write \"text\" or \"json\""]),
-    ("adress(listen = \"127.0.0.1:1\")", &["operators.star:1:1", "address(), versions() and log()"]),
+    (
+        "adress(listen = \"127.0.0.1:1\")",
+        &["operators.star:1:1", "address(), versions(), servers() and log()"],
+    ),
     ("load(\"other.star\", \"x\")", &["operators.star:1:1"]),
     ("versions(keep = \n", &["operators.star:"]),
     ("  versions()", &["operators.star:1:"]),
