rookpulley servers: check, plan, seal, show, write

Operators check a server file before it is in force, see what it would change, and seal it in one step (a file beside, then a rename, through links); write gives a complete file from the list held.

--- a/crates/rookpulley-cli/src/main.rs
+++ b/crates/rookpulley-cli/src/main.rs
@@ -1,6 +1,7 @@
 //! The command `rookpulley`: what operators ask a running assigner, and checks of the operators' file.
 
 mod call;
+mod servers;
 mod show;
 
 use call::{CannotAsk, Place};
@@ -92,6 +93,9 @@
         #[arg(long, group = "which")]
         all: bool,
     },
+    /// Server files: check, plan, seal, show, write
+    #[command(subcommand)]
+    Servers(servers::Servers),
     /// Reads an operators' file and says what it switches on; ends with 1 where it can't be used
     ///
     /// Example: rookpulley check deploy/operators.star
@@ -99,7 +103,14 @@
 }
 
 fn ask(given: &Given) -> Result<ExitCode, CannotAsk> {
-    let place = Place::of(given.at, given.token_file.as_deref())?;
+    let place = || Place::of(given.at, given.token_file.as_deref());
+    if let What::Servers(what) = &given.what {
+        return servers::run(what, given.json, place);
+    }
+    if let What::Check { file } = &given.what {
+        return Ok(check(given.json, file));
+    }
+    let place = place()?;
     let (said, code) = match &given.what {
         What::Versions { table } => {
             let path = table.map_or("/v1/versions".to_string(), |t| format!("/v1/versions?table={t}"));
@@ -126,7 +137,8 @@
             let (status, list) = place.ask::<BackList>("POST", "/v1/release", Some(&body))?;
             (show::either(given.json, &list, || show::back(&list)), status == 200)
         }
-        What::Check { file } => return Ok(check(given.json, file)),
+        // Answered above.
+        What::Servers(_) | What::Check { .. } => (String::new(), true),
     };
     print!("{said}");
     Ok(if code { ExitCode::SUCCESS } else { ExitCode::from(1) })
--- /dev/null
+++ b/crates/rookpulley-cli/src/servers.rs
@@ -0,0 +1,303 @@
+//! Commands on server files: what is wrong with one, what it would change, and files written by the program.
+
+use crate::call::{CannotAsk, Place};
+use crate::show;
+use clap::Subcommand;
+use rookpulley_files::{read, sealed, written};
+use rookpulley_lists::candidate::{Refused, capacity, check_against, check_alone};
+use rookpulley_lists::{Candidate, Entry, Facts};
+use rookpulley_operators::asks::{Refusal, ServerList};
+use serde_json::{Value, json};
+use std::collections::BTreeMap;
+use std::io::Write;
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+use std::time::{SystemTime, UNIX_EPOCH};
+
+#[derive(Subcommand)]
+pub enum Servers {
+    /// Says whether a server file can be taken, and all the reasons why not; ends with 1 where it can't
+    ///
+    /// Example: rookpulley servers check servers.star --config deploy/example.json
+    Check {
+        file: PathBuf,
+        /// The assigner's configuration, for its zones, kinds of machine and request kinds
+        #[arg(long, value_name = "FILE")]
+        config: Option<PathBuf>,
+        /// The file that is in force, for what may change at once
+        #[arg(long, value_name = "FILE")]
+        against: Option<PathBuf>,
+    },
+    /// Shows what a server file would change, against a running assigner or another file
+    ///
+    /// Example: rookpulley servers plan servers.star --against servers.old.star
+    Plan {
+        file: PathBuf,
+        #[arg(long, value_name = "FILE")]
+        against: Option<PathBuf>,
+    },
+    /// Puts a fitting closing statement on a file that was edited, in one step
+    ///
+    /// Example: rookpulley servers seal servers.star
+    Seal { file: PathBuf },
+    /// Shows the list that a running assigner holds, its age, and why the file's newest state is not taken; ends
+    /// with 1 where it is not
+    ///
+    /// Example: rookpulley servers show
+    Show,
+    /// Writes a complete file from the list that a running assigner holds
+    ///
+    /// Example: rookpulley servers write > servers.star
+    Write,
+}
+
+/// What a command printed and whether all is well; or why it could not.
+type Done = Result<(String, bool), CannotAsk>;
+
+fn load(file: &Path) -> Result<Candidate, String> {
+    let size = std::fs::metadata(file).map_err(|e| format!("{}: {e}", file.display()))?;
+    if !size.is_file() {
+        return Err(format!("{}: it is no plain file", file.display()));
+    }
+    let bytes = std::fs::read(file).map_err(|e| format!("{}: {e}", file.display()))?;
+    read(file, &bytes).map_err(|e| {
+        let text = e.to_string();
+        if text.starts_with(&file.display().to_string()) {
+            text
+        } else {
+            format!("{}: {text}", file.display())
+        }
+    })
+}
+
+fn names(value: &Value) -> Vec<String> {
+    value.as_array().into_iter().flatten().filter_map(|v| v.as_str().map(String::from)).collect()
+}
+
+/// What the configuration says of the deployment. Request kinds that are bound to zones or machines are named in
+/// its settings by place.
+fn facts(config: &Path) -> Result<Facts, String> {
+    let wrong = |what: String| format!("{}: {what}", config.display());
+    let text = std::fs::read_to_string(config).map_err(|e| wrong(e.to_string()))?;
+    let told: Value = serde_json::from_str(&text).map_err(|e| wrong(e.to_string()))?;
+    let start = rookpulley_start::read_value(0, &told["settings"]).map_err(|e| wrong(e.to_string()))?;
+    let (zones, machines) = (start.place.zones.clone(), names(&told["settings"]["kinds"]));
+    let named = |places: &[u16], of: &[String]| -> Vec<String> {
+        places.iter().filter_map(|p| of.get(usize::from(*p)).cloned()).collect()
+    };
+    let kinds = start.kinds.iter().map(|k| rookpulley_lists::Kind {
+        name: k.name.clone(),
+        zones: named(&k.zones, &zones),
+        machines: named(&k.machines, &machines),
+        own_zone: k.own_zone,
+    });
+    let kinds = kinds.collect();
+    Ok(Facts { zones, machines, kinds, asking: Vec::new() })
+}
+
+/// Without a configuration any zone and machine that the file names is believed.
+fn facts_of(list: &Candidate) -> Facts {
+    let mut zones: Vec<String> = list.entries.iter().map(|e| e.zone.clone()).collect();
+    zones.sort();
+    zones.dedup();
+    Facts { zones, ..Facts::default() }
+}
+
+fn verdict(json: bool, file: &Path, list: Result<&Candidate, &String>, refused: &Refused) -> (String, bool) {
+    let well = list.is_ok() && refused.is_empty();
+    let reasons: Vec<Value> = match list {
+        Err(why) => vec![json!({"what": why})],
+        Ok(_) => refused.reasons.iter().map(|(at, why)| json!({"what": why.to_string(), "at": at})).collect(),
+    };
+    if json {
+        let (generation, servers) = (list.ok().map(|l| l.generation), list.ok().map(|l| l.entries.len()));
+        let said = json!({"file": file, "ok": well, "generation": generation, "servers": servers,
+            "reasons": reasons, "more": refused.more});
+        return (said.to_string() + "\n", well);
+    }
+    let said = match list {
+        Err(why) => why.clone() + "\n",
+        Ok(list) if well => {
+            format!(
+                "{}: generation {}, {} servers, can be taken\n",
+                file.display(),
+                list.generation,
+                list.entries.len()
+            )
+        }
+        Ok(_) => {
+            let place = |at: &Option<(usize, usize)>| at.map_or(String::new(), |(l, c)| format!("{l}:{c}:"));
+            let line = |(at, why): &(_, rookpulley_lists::Reason)| {
+                format!("{}:{} {why}\n", file.display(), place(at))
+            };
+            let more = if refused.more > 0 { format!("and {} more\n", refused.more) } else { String::new() };
+            refused.reasons.iter().map(line).collect::<String>() + &more
+        }
+    };
+    (said, well)
+}
+
+fn check(json: bool, file: &Path, config: Option<&Path>, against: Option<&Path>) -> (String, bool) {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_secs_f64() * 1e3;
+    let mut refused = Refused::default();
+    let checked = load(file).and_then(|list| {
+        let facts = config.map_or_else(|| Ok(facts_of(&list)), facts)?;
+        check_alone(now, &list, &facts, &mut refused);
+        if let Some(held) = against {
+            check_against(&list, &load(held)?, &mut refused);
+        }
+        Ok(list)
+    });
+    verdict(json, file, checked.as_ref(), &refused)
+}
+
+fn seal(file: &Path) -> Result<String, String> {
+    let wrong = |e: std::io::Error| format!("{}: {e}", file.display());
+    let text = std::fs::read_to_string(file).map_err(wrong)?;
+    let after = sealed(file, &text).map_err(|e| e.to_string())?;
+    if after == text {
+        return Ok(format!("{}: sealed already\n", file.display()));
+    }
+    // Through links, to a file beside the one meant, which then takes its place whole.
+    let place = std::fs::canonicalize(file).map_err(wrong)?;
+    let folder = place.parent().unwrap_or(Path::new("/"));
+    let mut beside = tempfile::NamedTempFile::new_in(folder).map_err(wrong)?;
+    beside.write_all(after.as_bytes()).and_then(|()| beside.as_file().sync_all()).map_err(wrong)?;
+    let rights = std::fs::metadata(&place).map_err(wrong)?.permissions();
+    beside.as_file().set_permissions(rights).map_err(wrong)?;
+    beside.persist(&place).map_err(|e| wrong(e.error))?;
+    Ok(format!("{}: {}", file.display(), after.lines().last().unwrap_or_default()) + "\n")
+}
+
+/// The list that an assigner holds, as a file has it.
+fn held(place: &Place) -> Result<(ServerList, Candidate), CannotAsk> {
+    let (_, list) = place.ask::<ServerList>("GET", "/v1/servers", None)?;
+    let entries = list.servers.iter().map(|s| Entry {
+        name: s.server.clone(),
+        address: s.address.clone(),
+        zone: s.zone.clone(),
+        machine: s.machine.clone(),
+        bay: s.bay,
+        weight: s.weight,
+        drains: s.stage != "ready",
+        started_ms: s.started_ms,
+        place: None,
+    });
+    let candidate =
+        Candidate { generation: list.generation.unwrap_or(0), loss: None, entries: entries.collect() };
+    Ok((list, candidate))
+}
+
+fn plan(json: bool, file: &Path, list: &Candidate, before: &Candidate) -> String {
+    let by_name =
+        |l: &Candidate| l.entries.iter().map(|e| (e.name.clone(), e.clone())).collect::<BTreeMap<_, _>>();
+    let (was, is) = (by_name(before), by_name(list));
+    let (had, has) = (capacity(before.entries.iter()), capacity(list.entries.iter()));
+    let mut rows = Vec::new();
+    let weight = |e: Option<&Entry>| e.map_or(0.0, |e| if e.serves() { e.weight } else { 0.0 });
+    for name in was.keys().chain(is.keys().filter(|n| !was.contains_key(*n))) {
+        let (a, b) = (was.get(name), is.get(name));
+        let what = match (a, b) {
+            (None, Some(_)) => "added",
+            (Some(a), None) if a.serves() => "dropped: drained first",
+            (Some(_), None) => "dropped",
+            (Some(a), Some(b)) if a.serves() && b.drains => "drained",
+            (Some(a), Some(b)) if b.started_ms > a.started_ms => "started anew",
+            (Some(a), Some(b)) if a.weight != b.weight => "weighed anew",
+            (Some(a), Some(b)) if a.zone != b.zone || a.machine != b.machine || a.address != b.address => {
+                "moved"
+            }
+            _ => continue,
+        };
+        let share = |w: f64, all: f64| if all > 0.0 { w / all } else { 0.0 };
+        let shares = (share(weight(a), had), share(weight(b), has));
+        rows.push((name.clone(), what, a.map(|e| e.weight), b.map(|e| e.weight), shares));
+    }
+    if json {
+        let rows: Vec<Value> = rows
+            .iter()
+            .map(|(server, what, from, to, (was, is))| {
+                json!({"server": server, "what": what, "from": from, "to": to, "share_from": was, "share_to": is})
+            })
+            .collect();
+        let said = json!({"file": file, "generation_from": before.generation, "generation_to": list.generation,
+            "capacity_from": had, "capacity_to": has, "servers": rows});
+        return said.to_string() + "\n";
+    }
+    let weight = |w: Option<f64>| w.map_or("-".to_string(), |w| w.to_string());
+    let shown = rows.iter().map(|(name, what, from, to, (was, is))| {
+        [
+            name.clone(),
+            what.to_string(),
+            weight(*from),
+            weight(*to),
+            format!("{:.1}%", 100.0 * was),
+            format!("{:.1}%", 100.0 * is),
+        ]
+    });
+    let head = ["server", "is", "weight", "then", "share", "then"];
+    let table = if rows.is_empty() { "no server changes\n".into() } else { show::table(head, shown) };
+    format!("generation {} -> {}, capacity {had} -> {has}\n{table}", before.generation, list.generation)
+}
+
+fn shown(list: &ServerList) -> String {
+    let generation = list.generation.map_or("none taken yet, discovery's list counts".to_string(), |g| {
+        format!("generation {g}, taken {:.0} s ago", list.age_ms.unwrap_or(0.0) / 1e3)
+    });
+    let not = list.not_taken.as_ref().map_or(String::new(), |why| format!("not taken: {why}\n"));
+    let rows = list.servers.iter().map(|s| {
+        [
+            s.server.clone(),
+            s.address.clone(),
+            s.zone.clone(),
+            s.machine.clone(),
+            s.weight.to_string(),
+            s.stage.clone(),
+        ]
+    });
+    let head = ["server", "address", "zone", "machine", "weight", "is"];
+    format!("{}: {generation}\n{not}{}", list.file, show::table(head, rows))
+}
+
+fn failed(why: String) -> CannotAsk {
+    CannotAsk::No(Refusal::new(400, why, None))
+}
+
+pub fn run(
+    what: &Servers,
+    json: bool,
+    place: impl Fn() -> Result<Place, CannotAsk>,
+) -> Result<ExitCode, CannotAsk> {
+    let done: Done = match what {
+        Servers::Check { file, config, against } => {
+            Ok(check(json, file, config.as_deref(), against.as_deref()))
+        }
+        Servers::Seal { file } => Ok(match seal(file) {
+            Ok(said) if json => (json!({"ok": true, "what": said.trim_end()}).to_string() + "\n", true),
+            Ok(said) => (said, true),
+            Err(why) => return Err(failed(why)),
+        }),
+        Servers::Plan { file, against } => {
+            let before = match against {
+                Some(other) => load(other),
+                None => Ok(held(&place()?)?.1),
+            };
+            Ok(match (load(file), before) {
+                (Ok(list), Ok(before)) => (plan(json, file, &list, &before), true),
+                (Err(why), _) | (_, Err(why)) => return Err(failed(why)),
+            })
+        }
+        Servers::Show => {
+            let (list, _) = held(&place()?)?;
+            Ok((show::either(json, &list, || shown(&list)), list.not_taken.is_none()))
+        }
+        Servers::Write => {
+            let (_, mut list) = held(&place()?)?;
+            list.generation += 1;
+            Ok((written(&list), true))
+        }
+    };
+    let (said, well) = done?;
+    print!("{said}");
+    Ok(if well { ExitCode::SUCCESS } else { ExitCode::from(1) })
+}
--- a/crates/rookpulley-cli/src/show.rs
+++ b/crates/rookpulley-cli/src/show.rs
@@ -13,7 +13,7 @@
     if json { serde_json::to_string(answer).unwrap_or_default() + "\n" } else { text() }
 }
 
-fn table<const N: usize>(head: [&str; N], rows: impl Iterator<Item = [String; N]>) -> String {
+pub fn table<const N: usize>(head: [&str; N], rows: impl Iterator<Item = [String; N]>) -> String {
     let mut table = Table::new();
     table.load_preset(presets::NOTHING).set_header(head);
     rows.for_each(|row| _ = table.add_row(row));
@@ -99,8 +99,9 @@
     let versions = operators.versions;
     if json {
         let keep = versions.map(|v| json!({"keep": v.each, "bytes": v.bytes}));
-        return json!({"address": address, "token_file": token, "versions": keep, "log": form}).to_string()
-            + "\n";
+        return json!({"address": address, "token_file": token, "versions": keep, "servers": operators.servers,
+            "log": form})
+        .to_string() + "\n";
     }
     let off = || "off".to_string();
     let token = token.map_or(String::new(), |t| format!(", token in {}", t.display()));
@@ -108,6 +109,7 @@
     let rows = [
         ["address".to_string(), address.map_or_else(off, |a| a + &token)],
         ["versions".to_string(), versions.unwrap_or_else(off)],
+        ["servers".to_string(), operators.servers.as_ref().map_or_else(off, |f| f.display().to_string())],
         ["log".to_string(), form.to_string()],
     ];
     table(["what", "is"], rows.into_iter())
--- a/crates/rookpulley-cli/tests/command.rs
+++ b/crates/rookpulley-cli/tests/command.rs
@@ -3,8 +3,8 @@
 use assert_cmd::Command;
 use rookpulley_operators::address;
 use rookpulley_operators::asks::{
-    Answer, Ask, BackList, BackRow, DiffList, DiffRow, HolderList, HolderRow, Refusal, VersionList,
-    VersionRow,
+    Answer, Ask, BackList, BackRow, DiffList, DiffRow, HolderList, HolderRow, Refusal, ServerList, ServerRow,
+    VersionList, VersionRow,
 };
 use rookpulley_operators::file::Token;
 use serde_json::Value;
@@ -71,6 +71,25 @@
             let refusal = Refusal::new(404, format!("{to} was never issued"), Some("see versions"));
             Answer::Refused { refusal }
         }
+        Ask::Servers => {
+            let row = |n: u32, stage: &str| ServerRow {
+                server: format!("s-{n}"),
+                address: format!("10.0.0.{n}:80"),
+                zone: "east".into(),
+                machine: "small".into(),
+                bay: 0,
+                weight: 1.0,
+                stage: stage.into(),
+                started_ms: 0.0,
+            };
+            Answer::Servers(ServerList {
+                file: "servers.star".into(),
+                generation: Some(4),
+                age_ms: Some(9_000.0),
+                not_taken: Some("its seal does not fit".into()),
+                servers: vec![row(1, "ready"), row(2, "draining"), row(3, "ready")],
+            })
+        }
         Ask::Release { .. } => Answer::Back(BackList { tables: vec![back(0, "ended")] }),
     }
 }
@@ -192,3 +211,62 @@
     let (code, _, err) = run(at, &["check", concat!(env!("CARGO_MANIFEST_DIR"), "/Cargo.toml")]);
     assert!(code == 1 && err.contains("Cargo.toml:"), "{err}");
 }
+
+#[test]
+fn server_files_are_written_edited_sealed_checked_and_planned() {
+    let (at, _asked) = answering(None);
+    let folder = tempfile::tempdir().unwrap();
+    let path = |name: &str| folder.path().join(name).to_str().unwrap().to_string();
+    let (file, old) = (path("servers.star"), path("old.star"));
+    let (code, text, _) = run(at, &["servers", "write"]);
+    assert!(code == 0 && text.contains("generation(5)") && text.contains("drains = True"), "{text}");
+    std::fs::write(&old, &text).unwrap();
+    let (code, out, _) = run(at, &["servers", "check", &old]);
+    assert!(code == 0 && out.contains("generation 5, 3 servers, can be taken"), "{out}");
+    // Edited by hand: not whole until it is sealed.
+    let edited = text.replace("generation(5)", "generation(6)").replace("weight = 1.0)", "weight = 0.25)");
+    std::fs::write(&file, &edited).unwrap();
+    let (code, out, _) = run(at, &["servers", "check", &file]);
+    assert!(
+        code == 1 && out.contains("does not fit") && out.contains("write end(servers = 3, seal ="),
+        "{out}"
+    );
+    assert_eq!(run(at, &["servers", "seal", &file]).0, 0);
+    let (code, out, _) = run(at, &["--json", "servers", "check", &file, "--against", &old]);
+    let said: Value = serde_json::from_str(&out).unwrap();
+    assert_eq!((code, said["ok"].as_bool(), said["generation"].as_u64()), (1, Some(false), Some(6)), "{out}");
+    assert!(said["reasons"][0]["what"].as_str().unwrap().contains("write loss(0.75)"), "{out}");
+    let (code, out, _) = run(at, &["servers", "plan", &file, "--against", &old]);
+    assert!(
+        code == 0 && out.contains("generation 5 -> 6, capacity 2 -> 0.5") && out.contains("weighed anew"),
+        "{out}"
+    );
+    let (code, out, _) = run(at, &["--json", "servers", "plan", &file]);
+    let said: Value = serde_json::from_str(&out).unwrap();
+    assert_eq!(
+        (code, said["generation_from"].as_u64(), said["servers"][0]["to"].as_f64()),
+        (0, Some(4), Some(0.25))
+    );
+    // Against the deployment's own zones and machines.
+    let config = concat!(env!("CARGO_MANIFEST_DIR"), "/../../deploy/example.json");
+    let (code, out, err) = run(at, &["servers", "check", &old, "--config", config]);
+    assert_eq!(code, 0, "{out}{err}");
+    std::fs::write(&file, text.replace("\"east\"", "\"north\"")).unwrap();
+    assert_eq!(run(at, &["servers", "seal", &file]).0, 0);
+    let (code, out, _) = run(at, &["servers", "check", &file, "--config", config]);
+    assert!(
+        code == 1 && out.contains(":3:1: \"s-1\" is of zone \"north\"; write one of \"east\", \"west\""),
+        "{out}"
+    );
+    let (code, out, _) = run(at, &["servers", "show"]);
+    assert!(
+        code == 1 && out.contains("generation 4, taken 9 s ago") && out.contains("not taken: its seal"),
+        "{out}"
+    );
+    let (code, _, err) = run(at, &["servers", "seal", &path("nothing.star")]);
+    assert!(code == 1 && err.contains("nothing.star"), "{err}");
+    for what in ["check", "plan", "seal", "show", "write"] {
+        let (code, out, _) = run(at, &["servers", what, "--help"]);
+        assert!(code == 0 && out.contains(&format!("Example: rookpulley servers {what}")), "{out}");
+    }
+}
