--- a/crates/rookpulley-assigner/tests/servers.rs
+++ b/crates/rookpulley-assigner/tests/servers.rs
@@ -187,3 +187,41 @@
         assert!(running.front.counters.get("server files not taken") > 20);
     });
 }
+
+#[test]
+fn a_reload_signal_in_the_midst_of_it_changes_no_list() {
+    use std::io::{BufRead, BufReader};
+    use std::process::{Command, Stdio};
+    let folder = tempfile::tempdir().unwrap();
+    let (config, servers, operators) =
+        (folder.path().join("c.json"), folder.path().join("servers.star"), folder.path().join("o.star"));
+    let gone = std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    std::fs::write(&config, told(gone).to_string()).unwrap();
+    std::fs::write(&operators, format!("servers(file = {:?})", servers.to_str().unwrap())).unwrap();
+    std::fs::write(&servers, written(&list(1, 11..=14, 1.0))).unwrap();
+    let mut child = Command::new(env!("CARGO_BIN_EXE_rookpulley-assigner"))
+        .env("PROXY_CONFIG", &config)
+        .arg("--operators")
+        .arg(&operators)
+        .stderr(Stdio::piped())
+        .spawn()
+        .unwrap();
+    let mut lines = BufReader::new(child.stderr.take().unwrap()).lines().map(Result::unwrap);
+    let mut until =
+        |what: &str| lines.find(|line| line.contains(what)).unwrap_or_else(|| panic!("no {what}"));
+    until("generation 1 taken");
+    let hang_up = || {
+        let kill = format!("kill -HUP {}", child.id());
+        assert!(Command::new("sh").args(["-c", &kill]).status().unwrap().success());
+    };
+    // Half a file, a signal, the other half, a signal.
+    let text = written(&list(2, 11..=15, 1.0));
+    std::fs::write(&servers, &text[..text.len() / 2]).unwrap();
+    hang_up();
+    until("the last good list stays");
+    std::fs::write(&servers, &text).unwrap();
+    hang_up();
+    until("generation 2 taken, 5 servers");
+    child.kill().unwrap();
+    child.wait().unwrap();
+}
--- a/crates/rookpulley-files/tests/watch.rs
+++ b/crates/rookpulley-files/tests/watch.rs
@@ -132,3 +132,28 @@
         assert_eq!((next(&mut found, &mut others).await, others), (2, before));
     });
 }
+
+#[test]
+fn two_files_swapped_by_rename_in_a_loop_are_each_seen_whole_or_not_at_all() {
+    watching(|file, mut found| async move {
+        let (mut others, beside, spare) = (0, file.with_extension("b"), file.with_extension("c"));
+        std::fs::write(&file, text(1)).unwrap();
+        std::fs::write(&beside, text(2)).unwrap();
+        let (swapping, stop) = (file.clone(), std::sync::Arc::new(std::sync::atomic::AtomicBool::new(false)));
+        let stopped = stop.clone();
+        let loops = std::thread::spawn(move || {
+            while !stopped.load(std::sync::atomic::Ordering::Relaxed) {
+                std::fs::rename(&swapping, &spare).unwrap();
+                std::fs::rename(&beside, &swapping).unwrap();
+                std::fs::rename(&spare, &beside).unwrap();
+            }
+        });
+        let mut seen = std::collections::BTreeSet::new();
+        while seen.len() < 2 {
+            seen.insert(next(&mut found, &mut others).await);
+        }
+        assert_eq!(seen.into_iter().collect::<Vec<_>>(), [1, 2]);
+        stop.store(true, std::sync::atomic::Ordering::Relaxed);
+        loops.join().unwrap();
+    });
+}
