--- a/crates/rookpulley-assigner/src/servers.rs
+++ b/crates/rookpulley-assigner/src/servers.rs
@@ -30,7 +30,7 @@
         own_zone: k.own_zone,
     });
     let (zones, machines) = (words.zones.clone(), words.machines.clone());
-    Facts { zones, machines, kinds: kinds.collect(), asking: Vec::new() }
+    Facts { zones, machines, kinds: kinds.collect() }
 }
 
 impl Servers {
--- a/crates/rookpulley-cli/src/servers.rs
+++ b/crates/rookpulley-cli/src/servers.rs
@@ -92,7 +92,7 @@
         own_zone: k.own_zone,
     });
     let kinds = kinds.collect();
-    Ok(Facts { zones, machines, kinds, asking: Vec::new() })
+    Ok(Facts { zones, machines, kinds })
 }
 
 /// Without a configuration any zone and machine that the file names is believed.
--- a/crates/rookpulley-files/src/read.rs
+++ b/crates/rookpulley-files/src/read.rs
@@ -15,7 +15,7 @@
 
 /// 10,000 servers take about a megabyte.
 pub const BOUNDS: Bounds = Bounds { bytes: 8 << 20, calls: 200_000 };
-pub const KNOWN: &str = "generation(), loss(), server() and end()";
+const KNOWN: &str = "generation(), loss(), server() and end()";
 
 /// Why a file is not taken. Nothing of it is used then.
 #[derive(Clone, Debug, PartialEq, thiserror::Error)]
--- a/crates/rookpulley-lists/src/candidate.rs
+++ b/crates/rookpulley-lists/src/candidate.rs
@@ -58,8 +58,6 @@
     pub zones: Vec<String>,
     pub machines: Vec<String>,
     pub kinds: Vec<Kind>,
-    /// Zones from which reqs come; where it is empty: all.
-    pub asking: Vec<String>,
 }
 
 /// Why a list is refused; each says what to write instead.
@@ -197,7 +195,7 @@
     check_serves(&offered.entries, facts, refused);
 }
 
-/// Checks that somebody serves every request kind, from every zone that asks for it.
+/// Checks that somebody serves every request kind, from every zone.
 fn check_serves(entries: &[Entry], facts: &Facts, refused: &mut Refused) {
     let serving: Vec<&Entry> = entries.iter().filter(|e| e.serves()).collect();
     if serving.is_empty() && !entries.is_empty() {
@@ -209,7 +207,6 @@
             refused.add(None, Reason::ZoneZero(zone.clone()));
         }
     }
-    let asking = if facts.asking.is_empty() { &facts.zones } else { &facts.asking };
     for kind in &facts.kinds {
         let bare = |from: Option<&String>| {
             !serving.iter().any(|e| kind.open(e) && from.is_none_or(|zone| e.zone == *zone))
@@ -217,7 +214,7 @@
         if !kind.own_zone && bare(None) {
             refused.add(None, Reason::Bare { kind: kind.name.clone(), from: None });
         }
-        for zone in asking.iter().filter(|zone| kind.own_zone && bare(Some(*zone))) {
+        for zone in facts.zones.iter().filter(|zone| kind.own_zone && bare(Some(*zone))) {
             refused.add(None, Reason::Bare { kind: kind.name.clone(), from: Some(zone.clone()) });
         }
     }
--- a/crates/rookpulley-lists/src/merge.rs
+++ b/crates/rookpulley-lists/src/merge.rs
@@ -52,10 +52,6 @@
         self.accepted_ms
     }
 
-    pub fn member(&self, name: &str) -> Option<&Member> {
-        self.members.get(name)
-    }
-
     /// All the reasons against a candidate; none: it would be taken. Nothing changes.
     pub fn judge(&self, now: f64, offered: &Candidate) -> Result<(), Refused> {
         let mut refused = Refused::default();
--- a/crates/rookpulley-lists/tests/lists.rs
+++ b/crates/rookpulley-lists/tests/lists.rs
@@ -20,7 +20,6 @@
         zones: vec!["a".into(), "b".into()],
         machines: vec!["m".into()],
         kinds: vec![kind("view", &[], false), kind("book", &["a"], false)],
-        asking: Vec::new(),
     }
 }
 
--- a/crates/rookpulley-standin/src/dispatcher.rs
+++ b/crates/rookpulley-standin/src/dispatcher.rs
@@ -42,7 +42,6 @@
     streams: Cell<u64>,
     seen: Rc<dyn Fn(Seen)>,
     pub refused: Cell<u64>,
-    pub joins: Cell<u64>,
     resting: Cell<bool>,
 }
 
@@ -66,7 +65,6 @@
             streams: Cell::new(0),
             seen,
             refused: Cell::new(0),
-            joins: Cell::new(0),
             resting: Cell::new(false),
         })
     }
@@ -165,7 +163,6 @@
 
     async fn follow(&self, socket: TcpStream) {
         _ = socket.set_nodelay(true);
-        self.joins.set(self.joins.get() + 1);
         let stream = self.streams.replace(self.streams.get() + 1) + 1;
         let (from, mut to) = socket.into_split();
         let joining = {
--- a/crates/rookpulley-versions/src/history.rs
+++ b/crates/rookpulley-versions/src/history.rs
@@ -180,10 +180,6 @@
     pub fn bytes(&self) -> usize {
         self.bytes
     }
-
-    pub fn newest_number(&self) -> u64 {
-        self.next - 1
-    }
 }
 
 impl Issued {
--- a/crates/rookpulley-versions/src/ledger.rs
+++ b/crates/rookpulley-versions/src/ledger.rs
@@ -149,7 +149,6 @@
     pub joined: bool,
     /// It says what it holds.
     pub speaks: bool,
-    pub joined_ms: f64,
     pub heard_ms: f64,
     place: u64,
     asked: VecDeque<Asked>,
@@ -246,7 +245,7 @@
     /// A new stream: what was told on the one before proves nothing here.
     pub fn joins(&mut self, now: f64, dispatcher: DispatcherId, speaks: bool, history: &mut History) {
         self.breaks(now, dispatcher, history);
-        let fresh = Entry { joined: true, speaks, joined_ms: now, heard_ms: now, ..Entry::default() };
+        let fresh = Entry { joined: true, speaks, heard_ms: now, ..Entry::default() };
         self.entries.insert(dispatcher, fresh);
     }
 
@@ -461,12 +460,6 @@
         }
     }
 
-    /// How many tables are judged like this.
-    pub fn count(&self, judged: Judged) -> usize {
-        let joined = self.entries.values().filter(|e| e.joined);
-        joined.flat_map(|e| &e.tables).filter(|(_, h)| h.judged == judged).count()
-    }
-
     /// Drops those that left before this time.
     pub fn forget(&mut self, before_ms: f64) {
         self.entries.retain(|_, e| e.joined || e.heard_ms >= before_ms);
