--- a/crates/rookpulley-lists/src/merge.rs
+++ b/crates/rookpulley-lists/src/merge.rs
@@ -9,7 +9,7 @@
 use rookpulley::facts::Stage;
 use std::collections::{BTreeMap, BTreeSet};
 
-/// Remembered names of servers that no list names any more; of more the oldest drains are given up.
+/// Remembered names, those listed included; of more the oldest drains of unlisted ones are given up.
 const REMEMBERED_MOST: usize = 50_000;
 
 /// A server is told as gone within this part of the grace after it.
