--- a/crates/rookpulley-assigner/src/operators.rs
+++ b/crates/rookpulley-assigner/src/operators.rs
@@ -10,7 +10,7 @@
     Answer, Ask, Asked, BackList, BackRow, DiffList, DiffRow, HolderList, HolderRow, Refusal, VersionList,
     VersionRow,
 };
-use rookpulley_operators::file::{Keep, Reach, Token};
+use rookpulley_operators::file::{Reach, Token};
 use rookpulley_versions::version::start_of;
 use rookpulley_versions::{Book, Bounds, Delta, History, Issuer, Judged, Patience, Version};
 use std::collections::BTreeSet;
@@ -61,15 +61,14 @@
 
 /// The book of one start. The start's name must never come again, also where the seed of the configuration
 /// does: its part of chance is the process's own.
-pub fn book(name: &str, keep: Keep, channel: &ChannelFacts) -> Book {
+pub fn book(name: &str, keep: Bounds, channel: &ChannelFacts) -> Book {
     let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
     let chance = RandomState::new().hash_one(std::process::id()) as u32;
     let start = start_of(unix.as_secs_f64() * 1e3, chance);
-    let bounds = Bounds { each: keep.each, bytes: keep.bytes };
     Book::new(
         Issuer { assigner: name.into(), start },
         1,
-        bounds,
+        keep,
         Patience::for_transit(channel.transit_most_ms),
     )
 }
--- a/crates/rookpulley-operators/src/file.rs
+++ b/crates/rookpulley-operators/src/file.rs
@@ -9,6 +9,7 @@
 
 pub use crate::script::BadFile;
 use crate::script::{self, Bounds};
+use rookpulley_versions::Bounds as Kept;
 use starlark::any::ProvidesStaticType;
 use starlark::environment::GlobalsBuilder;
 use starlark::eval::Evaluator;
@@ -29,13 +30,6 @@
     pub token_file: Option<PathBuf>,
 }
 
-/// How many versions are kept.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Keep {
-    pub each: usize,
-    pub bytes: usize,
-}
-
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum LogForm {
     #[default]
@@ -47,7 +41,7 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Operators {
     pub address: Option<Reach>,
-    pub versions: Option<Keep>,
+    pub versions: Option<Kept>,
     /// The file that lists the servers.
     pub servers: Option<PathBuf>,
     pub log: LogForm,
@@ -59,7 +53,7 @@
 #[derive(Default)]
 struct Found {
     address: Option<Reach>,
-    versions: Option<Keep>,
+    versions: Option<Kept>,
     servers: Option<PathBuf>,
     log: Option<LogForm>,
 }
@@ -110,13 +104,13 @@
     }
 
     fn versions(
-        #[starlark(require = named, default = 8)] keep: i32,
-        #[starlark(require = named, default = 16)] megabytes: i32,
+        #[starlark(require = named, default = Kept::USUAL.each as i32)] keep: i32,
+        #[starlark(require = named, default = (Kept::USUAL.bytes >> 20) as i32)] megabytes: i32,
         eval: &mut Evaluator,
     ) -> anyhow::Result<NoneType> {
         let each = within("keep", keep, 2, 1_000)?;
         let bytes = within("megabytes", megabytes, 1, 4_096)? << 20;
-        once(&mut said(eval)?.0.borrow_mut().versions, "versions", Keep { each, bytes })?;
+        once(&mut said(eval)?.0.borrow_mut().versions, "versions", Kept { each, bytes })?;
         Ok(NoneType)
     }
 
--- a/crates/rookpulley-operators/tests/file.rs
+++ b/crates/rookpulley-operators/tests/file.rs
@@ -1,7 +1,8 @@
 //! The operators' own file: good ones, and deliberately broken ones, each with its place and what to write.
 
 use proptest::prelude::*;
-use rookpulley_operators::file::{Keep, LogForm, Operators, Reach, Token, load, read};
+use rookpulley_operators::file::{LogForm, Operators, Reach, Token, load, read};
+use rookpulley_versions::Bounds;
 use std::path::Path;
 
 fn told(text: &str) -> Result<Operators, String> {
@@ -17,7 +18,7 @@
         told(all),
         Ok(Operators {
             address: Some(Reach { listen, token_file: None }),
-            versions: Some(Keep { each: 4, bytes: 16 << 20 }),
+            versions: Some(Bounds { each: 4, bytes: 16 << 20 }),
             servers: Some("/etc/servers.star".into()),
             log: LogForm::Json,
         })
--- a/crates/rookpulley-versions/src/history.rs
+++ b/crates/rookpulley-versions/src/history.rs
@@ -7,7 +7,8 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
 
-#[derive(Clone, Copy, Debug, PartialEq)]
+/// How many versions are kept.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Bounds {
     /// Versions kept of each table.
     pub each: usize,
@@ -15,6 +16,11 @@
     pub bytes: usize,
 }
 
+impl Bounds {
+    /// What is kept where nothing else is said.
+    pub const USUAL: Self = Self { each: 8, bytes: 16 << 20 };
+}
+
 /// A table as issued.
 #[derive(Clone, Debug)]
 pub struct Issued {
