Who is trusted for what is decided by the lists, and no longer in the front

The front chose whether a list was told whole, and what discovery's lists count for. A server's standing is worked out in one place, for those that changed alone: a list of discovery's had copied all servers for each of its lines.

--- a/crates/rookpulley-assigner/src/servers.rs
+++ b/crates/rookpulley-assigner/src/servers.rs
@@ -53,21 +53,14 @@
 
     /// What was found at the file's place: the list for the module, if it is taken.
     pub fn take(&mut self, now: f64, found: Found, front: &Front) -> Option<(ListScope, List)> {
-        let first = self.lists.held().is_none();
         let why = match found {
             Found::List(candidate) => {
                 let (generation, count) = (candidate.generation, candidate.entries.len());
-                match self.lists.offer(now, candidate) {
-                    Ok(told) => {
+                match self.lists.take(now, candidate) {
+                    Ok((scope, told)) => {
                         self.not_taken = None;
                         front.counters.one("server files taken");
                         say!(front.log, "servers", "generation {generation} taken, {count} servers");
-                        // The first one takes the place of whatever discovery told.
-                        let (scope, told) = if first {
-                            (ListScope::Full, self.lists.whole())
-                        } else {
-                            (ListScope::Changes, told)
-                        };
                         return Some((scope, list(told, &front.words)));
                     }
                     Err(refused) => format!("generation {generation} is refused: {refused}"),
@@ -84,16 +77,11 @@
 
     /// Discovery's list: before a file was taken it counts as ever, after that for drains and starts alone.
     pub fn seen(&mut self, now: f64, scope: ListScope, seen: List, front: &Front) -> (ListScope, List) {
-        let held = self.lists.held().is_some();
-        let mut told = Vec::new();
-        for (line, name) in seen.lines.iter().zip(&seen.names) {
-            // What discovery merely drops says nothing of a server that the file lists.
-            if line.stage != Stage::Gone {
-                let drains = line.stage == Stage::Draining;
-                told.extend(self.lists.seen_by_discovery(now, name, drains, line.started_ms));
-            }
+        let lines = seen.lines.iter().zip(&seen.names).map(|(l, n)| (n.as_str(), l.stage, l.started_ms));
+        match self.lists.seen_list(now, lines) {
+            Some(told) => (ListScope::Changes, list(told, &front.words)),
+            None => (scope, seen),
         }
-        if held { (ListScope::Changes, list(told, &front.words)) } else { (scope, seen) }
     }
 
     /// Whose grace is over.
--- a/crates/rookpulley-lists/src/merge.rs
+++ b/crates/rookpulley-lists/src/merge.rs
@@ -6,7 +6,7 @@
 
 use crate::candidate::{Candidate, Entry, Facts, Reason, Refused, check_against, check_alone};
 use crate::membership::{Cue, Effect, Member, State};
-use rookpulley::facts::Stage;
+use rookpulley::facts::{ListScope, Stage};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Remembered names, those listed included; of more the oldest drains of unlisted ones are given up.
@@ -37,6 +37,11 @@
     seen_draining: BTreeMap<String, f64>,
 }
 
+/// Whether discovery sees a server draining that has not started since.
+fn seen(seen_draining: &BTreeMap<String, f64>, entry: &Entry) -> bool {
+    seen_draining.get(&entry.name).is_some_and(|started| entry.started_ms <= *started)
+}
+
 impl Lists {
     pub fn new(facts: Facts, grace_ms: f64) -> Self {
         let (members, leaving, seen_draining) = (BTreeMap::new(), BTreeMap::new(), BTreeMap::new());
@@ -57,7 +62,7 @@
         let mut refused = Refused::default();
         // Who is seen draining serves nobody, whatever the list says.
         let mut as_seen = offered.clone();
-        as_seen.entries.iter_mut().for_each(|e| e.drains |= self.seen(e));
+        as_seen.entries.iter_mut().for_each(|e| e.drains |= seen(&self.seen_draining, e));
         check_alone(now, &as_seen, &self.facts, &mut refused);
         if let Some(held) = &self.held {
             check_against(offered, held, &mut refused);
@@ -66,7 +71,7 @@
             let Some(member) = self.members.get(&entry.name) else { continue };
             let drained = matches!(member.state, State::Draining | State::Drained);
             // What discovery sees draining is drained without the list having to say so.
-            if drained && member.named(entry.started_ms) == Cue::Named && !self.seen(entry) {
+            if drained && member.named(entry.started_ms) == Cue::Named && !seen(&self.seen_draining, entry) {
                 let least_ms = member.drained_ms.max(member.started_ms).floor() + 1.0;
                 refused.add(entry.place, Reason::Drained { name: entry.name.clone(), least_ms });
             }
@@ -74,10 +79,6 @@
         if refused.is_empty() { Ok(()) } else { Err(refused) }
     }
 
-    fn seen(&self, entry: &Entry) -> bool {
-        self.seen_draining.get(&entry.name).is_some_and(|started| entry.started_ms <= *started)
-    }
-
     /// Takes a candidate entirely, or refuses it and changes nothing. Gives what the module is to be told.
     pub fn offer(&mut self, now: f64, offered: Candidate) -> Result<Vec<Told>, Refused> {
         self.judge(now, &offered)?;
@@ -89,8 +90,7 @@
         }
         for entry in &offered.entries {
             let member = self.members.entry(entry.name.clone()).or_default();
-            let seen =
-                self.seen_draining.get(&entry.name).is_some_and(|started| entry.started_ms <= *started);
+            let seen = seen(&self.seen_draining, entry);
             let cue = if entry.drains || seen { Cue::Drains } else { member.named(entry.started_ms) };
             self.step(now, entry, cue, &mut changed);
         }
@@ -103,6 +103,28 @@
         Ok(self.tell(&changed))
     }
 
+    /// Takes a candidate as `offer` does. The first one takes the place of whatever discovery told: it is told as
+    /// a whole list.
+    pub fn take(&mut self, now: f64, offered: Candidate) -> Result<(ListScope, Vec<Told>), Refused> {
+        let first = self.held.is_none();
+        let changes = self.offer(now, offered)?;
+        Ok(if first { (ListScope::Full, self.whole()) } else { (ListScope::Changes, changes) })
+    }
+
+    /// A list of discovery's, by name, stage and start. None: no file was taken yet, and the list itself counts.
+    /// What discovery merely drops says nothing of a server that the file lists.
+    pub fn seen_list<'a>(
+        &mut self,
+        now: f64,
+        list: impl Iterator<Item = (&'a str, Stage, f64)>,
+    ) -> Option<Vec<Told>> {
+        let mut told = Vec::new();
+        for (name, stage, started_ms) in list.filter(|(_, stage, _)| *stage != Stage::Gone) {
+            told.extend(self.seen_by_discovery(now, name, stage == Stage::Draining, started_ms));
+        }
+        self.held.is_some().then_some(told)
+    }
+
     /// What discovery sees of a server: counted where a drain or a start is news, for servers of the file.
     pub fn seen_by_discovery(&mut self, now: f64, name: &str, drains: bool, started_ms: f64) -> Vec<Told> {
         let mut changed = BTreeSet::new();
@@ -177,33 +199,33 @@
 
     /// These servers as they stand now.
     fn tell(&self, changed: &BTreeSet<String>) -> Vec<Told> {
-        let all = self.whole();
-        let whole: BTreeMap<&str, &Told> = all.iter().map(|t| (t.entry.name.as_str(), t)).collect();
-        let told = changed.iter().filter_map(|name| match whole.get(name.as_str()) {
-            Some(told) => Some((*told).clone()),
-            None => {
-                let entry = self.leaving.get(name).cloned()?;
-                Some(Told { entry, stage: Stage::Gone })
-            }
+        let named = self.held.iter().flat_map(|h| &h.entries).filter(|e| changed.contains(&e.name));
+        let named: BTreeMap<&str, &Entry> = named.map(|e| (e.name.as_str(), e)).collect();
+        let told = changed.iter().filter_map(|name| {
+            let entry = named.get(name.as_str()).copied().or_else(|| self.leaving.get(name))?;
+            let gone = || Some(Told { entry: self.leaving.get(name)?.clone(), stage: Stage::Gone });
+            self.told(entry).or_else(gone)
         });
         told.collect()
     }
 
+    /// A server as it stands; None: it is not told of any more.
+    fn told(&self, entry: &Entry) -> Option<Told> {
+        let member = self.members.get(&entry.name)?;
+        let stage = match member.state {
+            State::Serving if entry.weight > 0.0 => Stage::Ready,
+            State::Serving | State::Draining => Stage::Draining,
+            State::Drained | State::Unknown => return None,
+        };
+        let started_ms = member.started_ms.max(entry.started_ms);
+        Some(Told { entry: Entry { started_ms, ..entry.clone() }, stage })
+    }
+
     /// Every server that the module is to know, with its stage and its start as it is known best.
     pub fn whole(&self) -> Vec<Told> {
         let entries = self.held.iter().flat_map(|h| &h.entries);
         let mut all: BTreeMap<&str, &Entry> = self.leaving.iter().map(|(n, e)| (n.as_str(), e)).collect();
         all.extend(entries.map(|e| (e.name.as_str(), e)));
-        let told = all.into_iter().filter_map(|(name, entry)| {
-            let member = self.members.get(name)?;
-            let stage = match member.state {
-                State::Serving if entry.weight > 0.0 => Stage::Ready,
-                State::Serving | State::Draining => Stage::Draining,
-                State::Drained | State::Unknown => return None,
-            };
-            let started_ms = member.started_ms.max(entry.started_ms);
-            Some(Told { entry: Entry { started_ms, ..entry.clone() }, stage })
-        });
-        told.collect()
+        all.into_values().filter_map(|entry| self.told(entry)).collect()
     }
 }
