--- a/crates/rookpulley-cli/src/servers.rs
+++ b/crates/rookpulley-cli/src/servers.rs
@@ -5,10 +5,9 @@
 use clap::Subcommand;
 use rookpulley_files::{read, sealed, written};
 use rookpulley_lists::candidate::{Refused, capacity, check_against, check_alone};
-use rookpulley_lists::{Candidate, Entry, Facts};
+use rookpulley_lists::{Candidate, Change, Entry, Facts, Planned, plan};
 use rookpulley_operators::asks::{Refusal, ServerList};
 use serde_json::{Value, json};
-use std::collections::BTreeMap;
 use std::io::Write;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
@@ -188,52 +187,37 @@
     Ok((list, candidate))
 }
 
-fn plan(json: bool, file: &Path, list: &Candidate, before: &Candidate) -> String {
-    let by_name =
-        |l: &Candidate| l.entries.iter().map(|e| (e.name.clone(), e.clone())).collect::<BTreeMap<_, _>>();
-    let (was, is) = (by_name(before), by_name(list));
-    let (had, has) = (capacity(before.entries.iter()), capacity(list.entries.iter()));
-    let mut rows = Vec::new();
-    let weight = |e: Option<&Entry>| e.map_or(0.0, |e| if e.serves() { e.weight } else { 0.0 });
-    for name in was.keys().chain(is.keys().filter(|n| !was.contains_key(*n))) {
-        let (a, b) = (was.get(name), is.get(name));
-        let what = match (a, b) {
-            (None, Some(_)) => "added",
-            (Some(a), None) if a.serves() => "dropped: drained first",
-            (Some(_), None) => "dropped",
-            (Some(a), Some(b)) if a.serves() && b.drains => "drained",
-            (Some(a), Some(b)) if b.started_ms > a.started_ms => "started anew",
-            (Some(a), Some(b)) if a.weight != b.weight => "weighed anew",
-            (Some(a), Some(b)) if a.zone != b.zone || a.machine != b.machine || a.address != b.address => {
-                "moved"
-            }
-            _ => continue,
-        };
-        let share = |w: f64, all: f64| if all > 0.0 { w / all } else { 0.0 };
-        let shares = (share(weight(a), had), share(weight(b), has));
-        rows.push((name.clone(), what, a.map(|e| e.weight), b.map(|e| e.weight), shares));
+fn changes(change: Change) -> &'static str {
+    match change {
+        Change::Added => "added",
+        Change::DroppedServing => "dropped: drained first",
+        Change::Dropped => "dropped",
+        Change::Drained => "drained",
+        Change::Starts => "started anew",
+        Change::Weighed => "weighed anew",
+        Change::Moved => "moved",
     }
+}
+
+fn planned(json: bool, file: &Path, list: &Candidate, before: &Candidate) -> String {
+    let rows = plan(before, list);
+    let (had, has) = (capacity(before.entries.iter()), capacity(list.entries.iter()));
     if json {
-        let rows: Vec<Value> = rows
-            .iter()
-            .map(|(server, what, from, to, (was, is))| {
-                json!({"server": server, "what": what, "from": from, "to": to, "share_from": was, "share_to": is})
-            })
-            .collect();
+        let row = |p: &Planned| {
+            let ([from, to], [was, is]) = (p.weights, p.shares);
+            json!({"server": p.name, "what": changes(p.change), "from": from, "to": to,
+                "share_from": was, "share_to": is})
+        };
+        let rows: Vec<Value> = rows.iter().map(row).collect();
         let said = json!({"file": file, "generation_from": before.generation, "generation_to": list.generation,
             "capacity_from": had, "capacity_to": has, "servers": rows});
         return said.to_string() + "\n";
     }
     let weight = |w: Option<f64>| w.map_or("-".to_string(), |w| w.to_string());
-    let shown = rows.iter().map(|(name, what, from, to, (was, is))| {
-        [
-            name.clone(),
-            what.to_string(),
-            weight(*from),
-            weight(*to),
-            format!("{:.1}%", 100.0 * was),
-            format!("{:.1}%", 100.0 * is),
-        ]
+    let shown = rows.iter().map(|p| {
+        let [from, to] = p.weights.map(weight);
+        let [was, is] = p.shares.map(|s| format!("{:.1}%", 100.0 * s));
+        [p.name.clone(), changes(p.change).to_string(), from, to, was, is]
     });
     let head = ["server", "is", "weight", "then", "share", "then"];
     let table = if rows.is_empty() { "no server changes\n".into() } else { show::table(head, shown) };
@@ -283,7 +267,7 @@
                 None => Ok(held(&place()?)?.1),
             };
             Ok(match (load(file), before) {
-                (Ok(list), Ok(before)) => (plan(json, file, &list, &before), true),
+                (Ok(list), Ok(before)) => (planned(json, file, &list, &before), true),
                 (Err(why), _) | (_, Err(why)) => return Err(failed(why)),
             })
         }
--- a/crates/rookpulley-lists/src/lib.rs
+++ b/crates/rookpulley-lists/src/lib.rs
@@ -6,11 +6,14 @@
 //! - [`candidate`]: what a source offers, and the checks that it must pass.
 //! - [`membership`]: each server's part in it, from a table of state, input, next state, effect.
 //! - [`merge`]: several sources at once, and the list that the module is told.
+//! - [`plan`]: what one list would change against another.
 
 pub mod candidate;
 pub mod membership;
 pub mod merge;
+pub mod plan;
 
 pub use candidate::{Candidate, Entry, Facts, Kind, Place, Reason, Refused};
 pub use membership::{Cue, MEMBERSHIP, Member, State};
 pub use merge::{Lists, Told};
+pub use plan::{Change, Planned, plan};
