--- a/crates/rookpulley-assigner/examples/tick.rs
+++ b/crates/rookpulley-assigner/examples/tick.rs
@@ -62,9 +62,8 @@
         effects: &[Effect],
         names: &Names,
     ) -> Vec<(ProxyId, usize)> {
-        // As the driver does: every so often.
-        if let Some(book) = orders.book.as_mut().filter(|b| now % b.look_ms() < 5.0) {
-            assert!(book.due(now).is_empty());
+        if let Some(book) = &mut orders.book {
+            assert!(book.due_by_now(now).is_empty() && book.take_uncounted().is_empty());
         }
         orders.carry_out(now, effects, names).into_iter().map(|w| (w.proxy, w.bytes.len())).collect()
     }
--- a/crates/rookpulley-assigner/src/driver.rs
+++ b/crates/rookpulley-assigner/src/driver.rs
@@ -130,8 +130,6 @@
     peers: Option<Rc<Peers>>,
     roster: Rc<Roster>,
     ways_back: WaysBack,
-    /// When the book is next asked who is owed a table.
-    look_at_ms: f64,
     /// Where a file lists the servers.
     servers: Option<Servers>,
 }
@@ -164,7 +162,6 @@
             peers,
             roster,
             ways_back: WaysBack::default(),
-            look_at_ms: 0.0,
             servers,
         };
         driver.take(Event::List { scope: ListScope::Cached, list: known });
@@ -285,12 +282,8 @@
     /// Tells the module of tables that did not reach their proxy, or that it holds otherwise.
     fn owed(&mut self, now: f64) {
         let Some(book) = &mut self.orders.book else { return };
-        let mut owed = std::mem::take(&mut self.orders.owed);
-        let due = if now < self.look_at_ms { Vec::new() } else { book.due(now) };
-        if now >= self.look_at_ms {
-            self.look_at_ms = now + book.look_ms();
-        }
-        for (proxy, table) in due {
+        let mut owed = book.take_uncounted();
+        for (proxy, table) in book.due_by_now(now) {
             say!(
                 self.front.log,
                 "version",
--- a/crates/rookpulley-assigner/src/orders.rs
+++ b/crates/rookpulley-assigner/src/orders.rs
@@ -6,7 +6,7 @@
 use crate::messages::{Holds, LINE_MOST, Part};
 use rookpulley::facts::*;
 use rookpulley_versions as versions;
-use rookpulley_versions::{Book, Judged, Name, Update};
+use rookpulley_versions::{Book, Name, Update};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 type Kinds = u16;
@@ -76,8 +76,6 @@
     pub book: Option<Book>,
     /// Names as the book has them.
     known: BTreeMap<ServerId, Name>,
-    /// Tables that a proxy is owed and that the module has not counted: it is asked to write them anew.
-    pub owed: BTreeSet<TableId>,
 }
 
 pub fn places(mask: Kinds) -> impl Iterator<Item = KindId> {
@@ -121,8 +119,8 @@
     pub fn new(kinds: Vec<String>, book: Option<Book>) -> Self {
         let all = ((1_u32 << kinds.len().min(16)) - 1) as Kinds;
         let (tables, levels, streams) = (BTreeMap::new(), BTreeMap::new(), BTreeMap::new());
-        let (shut, known, owed) = (BTreeSet::new(), BTreeMap::new(), BTreeSet::new());
-        Self { kinds, all, tables, levels, shut, streams, book, known, owed }
+        let (shut, known) = (BTreeSet::new(), BTreeMap::new());
+        Self { kinds, all, tables, levels, shut, streams, book, known }
     }
 
     pub fn kinds(&self) -> &[String] {
@@ -255,7 +253,7 @@
                     let kinds = if kinds == 0 { self.all } else { kinds & self.all };
                     if self.streams.contains_key(&proxy) {
                         changed.insert(table);
-                        self.begin_anew(proxy, table);
+                        self.distrust_shut(proxy, table);
                         binds.push((proxy, kinds, table));
                         let lines = self.bind(proxy, table, kinds);
                         self.start_anew(proxy, kinds, lines, drafts.entry(proxy).or_default());
@@ -363,10 +361,8 @@
     }
 
     /// A proxy that lost what was written may have lost word of who is shut out, too.
-    fn begin_anew(&mut self, proxy: ProxyId, id: TableId) {
-        let Some(book) = &self.book else { return };
-        let held = book.ledger.entry(proxy).and_then(|e| e.tables().find(|(of, _)| *of == id));
-        let lost = held.is_some_and(|(_, h)| matches!(h.judged, Judged::Lost | Judged::Diverged));
+    fn distrust_shut(&mut self, proxy: ProxyId, id: TableId) {
+        let lost = self.book.as_ref().is_some_and(|book| book.lost(proxy, id));
         if let Some(stream) = self.streams.get_mut(&proxy).filter(|_| lost) {
             (stream.shut, stream.brought) = (BTreeMap::new(), true);
         }
@@ -376,18 +372,18 @@
     /// version. A whole table that the module has not counted is not written: it is owed. Gives the tables
     /// that the message brings up to date.
     fn name_versions(&mut self, proxy: ProxyId, draft: &mut Draft) -> Vec<TableId> {
-        let Some(book) = &self.book else { return Vec::new() };
+        let Some(book) = &mut self.book else { return Vec::new() };
         let Some(stream) = self.streams.get(&proxy) else { return Vec::new() };
         let (mut told, mut retell) = (Vec::new(), 0);
         for id in &stream.tables {
             let users = self.tables.get(id).and_then(|t| t.users.get(&proxy));
             let Some(kinds) = users.copied() else { continue };
-            let touched = |p: &&mut Piece| p.kinds == kinds && (p.whole || !p.lines.is_empty());
+            let touched = |p: &Piece| p.kinds == kinds && (p.whole || !p.lines.is_empty());
             if !book.speaks(proxy) {
-                told.extend(draft.pieces.iter_mut().any(|p| touched(&&mut *p)).then_some(*id));
+                told.extend(draft.pieces.iter().any(touched).then_some(*id));
                 continue;
             }
-            let mut pieces = draft.pieces.iter_mut().filter(touched);
+            let mut pieces = draft.pieces.iter_mut().filter(|p| touched(p));
             let Some(piece) = pieces.next() else { continue };
             let counted = pieces.fold(piece.whole, |whole, later| {
                 // What came later in the same call is in the newest version already.
@@ -395,15 +391,13 @@
                 piece.level = later.level.or(piece.level);
                 whole | std::mem::take(&mut later.whole)
             });
-            let Some(order) = book.order(proxy, *id) else { continue };
+            let Some(order) = book.order_within(proxy, *id, counted) else {
+                piece.lines.clear();
+                continue;
+            };
             let (whole, lines) = match &order.update {
                 Update::Same(_) => (false, Vec::new()),
                 Update::Delta(delta) => (false, delta.changes.clone()),
-                Update::Whole(_) if !counted && book.ledger.base(proxy, *id).is_none() => {
-                    piece.lines.clear();
-                    self.owed.insert(*id);
-                    continue;
-                }
                 Update::Whole(table) => (true, table.lines().map(|(n, w)| (n.clone(), w)).collect()),
             };
             retell |= if whole && !counted { kinds } else { 0 };
--- a/crates/rookpulley-versions/src/book.rs
+++ b/crates/rookpulley-versions/src/book.rs
@@ -29,6 +29,10 @@
     bound: BTreeMap<(DispatcherId, Kinds), TableId>,
     /// The same the other way round.
     users: BTreeMap<TableId, BTreeSet<DispatcherId>>,
+    /// Tables that must go out whole and that the module has not counted so: they are not written but owed.
+    uncounted: BTreeSet<TableId>,
+    /// When the ledger is next asked who is due.
+    look_at_ms: f64,
 }
 
 impl Book {
@@ -41,6 +45,8 @@
             brought,
             bound,
             users,
+            uncounted: BTreeSet::new(),
+            look_at_ms: 0.0,
         }
     }
 
@@ -108,6 +114,24 @@
         Some(Order { version: newest.version.clone(), update: Update::to(base, &newest.table) })
     }
 
+    /// The same, for a message in which the module counted the table whole or by its changes. None: it would have
+    /// to go out whole and was not counted so; the module is asked to write it anew.
+    pub fn order_within(&mut self, dispatcher: DispatcherId, id: TableId, whole: bool) -> Option<Order> {
+        let order = self.order(dispatcher, id)?;
+        let over = matches!(order.update, Update::Whole(_)) && !whole;
+        if over && self.ledger.base(dispatcher, id).is_none() {
+            self.uncounted.insert(id);
+            return None;
+        }
+        Some(order)
+    }
+
+    /// What was written of a table did not reach its dispatcher, or it holds something else.
+    pub fn lost(&self, dispatcher: DispatcherId, id: TableId) -> bool {
+        let held = self.ledger.entry(dispatcher).and_then(|e| e.table(id));
+        held.is_some_and(|h| matches!(h.judged, Judged::Lost | Judged::Diverged))
+    }
+
     /// One message was written: for these tables, with this mark.
     pub fn wrote(&mut self, now: f64, dispatcher: DispatcherId, tables: &[TableId], mark: Option<u64>) {
         let number = |id: &TableId| Some((*id, self.history.newest(*id)?.version.number));
@@ -126,9 +150,9 @@
         if !self.speaks(dispatcher) {
             return self.ledger.answers(now, dispatcher, mark, &self.patience, &mut self.history);
         }
-        let table_for = |kinds: &Kinds| self.bound.get(&(dispatcher, *kinds)).copied();
-        let claims = claims.iter().filter_map(|(kinds, claim)| Some((table_for(kinds)?, claim.clone())));
-        let claims = claims.collect();
+        let by_table =
+            |(kinds, claim): (&Kinds, &Claim)| Some((self.table_for(dispatcher, *kinds)?, claim.clone()));
+        let claims = claims.iter().filter_map(by_table).collect();
         self.ledger.answers_with(now, dispatcher, mark, &claims, &self.patience, &mut self.history);
     }
 
@@ -144,6 +168,20 @@
         self.patience.answer_ms / LOOKS
     }
 
+    /// Tables that were owed for want of room in a message, once.
+    pub fn take_uncounted(&mut self) -> BTreeSet<TableId> {
+        std::mem::take(&mut self.uncounted)
+    }
+
+    /// As `due`, asked as often as one likes and worked out as often as it is worth while.
+    pub fn due_by_now(&mut self, now: f64) -> Vec<(DispatcherId, TableId)> {
+        if now < self.look_at_ms {
+            return Vec::new();
+        }
+        self.look_at_ms = now + self.look_ms();
+        self.due(now)
+    }
+
     /// Whom the module must write anew, by dispatcher and table.
     pub fn due(&mut self, now: f64) -> Vec<(DispatcherId, TableId)> {
         self.ledger.due(now, &self.patience)
