What two kinds of script share stands once: their bounds, words, places and one-time calls

The signature that run and evaluate shared is a vocabulary now. A second end() is told as any other call made twice.

--- a/crates/rookpulley-files/src/read.rs
+++ b/crates/rookpulley-files/src/read.rs
@@ -2,7 +2,7 @@
 #![expect(clippy::too_many_arguments, reason = "a word of the file has as many")]
 
 use rookpulley_lists::{Candidate, Entry};
-use rookpulley_operators::script::{self, BadFile, Bounds};
+use rookpulley_operators::script::{self, BadFile, Vocabulary, once, place_of, said};
 use starlark::any::ProvidesStaticType;
 use starlark::environment::GlobalsBuilder;
 use starlark::eval::Evaluator;
@@ -14,8 +14,13 @@
 use std::path::Path;
 
 /// 10,000 servers take about a megabyte.
-pub const BOUNDS: Bounds = Bounds { bytes: 8 << 20, calls: 200_000 };
-const KNOWN: &str = "generation(), loss(), server() and end()";
+pub const BYTES_MOST: usize = 8 << 20;
+const VOCABULARY: Vocabulary = Vocabulary {
+    words,
+    known: "generation(), loss(), server() and end()",
+    bytes: BYTES_MOST,
+    calls: 200_000,
+};
 
 /// Why a file is not taken. Nothing of it is used then.
 #[derive(Clone, Debug, PartialEq, thiserror::Error)]
@@ -68,11 +73,6 @@
     end: Option<(usize, String)>,
 }
 
-fn said<'a>(eval: &'a Evaluator) -> anyhow::Result<&'a Said> {
-    let said = eval.extra.and_then(|extra| extra.downcast_ref::<Said>());
-    said.ok_or_else(|| anyhow::anyhow!("called outside a server file"))
-}
-
 /// When a server last started: Unix milliseconds, or a time such as 2026-12-01T10:00:00Z.
 fn started(value: Value) -> anyhow::Result<f64> {
     let wrong = || {
@@ -94,15 +94,12 @@
         let number: u64 = number.to_string().parse().map_err(|_| {
             anyhow::anyhow!("generation({number}) is no whole number from 0 on; write one more than before")
         })?;
-        let mut found = said(eval)?.0.borrow_mut();
-        match found.generation.replace(number) {
-            None => Ok(NoneType),
-            Some(_) => Err(anyhow::anyhow!("generation() is called twice; write one call for it")),
-        }
+        once(&mut said::<Said>(eval)?.0.borrow_mut().generation, "generation", number)?;
+        Ok(NoneType)
     }
 
     fn loss(#[starlark(require = pos)] part: UnpackFloat, eval: &mut Evaluator) -> anyhow::Result<NoneType> {
-        said(eval)?.0.borrow_mut().candidate.loss = Some(part.0);
+        said::<Said>(eval)?.0.borrow_mut().candidate.loss = Some(part.0);
         Ok(NoneType)
     }
 
@@ -120,10 +117,7 @@
         let started_ms = started.map(self::started).transpose()?.unwrap_or(0.0);
         let bay =
             u16::try_from(bay).map_err(|_| anyhow::anyhow!("bay = {bay}; write a figure from 0 to 65535"))?;
-        let place = eval.call_stack_top_location().map(|span| {
-            let from = span.resolve_span().begin;
-            (from.line + 1, from.column + 1)
-        });
+        let place = eval.call_stack_top_location().as_ref().map(place_of);
         let entry = Entry {
             name: name.into(),
             address: address.into(),
@@ -135,7 +129,7 @@
             started_ms,
             place,
         };
-        said(eval)?.0.borrow_mut().candidate.entries.push(entry);
+        said::<Said>(eval)?.0.borrow_mut().candidate.entries.push(entry);
         Ok(NoneType)
     }
 
@@ -144,16 +138,14 @@
         #[starlark(require = named)] seal: &str,
         eval: &mut Evaluator,
     ) -> anyhow::Result<NoneType> {
-        let mut found = said(eval)?.0.borrow_mut();
-        match found.end.replace((usize::try_from(servers).unwrap_or(usize::MAX), seal.into())) {
-            None => Ok(NoneType),
-            Some(_) => Err(anyhow::anyhow!("end() is called twice; write it once, as the last line")),
-        }
+        let closing = (usize::try_from(servers).unwrap_or(usize::MAX), seal.into());
+        once(&mut said::<Said>(eval)?.0.borrow_mut().end, "end", closing)?;
+        Ok(NoneType)
     }
 }
 
 fn run(file: &Path, text: &str) -> Result<Found, NotTaken> {
-    let said: Said = script::run(file, text, BOUNDS, words, KNOWN)?;
+    let said: Said = script::run(file, text, &VOCABULARY)?;
     Ok(said.0.into_inner())
 }
 
--- a/crates/rookpulley-files/src/watch.rs
+++ b/crates/rookpulley-files/src/watch.rs
@@ -45,7 +45,7 @@
     mark(path)?;
     let mut bytes = Vec::new();
     let file = File::open(path).map_err(|e| e.to_string())?;
-    file.take(read::BOUNDS.bytes as u64 + 1).read_to_end(&mut bytes).map_err(|e| e.to_string())?;
+    file.take(read::BYTES_MOST as u64 + 1).read_to_end(&mut bytes).map_err(|e| e.to_string())?;
     Ok(bytes)
 }
 
--- a/crates/rookpulley-operators/src/file.rs
+++ b/crates/rookpulley-operators/src/file.rs
@@ -8,7 +8,7 @@
 //! ```
 
 pub use crate::script::BadFile;
-use crate::script::{self, Bounds};
+use crate::script::{self, Vocabulary, once, said};
 use rookpulley_versions::Bounds as Kept;
 use starlark::any::ProvidesStaticType;
 use starlark::environment::GlobalsBuilder;
@@ -58,14 +58,6 @@
     log: Option<LogForm>,
 }
 
-/// Fills a place that may be filled once.
-fn once<T>(place: &mut Option<T>, name: &str, value: T) -> anyhow::Result<()> {
-    match place.replace(value) {
-        None => Ok(()),
-        Some(_) => Err(anyhow::anyhow!("{name}() is called twice; write one call for it")),
-    }
-}
-
 fn within(name: &str, figure: i32, from: i32, to: i32) -> anyhow::Result<usize> {
     match (from..=to).contains(&figure) {
         true => Ok(figure as usize),
@@ -75,11 +67,6 @@
     }
 }
 
-fn said<'a>(eval: &'a Evaluator) -> anyhow::Result<&'a Said> {
-    let said = eval.extra.and_then(|extra| extra.downcast_ref::<Said>());
-    said.ok_or_else(|| anyhow::anyhow!("called outside the operators' file"))
-}
-
 #[starlark_module]
 fn words(builder: &mut GlobalsBuilder) {
     fn address(
@@ -99,7 +86,7 @@
             ));
         }
         let reach = Reach { listen: place, token_file };
-        once(&mut said(eval)?.0.borrow_mut().address, "address", reach)?;
+        once(&mut said::<Said>(eval)?.0.borrow_mut().address, "address", reach)?;
         Ok(NoneType)
     }
 
@@ -110,7 +97,7 @@
     ) -> anyhow::Result<NoneType> {
         let each = within("keep", keep, 2, 1_000)?;
         let bytes = within("megabytes", megabytes, 1, 4_096)? << 20;
-        once(&mut said(eval)?.0.borrow_mut().versions, "versions", Kept { each, bytes })?;
+        once(&mut said::<Said>(eval)?.0.borrow_mut().versions, "versions", Kept { each, bytes })?;
         Ok(NoneType)
     }
 
@@ -118,7 +105,7 @@
         if file.is_empty() {
             return Err(anyhow::anyhow!("file is empty; write the path of the file that lists the servers"));
         }
-        once(&mut said(eval)?.0.borrow_mut().servers, "servers", PathBuf::from(file))?;
+        once(&mut said::<Said>(eval)?.0.borrow_mut().servers, "servers", PathBuf::from(file))?;
         Ok(NoneType)
     }
 
@@ -128,15 +115,21 @@
             "json" => LogForm::Json,
             _ => return Err(anyhow::anyhow!("form = {form:?} is unknown; write \"text\" or \"json\"")),
         };
-        once(&mut said(eval)?.0.borrow_mut().log, "log", form)?;
+        once(&mut said::<Said>(eval)?.0.borrow_mut().log, "log", form)?;
         Ok(NoneType)
     }
 }
 
+const VOCABULARY: Vocabulary = Vocabulary {
+    words,
+    known: "address(), versions(), servers() and log()",
+    bytes: BYTES_MOST,
+    calls: 10_000,
+};
+
 /// Reads a script. `file` is named in errors only.
 pub fn read(file: &Path, text: &str) -> Result<Operators, BadFile> {
-    let bounds = Bounds { bytes: BYTES_MOST, calls: 10_000 };
-    let said: Said = script::run(file, text, bounds, words, "address(), versions(), servers() and log()")?;
+    let said: Said = script::run(file, text, &VOCABULARY)?;
     let Found { address, versions, servers, log } = said.0.into_inner();
     Ok(Operators { address, versions, servers, log: log.unwrap_or_default() })
 }
--- a/crates/rookpulley-operators/src/script.rs
+++ b/crates/rookpulley-operators/src/script.rs
@@ -3,6 +3,7 @@
 
 use crate::plain;
 use starlark::any::AnyLifetime;
+use starlark::codemap::FileSpan;
 use starlark::environment::{Globals, GlobalsBuilder, Module};
 use starlark::eval::Evaluator;
 use starlark::syntax::{AstModule, Dialect, DialectTypes};
@@ -17,13 +18,36 @@
 const STACK: usize = 256 << 20;
 const LOOKED_OVER: usize = 16 * 1024;
 
-/// How much of a script is read.
-#[derive(Clone, Copy, Debug)]
-pub struct Bounds {
+/// What a kind of script may say, and how much of it.
+#[derive(Clone, Copy)]
+pub struct Vocabulary {
+    pub words: fn(&mut GlobalsBuilder),
+    /// The calls there are, as errors name them.
+    pub known: &'static str,
     pub bytes: usize,
     pub calls: u64,
 }
 
+/// What the calls of this script have said so far.
+pub fn said<'s, 'e, S: AnyLifetime<'e>>(eval: &'s Evaluator<'_, '_, 'e>) -> anyhow::Result<&'s S> {
+    let said = eval.extra.and_then(|extra| extra.downcast_ref::<S>());
+    said.ok_or_else(|| anyhow::anyhow!("called outside its script"))
+}
+
+/// Fills a place that may be filled once.
+pub fn once<T>(place: &mut Option<T>, name: &str, value: T) -> anyhow::Result<()> {
+    match place.replace(value) {
+        None => Ok(()),
+        Some(_) => Err(anyhow::anyhow!("{name}() is called twice; write one call for it")),
+    }
+}
+
+/// Line and column of a span's begin, both from 1.
+pub fn place_of(span: &FileSpan) -> (usize, usize) {
+    let from = span.resolve_span().begin;
+    (from.line + 1, from.column + 1)
+}
+
 /// What is wrong with the file, and where.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 #[error("{}{}: {what}", file.display(), place(*at))]
@@ -52,10 +76,7 @@
 };
 
 fn wrong(file: &Path, error: &starlark::Error, known: &str) -> BadFile {
-    let at = error.span().map(|span| {
-        let from = span.resolve_span().begin;
-        (from.line + 1, from.column + 1)
-    });
+    let at = error.span().map(place_of);
     let what = format!("{}", error.without_diagnostic());
     // What a script may not use at all is told by what to write instead.
     let what = match what.lines().next().unwrap_or_default() {
@@ -67,20 +88,14 @@
     BadFile { file: file.into(), at, what }
 }
 
-/// Runs a script and gives what its calls said. `file` is named in errors only, `known` the calls there are.
-pub fn run<S>(
-    file: &Path,
-    text: &str,
-    bounds: Bounds,
-    words: fn(&mut GlobalsBuilder),
-    known: &str,
-) -> Result<S, BadFile>
+/// Runs a script and gives what its calls said. `file` is named in errors only.
+pub fn run<S>(file: &Path, text: &str, vocabulary: &Vocabulary) -> Result<S, BadFile>
 where
     S: Default + Send + for<'e> AnyLifetime<'e>,
 {
     let plain = |what: String| BadFile { file: file.into(), at: None, what };
-    if text.len() > bounds.bytes {
-        return Err(plain(format!("{} bytes are too many; {} are the most", text.len(), bounds.bytes)));
+    if text.len() > vocabulary.bytes {
+        return Err(plain(format!("{} bytes are too many; {} are the most", text.len(), vocabulary.bytes)));
     }
     if text.len() > LOOKED_OVER {
         plain::look_over(text).map_err(|(line, what)| BadFile {
@@ -91,7 +106,7 @@
     }
     std::thread::scope(|scope| {
         let thread = std::thread::Builder::new().stack_size(STACK);
-        let reading = thread.spawn_scoped(scope, || evaluate(file, text, bounds, words, known));
+        let reading = thread.spawn_scoped(scope, || evaluate(file, text, vocabulary));
         let reading = reading.map_err(|e| plain(format!("can't be evaluated: {e}")))?;
         reading.join().unwrap_or_else(|_| Err(plain("can't be evaluated".into())))
     })
@@ -103,30 +118,24 @@
     builder.set("None", NoneType);
 }
 
-fn evaluate<S>(
-    file: &Path,
-    text: &str,
-    bounds: Bounds,
-    words: fn(&mut GlobalsBuilder),
-    known: &str,
-) -> Result<S, BadFile>
+fn evaluate<S>(file: &Path, text: &str, vocabulary: &Vocabulary) -> Result<S, BadFile>
 where
     S: Default + for<'e> AnyLifetime<'e>,
 {
     let plain = |what: String| BadFile { file: file.into(), at: None, what };
-    let name = file.display().to_string();
+    let (name, known) = (file.display().to_string(), vocabulary.known);
     let script = AstModule::parse(&name, text.into(), &DIALECT).map_err(|e| wrong(file, &e, known))?;
     plain::statement(script.statement(), DEPTH_MOST).map_err(|e| {
-        let from = script.codemap().file_span(e.span).resolve_span().begin;
-        BadFile { file: file.into(), at: Some((from.line + 1, from.column + 1)), what: e.what }
+        let at = Some(place_of(&script.codemap().file_span(e.span)));
+        BadFile { file: file.into(), at, what: e.what }
     })?;
-    let globals: Globals = GlobalsBuilder::new().with(constants).with(words).build();
+    let globals: Globals = GlobalsBuilder::new().with(constants).with(vocabulary.words).build();
     let said = S::default();
     Module::with_temp_heap(|module| {
         let mut eval = Evaluator::new(&module);
         eval.extra = Some(&said);
         let bounds = [
-            eval.set_max_tick_count(bounds.calls),
+            eval.set_max_tick_count(vocabulary.calls),
             eval.set_max_heap_size(HEAP_MOST),
             eval.set_max_callstack_size(DEPTH_MOST),
         ];
