A deployment's facts, a plain file's bytes and a folder's mark are each read in one place

The assigner and the command each read zones, machines and kinds out of a start, the command out of raw JSON though rookpulley-start does it; three pieces named a folder, three wrote line and column, and one looked at a message's first letters to see whether it named its file.

--- a/crates/rookpulley-assigner/src/servers.rs
+++ b/crates/rookpulley-assigner/src/servers.rs
@@ -5,7 +5,7 @@
 use crate::say;
 use rookpulley::facts::{ListScope, Listed, Stage, Start};
 use rookpulley_files::watch::{Found, follow};
-use rookpulley_lists::{Facts, Kind, Lists, Told};
+use rookpulley_lists::{Facts, Lists, Told};
 use rookpulley_operators::asks::{ServerList, ServerRow};
 use std::path::PathBuf;
 use std::rc::Rc;
@@ -18,24 +18,9 @@
     pass_at_ms: f64,
 }
 
-/// What lists must fit: the names and kinds of the deployment's settings.
-fn facts(start: &Start, words: &Words) -> Facts {
-    let names = |places: &[u16], of: &[String]| {
-        places.iter().filter_map(|p| of.get(usize::from(*p)).cloned()).collect()
-    };
-    let kinds = start.kinds.iter().map(|k| Kind {
-        name: k.name.clone(),
-        zones: names(&k.zones, &words.zones),
-        machines: names(&k.machines, &words.machines),
-        own_zone: k.own_zone,
-    });
-    let (zones, machines) = (words.zones.clone(), words.machines.clone());
-    Facts { zones, machines, kinds: kinds.collect() }
-}
-
 impl Servers {
     pub fn new(file: PathBuf, start: &Start, words: &Words) -> Self {
-        let lists = Lists::new(facts(start, words), start.bounds.drain_grace_ms);
+        let lists = Lists::new(Facts::of(start, &words.machines), start.bounds.drain_grace_ms);
         Self { file, lists, not_taken: None, pass_at_ms: 0.0 }
     }
 
--- a/crates/rookpulley-cli/src/servers.rs
+++ b/crates/rookpulley-cli/src/servers.rs
@@ -3,9 +3,10 @@
 use crate::call::{CannotAsk, Place};
 use crate::show;
 use clap::Subcommand;
-use rookpulley_files::{read, sealed, written};
+use rookpulley_files::{bytes, read, sealed, written};
 use rookpulley_lists::candidate::{Refused, capacity, check_against, check_alone};
 use rookpulley_lists::{Candidate, Change, Entry, Facts, Planned, plan};
+use rookpulley_operators::BadFile;
 use rookpulley_operators::asks::{Refusal, ServerList};
 use serde_json::{Value, json};
 use std::io::Write;
@@ -54,52 +55,19 @@
 type Done = Result<(String, bool), CannotAsk>;
 
 fn load(file: &Path) -> Result<Candidate, String> {
-    let size = std::fs::metadata(file).map_err(|e| format!("{}: {e}", file.display()))?;
-    if !size.is_file() {
-        return Err(format!("{}: it is no plain file", file.display()));
-    }
-    let bytes = std::fs::read(file).map_err(|e| format!("{}: {e}", file.display()))?;
-    read(file, &bytes).map_err(|e| {
-        let text = e.to_string();
-        if text.starts_with(&file.display().to_string()) {
-            text
-        } else {
-            format!("{}: {text}", file.display())
-        }
-    })
-}
-
-fn names(value: &Value) -> Vec<String> {
-    value.as_array().into_iter().flatten().filter_map(|v| v.as_str().map(String::from)).collect()
+    let bytes = bytes(file).map_err(|e| format!("{}: {e}", file.display()))?;
+    read(file, &bytes).map_err(|e| e.in_file(file))
 }
 
-/// What the configuration says of the deployment. Request kinds that are bound to zones or machines are named in
-/// its settings by place.
+/// What the configuration says of the deployment.
 fn facts(config: &Path) -> Result<Facts, String> {
     let wrong = |what: String| format!("{}: {what}", config.display());
     let text = std::fs::read_to_string(config).map_err(|e| wrong(e.to_string()))?;
     let told: Value = serde_json::from_str(&text).map_err(|e| wrong(e.to_string()))?;
-    let start = rookpulley_start::read_value(0, &told["settings"]).map_err(|e| wrong(e.to_string()))?;
-    let (zones, machines) = (start.place.zones.clone(), names(&told["settings"]["kinds"]));
-    let named = |places: &[u16], of: &[String]| -> Vec<String> {
-        places.iter().filter_map(|p| of.get(usize::from(*p)).cloned()).collect()
-    };
-    let kinds = start.kinds.iter().map(|k| rookpulley_lists::Kind {
-        name: k.name.clone(),
-        zones: named(&k.zones, &zones),
-        machines: named(&k.machines, &machines),
-        own_zone: k.own_zone,
-    });
-    let kinds = kinds.collect();
-    Ok(Facts { zones, machines, kinds })
-}
-
-/// Without a configuration any zone and machine that the file names is believed.
-fn facts_of(list: &Candidate) -> Facts {
-    let mut zones: Vec<String> = list.entries.iter().map(|e| e.zone.clone()).collect();
-    zones.sort();
-    zones.dedup();
-    Facts { zones, ..Facts::default() }
+    let settings = &told["settings"];
+    let start = rookpulley_start::read_value(0, settings).map_err(|e| wrong(e.to_string()))?;
+    let front = rookpulley_start::front_facts(settings).map_err(|e| wrong(e.to_string()))?;
+    Ok(Facts::of(&start, &front.machines))
 }
 
 fn verdict(json: bool, file: &Path, list: Result<&Candidate, &String>, refused: &Refused) -> (String, bool) {
@@ -125,9 +93,9 @@
             )
         }
         Ok(_) => {
-            let place = |at: &Option<(usize, usize)>| at.map_or(String::new(), |(l, c)| format!("{l}:{c}:"));
             let line = |(at, why): &(_, rookpulley_lists::Reason)| {
-                format!("{}:{} {why}\n", file.display(), place(at))
+                let bad = BadFile { file: file.into(), at: *at, what: why.to_string() };
+                format!("{bad}\n")
             };
             let more = if refused.more > 0 { format!("and {} more\n", refused.more) } else { String::new() };
             refused.reasons.iter().map(line).collect::<String>() + &more
@@ -140,7 +108,7 @@
     let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_secs_f64() * 1e3;
     let mut refused = Refused::default();
     let checked = load(file).and_then(|list| {
-        let facts = config.map_or_else(|| Ok(facts_of(&list)), facts)?;
+        let facts = config.map_or_else(|| Ok(Facts::as_named(&list)), facts)?;
         check_alone(now, &list, &facts, &mut refused);
         if let Some(held) = against {
             check_against(&list, &load(held)?, &mut refused);
--- a/crates/rookpulley-files/src/lib.rs
+++ b/crates/rookpulley-files/src/lib.rs
@@ -17,3 +17,4 @@
 
 pub use form::{sealed, written};
 pub use read::{NotTaken, read};
+pub use watch::bytes;
--- a/crates/rookpulley-files/src/read.rs
+++ b/crates/rookpulley-files/src/read.rs
@@ -40,6 +40,16 @@
     Script(#[from] BadFile),
 }
 
+impl NotTaken {
+    /// With the file's name before it, as errors of the script have it already.
+    pub fn in_file(&self, file: &Path) -> String {
+        match self {
+            Self::Script(bad) => bad.to_string(),
+            other => format!("{}: {other}", file.display()),
+        }
+    }
+}
+
 /// What to write where a file is meant to be whole.
 fn instead(body: &str, servers: usize) -> String {
     let closing = closing(body, servers);
--- a/crates/rookpulley-files/src/watch.rs
+++ b/crates/rookpulley-files/src/watch.rs
@@ -40,8 +40,8 @@
     Ok((told.dev(), told.ino(), told.len(), told.modified().ok()))
 }
 
-/// A whole file's bytes, up to one more than are allowed.
-fn bytes(path: &Path) -> Result<Vec<u8>, String> {
+/// A plain file's bytes, up to one more than are allowed.
+pub fn bytes(path: &Path) -> Result<Vec<u8>, String> {
     mark(path)?;
     let mut bytes = Vec::new();
     let file = File::open(path).map_err(|e| e.to_string())?;
@@ -92,9 +92,18 @@
     folder: (u64, u64),
 }
 
+fn folder_of(path: &Path) -> &Path {
+    path.parent().filter(|p| !p.as_os_str().is_empty()).unwrap_or(Path::new("."))
+}
+
+/// What tells one folder from another at the same place.
+fn id(folder: &Path) -> Option<(u64, u64)> {
+    std::fs::metadata(folder).ok().map(|told| (told.dev(), told.ino()))
+}
+
 fn listen(path: &Path, stirred: &Arc<Notify>) -> Option<Ear> {
-    let folder = path.parent().filter(|p| !p.as_os_str().is_empty()).unwrap_or(Path::new("."));
-    let told = std::fs::metadata(folder).ok()?;
+    let folder = folder_of(path);
+    let here = id(folder)?;
     let stir = stirred.clone();
     let watcher = notify::recommended_watcher(move |event: notify::Result<notify::Event>| {
         // Reading the file is an event as well.
@@ -104,7 +113,7 @@
     });
     let mut watcher = watcher.ok()?;
     watcher.watch(folder, RecursiveMode::NonRecursive).ok()?;
-    Some(Ear { _watcher: watcher, folder: (told.dev(), told.ino()) })
+    Some(Ear { _watcher: watcher, folder: here })
 }
 
 /// Follows the file for as long as somebody listens.
@@ -115,9 +124,7 @@
         let (place, stir) = (path.clone(), stirred.clone());
         let looked = tokio::task::spawn_blocking(move || {
             // A folder that was replaced tells nothing of the new one.
-            let folder = place.parent().filter(|p| !p.as_os_str().is_empty()).unwrap_or(Path::new("."));
-            let now = std::fs::metadata(folder).ok().map(|m| (m.dev(), m.ino()));
-            if ear.as_ref().map(|e: &Ear| e.folder) != now {
+            if ear.as_ref().map(|e: &Ear| e.folder) != id(folder_of(&place)) {
                 ear = listen(&place, &stir);
             }
             let news = look(&place, &mut last);
--- a/crates/rookpulley-lists/src/candidate.rs
+++ b/crates/rookpulley-lists/src/candidate.rs
@@ -1,5 +1,6 @@
 //! What a source offers, and the checks that it must pass. A candidate that fails one changes nothing at all.
 
+use rookpulley::facts::Start;
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
 
@@ -60,6 +61,30 @@
     pub kinds: Vec<Kind>,
 }
 
+impl Facts {
+    /// As a start tells them; kinds of machine are named by the front.
+    pub fn of(start: &Start, machines: &[String]) -> Self {
+        let zones = start.place.zones.clone();
+        let names = |places: &[u16], of: &[String]| {
+            places.iter().filter_map(|p| of.get(usize::from(*p)).cloned()).collect()
+        };
+        let kinds = start.kinds.iter().map(|k| Kind {
+            name: k.name.clone(),
+            zones: names(&k.zones, &zones),
+            machines: names(&k.machines, machines),
+            own_zone: k.own_zone,
+        });
+        let kinds = kinds.collect();
+        Self { zones, machines: machines.to_vec(), kinds }
+    }
+
+    /// Where nothing is known of the deployment: any zone and machine that a list names is believed.
+    pub fn as_named(list: &Candidate) -> Self {
+        let zones: BTreeSet<&String> = list.entries.iter().map(|e| &e.zone).collect();
+        Self { zones: zones.into_iter().cloned().collect(), ..Self::default() }
+    }
+}
+
 /// Why a list is refused; each says what to write instead.
 #[derive(Clone, Debug, PartialEq, thiserror::Error)]
 pub enum Reason {
