Each ask is answered in one place; the commands end in one; queries are written by a library

Servers were asked in the driver and refused once more where they never came; two commands had arms that nothing reached; the clock was read by hand in four places and a query escaped by hand.

--- a/crates/rookpulley-assigner/src/driver.rs
+++ b/crates/rookpulley-assigner/src/driver.rs
@@ -16,7 +16,6 @@
 use rookpulley::rules::Controller;
 use rookpulley_files::watch::Found;
 use rookpulley_operators::Asked;
-use rookpulley_operators::asks::{Answer, Ask, Refusal};
 use rookpulley_versions::{Book, Claim, Kinds};
 use std::collections::BTreeMap;
 use std::rc::Rc;
@@ -73,6 +72,12 @@
     }
 }
 
+/// Unix time in milliseconds, by the system's clock.
+pub fn unix_ms() -> f64 {
+    let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    unix.as_secs_f64() * 1e3
+}
+
 /// Milliseconds of Unix time, as the list has them, but never set back or forward.
 pub struct Clock {
     origin_ms: f64,
@@ -81,8 +86,7 @@
 
 impl Clock {
     pub fn start() -> Self {
-        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        Self { origin_ms: unix.as_secs_f64() * 1e3, origin: Instant::now() }
+        Self { origin_ms: unix_ms(), origin: Instant::now() }
     }
 
     pub fn now_ms(&self) -> f64 {
@@ -229,17 +233,9 @@
                     _ => self.front.counters.one("late input of old streams"),
                 }
             }
-            Event::Asked(Asked { ask: Ask::Servers, answer }) => {
-                let instead =
-                    "write servers(file = ...) into the operators' file and start the assigner anew";
-                let none = || Refusal::new(409, "no file lists the servers here", Some(instead));
-                let now = self.clock.now_ms();
-                let shown = self.servers.as_ref().map(|s| Answer::Servers(s.shown(now)));
-                // Whoever asked may have gone.
-                _ = answer.send(shown.unwrap_or_else(|| Answer::Refused { refusal: none() }));
-            }
             Event::Asked(asked) => {
-                let inputs = self.ways_back.take(self.clock.now_ms(), asked, &self.orders);
+                let (now, servers) = (self.clock.now_ms(), self.servers.as_ref());
+                let inputs = self.ways_back.take(now, asked, &self.orders, servers);
                 self.inputs.extend(inputs);
             }
             Event::Ended { conn, proxy, ending } => {
--- a/crates/rookpulley-assigner/src/operators.rs
+++ b/crates/rookpulley-assigner/src/operators.rs
@@ -1,9 +1,10 @@
 //! What operators ask while the assigner runs: answers from the book, and ways back, which the module decides.
 
 use crate::CannotRun;
-use crate::driver::{Event, Front};
+use crate::driver::{Event, Front, unix_ms};
 use crate::messages::server_id;
 use crate::orders::{Orders, places};
+use crate::servers::Servers;
 use rookpulley::facts::{Back, ChannelFacts, Input, TableId};
 use rookpulley_operators::address;
 use rookpulley_operators::asks::{
@@ -17,7 +18,6 @@
 use std::hash::{BuildHasher, RandomState};
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::{SystemTime, UNIX_EPOCH};
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, oneshot};
 
@@ -62,9 +62,8 @@
 /// The book of one start. The start's name must never come again, also where the seed of the configuration
 /// does: its part of chance is the process's own.
 pub fn book(name: &str, keep: Bounds, channel: &ChannelFacts) -> Book {
-    let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
     let chance = RandomState::new().hash_one(std::process::id()) as u32;
-    let start = start_of(unix.as_secs_f64() * 1e3, chance);
+    let start = start_of(unix_ms(), chance);
     Book::new(
         Issuer { assigner: name.into(), start },
         1,
@@ -105,24 +104,26 @@
 
 impl WaysBack {
     /// Answers an ask at once, or gives what the module is to be told for it.
-    pub fn take(&mut self, now: f64, asked: Asked, orders: &Orders) -> Vec<Input> {
+    pub fn take(&mut self, now: f64, asked: Asked, orders: &Orders, servers: Option<&Servers>) -> Vec<Input> {
         let Asked { ask, answer } = asked;
-        let Some(book) = &orders.book else {
-            let instead = "write versions() into the operators' file and start the assigner anew";
-            _ = answer.send(refused(409, "versions are not kept here", instead));
-            return Vec::new();
+        let off = |what: &str, word: &str| {
+            refused(409, what, &format!("write {word} into the operators' file and start the assigner anew"))
         };
-        let said = match ask {
-            Ask::Versions { table } => Ok(versions(&book.history, table)),
-            Ask::Servers => Ok(refused(409, "no file lists the servers here", "see the operators' file")),
-            Ask::Holders => Ok(holders(now, book, orders, &self.held)),
-            Ask::Diff { from, to } => Ok(diff(&book.history, &from, &to)),
-            Ask::Rollback { to, table, all } => go_back(book, &to, table, all),
-            Ask::Release { table } => match table {
-                Some(table) => Err(vec![Input::Release { table }]),
-                None if self.held.is_empty() => Ok(refused(409, "no table is held back", "see holders")),
-                None => Err(self.held.iter().map(|table| Input::Release { table: *table }).collect()),
-            },
+        let said = match (ask, &orders.book, servers) {
+            (Ask::Servers, _, Some(servers)) => Ok(Answer::Servers(servers.shown(now))),
+            (Ask::Servers, ..) => Ok(off("no file lists the servers here", "servers(file = ...)")),
+            (_, None, _) => Ok(off("versions are not kept here", "versions()")),
+            (Ask::Versions { table }, Some(book), _) => Ok(versions(&book.history, table)),
+            (Ask::Holders, Some(book), _) => Ok(holders(now, book, orders, &self.held)),
+            (Ask::Diff { from, to }, Some(book), _) => Ok(diff(&book.history, &from, &to)),
+            (Ask::Rollback { to, table, all }, Some(book), _) => go_back(book, &to, table, all),
+            (Ask::Release { table: Some(table) }, ..) => Err(vec![Input::Release { table }]),
+            (Ask::Release { .. }, ..) if self.held.is_empty() => {
+                Ok(refused(409, "no table is held back", "see holders"))
+            }
+            (Ask::Release { .. }, ..) => {
+                Err(self.held.iter().map(|table| Input::Release { table: *table }).collect())
+            }
         };
         match said {
             Ok(now_known) => {
--- a/crates/rookpulley-cli/src/call.rs
+++ b/crates/rookpulley-cli/src/call.rs
@@ -44,12 +44,6 @@
     token: Option<String>,
 }
 
-/// A version as part of a path.
-pub fn escaped(text: &str) -> String {
-    let plain = |b: u8| b.is_ascii_alphanumeric() || b"-._~".contains(&b);
-    text.bytes().map(|b| if plain(b) { (b as char).to_string() } else { format!("%{b:02X}") }).collect()
-}
-
 impl Place {
     pub fn of(at: SocketAddr, token_file: Option<&Path>) -> Result<Self, CannotAsk> {
         let read = |file: &Path| {
--- a/crates/rookpulley-cli/src/main.rs
+++ b/crates/rookpulley-cli/src/main.rs
@@ -104,41 +104,36 @@
 
 fn ask(given: &Given) -> Result<ExitCode, CannotAsk> {
     let place = || Place::of(given.at, given.token_file.as_deref());
-    if let What::Servers(what) = &given.what {
-        return servers::run(what, given.json, place);
-    }
-    if let What::Check { file } = &given.what {
-        return Ok(check(given.json, file));
-    }
-    let place = place()?;
     let (said, code) = match &given.what {
         What::Versions { table } => {
             let path = table.map_or("/v1/versions".to_string(), |t| format!("/v1/versions?table={t}"));
-            let (_, list) = place.ask::<VersionList>("GET", &path, None)?;
+            let (_, list) = place()?.ask::<VersionList>("GET", &path, None)?;
             (show::either(given.json, &list, || show::versions(&list)), true)
         }
         What::Holders { check } => {
-            let (_, list) = place.ask::<HolderList>("GET", "/v1/holders", None)?;
+            let (_, list) = place()?.ask::<HolderList>("GET", "/v1/holders", None)?;
             let in_step = list.holders.iter().filter(|h| h.joined).all(|h| h.judged == "in step");
             (show::either(given.json, &list, || show::holders(&list)), !check || in_step)
         }
         What::Diff { from, to } => {
-            let path = format!("/v1/diff?from={}&to={}", call::escaped(from), call::escaped(to));
-            let (_, list) = place.ask::<DiffList>("GET", &path, None)?;
+            let mut query = form_urlencoded::Serializer::new(String::new());
+            let query = query.append_pair("from", from).append_pair("to", to).finish();
+            let path = format!("/v1/diff?{query}");
+            let (_, list) = place()?.ask::<DiffList>("GET", &path, None)?;
             (show::either(given.json, &list, || show::diff(&list)), list.lines.is_empty())
         }
         What::Rollback { to, all, table } => {
             let body = json!({"to": to, "all": all, "table": table});
-            let (status, list) = place.ask::<BackList>("POST", "/v1/rollback", Some(&body))?;
+            let (status, list) = place()?.ask::<BackList>("POST", "/v1/rollback", Some(&body))?;
             (show::either(given.json, &list, || show::back(&list)), status == 200)
         }
         What::Release { table, all } => {
             let body: Value = if *all { json!({"all": true}) } else { json!({"table": table}) };
-            let (status, list) = place.ask::<BackList>("POST", "/v1/release", Some(&body))?;
+            let (status, list) = place()?.ask::<BackList>("POST", "/v1/release", Some(&body))?;
             (show::either(given.json, &list, || show::back(&list)), status == 200)
         }
-        // Answered above.
-        What::Servers(_) | What::Check { .. } => (String::new(), true),
+        What::Servers(what) => servers::run(what, given.json, place)?,
+        What::Check { file } => return Ok(check(given.json, file)),
     };
     print!("{said}");
     Ok(if code { ExitCode::SUCCESS } else { ExitCode::from(1) })
--- a/crates/rookpulley-cli/src/servers.rs
+++ b/crates/rookpulley-cli/src/servers.rs
@@ -11,8 +11,6 @@
 use serde_json::{Value, json};
 use std::io::Write;
 use std::path::{Path, PathBuf};
-use std::process::ExitCode;
-use std::time::{SystemTime, UNIX_EPOCH};
 
 #[derive(Subcommand)]
 pub enum Servers {
@@ -51,9 +49,6 @@
     Write,
 }
 
-/// What a command printed and whether all is well; or why it could not.
-type Done = Result<(String, bool), CannotAsk>;
-
 fn load(file: &Path) -> Result<Candidate, String> {
     let bytes = bytes(file).map_err(|e| format!("{}: {e}", file.display()))?;
     read(file, &bytes).map_err(|e| e.in_file(file))
@@ -105,11 +100,10 @@
 }
 
 fn check(json: bool, file: &Path, config: Option<&Path>, against: Option<&Path>) -> (String, bool) {
-    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_secs_f64() * 1e3;
     let mut refused = Refused::default();
     let checked = load(file).and_then(|list| {
         let facts = config.map_or_else(|| Ok(Facts::as_named(&list)), facts)?;
-        check_alone(now, &list, &facts, &mut refused);
+        check_alone(show::unix_ms(), &list, &facts, &mut refused);
         if let Some(held) = against {
             check_against(&list, &load(held)?, &mut refused);
         }
@@ -215,41 +209,35 @@
     CannotAsk::No(Refusal::new(400, why, None))
 }
 
+/// What a command prints, and whether all is well.
 pub fn run(
     what: &Servers,
     json: bool,
     place: impl Fn() -> Result<Place, CannotAsk>,
-) -> Result<ExitCode, CannotAsk> {
-    let done: Done = match what {
-        Servers::Check { file, config, against } => {
-            Ok(check(json, file, config.as_deref(), against.as_deref()))
+) -> Result<(String, bool), CannotAsk> {
+    Ok(match what {
+        Servers::Check { file, config, against } => check(json, file, config.as_deref(), against.as_deref()),
+        Servers::Seal { file } => {
+            let said = seal(file).map_err(failed)?;
+            let object = || json!({"ok": true, "what": said.trim_end()}).to_string() + "\n";
+            (if json { object() } else { said }, true)
         }
-        Servers::Seal { file } => Ok(match seal(file) {
-            Ok(said) if json => (json!({"ok": true, "what": said.trim_end()}).to_string() + "\n", true),
-            Ok(said) => (said, true),
-            Err(why) => return Err(failed(why)),
-        }),
         Servers::Plan { file, against } => {
             let before = match against {
                 Some(other) => load(other),
                 None => Ok(held(&place()?)?.1),
             };
-            Ok(match (load(file), before) {
-                (Ok(list), Ok(before)) => (planned(json, file, &list, &before), true),
-                (Err(why), _) | (_, Err(why)) => return Err(failed(why)),
-            })
+            let list = load(file).map_err(failed)?;
+            (planned(json, file, &list, &before.map_err(failed)?), true)
         }
         Servers::Show => {
             let (list, _) = held(&place()?)?;
-            Ok((show::either(json, &list, || shown(&list)), list.not_taken.is_none()))
+            (show::either(json, &list, || shown(&list)), list.not_taken.is_none())
         }
         Servers::Write => {
             let (_, mut list) = held(&place()?)?;
             list.generation += 1;
-            Ok((written(&list), true))
+            (written(&list), true)
         }
-    };
-    let (said, well) = done?;
-    print!("{said}");
-    Ok(if well { ExitCode::SUCCESS } else { ExitCode::from(1) })
+    })
 }
--- a/crates/rookpulley-cli/src/show.rs
+++ b/crates/rookpulley-cli/src/show.rs
@@ -25,9 +25,12 @@
     if yes { "yes".into() } else { String::new() }
 }
 
-fn ago(unix_ms: f64) -> String {
-    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_secs_f64();
-    let seconds = (now - unix_ms / 1e3).max(0.0);
+pub fn unix_ms() -> f64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_secs_f64() * 1e3
+}
+
+fn ago(at_ms: f64) -> String {
+    let seconds = (unix_ms() - at_ms).max(0.0) / 1e3;
     match seconds {
         s if s < 120.0 => format!("{s:.0} s"),
         s if s < 7_200.0 => format!("{:.0} min", s / 60.0),
--- a/crates/rookpulley-operators/src/address.rs
+++ b/crates/rookpulley-operators/src/address.rs
@@ -101,7 +101,7 @@
     let (path, query) = (head.uri.path(), head.uri.query().unwrap_or_default());
     let ask: Ask = asks::read(head.method.as_str(), path, query, &body)?;
     let (answer, answered) = oneshot::channel();
-    let ends = |_| Refusal::new(503, "the assigner ends", None);
-    asks.send(Asked { ask, answer }).await.map_err(|_| ends(()))?;
-    answered.await.map_err(|_| ends(()))
+    let ends = || Refusal::new(503, "the assigner ends", None);
+    asks.send(Asked { ask, answer }).await.map_err(|_| ends())?;
+    answered.await.map_err(|_| ends())
 }
