--- a/crates/rookpulley-versions/src/book.rs
+++ b/crates/rookpulley-versions/src/book.rs
@@ -16,13 +16,9 @@
 /// Those that left are shown for so long.
 const SHOWN_MS: f64 = 600_000.0;
 
-/// In the time that an answer takes, those that are late are looked for so often.
-const LOOKS: f64 = 8.0;
-
 pub struct Book {
     pub history: History,
     pub ledger: Ledger,
-    patience: Patience,
     /// What a dispatcher said at its joining, by request kinds, until its tables are known.
     brought: BTreeMap<DispatcherId, BTreeMap<Kinds, Claim>>,
     /// Which table a dispatcher has for which request kinds.
@@ -40,8 +36,7 @@
         let (brought, bound, users) = (BTreeMap::new(), BTreeMap::new(), BTreeMap::new());
         Self {
             history: History::new(issuer, first, bounds),
-            ledger: Ledger::default(),
-            patience,
+            ledger: Ledger::new(patience),
             brought,
             bound,
             users,
@@ -72,7 +67,7 @@
     pub fn issue(&mut self, now: f64, id: TableId, table: Table) -> Option<Version> {
         let issued = self.history.issue(now, id, table);
         for who in self.users.get(&id).into_iter().flatten().filter(|_| issued.is_some()) {
-            self.ledger.newer(now, *who, id, &self.patience);
+            self.ledger.newer(now, *who, id);
         }
         issued
     }
@@ -83,7 +78,7 @@
         self.users.entry(id).or_default().insert(dispatcher);
         let brought = self.brought.get_mut(&dispatcher).and_then(|b| b.remove(&kinds));
         if let Some(claim) = brought {
-            self.ledger.brings(now, dispatcher, id, claim, &self.patience, &mut self.history);
+            self.ledger.brings(now, dispatcher, id, claim, &mut self.history);
         }
     }
 
@@ -136,7 +131,7 @@
     pub fn wrote(&mut self, now: f64, dispatcher: DispatcherId, tables: &[TableId], mark: Option<u64>) {
         let number = |id: &TableId| Some((*id, self.history.newest(*id)?.version.number));
         let versions: Vec<_> = tables.iter().filter_map(number).collect();
-        self.ledger.told(now, dispatcher, &versions, mark, &self.patience, &mut self.history);
+        self.ledger.told(now, dispatcher, &versions, mark, &mut self.history);
     }
 
     /// An answer to a mark, with what is held where that is said.
@@ -148,24 +143,24 @@
         claims: &BTreeMap<Kinds, Claim>,
     ) {
         if !self.speaks(dispatcher) {
-            return self.ledger.answers(now, dispatcher, mark, &self.patience, &mut self.history);
+            return self.ledger.answers(now, dispatcher, mark, &mut self.history);
         }
         let by_table =
             |(kinds, claim): (&Kinds, &Claim)| Some((self.table_for(dispatcher, *kinds)?, claim.clone()));
         let claims = claims.iter().filter_map(by_table).collect();
-        self.ledger.answers_with(now, dispatcher, mark, &claims, &self.patience, &mut self.history);
+        self.ledger.answers_with(now, dispatcher, mark, &claims, &mut self.history);
     }
 
     /// It refused an order and holds this.
     pub fn refuses(&mut self, now: f64, dispatcher: DispatcherId, kinds: Kinds, claim: Option<Claim>) {
         if let Some(id) = self.table_for(dispatcher, kinds) {
-            self.ledger.refuses(now, dispatcher, id, claim, &self.patience, &mut self.history);
+            self.ledger.refuses(now, dispatcher, id, claim, &mut self.history);
         }
     }
 
     /// So often it is worth while to ask who is due.
     pub fn look_ms(&self) -> f64 {
-        self.patience.answer_ms / LOOKS
+        self.ledger.look_ms()
     }
 
     /// Tables that were owed for want of room in a message, once.
@@ -184,7 +179,7 @@
 
     /// Whom the module must write anew, by dispatcher and table.
     pub fn due(&mut self, now: f64) -> Vec<(DispatcherId, TableId)> {
-        self.ledger.due(now, &self.patience)
+        self.ledger.due(now)
     }
 
     /// The lines to go back to, by table: those of one version, or of all tables at its moment.
--- a/crates/rookpulley-versions/src/ledger.rs
+++ b/crates/rookpulley-versions/src/ledger.rs
@@ -103,6 +103,8 @@
 const ANSWER_WAYS: f64 = 2.0;
 const ANSWER_WORK_MS: f64 = 100.0;
 const AGAIN_MOST_MS: f64 = 30_000.0;
+/// In the time that an answer takes, those that are late are looked for so often.
+const LOOKS: f64 = 8.0;
 
 impl Patience {
     /// For a channel that takes so long at most.
@@ -156,8 +158,8 @@
     tables: Vec<(TableId, Held)>,
 }
 
-#[derive(Default)]
 pub struct Ledger {
+    patience: Patience,
     entries: BTreeMap<DispatcherId, Entry>,
 }
 
@@ -234,6 +236,15 @@
 }
 
 impl Ledger {
+    pub fn new(patience: Patience) -> Self {
+        Self { patience, entries: BTreeMap::new() }
+    }
+
+    /// So often it is worth while to ask who is due.
+    pub fn look_ms(&self) -> f64 {
+        self.patience.answer_ms / LOOKS
+    }
+
     pub fn entries(&self) -> impl Iterator<Item = (DispatcherId, &Entry)> {
         self.entries.iter().map(|(id, entry)| (*id, entry))
     }
@@ -254,11 +265,10 @@
         let Some(entry) = self.entries.get_mut(&dispatcher) else { return };
         (entry.joined, entry.heard_ms) = (false, now);
         entry.asked.clear();
-        let still = Patience { answer_ms: 0.0, again_ms: 0.0, again_most_ms: 0.0 };
         for (_, held) in &mut entry.tables {
             repin(held, history, |held| (held.told, held.confirmed) = (None, None));
             held.on_way.clear();
-            held.step(now, Cue::Breaks, &still);
+            held.step(now, Cue::Breaks, &self.patience);
         }
     }
 
@@ -269,7 +279,6 @@
         dispatcher: DispatcherId,
         versions: &[(TableId, u64)],
         mark: Option<u64>,
-        patience: &Patience,
         history: &mut History,
     ) {
         let Some(entry) = self.entries.get_mut(&dispatcher).filter(|e| e.joined) else { return };
@@ -284,7 +293,7 @@
             held.on_way.push_back((place, *number, now));
             let over = held.on_way.len().saturating_sub(MARKS_MOST);
             held.on_way.drain(..over);
-            held.step(now, Cue::Told, patience);
+            held.step(now, Cue::Told, &self.patience);
         }
         if let Some(mark) = mark {
             let over = (entry.asked.len() + 1).saturating_sub(MARKS_MOST);
@@ -301,21 +310,14 @@
     }
 
     /// A newer version of this table was issued, which this dispatcher has.
-    pub fn newer(&mut self, now: f64, dispatcher: DispatcherId, id: TableId, patience: &Patience) {
+    pub fn newer(&mut self, now: f64, dispatcher: DispatcherId, id: TableId) {
         if let Some(held) = self.entries.get_mut(&dispatcher).and_then(|e| e.table_mut(id)) {
-            held.step(now, Cue::Newer, patience);
+            held.step(now, Cue::Newer, &self.patience);
         }
     }
 
     /// An answer to a mark, from one that says nothing of versions: all written before it has been applied.
-    pub fn answers(
-        &mut self,
-        now: f64,
-        dispatcher: DispatcherId,
-        mark: u64,
-        patience: &Patience,
-        history: &mut History,
-    ) {
+    pub fn answers(&mut self, now: f64, dispatcher: DispatcherId, mark: u64, history: &mut History) {
         let Some(entry) = self.entries.get_mut(&dispatcher).filter(|e| e.joined && !e.speaks) else { return };
         let Some(place) = Self::take_answer(entry, now, mark) else { return };
         for (id, held) in &mut entry.tables {
@@ -324,7 +326,7 @@
             let Some(number) = number.or(held.confirmed) else { continue };
             repin(held, history, |held| held.confirmed = Some(number));
             let newest = history.newest(*id).is_some_and(|i| i.version.number == number);
-            held.step(now, if newest { Cue::ProvesNewest } else { Cue::ProvesOlder }, patience);
+            held.step(now, if newest { Cue::ProvesNewest } else { Cue::ProvesOlder }, &self.patience);
         }
     }
 
@@ -336,19 +338,18 @@
         dispatcher: DispatcherId,
         mark: u64,
         claims: &BTreeMap<TableId, Claim>,
-        patience: &Patience,
         history: &mut History,
     ) {
         let Some(entry) = self.entries.get_mut(&dispatcher).filter(|e| e.joined && e.speaks) else { return };
         let Some(place) = Self::take_answer(entry, now, mark) else { return };
         for (id, held) in &mut entry.tables {
             match claims.get(id) {
-                Some(claim) => Self::weigh(now, *id, held, claim.clone(), place, patience, history),
+                Some(claim) => Self::weigh(now, *id, held, claim.clone(), place, &self.patience, history),
                 // It was told of this table and holds none.
                 None if held.on_way.iter().any(|(at, ..)| *at <= place) => {
                     repin(held, history, |held| held.confirmed = None);
                     held.claimed = None;
-                    held.step(now, Cue::ProvesLoss, patience);
+                    held.step(now, Cue::ProvesLoss, &self.patience);
                 }
                 None => {}
             }
@@ -362,12 +363,11 @@
         dispatcher: DispatcherId,
         id: TableId,
         claim: Claim,
-        patience: &Patience,
         history: &mut History,
     ) {
         let Some(entry) = self.entries.get_mut(&dispatcher).filter(|e| e.joined && e.speaks) else { return };
         let place = entry.place;
-        Self::weigh(now, id, entry.table_or_new(id), claim, place, patience, history);
+        Self::weigh(now, id, entry.table_or_new(id), claim, place, &self.patience, history);
     }
 
     /// Weighs a claim made once all up to this place in the stream had come or was lost. The version that it
@@ -416,7 +416,6 @@
         dispatcher: DispatcherId,
         id: TableId,
         claim: Option<Claim>,
-        patience: &Patience,
         history: &mut History,
     ) {
         let Some(entry) = self.entries.get_mut(&dispatcher).filter(|e| e.joined && e.speaks) else { return };
@@ -426,19 +425,19 @@
         let cue = if claim.is_some() && known.is_none() { Cue::Strange } else { Cue::ProvesLoss };
         repin(held, history, |held| held.confirmed = known);
         held.claimed = claim;
-        held.step(now, cue, patience);
+        held.step(now, cue, &self.patience);
     }
 
     /// Time passes: who has been silent for too long, and who is owed a table by now.
-    pub fn due(&mut self, now: f64, patience: &Patience) -> Vec<(DispatcherId, TableId)> {
+    pub fn due(&mut self, now: f64) -> Vec<(DispatcherId, TableId)> {
         let mut due = Vec::new();
         for (id, entry) in self.entries.iter_mut().filter(|(_, e)| e.joined) {
             let waits = entry.asked.front().map(|a| a.at_ms);
             for (table, held) in &mut entry.tables {
                 // What is owed already is waited for by nobody; what was written anew has its own time.
                 let since = held.on_way.front().map(|(_, _, at_ms)| *at_ms).or(waits);
-                if !held.owed && since.is_some_and(|at_ms| now - at_ms > patience.answer_ms) {
-                    held.step(now, Cue::Silent, patience);
+                if !held.owed && since.is_some_and(|at_ms| now - at_ms > self.patience.answer_ms) {
+                    held.step(now, Cue::Silent, &self.patience);
                 }
                 if held.owed && now >= held.owed_at_ms {
                     held.owed = false;
