Tables are walked side by side by a library

Cutting and applying a delta each had the same merge of two sorted lists by hand; itertools does it.

--- a/crates/rookpulley-versions/src/delta.rs
+++ b/crates/rookpulley-versions/src/delta.rs
@@ -2,7 +2,7 @@
 //! applied to anything else it is refused, and what it is applied to stays whole in either case.
 
 use crate::table::{Digest, Name, Table, line_len};
-use std::cmp::Ordering;
+use itertools::{EitherOrBoth, Itertools};
 use std::sync::Arc;
 
 /// The changed lines between two tables, by name; weight 0 takes a line out.
@@ -24,26 +24,23 @@
     Lines(#[from] crate::table::NoTable),
 }
 
+/// The lines of two sorted lists by name, those of one name together.
+fn side_by_side<'a>(
+    a: &'a [(Name, f64)],
+    b: &'a [(Name, f64)],
+) -> impl Iterator<Item = EitherOrBoth<&'a (Name, f64)>> {
+    a.iter().merge_join_by(b, |x, y| x.0.as_bytes().cmp(y.0.as_bytes()))
+}
+
 impl Delta {
     /// The fewest lines that turn one table into the other.
     pub fn between(from: &Table, to: &Table) -> Self {
-        let (a, b) = (from.slice(), to.slice());
-        let (mut i, mut j, mut changes) = (0, 0, Vec::new());
-        while i < a.len() || j < b.len() {
-            let order = match (a.get(i), b.get(j)) {
-                (Some((x, _)), Some((y, _))) => x.as_bytes().cmp(y.as_bytes()),
-                (Some(_), None) => Ordering::Less,
-                _ => Ordering::Greater,
-            };
-            match order {
-                Ordering::Less => changes.push((a[i].0.clone(), 0.0)),
-                Ordering::Greater => changes.push(b[j].clone()),
-                Ordering::Equal if a[i].1 != b[j].1 => changes.push(b[j].clone()),
-                Ordering::Equal => {}
-            }
-            i += usize::from(order.is_le());
-            j += usize::from(order.is_ge());
-        }
+        let change = |both: EitherOrBoth<&(Name, f64)>| match both {
+            EitherOrBoth::Left((name, _)) => Some((name.clone(), 0.0)),
+            EitherOrBoth::Both(a, b) if a == b => None,
+            EitherOrBoth::Both(_, line) | EitherOrBoth::Right(line) => Some(line.clone()),
+        };
+        let changes = side_by_side(from.slice(), to.slice()).filter_map(change).collect();
         Self { from: from.digest(), to: to.digest(), changes }
     }
 
@@ -56,21 +53,8 @@
         changes.sort_by(|x, y| x.0.as_bytes().cmp(y.0.as_bytes()));
         // Lines of weight 0 pass the check and are dropped below.
         Table::of(changes.iter().cloned())?;
-        let (old, mut lines) = (held.slice(), Vec::with_capacity(held.len() + changes.len()));
-        let (mut i, mut j) = (0, 0);
-        while i < old.len() || j < changes.len() {
-            let order = match (old.get(i), changes.get(j)) {
-                (Some((x, _)), Some((y, _))) => x.as_bytes().cmp(y.as_bytes()),
-                (Some(_), None) => Ordering::Less,
-                _ => Ordering::Greater,
-            };
-            let line = if order.is_lt() { &old[i] } else { &changes[j] };
-            if line.1 > 0.0 {
-                lines.push(line.clone());
-            }
-            i += usize::from(order.is_le());
-            j += usize::from(order.is_ge());
-        }
+        let lines = side_by_side(held.slice(), &changes).map(|both| both.reduce(|_, changed| changed));
+        let lines = lines.filter(|(_, weight)| *weight > 0.0).cloned().collect();
         let table = Table::sorted(lines);
         match table.digest() {
             got if got == self.to => Ok(table),
