--- a/crates/rookpulley-files/tests/files.rs
+++ b/crates/rookpulley-files/tests/files.rs
@@ -168,11 +168,6 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig {
-        failure_persistence: None,
-        rng_seed: proptest::test_runner::RngSeed::Fixed(7),
-        ..ProptestConfig::default()
-    })]
     #[test]
     fn whatever_bytes_come_there_is_a_verdict(bytes in prop::collection::vec(any::<u8>(), 0..200)) {
         _ = read(Path::new(FILE), &bytes);
--- a/crates/rookpulley-lists/tests/lists.rs
+++ b/crates/rookpulley-lists/tests/lists.rs
@@ -169,11 +169,6 @@
     assert!(MEMBERSHIP.iter().filter(back).all(|row| row.1 == Cue::Starts), "only a start brings one back");
 }
 
-/// The same in every run; `SEED=n` plays another.
-fn seed() -> u64 {
-    std::env::var("SEED").ok().and_then(|s| s.parse().ok()).unwrap_or(7)
-}
-
 #[derive(Clone, Debug)]
 enum Step {
     Offer { generation: u64, loss: Option<f64>, lines: Vec<(usize, u8, u8, u32)> },
@@ -193,11 +188,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig {
-        failure_persistence: None,
-        rng_seed: proptest::test_runner::RngSeed::Fixed(seed()),
-        ..ProptestConfig::with_cases(400)
-    })]
+    #![proptest_config(ProptestConfig::with_cases(400))]
     #[test]
     fn no_sequence_of_candidates_empties_a_kind_or_brings_a_drained_server_back(steps in prop::collection::vec(step(), 1..40)) {
         let mut lists = Lists::new(facts(), GRACE_MS);
--- a/crates/rookpulley-operators/tests/file.rs
+++ b/crates/rookpulley-operators/tests/file.rs
@@ -95,11 +95,6 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig {
-        failure_persistence: None,
-        rng_seed: proptest::test_runner::RngSeed::Fixed(7),
-        ..ProptestConfig::default()
-    })]
     #[test]
     fn whatever_stands_in_it_the_file_gets_a_verdict(text in "[a-z0-9=()\\[\\]\",.:\n ]{0,80}") {
         _ = told(&text);
--- a/crates/rookpulley-versions/tests/tables.rs
+++ b/crates/rookpulley-versions/tests/tables.rs
@@ -148,11 +148,6 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig {
-        failure_persistence: None,
-        rng_seed: proptest::test_runner::RngSeed::Fixed(7),
-        ..ProptestConfig::default()
-    })]
     #[test]
     fn a_delta_is_minimal_and_ends_where_it_says(a in lines(), b in lines(), other in lines()) {
         let (a, b, other) = (made(&a), made(&b), made(&other));
