--- a/crates/rookpulley-assigner/src/main.rs
+++ b/crates/rookpulley-assigner/src/main.rs
@@ -17,7 +17,7 @@
     /// The operators' own file; what it does not name, and all without one, is off
     #[arg(long, env = "ROOKPULLEY_OPERATORS", value_name = "FILE")]
     operators: Option<PathBuf>,
-    /// Reads both files, says what is wrong with them and ends
+    /// Reads the configuration, and the operators' file where one is named; says what is wrong and ends
     #[arg(long)]
     check: bool,
 }
@@ -27,7 +27,7 @@
     let operators: Operators = operators.unwrap_or_default();
     if given.check {
         config::load(&config::path_from_env()?)?;
-        println!("both files can be used");
+        println!("what was read can be used");
         return Ok(());
     }
     log::begin(operators.log);
