A new server's part follows what the settings are sure it can do, not 30 s for all

The settings say that a server does 0.85 of its work at its start and all of it after 1 s; the module let each have a quarter, and full weight after 30 s (RAMP_MS), so by 25 s 21% of the reqs were late and 12% timed out, at the servers that were not new. Ruled out: processor time (0.05 s in the dearest second), descriptors (551 of 2,048), refused connections (93 in 5 s). At fault: part_of and Turn::Enter, which knew the bound on cold servers only as a guard in jams.

A server whose start the list dates has the part that cold_share and cold_ms are sure of; what was trimmed, struck or comes back without a new start grows over 30 s as before, and no more than is sure.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -91,7 +91,7 @@
                 ListScope::Cached if !dated => Phase::Warm,
                 _ => Phase::Ramping,
             };
-            let ramp_from_ms = if dated { line.started_ms } else { now };
+            let ramp_from_ms = if dated { line.started_ms - RAMP_MS } else { now };
             let (listed, hold_ms, part) = (line.clone(), HOLD_MS, ENTRY_PART);
             self.servers.insert(id, Server { listed, phase, since_ms: now, ramp_from_ms, hold_ms, part });
             if !ready {
@@ -110,7 +110,7 @@
         };
         match turn {
             Turn::Enter => {
-                server.ramp_from_ms = server.listed.started_ms;
+                server.ramp_from_ms = server.listed.started_ms - RAMP_MS;
                 self.heard.retain(|(at, _), _| *at != id);
             }
             Turn::Reenter => server.ramp_from_ms = now,
@@ -135,7 +135,7 @@
     }
 
     /// Judges every server by what was heard; true when one changed.
-    fn judge(&mut self, now: f64, target_ms: f64, jam: bool, log: &mut Log) -> bool {
+    fn judge(&mut self, now: f64, target_ms: f64, jam: bool, bounds: &RuleBounds, log: &mut Log) -> bool {
         let ids: Vec<ServerId> = self.servers.keys().copied().collect();
         let met: Vec<Met> = ids.iter().map(|id| self.met_at(now, *id, HEALTH_SPAN_MS)).collect();
         let means = met.iter().filter(|m| m.good() >= 3.0).map(Met::mean_ms).collect();
@@ -156,7 +156,7 @@
             let used = server.part > 0.0 && age >= HEALTH_SPAN_MS;
             let cue = match server.phase {
                 Phase::Struck if age >= server.hold_ms => Cue::HoldEnds,
-                Phase::Ramping if now - server.ramp_from_ms >= RAMP_MS => Cue::RampEnds,
+                Phase::Ramping if part_of(now, server, 0.0, bounds) >= 1.0 => Cue::RampEnds,
                 // Against what is crashed, hung, cut off or fakes errors. Harm: where all fail, none is.
                 _ if used && met.tries >= FAIL_TRIES && failing(&met) => {
                     if server.listed.stage == Stage::Gone { Cue::Departs } else { Cue::Fails }
@@ -414,7 +414,7 @@
         return 0.0;
     }
     let grown = ENTRY_PART + (1.0 - ENTRY_PART) * (now - server.ramp_from_ms).max(0.0) / RAMP_MS;
-    ((grown * STEPS).floor() / STEPS).clamp(ENTRY_PART, 1.0)
+    ((grown.min(sure) * STEPS).floor() / STEPS).clamp(ENTRY_PART, 1.0)
 }
 
 // ---- Channel pacing -----------------------------------------------------------------------
@@ -608,7 +608,7 @@
         if round || inputs.iter().any(|i| matches!(i, Input::Heard { .. })) {
             let target_ms = self.demand.usual_target_ms(now, &self.kinds);
             let jam = self.valves.mode == Mode::Tight;
-            self.hasty |= self.fleet.judge(now, target_ms, jam, &mut self.log);
+            self.hasty |= self.fleet.judge(now, target_ms, jam, &self.bounds, &mut self.log);
         }
         if round {
             out.push(Effect::Alarm { in_ms: ROUND_MS, name: ROUND });
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -81,6 +81,19 @@
     assert_snapshot!(desk.trace);
 }
 
+#[test]
+fn a_new_server_gets_what_the_settings_are_sure_it_can_do() {
+    let mut soon_warm = start();
+    (soon_warm.bounds.cold_share, soon_warm.bounds.cold_ms) = (0.85, 1_000.0);
+    let mut desk = settled(soon_warm);
+    desk.pass(9_000.0, calm);
+    desk.note("s5 starts; it is sure to do 0.85 of its work at once, and all of it after a second");
+    let started = desk.now();
+    desk.change(5, Stage::Ready, started);
+    desk.pass(2_000.0, calm);
+    assert_snapshot!(desk.trace);
+}
+
 #[test]
 fn what_was_met_before_a_start_is_not_held_against_a_server() {
     let mut desk = settled(start());
