A short queue with drains first: a mass join overran it and held drains past their grace

Each table went out twice, once a kind. At fault: gate (parts of backlog_lines as the only bound, withdrawals before tables), push and Channel::answered (a mark told nothing of a reply's own 25,000 lines), group_kinds (a table a kind, for lanes).

What is not urgent may wait only for as long as keeps the channel busy to the next round; bare proxies, drains (the oldest word first), first tables, levels, changes, in that order; withdrawals that don't fit wait while tables without the server go out. An answer counts up to its proxy's place in the reply. Kinds share a table; lanes go.

tests/fleet.rs plays it on a simulated channel: on the module before, 91862 lines wait, a proxy sends to a drained server at 19.8 s, and fresh proxies wait behind 1,720 others.

--- a/crates/rookpulley-assigner/tests/versions.rs
+++ b/crates/rookpulley-assigner/tests/versions.rs
@@ -103,6 +103,8 @@
     let mut told = told(discovery);
     (told["name"], told["known"]["endpoints"]) = (json!(name), json!(serving(1..=SERVERS)));
     told["limits"]["sockets"] = json!(512);
+    // One kind keeps to a kind of machine, though all servers are of it: so each has a table of its own.
+    told["settings"]["categories"][1]["only_kinds"] = json!([0]);
     told["settings"]["family_info"]["agents"] = json!(dispatchers);
     told["settings"]["family_info"]["push_delay_max_us"] = json!(80_000);
     told["settings"]["family_info"]["transit_us"] = json!(20_000);
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -3,9 +3,6 @@
 //! A front hands `Controller::new` what a start brings, then calls `Controller::handle` with the clock and
 //! what came in; the answer is the list of orders, to be carried out in that order at that time. A killed
 //! controller starts over from its list alone. The interface is `facts.rs`; `ring.rs` keeps sums over time.
-//!
-//! Parts, in order: list & health, demand, arcs, revisions, ramp, channel pacing, retries & levels, and the
-//! controller with the gate that every order passes.
 
 use crate::facts::*;
 use crate::ring::Buckets;
@@ -23,7 +20,6 @@
 const ASK_MOST_MS: f64 = 8_000.0;
 
 // ---- List & health ------------------------------------------------------------------------
-
 /// State, input, next state, effect. What is not here changes nothing.
 const HEALTH: &[(Phase, Cue, Phase, Turn)] = &[
     (Phase::Warm, Cue::Starts, Phase::Ramping, Turn::Enter),
@@ -174,7 +170,6 @@
 }
 
 // ---- Demand -------------------------------------------------------------------------------
-
 const OFF_SHARE: f64 = 0.5;
 const OFF_FOR_MS: f64 = 10_000.0;
 const ZONE_OFF: f64 = 0.2;
@@ -247,7 +242,6 @@
 }
 
 // ---- Arcs ---------------------------------------------------------------------------------
-
 /// A mean proxy's arc reaches over as many servers as spread it so that laying it loads none by over this
 /// part of its share; but all proxies together leave servers most of the connections they accept, and one
 /// controller's proxies can be written anew in a part of its queue.
@@ -310,7 +304,6 @@
 }
 
 // ---- Revisions ----------------------------------------------------------------------------
-
 const DEPTH: usize = 10;
 const TAINT_SPAN_MS: f64 = 3_000.0;
 const TAINT_FACTOR: f64 = 2.0;
@@ -385,22 +378,19 @@
         let (id, was) = (self.id, self.published);
         self.file(was, Verdict::Failed, Lines::new());
         let next = self.recalled().or_else(|| self.newest())?;
-        let what = if next.standing == Standing::Sound { "rolled back to" } else { "all tainted, keeps" };
-        Some(format!(
-            "table {id} revision {was:016x} tainted, {what} {:016x}: {met}, prior {prior:.3}",
-            next.name
-        ))
+        let (sound, to) = (next.standing == Standing::Sound, next.name);
+        let what = if sound { "rolled back to" } else { "all tainted, keeps" };
+        Some(format!("table {id} revision {was:016x} tainted, {what} {to:016x}: {met}, prior {prior:.3}"))
     }
 }
 
 // ---- Ramp ---------------------------------------------------------------------------------
-
 const RAMP_MS: f64 = 30_000.0;
 const ENTRY_PART: f64 = 0.25;
 /// In a jam a cold server waits until it is sure to stand this many times its full work.
 const SURE_IN_JAM: f64 = 2.0;
-/// The same in lanes, and while nobody knows yet.
-const SURE_IN_LANES: f64 = 3.0;
+/// The same while nobody knows yet.
+const SURE_UNKNOWN: f64 = 3.0;
 
 /// The part of its listed weight that a server may have now.
 fn part_of(now: f64, server: &Server, sure_multiple: f64, bounds: &RuleBounds) -> f64 {
@@ -418,10 +408,13 @@
 }
 
 // ---- Channel pacing -----------------------------------------------------------------------
-
 /// How much of the limits deltas may use up, and tables for proxies that have none.
 const DELTAS_PART: f64 = 0.5;
 const BARE_PART: f64 = 0.8;
+/// Withdrawals may use up this much of the queue; the rest is for lines that let a server back uncounted.
+const WITHDRAWN_PART: f64 = 0.9;
+/// So much of the grace may pass before a withdrawal is through.
+const GRACE_PART: f64 = 0.8;
 /// Answers show what has left the channel; till then it is taken to run slow, more so while one is late.
 const SLOW_PART: f64 = 0.25;
 const OVERDUE_PART: f64 = 0.05;
@@ -429,7 +422,7 @@
 
 impl Channel {
     fn pass_time(&mut self, now: f64, lines_per_s: f64, transit_most_ms: f64) {
-        let overdue = self.marks.values().any(|(_, at_ms)| now - at_ms > OVERDUE * transit_most_ms);
+        let overdue = self.waiting() > 0.0 && now - self.moved_ms > OVERDUE * transit_most_ms;
         let part = if overdue { OVERDUE_PART } else { SLOW_PART };
         let sent = (now - self.as_of_ms) / 1e3 * lines_per_s * part;
         (self.left, self.as_of_ms) = ((self.left + sent).min(self.written), now);
@@ -437,7 +430,6 @@
 }
 
 // ---- Retries & levels ---------------------------------------------------------------------
-
 /// State, input, next state, effect.
 const LEVELS: &[(Mode, Flow, Mode, Valve)] = &[
     (Mode::Open, Flow::Jams, Mode::Tight, Valve::Cut),
@@ -471,9 +463,6 @@
 const RAISE_BY: f64 = 1.05;
 const EASY_BY: f64 = 1.3;
 const SLACK_OVER: f64 = 1.2;
-/// Lanes are drawn when no more than this part of what comes could be let in; and their room.
-const LANES_BELOW: f64 = 0.7;
-const LANE_ROOM: f64 = 1.6;
 /// Of each kind so much is let in whatever its value.
 const LEAST_PART: f64 = 0.05;
 const EVERYTHING: f64 = 1e6;
@@ -529,8 +518,6 @@
         };
         let (was, to, lets, arcs) = (self.mode, row.2, self.allowed_per_s, self.reach);
         (self.mode, self.stepped_ms) = (row.2, now);
-        // A jam that no level can ease: the kinds of most value get servers of their own.
-        self.lanes = self.levels == Levels::Ignored && self.allowed_per_s < LANES_BELOW * came;
         let why = format!("{met}, came {came:.0}, lets in {lets:.0} reqs/s, arcs at {arcs:.3}");
         (to != was || arcs != reach_was).then(|| format!("levels {was:?} -> {to:?}: {why}"))
     }
@@ -549,42 +536,25 @@
     EVERYTHING
 }
 
-/// Where no levels can be set, each kind has tables of its own, so that lanes can be drawn.
-fn group_kinds(kinds: &[ReqKind], levels: Levels) -> Vec<KindGroup> {
+/// Kinds that may go to the same servers share tables.
+fn group_kinds(kinds: &[ReqKind]) -> Vec<KindGroup> {
     let mut groups: Vec<KindGroup> = Vec::new();
     for (id, kind) in kinds.iter().enumerate() {
         let place = |k: &ReqKind| (k.zones.clone(), k.machines.clone(), k.own_zone);
-        match groups.iter_mut().find(|g| levels != Levels::Ignored && place(&g.like) == place(kind)) {
+        match groups.iter_mut().find(|g| place(&g.like) == place(kind)) {
             Some(group) => group.kinds.push(id),
             None => groups.push(KindGroup { kinds: vec![id], like: kind.clone() }),
         }
     }
-    // The most bound kinds take their room first, and those of more value their lanes.
-    groups.sort_by(|a, b| b.like.value.total_cmp(&a.like.value));
+    // The most bound kinds take their room first.
     groups.sort_by_key(|g| g.like.zones.is_empty() && g.like.machines.is_empty() && !g.like.own_zone);
     groups
 }
 
-/// Which of `count` servers are kept for one of several kinds in a deep jam, by the work they bring.
-fn lane_of(count: usize, work: &[f64], of: usize) -> std::ops::Range<usize> {
-    let mut from = 0;
-    for k in 0..work.len() - 1 {
-        let share = LANE_ROOM * work[k] / work[k..].iter().sum::<f64>().max(1e-9);
-        let left = count - from;
-        let size = ((share * left as f64).ceil() as usize).clamp(1, left - (work.len() - k - 1));
-        if k == of {
-            return from..from + size;
-        }
-        from += size;
-    }
-    from..count
-}
-
 // ---- The controller and its gate ----------------------------------------------------------
-
 impl Controller {
     pub fn new(now: f64, start: Start) -> Self {
-        let groups = group_kinds(&start.kinds[..start.kinds.len().min(KINDS)], start.habits.levels);
+        let groups = group_kinds(&start.kinds[..start.kinds.len().min(KINDS)]);
         let mut new = Self::blank(now, start, groups);
         (new.ask_again_ms, new.valves.allowed_per_s, new.valves.reach) = (ROUND_MS, EVERYTHING, 1.0);
         // What is done each second is not known before reports cover the span; and up to the first round
@@ -630,8 +600,8 @@
             // One just started, or that hears little, knows of no jam: such ones pushed cold servers over.
             let sure = match self.valves.mode {
                 Mode::Open if now >= self.valves.stepped_ms => 0.0,
-                Mode::Tight if !self.valves.lanes => SURE_IN_JAM,
-                _ => SURE_IN_LANES,
+                Mode::Tight => SURE_IN_JAM,
+                Mode::Open => SURE_UNKNOWN,
             };
             self.fleet.servers.values_mut().for_each(|s| s.part = part_of(now, s, sure, &self.bounds));
             if self.means.slices == 0 {
@@ -660,9 +630,9 @@
             }
             Input::Alarm { name: ASK_AGAIN } => out.push(Effect::Watch { on: true }),
             Input::Note { bytes, .. } => self.demand.take_note(now, bytes),
-            Input::Joined { proxy, zone, usual_per_s, .. } => {
+            Input::Joined { proxy, zone, usual_per_s, fresh } => {
                 let entry = self.demand.named(now, *proxy, *zone, *usual_per_s);
-                (entry.joined, entry.joined_ms) = (true, now);
+                (entry.joined, entry.joined_ms, entry.fresh) = (true, now, *fresh);
                 entry.written = Buckets::new(250.0, 48);
                 self.tables_of(*proxy).for_each(|table| table.bound = false);
                 self.hasty = true;
@@ -674,7 +644,7 @@
                 self.tables_of(*proxy).for_each(|table| (table.bound, table.trial) = (false, None));
             }
             Input::Applied { proxy, mark, .. } => {
-                self.channel.answered(*mark);
+                self.channel.answered(now, *proxy, *mark);
                 for trial in self.tables_of(*proxy).filter_map(|table| table.trial.as_mut()) {
                     if !trial.answered && trial.mark == *mark {
                         (trial.answered, trial.from_ms) = (true, now);
@@ -763,11 +733,10 @@
     /// Drops the servers that are long gone, once no joined proxy can hold them. Their withdrawals are
     /// lifted, so that one that comes back under its id is as good as any new one.
     fn forget(&mut self, now: f64) {
-        let joined = self.demand.joined();
         let gone = |s: &Server| s.phase == Phase::Leaving && s.listed.stage == Stage::Gone;
         let old = self.fleet.servers.iter().filter(|(_, s)| gone(s) && now - s.since_ms >= FORGET_MS);
-        let free = old.filter(|(id, _)| !joined.iter().any(|proxy| self.holds(*proxy, id)));
-        for id in free.map(|(id, _)| *id).collect::<Vec<_>>() {
+        let held = self.holders(&self.demand.joined(), old.map(|(id, _)| id));
+        for (id, _) in held.into_iter().filter(|(_, holders)| holders.is_empty()) {
             self.fleet.servers.remove(&id);
             self.fleet.withdrawals.insert(id, false);
         }
@@ -858,12 +827,6 @@
         let least_lines = LINES_LEAST.min(mean_lines);
         let parts: Lines = ready.iter().map(|s| (s.listed.server, s.part)).collect();
         let all: f64 = ready.iter().map(|s| s.part * s.listed.weight).sum::<f64>().max(1e-9);
-        let came = self.demand.came.over(now, LEVEL_SPAN_MS);
-        let work = |group: &KindGroup| {
-            group.kinds.iter().map(|k| came[*k] * self.kinds[*k].response_target_ms).sum()
-        };
-        let works: Vec<f64> = self.groups.iter().map(work).collect();
-        let lanes = self.valves.lanes;
         let mut taken: Shares = BTreeMap::new();
         for (g, group) in self.groups.iter().enumerate() {
             let (mut rings, mut room) = (BTreeMap::<ZoneId, Vec<&Listed>>::new(), BTreeMap::new());
@@ -872,18 +835,12 @@
                 rings.entry(zone).or_default().push(&s.listed);
                 *room.entry(zone).or_insert(0.0) += s.part * s.listed.weight / all;
             }
-            for (zone, ring) in rings.iter_mut().filter(|(_, ring)| lanes && ring.len() >= works.len()) {
-                *ring = ring[lane_of(ring.len(), &works, g)].to_vec();
-                room.insert(*zone, ring.iter().map(|l| parts[&l.server] * l.weight / all).sum());
-            }
             // What more bound kinds bring to a zone leaves less room there for the others.
             room.iter_mut().for_each(|(z, r)| *r = (*r - taken.get(z).unwrap_or(&0.0)).max(0.0));
             let open: f64 = room.values().sum::<f64>().max(1e-9);
             room.values_mut().for_each(|r| *r /= open);
             let share = self.demand.share_of(now, &group.kinds, self.kinds.len());
-            if !lanes {
-                room.iter().for_each(|(z, r)| *taken.entry(*z).or_insert(0.0) += share * r);
-            }
+            room.iter().for_each(|(z, r)| *taken.entry(*z).or_insert(0.0) += share * r);
             // Arcs that have a place keep it; the others are laid where the ring is loaded least.
             let joined = self.demand.proxies.iter_mut().filter(|(_, p)| p.joined);
             let mut laid: Vec<(&ProxyId, &mut Proxy)> = joined.collect();
@@ -939,7 +896,30 @@
         lines
     }
 
-    /// Every order passes here: withdrawals, levels, and as far as limits reach bare proxies, then deltas.
+    /// What each table of a joined proxy needs: the most urgent first, of drains those of the oldest word.
+    fn needs(&self) -> BTreeSet<Wanted> {
+        let server = |s: &ServerId| self.fleet.servers.get(s);
+        let left = |s: &ServerId| server(s).is_none_or(|s| s.phase == Phase::Leaving);
+        let since = |s: &ServerId| server(s).map_or(0, |s| s.since_ms as u64);
+        // Whoever holds tables of others may hold whatever drains: bound to ours, it does not.
+        let drains = self.fleet.withdrawals.iter().filter(|(_, shut)| **shut).map(|(s, _)| since(s)).min();
+        let need = |p: &Proxy, table: &Table| match (table.bound, drains) {
+            (false, _) if p.fresh => (Need::Bare, 0),
+            (false, Some(since)) => (Need::Drain, since),
+            (false, None) => (Need::Bind, 0),
+            // One whose servers have all left is as good as bare: a lost zone left proxies so.
+            _ if table.held.keys().all(left) => (Need::Bare, 0),
+            _ => match table.held.keys().filter(|s| left(s)).map(since).min() {
+                Some(since) => (Need::Drain, since),
+                None => (Need::Change, 0),
+            },
+        };
+        let joined = |id| self.demand.proxies.get(id).filter(|p: &&Proxy| p.joined);
+        let tables = self.tables.iter().filter_map(|((id, g), t)| Some((need(joined(id)?, t), *id, *g)));
+        tables.map(|((need, since), id, g)| (need, since, id, g)).collect()
+    }
+
+    /// Every order passes here: bare proxies, drains and first tables, withdrawals, levels, then changes.
     fn gate(&mut self, now: f64, out: &mut Vec<Effect>) {
         self.channel.pass_time(now, self.pace.lines_per_s, self.pace.transit_most_ms);
         let joined = self.demand.joined();
@@ -952,89 +932,109 @@
         let most_written = self.demand.proxies.values_mut().map(written).fold(0.0, f64::max);
         let limit = f64::from(self.pace.messages_most);
         let free = limit <= 0.0 || most_written + 1.0 <= limit * BARE_PART;
-        let due = self.fleet.withdrawals.extract_if(.., |_, shut| *shut || free);
-        let mut orders: Vec<_> = due.map(|(server, out)| Effect::Withdraw { server, out }).collect();
-        let head = self.pace.head_lines + 1.0;
-        let mut reached = Reached::new();
-        for id in joined.iter().filter(|_| !orders.is_empty()) {
-            let held = |o: &&Effect| matches!(o, Effect::Withdraw { server, .. } if self.holds(*id, server));
-            let lines = orders.iter().filter(held).count() as f64;
-            _ = (lines > 0.0).then(|| reached.insert(*id, head + lines));
-        }
-        // Levels go to everybody: where the queue has no room for that, they wait.
+        let (mut reached, needs, changes) = (Reached::default(), self.needs(), (Need::Change, 0, 0, 0));
+        self.withdraw(now, free, false, &mut reached, out);
+        needs.range(..changes).for_each(|need| self.push(now, *need, &mut reached, out));
+        self.withdraw(now, free, true, &mut reached, out);
+        // Levels go to everybody: where the queue has no room for that or for all that is urgent, they wait.
         let admits = self.admits(now);
-        let waiting = self.channel.written - self.channel.left + reached.values().sum::<f64>();
+        let head = self.pace.head_lines + 1.0;
         let size = (head + admits.len() as f64) * joined.len() as f64;
-        let room = waiting + size <= self.pace.backlog_lines * DELTAS_PART;
-        if free && room && self.valves.ordered_ms < self.valves.stepped_ms && admits != self.valves.ordered {
+        let waiting = self.channel.waiting() + reached.lines;
+        let fits = !self.hasty && waiting + size <= self.pace.backlog_lines * DELTAS_PART;
+        if free && fits && self.valves.ordered_ms < self.valves.stepped_ms && admits != self.valves.ordered {
             let order = |&(kinds, level, retry): &_| Effect::Admit { table: None, kinds, level, retry };
-            orders.extend(admits.iter().map(order));
-            joined.iter().for_each(|id| *reached.entry(*id).or_insert(head) += admits.len() as f64);
+            drop(out.splice(0..0, admits.iter().map(order)));
+            joined.iter().for_each(|id| reached.add(*id, head, admits.len() as f64));
             (self.valves.ordered, self.valves.ordered_ms) = (admits, now);
         }
-        out.extend(orders);
-        joined.iter().for_each(|id| self.push(now, *id, true, &mut reached, out));
-        joined.iter().for_each(|id| self.push(now, *id, false, &mut reached, out));
-        if !reached.is_empty() {
+        needs.range(changes..).for_each(|need| self.push(now, *need, &mut reached, out));
+        if reached.lines > 0.0 {
             out.push(Effect::Mark { mark: self.channel.next_mark, all: false });
-            self.channel.mark(now, reached.values().sum());
+            self.channel.mark(now, &reached);
             for (id, p) in &mut self.demand.proxies {
-                p.written.add(now, [f64::from(u8::from(reached.contains_key(id)))]);
+                p.written.add(now, [f64::from(u8::from(reached.by_proxy.contains_key(id)))]);
             }
         }
     }
 
-    /// Brings a proxy's tables up to what is published: whole where bare of ours, else by deltas.
-    fn push(&mut self, now: f64, id: ProxyId, urgent: bool, reached: &mut Reached, out: &mut Vec<Effect>) {
-        let part = if urgent { BARE_PART } else { DELTAS_PART };
+    /// How much may wait for what is not urgent. The queue is emptied in order: more than keeps it busy to
+    /// the next round, and till answers tell, only holds up drains. Tables of a mass join did.
+    fn room(&self) -> f64 {
+        let busy_ms = ROUND_MS + 2.0 * self.pace.transit_most_ms;
+        self.pace.backlog_lines.min(self.pace.lines_per_s * busy_ms / 1e3)
+    }
+
+    /// Withdrawals go to whoever still holds the server; more than may wait only after tables without it.
+    fn withdraw(&mut self, now: f64, free: bool, last: bool, reached: &mut Reached, out: &mut Vec<Effect>) {
+        let mut due = self.fleet.withdrawals.clone();
+        due.retain(|_, shut| *shut || free);
+        let (head, level) = (self.pace.head_lines + 1.0, self.valves.ordered.len() as f64);
+        let (room, limit) = (self.room() * BARE_PART, self.pace.backlog_lines * WITHDRAWN_PART);
+        let in_time_ms = GRACE_PART * (self.bounds.drain_grace_ms - self.pace.transit_most_ms);
+        let bound = self.groups.len() as f64 * (LINES_LEAST * self.pace.bind_lines + level + 1.0);
+        let holders = self.holders(&self.demand.joined(), due.keys());
+        let all = holders.values().map(Vec::len).sum::<usize>() as f64 * (head + 1.0);
+        let go = last || self.channel.waiting() + all <= room;
+        for (server, holders) in holders.into_iter().filter(|_| go) {
+            let size: f64 = holders.iter().map(|id| reached.cost(*id, head + level, 1.0)).sum();
+            let waiting = self.channel.waiting() + reached.lines;
+            let age_ms = self.fleet.servers.get(&server).map_or(now, |s| now - s.since_ms);
+            let through_ms = age_ms + (waiting + size) / self.pace.lines_per_s * 1e3;
+            let most = if through_ms < in_time_ms || due.len() as f64 > bound { room } else { limit };
+            if waiting > 0.0 && size > 0.0 && waiting + size > most {
+                self.hasty = true;
+                continue;
+            }
+            holders.into_iter().for_each(|id| reached.add(id, head + level, 1.0));
+            out.extend(self.fleet.withdrawals.remove(&server).map(|out| Effect::Withdraw { server, out }));
+        }
+    }
+
+    /// Brings a proxy's table up to what is published: whole where bare of ours, else by deltas.
+    fn push(&mut self, now: f64, wanted: Wanted, reached: &mut Reached, out: &mut Vec<Effect>) {
+        let (need, _, id, g) = wanted;
+        let part = if need == Need::Change { DELTAS_PART } else { BARE_PART };
         let Some(p) = self.demand.proxies.get_mut(&id) else { return };
-        let zone = p.zone;
-        let written = p.written.over(now, self.pace.messages_over_ms + 500.0)[0];
+        let (zone, written) = (p.zone, p.written.over(now, self.pace.messages_over_ms + 500.0)[0]);
         let most = f64::from(self.pace.messages_most);
-        if most > 0.0 && written + 1.0 > most * part && !reached.contains_key(&id) {
+        if most > 0.0 && written + 1.0 > most * part && !reached.by_proxy.contains_key(&id) {
             return;
         }
-        for (g, group) in self.groups.iter().enumerate() {
-            let Some(table) = self.tables.get(&(id, g)) else { continue };
-            // One whose servers have all left is as good as bare: a lost zone left proxies so.
-            let left = |s| self.fleet.servers.get(s).is_none_or(|s| s.phase == Phase::Leaving);
-            let bare = !table.bound;
-            if urgent != (bare || table.held.keys().all(left)) {
-                continue;
-            }
-            let lines = match table.recalled() {
-                Some(back) => self.usable(&back.lines, (id, g), table),
-                None => self.own_lines(table, id, g),
-            };
-            let changed = lines.iter().filter(|(s, w)| table.held.get(*s) != Some(*w)).map(|(s, w)| (*s, *w));
-            let dropped = table.held.keys().filter(|s| !lines.contains_key(*s)).map(|s| (*s, 0.0));
-            let deltas: Vec<(ServerId, f64)> = changed.chain(dropped).collect();
-            if lines.is_empty() || (deltas.is_empty() && !bare) {
-                continue;
-            }
-            let whole = lines.len() as f64 * self.pace.bind_lines + self.valves.ordered.len() as f64 + 1.0;
-            let size = if bare { whole } else { deltas.len() as f64 };
-            let opening = if reached.contains_key(&id) { 0.0 } else { self.pace.head_lines + 1.0 };
-            let waiting = self.channel.written - self.channel.left + reached.values().sum::<f64>();
-            if waiting + opening + size > self.pace.backlog_lines * part {
-                continue;
-            }
-            *reached.entry(id).or_insert(opening) += size;
-            let prior_bad = self.fleet.met_on(now, zone, &table.held, TAINT_SPAN_MS).bad_share();
-            let Some(table) = self.tables.get_mut(&(id, g)) else { continue };
-            let order = |(server, weight)| Effect::Line { table: table.id, server, weight };
-            out.extend(deltas.into_iter().map(order));
-            if bare {
-                let kinds = mask_of(group.kinds.iter().copied());
-                out.push(Effect::Bind { proxy: id, table: table.id, kinds });
-            }
-            (table.bound, table.held) = (true, lines);
-            let published = table.recalled().or_else(|| table.newest()).map_or(0, |r| r.name);
-            if table.published != published {
-                table.published = published;
-                let mark = self.channel.next_mark;
-                table.trial = Some(Trial { mark, from_ms: now, answered: false, prior_bad });
-            }
+        let Some(table) = self.tables.get(&(id, g)) else { return };
+        let lines = match table.recalled() {
+            Some(back) => self.usable(&back.lines, (id, g), table),
+            None => self.own_lines(table, id, g),
+        };
+        let changed = lines.iter().filter(|(s, w)| table.held.get(*s) != Some(*w)).map(|(s, w)| (*s, *w));
+        let dropped = table.held.keys().filter(|s| !lines.contains_key(*s)).map(|s| (*s, 0.0));
+        let deltas: Vec<(ServerId, f64)> = changed.chain(dropped).collect();
+        let bare = !table.bound;
+        if lines.is_empty() || (deltas.is_empty() && !bare) {
+            return;
+        }
+        let whole = lines.len() as f64 * self.pace.bind_lines + self.valves.ordered.len() as f64 + 1.0;
+        let size = if bare { whole } else { deltas.len() as f64 };
+        let (head, waiting) = (self.pace.head_lines + 1.0, self.channel.waiting() + reached.lines);
+        if waiting + reached.cost(id, head, size) > self.room() * part {
+            self.hasty |= need != Need::Change;
+            return;
+        }
+        reached.add(id, head, size);
+        let prior_bad = self.fleet.met_on(now, zone, &table.held, TAINT_SPAN_MS).bad_share();
+        let Some(table) = self.tables.get_mut(&(id, g)) else { return };
+        let order = |(server, weight)| Effect::Line { table: table.id, server, weight };
+        out.extend(deltas.into_iter().map(order));
+        if bare {
+            let kinds = mask_of(self.groups[g].kinds.iter().copied());
+            out.push(Effect::Bind { proxy: id, table: table.id, kinds });
+        }
+        (table.bound, table.held) = (true, lines);
+        let published = table.recalled().or_else(|| table.newest()).map_or(0, |r| r.name);
+        if table.published != published {
+            table.published = published;
+            let mark = self.channel.next_mark;
+            table.trial = Some(Trial { mark, from_ms: now, answered: false, prior_bad });
         }
     }
 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -7,8 +7,27 @@
 use std::collections::BTreeMap;
 
 pub type Lines = BTreeMap<ServerId, f64>;
-/// The lines that a reply writes, by proxy.
-pub type Reached = BTreeMap<ProxyId, f64>;
+
+/// The lines that a reply writes, by proxy and in all.
+#[derive(Default)]
+pub struct Reached {
+    pub by_proxy: BTreeMap<ProxyId, f64>,
+    pub lines: f64,
+}
+
+impl Reached {
+    /// What writing so many lines to a proxy costs: its message's head too, where it has none yet.
+    pub fn cost(&self, id: ProxyId, head: f64, lines: f64) -> f64 {
+        if self.by_proxy.contains_key(&id) { lines } else { head + lines }
+    }
+
+    pub fn add(&mut self, id: ProxyId, head: f64, lines: f64) {
+        let cost = self.cost(id, head, lines);
+        *self.by_proxy.entry(id).or_insert(0.0) += cost;
+        self.lines += cost;
+    }
+}
+
 pub type Shares = BTreeMap<ZoneId, f64>;
 
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -86,6 +105,8 @@
     pub joined: bool,
     pub joined_ms: f64,
     pub seen_ms: f64,
+    /// It holds no table that was ordered.
+    pub fresh: bool,
     /// The reqs a second that its arc is sized for.
     pub sized_per_s: f64,
     /// What came to it lately, as far as it is known.
@@ -105,6 +126,7 @@
             joined: false,
             joined_ms: now,
             seen_ms: now,
+            fresh: false,
             sized_per_s: per_s,
             met_per_s: per_s,
             came: Buckets::new(1_000.0, 12),
@@ -138,6 +160,22 @@
     pub standing: Standing,
 }
 
+/// What a table of a joined proxy needs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Need {
+    /// A first table, where none was ever ordered or all its servers have left.
+    Bare,
+    /// To lose a server that has left.
+    Drain,
+    /// Our table in the place of another controller's.
+    Bind,
+    /// Whatever has changed.
+    Change,
+}
+
+/// What a table needs, since when (ms), and whose it is.
+pub type Wanted = (Need, u64, ProxyId, usize);
+
 /// A published revision on trial: pushed with this mark, first answered then.
 pub struct Trial {
     pub mark: u64,
@@ -174,15 +212,22 @@
     }
 }
 
+/// One reply in the channel: what had been written up to and with each proxy's message, in their order.
+pub struct Sent {
+    pub before: f64,
+    pub through: Vec<(ProxyId, f64)>,
+}
+
 /// What may still wait in the channel. It is emptied in order, so an answer to a mark shows that
-/// all written before has left; without answers it is taken to run slow.
+/// all written up to that proxy's message has left; without answers it is taken to run slow.
 #[derive(Default)]
 pub struct Channel {
     pub written: f64,
     pub left: f64,
     pub as_of_ms: f64,
-    /// By mark: the lines written before it, and when.
-    pub marks: BTreeMap<u64, (f64, f64)>,
+    /// When an answer last showed that something had left, or the first was written that waits.
+    pub moved_ms: f64,
+    pub marks: BTreeMap<u64, Sent>,
     pub next_mark: u64,
 }
 
@@ -207,8 +252,6 @@
 pub struct Valves {
     pub levels: Levels,
     pub mode: Mode,
-    /// Each kind has servers of its own.
-    pub lanes: bool,
     pub allowed_per_s: f64,
     /// The most that was done a second while nothing jammed.
     pub able_per_s: f64,
@@ -412,11 +455,27 @@
         self.fleet.servers.contains_key(server)
     }
 
-    /// Whether a proxy holds this server; what it holds that is not of our tables is not known.
-    pub(crate) fn holds(&self, proxy: ProxyId, server: &ServerId) -> bool {
-        let tables = self.tables.range((proxy, 0)..=(proxy, usize::MAX)).map(|(_, table)| table);
-        let mut bound = tables.filter(|t| t.bound).peekable();
-        bound.peek().is_none() || bound.any(|t| t.held.contains_key(server))
+    /// Who of these proxies holds which of these servers; what one holds that has none of our tables is not
+    /// known, so it counts for each.
+    pub(crate) fn holders<'a>(
+        &self,
+        proxies: &[ProxyId],
+        servers: impl Iterator<Item = &'a ServerId>,
+    ) -> BTreeMap<ServerId, Vec<ProxyId>> {
+        let mut holders: BTreeMap<ServerId, Vec<ProxyId>> = servers.map(|id| (*id, Vec::new())).collect();
+        let proxies = if holders.is_empty() { &[] } else { proxies };
+        for proxy in proxies {
+            let tables = self.tables.range((*proxy, 0)..=(*proxy, usize::MAX)).map(|(_, table)| table);
+            let mut bound = tables.filter(|t| t.bound).peekable();
+            if bound.peek().is_none() {
+                holders.values_mut().for_each(|of| of.push(*proxy));
+            }
+            for server in bound.flat_map(|t| t.held.keys()) {
+                let of = holders.get_mut(server);
+                _ = of.filter(|of| of.last() != Some(proxy)).map(|of| of.push(*proxy));
+            }
+        }
+        holders
     }
 
     pub(crate) fn tables_of(&mut self, proxy: ProxyId) -> impl Iterator<Item = &mut Table> {
@@ -450,17 +509,35 @@
 }
 
 impl Channel {
-    pub fn answered(&mut self, mark: u64) {
-        if let Some((written, _)) = self.marks.remove(&mark) {
-            self.left = self.left.max(written);
-            self.marks.retain(|_, (w, _)| *w > written);
+    pub fn answered(&mut self, now: f64, proxy: ProxyId, mark: u64) {
+        let Some(sent) = self.marks.get(&mark) else { return };
+        let at = sent.through.binary_search_by_key(&proxy, |(id, _)| *id);
+        let through = at.map_or(sent.before, |at| sent.through[at].1);
+        if through > self.left {
+            (self.left, self.moved_ms) = (through, now);
+            self.marks.retain(|_, s| s.through.last().is_some_and(|(_, all)| *all > through));
         }
     }
 
-    pub fn mark(&mut self, now: f64, lines: f64) {
-        self.marks.insert(self.next_mark, (self.written, now));
+    /// Lines that may still wait.
+    pub fn waiting(&self) -> f64 {
+        self.written - self.left
+    }
+
+    /// One reply is written, a message to each proxy in their order.
+    pub fn mark(&mut self, now: f64, reached: &Reached) {
+        if self.waiting() <= 0.0 {
+            self.moved_ms = now;
+        }
+        let (before, mut all) = (self.written, self.written);
+        let add = |(id, lines): (&ProxyId, &f64)| {
+            all += lines;
+            (*id, all)
+        };
+        let through = reached.by_proxy.iter().map(add).collect();
+        self.marks.insert(self.next_mark, Sent { before, through });
         self.next_mark = (self.next_mark + 1) % 65_536;
-        self.written += lines;
+        self.written = all;
     }
 }
 
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -277,7 +277,7 @@
 #[test]
 fn dear_bindings_wait_for_room() {
     let mut tight = start();
-    (tight.channel.backlog_lines, tight.channel.bind_lines) = (40.0, 2.0);
+    (tight.channel.backlog_lines, tight.channel.bind_lines) = (38.0, 2.0);
     let mut desk = Desk::new(tight, four());
     desk.join(0, 0);
     desk.join(1, 0);
@@ -337,7 +337,7 @@
 }
 
 #[test]
-fn lanes_where_no_level_can_be_set() {
+fn a_jam_where_no_level_can_be_set() {
     let mut ignored = start();
     ignored.habits.levels = Levels::Ignored;
     assert_snapshot!(jam(ignored).trace);
--- /dev/null
+++ b/tests/fleet.rs
@@ -0,0 +1,349 @@
+//! The rules at size: one controller, thousands of proxies, and the channel between them as the settings tell it.
+//! Proxies are simulated: they hold what was written to them, once it has left the channel, and answer.
+
+#[allow(dead_code)]
+mod desk;
+
+use desk::start;
+use rookpulley::facts::*;
+use rookpulley::rules::Controller;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+const TRANSIT_MS: f64 = 240.0;
+
+fn server(n: u16) -> ServerId {
+    let [low, high] = n.to_le_bytes();
+    [10, 0, high, low, 80, 0]
+}
+
+fn listed(n: u16, stage: Stage, started_ms: f64) -> Listed {
+    let (zone, weight) = (n % 3, 2.0);
+    Listed { server: server(n), zone, machine: 0, bay: zone, stage, weight, started_ms }
+}
+
+/// What one proxy holds, and what it was told to shut out.
+#[derive(Default)]
+struct Held {
+    /// By request kind the table it is bound to; a kind without one is served by tables of nobody we know.
+    bound: BTreeMap<KindId, TableId>,
+    tables: BTreeMap<TableId, BTreeSet<ServerId>>,
+    shut: BTreeSet<ServerId>,
+}
+
+#[derive(Clone, Default)]
+struct Message {
+    orders: Vec<Effect>,
+    lines: f64,
+    mark: u64,
+}
+
+struct Rig {
+    controller: Controller,
+    pace: ChannelFacts,
+    grace_ms: f64,
+    kinds: usize,
+    now: f64,
+    alarms: Vec<(f64, u64)>,
+    tables: BTreeMap<TableId, BTreeMap<ServerId, f64>>,
+    users: BTreeMap<TableId, ProxyId>,
+    proxies: BTreeMap<ProxyId, Held>,
+    channel: VecDeque<(ProxyId, Message)>,
+    sent_part: f64,
+    on_the_way: VecDeque<(f64, ProxyId, Message)>,
+    /// When the controller was told that a server drains.
+    told: BTreeMap<ServerId, f64>,
+    joined_ms: BTreeMap<ProxyId, f64>,
+    first_table_ms: BTreeMap<ProxyId, f64>,
+    messages: usize,
+    lines: f64,
+    most_waiting: f64,
+}
+
+impl Rig {
+    fn new(proxies: u32, servers: u16) -> Self {
+        let mut start = start();
+        start.kinds = ["view", "submit"].map(|name| desk::kind(name, 1.0, Repeat::Replayable)).to_vec();
+        (start.place.proxies, start.place.controllers) = (proxies, 5);
+        start.place.zones = ["a", "b", "c"].map(String::from).to_vec();
+        start.bounds.drain_grace_ms = 10_400.0;
+        start.habits.levels = Levels::Ignored;
+        (start.means.cross_zone_price, start.means.conns_least) = (0.08, 170.0);
+        start.channel = ChannelFacts {
+            lines_per_s: 5_200.0,
+            head_lines: 6.0,
+            bind_lines: 2.0,
+            backlog_lines: 59_300.0,
+            messages_most: 0,
+            messages_over_ms: 10_000.0,
+            transit_ms: 100.0,
+            transit_most_ms: TRANSIT_MS,
+        };
+        let (pace, grace_ms, kinds) = (start.channel, start.bounds.drain_grace_ms, start.kinds.len());
+        let now = 100_000.0;
+        let mut rig = Self {
+            controller: Controller::new(now, start),
+            pace,
+            grace_ms,
+            kinds,
+            now,
+            alarms: vec![],
+            tables: BTreeMap::new(),
+            users: BTreeMap::new(),
+            proxies: BTreeMap::new(),
+            channel: VecDeque::new(),
+            sent_part: 0.0,
+            on_the_way: VecDeque::new(),
+            told: BTreeMap::new(),
+            joined_ms: BTreeMap::new(),
+            first_table_ms: BTreeMap::new(),
+            messages: 0,
+            lines: 0.0,
+            most_waiting: 0.0,
+        };
+        let lines = (1..=servers).map(|n| listed(n, Stage::Ready, 0.0)).collect();
+        rig.give(vec![Input::List { scope: ListScope::Cached, version: 1, lines }]);
+        rig
+    }
+
+    fn join(&mut self, proxies: impl Iterator<Item = ProxyId>, fresh: bool) {
+        let of = |proxy| Input::Joined { proxy, zone: proxy % 3, usual_per_s: 0.5, fresh };
+        let inputs: Vec<Input> = proxies.map(of).collect();
+        for input in &inputs {
+            if let Input::Joined { proxy, .. } = input {
+                self.proxies.insert(*proxy, Held::default());
+                self.joined_ms.insert(*proxy, self.now);
+                self.first_table_ms.remove(proxy);
+            }
+        }
+        self.give(inputs);
+    }
+
+    fn list(&mut self, lines: Vec<Listed>) {
+        for line in lines.iter().filter(|l| l.stage != Stage::Ready) {
+            self.told.entry(line.server).or_insert(self.now);
+        }
+        self.give(vec![Input::List { scope: ListScope::Changes, version: 2, lines }]);
+    }
+
+    fn drain(&mut self, servers: impl Iterator<Item = u16>) {
+        self.list(servers.map(|n| listed(n, Stage::Draining, 0.0)).collect());
+    }
+
+    fn give(&mut self, inputs: Vec<Input>) {
+        let effects = self.controller.handle(self.now, &inputs);
+        let mut drafts: BTreeMap<ProxyId, Message> = BTreeMap::new();
+        let mut mark = 0;
+        for effect in effects {
+            let mut to = |proxy: ProxyId, lines: f64| {
+                let draft = drafts.entry(proxy).or_default();
+                draft.orders.push(effect.clone());
+                draft.lines += lines;
+            };
+            match &effect {
+                Effect::Alarm { in_ms, name } => self.alarms.push((self.now + in_ms, *name)),
+                Effect::Line { table, server, weight } => {
+                    let lines = self.tables.entry(*table).or_default();
+                    match *weight > 0.0 {
+                        true => _ = lines.insert(*server, *weight),
+                        false => _ = lines.remove(server),
+                    }
+                    _ = self.users.get(table).map(|proxy| to(*proxy, 1.0));
+                }
+                Effect::Bind { proxy, table, kinds } => {
+                    self.users.insert(*table, *proxy);
+                    let lines = &self.tables[table];
+                    let whole = Effect::Bind { proxy: *proxy, table: *table, kinds: *kinds };
+                    let draft = drafts.entry(*proxy).or_default();
+                    let brings = lines.iter().map(|(server, weight)| Effect::Line {
+                        table: *table,
+                        server: *server,
+                        weight: *weight,
+                    });
+                    draft.lines += 1.0 + 2.0 * lines.len() as f64;
+                    draft.orders.push(whole);
+                    draft.orders.extend(brings);
+                }
+                Effect::Withdraw { server, .. } => {
+                    let bound: BTreeSet<&ProxyId> = self.users.values().collect();
+                    let naming = self.tables.iter().filter(|(_, lines)| lines.contains_key(server));
+                    let known: BTreeSet<&ProxyId> = naming.filter_map(|(t, _)| self.users.get(t)).collect();
+                    let unknown = self.proxies.keys().filter(|p| !bound.contains(p));
+                    unknown.chain(known).for_each(|proxy| to(*proxy, 1.0));
+                }
+                Effect::Admit { .. } => self.proxies.keys().for_each(|proxy| to(*proxy, 1.0)),
+                Effect::Mark { mark: number, .. } => mark = *number,
+                _ => {}
+            }
+        }
+        for (proxy, draft) in drafts {
+            let message = Message { lines: draft.lines + 1.0 + self.pace.head_lines, mark, ..draft };
+            (self.messages, self.lines) = (self.messages + 1, self.lines + message.lines);
+            self.channel.push_back((proxy, message));
+        }
+        let waiting = self.channel.iter().map(|(_, m)| m.lines).sum::<f64>() - self.sent_part;
+        self.most_waiting = self.most_waiting.max(waiting);
+        assert!(waiting <= self.pace.backlog_lines, "{waiting} lines wait at {}", self.now - 100_000.0);
+    }
+
+    fn pass(&mut self, ms: f64) {
+        let end = self.now + ms;
+        while self.now < end {
+            self.now += 20.0;
+            self.sent_part += self.pace.lines_per_s * 0.020;
+            while let Some((proxy, message)) = self.channel.pop_front_if(|(_, m)| m.lines <= self.sent_part) {
+                self.sent_part -= message.lines;
+                self.on_the_way.push_back((self.now + TRANSIT_MS, proxy, message));
+            }
+            if self.channel.is_empty() {
+                self.sent_part = 0.0;
+            }
+            let mut inputs = Vec::new();
+            while let Some((_, proxy, message)) = self.on_the_way.pop_front_if(|(at, ..)| *at <= self.now) {
+                self.apply(proxy, &message);
+                inputs.push(Input::Applied { proxy, mark: message.mark, took_ms: 100.0 });
+            }
+            self.alarms.retain(|(at, name)| {
+                let due = *at <= self.now;
+                inputs.extend(due.then_some(Input::Alarm { name: *name }));
+                !due
+            });
+            if !inputs.is_empty() {
+                self.give(inputs);
+            }
+            if self.now % 100.0 == 0.0 {
+                self.check_drains();
+            }
+        }
+    }
+
+    fn apply(&mut self, proxy: ProxyId, message: &Message) {
+        let Some(held) = self.proxies.get_mut(&proxy) else { return };
+        for order in &message.orders {
+            match order {
+                Effect::Bind { table, kinds, .. } => {
+                    self.first_table_ms.entry(proxy).or_insert(self.now);
+                    held.tables.insert(*table, BTreeSet::new());
+                    (0..self.kinds)
+                        .filter(|k| kinds >> k & 1 == 1)
+                        .for_each(|k| _ = held.bound.insert(k, *table));
+                }
+                Effect::Line { table, server, weight } => match *weight > 0.0 {
+                    true => _ = held.tables.entry(*table).or_default().insert(*server),
+                    false => _ = held.tables.entry(*table).or_default().remove(server),
+                },
+                Effect::Withdraw { server, out: true } => _ = held.shut.insert(*server),
+                Effect::Withdraw { server, out: false } => _ = held.shut.remove(server),
+                _ => {}
+            }
+        }
+    }
+
+    /// No joined proxy may send to a server past the grace after the controller was told that it drains.
+    fn check_drains(&mut self) {
+        let late = |at: &f64, joined: f64| self.now - at.max(joined) > self.grace_ms;
+        for (proxy, held) in &self.proxies {
+            let joined = self.joined_ms[proxy];
+            for (server, _) in self.told.iter().filter(|(_, at)| late(at, joined)) {
+                let bound_to =
+                    |k| held.bound.get(&k).map(|t| held.tables[t].contains(server)).unwrap_or(true);
+                let sends = !held.shut.contains(server) && (0..self.kinds).any(bound_to);
+                assert!(!sends, "p{proxy} still sends to {server:?} at {} ms", self.now - 100_000.0);
+            }
+        }
+    }
+
+    fn bound(&self) -> usize {
+        self.proxies.values().filter(|h| h.bound.len() == self.kinds).count()
+    }
+}
+
+/// 480 proxies of our own on 200 servers, bound and at rest.
+fn at_rest() -> Rig {
+    let mut rig = Rig::new(2_400, 200);
+    rig.join(0..480, true);
+    rig.pass(9_000.0);
+    assert_eq!(rig.bound(), 480);
+    rig
+}
+
+#[test]
+fn a_mass_join_in_the_middle_of_a_drain_keeps_queue_and_grace() {
+    let mut rig = at_rest();
+    rig.drain(1..=30);
+    rig.pass(300.0);
+    // All proxies of four lost assigners come at once; they hold tables that nobody here knows.
+    rig.join(480..2_300, false);
+    for step in 1_u16..=3 {
+        rig.pass(1_300.0);
+        rig.drain(step * 30 + 1..=step * 30 + 30);
+    }
+    rig.pass(20_000.0);
+    assert_eq!(rig.bound(), 2_300, "all are bound in the end");
+    assert!(rig.most_waiting < 3.0 * 5_200.0, "{} lines waited", rig.most_waiting);
+}
+
+#[test]
+fn whoever_holds_no_table_is_served_before_those_who_hold_one() {
+    let mut rig = at_rest();
+    let joined = rig.now;
+    rig.join(480..2_200, false);
+    rig.join(2_200..2_300, true);
+    rig.pass(2_500.0);
+    let late: Vec<ProxyId> = (2_200..2_300).filter(|p| !rig.first_table_ms.contains_key(p)).collect();
+    assert!(late.is_empty(), "{late:?} wait still, {} ms after they joined", rig.now - joined);
+    assert!(rig.bound() < 2_000, "the others are still being bound");
+    rig.pass(15_000.0);
+    assert_eq!(rig.bound(), 2_300);
+}
+
+#[test]
+fn six_in_ten_servers_replaced_within_seven_seconds_keeps_queue_and_grace() {
+    let mut rig = at_rest();
+    for step in 0_u16..6 {
+        let (now, first) = (rig.now, step * 20 + 1);
+        let new = (first + 200..first + 220).map(|n| listed(n, Stage::Ready, now));
+        rig.list(new.collect());
+        rig.pass(600.0);
+        rig.drain(first..first + 20);
+        rig.pass(600.0);
+    }
+    rig.pass(15_000.0);
+}
+
+#[test]
+fn a_release_told_late_and_all_at_once_keeps_queue_and_grace() {
+    let mut rig = at_rest();
+    rig.join(480..1_400, false);
+    // Discovery was silent; then one change has the whole release.
+    let now = rig.now;
+    let new = (201..=290).map(|n| listed(n, Stage::Ready, now - 5_000.0));
+    rig.list((1..=90).map(|n| listed(n, Stage::Draining, 0.0)).chain(new).collect());
+    rig.pass(20_000.0);
+    assert_eq!(rig.bound(), 1_400);
+}
+
+#[test]
+fn one_server_costs_what_the_proxies_that_name_it_cost() {
+    for (proxies, servers) in [(150, 30), (500, 120), (2_400, 200)] {
+        let mut rig = Rig::new(proxies, servers);
+        rig.join(0..proxies as ProxyId / 5, true);
+        rig.pass(9_000.0);
+        let names = |rig: &Rig| {
+            let holds = |h: &Held| h.tables.values().any(|t| t.contains(&server(7)));
+            rig.proxies.values().filter(|h| holds(h)).count()
+        };
+        let holders = names(&rig);
+        (rig.messages, rig.lines) = (0, 0.0);
+        rig.drain(7..=7);
+        rig.pass(700.0);
+        assert!(holders > 0 && rig.messages <= holders, "{} messages, {holders} held it", rig.messages);
+        // A head, a mark, the line that goes and those that come in its place.
+        assert!(rig.lines <= 11.0 * holders as f64, "{} lines to {holders} proxies", rig.lines);
+        rig.pass(1_000.0);
+        assert_eq!(names(&rig), 0);
+        // At rest nothing is written.
+        (rig.messages, rig.lines) = (0, 0.0);
+        rig.pass(3_000.0);
+        assert!(rig.messages == 0, "{} messages at rest", rig.messages);
+    }
+}
