--- /dev/null
+++ b/crates/rookpulley-addressbook/src/read.rs
@@ -0,0 +1,215 @@
+//! From the operator's bytes to the snapshot, or to all that is wrong with them.
+
+use crate::book::{Book, Limits, Service};
+use crate::faults::Faults;
+use crate::json::parse;
+use crate::route::{Route, RouteKind};
+use crate::values::Value;
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::collections::hash_map::Entry;
+
+/// No request is held longer, whatever a route says.
+const DAY_MS: f64 = 86_400_000.0;
+const ABOVE_0: &str = "a number of milliseconds above 0";
+const WEIGHT: &str = "a number from 0 on";
+
+impl Book {
+    /// The operator's configuration as it was sent. Nothing of the bytes is kept.
+    pub fn read(bytes: &[u8]) -> Result<Self, Faults> {
+        let (json, faults) = (parse(bytes)?, RefCell::default());
+        let book = book(Value::top(&json, &faults));
+        let faults = faults.into_inner();
+        match book {
+            Some(book) if faults.is_empty() => Ok(book),
+            _ => Err(faults),
+        }
+    }
+}
+
+/// Goes on after a fault, so that all are noted.
+fn book(top: Value) -> Option<Book> {
+    if !top.is_object() {
+        return None;
+    }
+    let version = top.field("configVersion").whole_needed(1, "a whole number from 1 to 9007199254740991");
+    let limits = limits(top.field("limits"));
+    let (services, places) = services(top.field("services"));
+    let mut routes = Routes::default();
+    for (at, host) in top.field("hostnames").items().enumerate().filter(|(_, host)| host.is_object()) {
+        routes.add_host(at, host, &places);
+    }
+    let mut routes = routes.routes;
+    routes.sort_by(|one, other| (&one.host, &one.prefix).cmp(&(&other.host, &other.prefix)));
+    Some(Book::bound(version?, limits, services, places, routes))
+}
+
+fn limits(limits: Value) -> Limits {
+    if !limits.present() || !limits.is_object() {
+        return Limits::default();
+    }
+    let whole = |field: &'static str, otherwise: u64| {
+        limits.field(field).whole(1, "a whole number above 0").unwrap_or(otherwise)
+    };
+    let usual = Limits::default();
+    Limits {
+        header_bytes: whole("maxHeaderBytes", usual.header_bytes as u64) as usize,
+        body_bytes: whole("maxBodyBytes", usual.body_bytes),
+        header_ms: whole("headerTimeoutMs", usual.header_ms),
+        idle_ms: whole("idleTimeoutMs", usual.idle_ms),
+    }
+}
+
+fn services(list: Value) -> (Vec<Service>, HashMap<String, usize>) {
+    let (mut services, mut places) = (Vec::new(), HashMap::new());
+    for one in list.items().filter(|one| one.is_object()) {
+        let name = one.field("name").text_needed("the service's name");
+        let health = one.field("healthCheckPath");
+        let health_path = health.text().filter(|path| !path.is_empty()).unwrap_or("/health");
+        if !health_path.starts_with('/') {
+            health.note(format!("{health_path:?}"), "a path that begins with \"/\"");
+        }
+        let connections = one.field("maxConnections").whole(0, "a whole number from 0 on").unwrap_or(0);
+        let Some(name) = name else { continue };
+        match places.entry(name.to_string()) {
+            Entry::Occupied(before) => one.field("name").note(
+                format!("{name:?}, as is services[{}].name", before.get()),
+                "each service once, under a name of its own",
+            ),
+            Entry::Vacant(place) => _ = place.insert(services.len()),
+        }
+        services.push(Service {
+            name: name.into(),
+            health_path: health_path.into(),
+            max_connections: u32::try_from(connections).unwrap_or(u32::MAX),
+        });
+    }
+    (services, places)
+}
+
+#[derive(Default)]
+struct Routes {
+    routes: Vec<Route>,
+    /// Where each host and prefix was seen: two that are alike would leave it open which one holds.
+    seen: HashMap<(String, String), (usize, usize)>,
+}
+
+impl Routes {
+    fn add_host(&mut self, at: usize, host: Value, places: &HashMap<String, usize>) {
+        let name = host.field("hostname").text_needed("the host that these rules are for");
+        let name = name.unwrap_or_default().to_ascii_lowercase();
+        for (rule_at, rule) in host.field("pathRules").items().enumerate() {
+            if rule.is_object()
+                && let Some(route) = route(rule, &name, places)
+            {
+                match self.seen.entry((name.clone(), route.prefix.clone())) {
+                    Entry::Occupied(before) => {
+                        let (host, before) = before.get();
+                        rule.field("pathPrefix").note(
+                            format!("{:?}, as it is in hostnames[{host}].pathRules[{before}]", route.prefix),
+                            "each prefix of a host once",
+                        );
+                    }
+                    Entry::Vacant(place) => _ = place.insert((at, rule_at)),
+                }
+                self.routes.push(route);
+            }
+        }
+    }
+}
+
+fn route(rule: Value, host: &str, places: &HashMap<String, usize>) -> Option<Route> {
+    let prefix = rule.field("pathPrefix");
+    let prefix = prefix.text_needed("a path that begins and ends with \"/\"").filter(|text| {
+        let fits = text.starts_with('/') && text.ends_with('/');
+        if !fits {
+            prefix.note(format!("{text:?}"), "a path that begins and ends with \"/\"");
+        }
+        fits
+    });
+    let name = rule.field("name").text().filter(|name| !name.is_empty());
+    let kind = kind(rule.field("routeKind"));
+    let timeout = rule.field("timeoutMs").number_needed(ABOVE_0, |ms| ms > 0.0);
+    let aim = rule.field("targetLatencyMs").number("a number of milliseconds", |ms| ms >= 0.0);
+    let priority = rule.field("priority").whole(0, "a whole number, 0 for the highest").unwrap_or(0);
+    let attempts = rule.field("maxAttempts").whole_needed(1, "a whole number of tasks, at least 1");
+    let targets = targets(rule, places);
+
+    let (prefix, timeout) = (prefix?, timeout?.min(DAY_MS));
+    Some(Route {
+        name: name.map_or_else(|| format!("{host}{prefix}"), String::from),
+        host: host.into(),
+        prefix: prefix.into(),
+        kind: kind?,
+        timeout_ms: timeout,
+        aim_ms: aim.filter(|ms| *ms > 0.0).map_or(timeout, |ms| ms.min(DAY_MS)),
+        priority: u32::try_from(priority).unwrap_or(u32::MAX),
+        attempts: u32::try_from(attempts?).unwrap_or(u32::MAX),
+        targets: targets?,
+    })
+}
+
+fn kind(kind: Value) -> Option<RouteKind> {
+    let instead = "\"read_only\", \"mutating\" or \"download\"";
+    match kind.text_needed(instead)? {
+        "read_only" => Some(RouteKind::ReadOnly),
+        "mutating" => Some(RouteKind::Mutating),
+        "download" => Some(RouteKind::Download),
+        other => {
+            kind.note(format!("{other:?}"), instead);
+            None
+        }
+    }
+}
+
+/// The services that a rule names, with their weights: one by `targetService`, or several by `trafficSplit`. The
+/// one that isn't meant may also stand there empty.
+fn targets(rule: Value, places: &HashMap<String, usize>) -> Option<Vec<(usize, f64)>> {
+    let (single, split) = (rule.field("targetService"), rule.field("trafficSplit"));
+    let named = match single.text() {
+        None if single.present() => return None,
+        named => named.filter(|name| !name.is_empty()),
+    };
+    let shares = if split.present() { split.items().collect() } else { Vec::new() };
+    if named.is_some() && shares.is_empty() {
+        return Some(vec![(service(single, places)?, 1.0)]);
+    }
+    if named.is_some() {
+        split.note("there beside targetService", "one of the two");
+    }
+    if shares.is_empty() {
+        single.note(
+            "missing, and trafficSplit names no service",
+            "the name of a service, or fill trafficSplit",
+        );
+        return None;
+    }
+    weighed(split, &shares, places)
+}
+
+fn weighed(split: Value, shares: &[Value], places: &HashMap<String, usize>) -> Option<Vec<(usize, f64)>> {
+    let shares = shares.iter().filter(|share| share.is_object()).map(|share| {
+        let weight = share.field("weight").number_needed(WEIGHT, |weight| weight >= 0.0);
+        let service = service(share.field("targetService"), places);
+        Some((service?, weight?))
+    });
+    // All are looked at before the first that is faulty ends it.
+    let shares: Vec<Option<(usize, f64)>> = shares.collect();
+    let shares: Vec<(usize, f64)> = shares.into_iter().collect::<Option<_>>()?;
+    let sum: f64 = shares.iter().map(|(_, weight)| weight).sum();
+    if sum > 0.0 && sum.is_finite() {
+        Some(shares)
+    } else {
+        split.note(format!("a list of weights that add up to {sum}"), "weights with a sum above 0");
+        None
+    }
+}
+
+fn service(name: Value, places: &HashMap<String, usize>) -> Option<usize> {
+    let text = name.text_needed("the name of a service")?;
+    let place = places.get(text).copied();
+    if place.is_none() {
+        name.note(format!("{text:?}, which is no service"), "a name that stands under services");
+    }
+    place
+}
--- /dev/null
+++ b/crates/rookpulley-addressbook/src/route.rs
@@ -0,0 +1,53 @@
+//! One route: where its requests go and how long they may take.
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RouteKind {
+    ReadOnly,
+    /// Runs once at most.
+    Mutating,
+    /// Large answers, otherwise as `ReadOnly`.
+    Download,
+}
+
+impl RouteKind {
+    pub fn repeatable(self) -> bool {
+        self != Self::Mutating
+    }
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct Route {
+    pub name: String,
+    /// In lower case.
+    pub host: String,
+    /// Begins and ends with a slash.
+    pub prefix: String,
+    pub kind: RouteKind,
+    /// Above 0 and a day at most, so that it can be turned into any form of time.
+    pub timeout_ms: f64,
+    /// Inside it, an answer earns its full worth.
+    pub aim_ms: f64,
+    /// 0 is the highest.
+    pub priority: u32,
+    /// The tasks that one request may be sent to, at least 1.
+    pub attempts: u32,
+    /// Places in `Book::services`, each with its weight. No weight is below 0, and their sum is above it.
+    pub targets: Vec<(usize, f64)>,
+}
+
+impl Route {
+    /// The place of a service, drawn by weight. `unit` is even over 0 to 1, without 1. A service of weight 0 is
+    /// never drawn, whatever `unit` is.
+    pub fn draw(&self, unit: f64) -> Option<usize> {
+        let sum: f64 = self.targets.iter().map(|(_, weight)| weight).sum();
+        let (mut left, mut drawn) = (unit * sum, None);
+        for (service, weight) in self.targets.iter().filter(|(_, weight)| *weight > 0.0) {
+            drawn = Some(*service);
+            if left < *weight {
+                break;
+            }
+            left -= weight;
+        }
+        drawn
+    }
+}
--- /dev/null
+++ b/crates/rookpulley-chain/src/entry.rs
@@ -0,0 +1,95 @@
+//! Calls that were asked of this office: handed to the head, answered by the tail, given up in time.
+
+use crate::chain::Chain;
+use crate::message::{Asked, Message};
+use crate::{CallKind, Effect, Outcome, State};
+use std::collections::BTreeMap;
+
+/// Callers go elsewhere after a second of silence.
+const GIVE_UP_MS: u64 = 850;
+/// A read that isn't answered is asked again; it changes nothing.
+const READ_AGAIN_MS: u64 = 300;
+/// A head's time older than this is not worth sending.
+const LEDGER_MS: u64 = 700;
+
+struct Pending {
+    kind: CallKind,
+    body: Vec<u8>,
+    asked_ms: u64,
+    attempt: u32,
+    /// The view that it was last sent in, and when.
+    sent: Option<(u64, u64)>,
+    /// The last try, or one before it, may have taken effect.
+    maybe: bool,
+    ghost: bool,
+}
+
+#[derive(Default)]
+pub struct Calls {
+    pending: BTreeMap<u64, Pending>,
+    /// The view, its head, and the time that was heard from it at that moment of our clock.
+    ledger: Option<(u64, u64, u64, u64)>,
+}
+
+impl Calls {
+    pub fn heard_ledger(&mut self, view: u64, head: u64, at_ms: u64, now: u64) {
+        if self.ledger.is_none_or(|(known, _, at, _)| (view, at_ms) >= (known, at)) {
+            self.ledger = Some((view, head, at_ms, now));
+        }
+    }
+}
+
+impl<S: State> Chain<S> {
+    pub(crate) fn call(&mut self, now: u64, token: u64, kind: CallKind, body: Vec<u8>) {
+        let pending =
+            Pending { kind, body, asked_ms: now, attempt: 0, sent: None, maybe: false, ghost: false };
+        self.calls.pending.insert(token, pending);
+        self.forward(now, token);
+    }
+
+    fn forward(&mut self, now: u64, token: u64) {
+        let Some(view) = self.view().filter(|v| v.number <= self.at_work) else { return };
+        let (number, Some(head)) = (view.number, view.head().copied()) else { return };
+        let heard =
+            self.calls.ledger.filter(|(v, h, _, at)| (*v, *h) == (number, head.id) && now < at + LEDGER_MS);
+        let echo = if head.id == self.me.id { self.ledger_time(now) } else { heard.map(|(_, _, at, _)| at) };
+        let (Some(echo), Some(pending)) = (echo, self.calls.pending.get_mut(&token)) else { return };
+        pending.ghost |= pending.maybe;
+        (pending.attempt, pending.sent, pending.maybe) = (pending.attempt + 1, Some((number, now)), true);
+        let from = Asked { office: self.me.id, life: self.me.life, token, attempt: pending.attempt };
+        let (kind, body) = (pending.kind, pending.body.clone());
+        self.send(now, head.id, Message::Forward { view: number, echo, from, kind, body });
+    }
+
+    pub(crate) fn refused(&mut self, now: u64, from: Asked) {
+        _ = now;
+        let pending = self.calls.pending.get_mut(&from.token);
+        if let Some(pending) = pending.filter(|p| p.attempt == from.attempt && from.life == self.me.life) {
+            (pending.sent, pending.maybe) = (None, false);
+        }
+    }
+
+    pub(crate) fn answered(&mut self, from: Asked, body: Vec<u8>) {
+        if from.life == self.me.life && self.calls.pending.remove(&from.token).is_some() {
+            self.out.push(Effect::Answer { token: from.token, outcome: Outcome::Done(body) });
+        }
+    }
+
+    pub(crate) fn tend_calls(&mut self, now: u64) {
+        let decided = self.decided();
+        let late = self.calls.pending.extract_if(.., |_, p| now >= p.asked_ms + GIVE_UP_MS);
+        for (token, pending) in late.collect::<Vec<_>>() {
+            // A read takes no effect, whatever became of it.
+            let none = pending.kind == CallKind::Read || !(pending.maybe || pending.ghost);
+            let outcome = if none { Outcome::Refused } else { Outcome::Unknown };
+            self.out.push(Effect::Answer { token, outcome });
+        }
+        let due = |p: &Pending| match p.sent {
+            None => true,
+            Some((view, at)) => view != decided || (p.kind == CallKind::Read && now >= at + READ_AGAIN_MS),
+        };
+        let again: Vec<u64> =
+            self.calls.pending.iter().filter(|(_, p)| due(p)).map(|(token, _)| *token).collect();
+        again.into_iter().for_each(|token| self.forward(now, token));
+    }
+}
--- /dev/null
+++ b/crates/rookpulley-chain/src/kept.rs
@@ -0,0 +1,137 @@
+//! What stands on the disk, key by key, and how it is read back.
+
+use crate::message::Entry;
+use crate::view::{Ballot, View};
+use serde::{Deserialize, Serialize, de::DeserializeOwned};
+use std::collections::BTreeMap;
+
+/// A change of the store.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Record {
+    Put { key: Vec<u8>, value: Vec<u8> },
+    Delete { key: Vec<u8> },
+}
+
+/// No value is longer: larger ones would go to files of their own.
+const PIECE: usize = 32 << 10;
+/// Decided views that are remembered.
+pub const VIEWS: usize = 16;
+
+/// What an acceptor has promised and accepted for one view number.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Vote {
+    pub number: u64,
+    pub promised: Ballot,
+    pub accepted: Option<(Ballot, View)>,
+}
+
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Head {
+    pub seq: u64,
+    pub at_ms: u64,
+    pub pieces: u32,
+    pub length: u64,
+}
+
+/// All that a disk held.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Kept {
+    pub(crate) installed: u64,
+    pub(crate) never: u64,
+    pub(crate) vote: Vote,
+    pub(crate) views: Vec<View>,
+    pub(crate) snapshot: Option<(Head, Vec<u8>)>,
+    pub(crate) log: Vec<Entry>,
+}
+
+fn bytes<T: Serialize>(value: &T) -> Vec<u8> {
+    postcard::to_allocvec(value).unwrap_or_default()
+}
+
+fn keyed(kind: u8, number: u64) -> Vec<u8> {
+    [&[kind][..], &number.to_be_bytes()].concat()
+}
+
+pub fn put_installed(number: u64) -> Record {
+    Record::Put { key: vec![b'i'], value: bytes(&number) }
+}
+
+pub fn put_never(number: u64) -> Record {
+    Record::Put { key: vec![b'n'], value: bytes(&number) }
+}
+
+pub fn put_vote(vote: &Vote) -> Record {
+    Record::Put { key: vec![b'p'], value: bytes(vote) }
+}
+
+pub fn put_view(view: &View) -> Record {
+    Record::Put { key: keyed(b'v', view.number), value: bytes(view) }
+}
+
+pub fn drop_view(number: u64) -> Record {
+    Record::Delete { key: keyed(b'v', number) }
+}
+
+/// With the view that it came in: what another one left behind its snapshot is no part of this one's log.
+pub fn put_entry(view: u64, entry: &Entry) -> Record {
+    Record::Put { key: keyed(b'e', entry.seq), value: bytes(&(view, entry)) }
+}
+
+pub fn drop_entry(seq: u64) -> Record {
+    Record::Delete { key: keyed(b'e', seq) }
+}
+
+/// A snapshot in the place of the one before, which had so many pieces.
+pub fn put_snapshot(seq: u64, at_ms: u64, snapshot: &[u8], pieces_before: u32) -> (Vec<Record>, u32) {
+    let pieces: Vec<&[u8]> = snapshot.chunks(PIECE).collect();
+    let head = Head { seq, at_ms, pieces: pieces.len() as u32, length: snapshot.len() as u64 };
+    let put = |(n, piece): (usize, &&[u8])| Record::Put { key: keyed(b's', n as u64), value: piece.to_vec() };
+    let mut records: Vec<Record> = pieces.iter().enumerate().map(put).collect();
+    records.extend((head.pieces..pieces_before).map(|n| Record::Delete { key: keyed(b's', n.into()) }));
+    records.push(Record::Put { key: vec![b'S'], value: bytes(&head) });
+    (records, head.pieces)
+}
+
+impl Kept {
+    /// Rebuilds what was kept from the store's rows, in any order. Rows that can't be read are passed over: what is
+    /// written is either whole or was never acknowledged.
+    pub fn read(rows: impl IntoIterator<Item = (Vec<u8>, Vec<u8>)>) -> Self {
+        fn value<T: DeserializeOwned>(bytes: &[u8]) -> Option<T> {
+            postcard::from_bytes(bytes).ok()
+        }
+        let (mut kept, mut pieces, mut head) = (Self::default(), BTreeMap::new(), None::<Head>);
+        let mut log: Vec<(u64, Entry)> = Vec::new();
+        for (key, row) in rows {
+            match key.first() {
+                Some(b'i') => kept.installed = value(&row).unwrap_or(0),
+                Some(b'n') => kept.never = value(&row).unwrap_or(0),
+                Some(b'p') => kept.vote = value(&row).unwrap_or_default(),
+                Some(b'v') => kept.views.extend(value::<View>(&row)),
+                Some(b'e') => log.extend(value(&row)),
+                Some(b'S') => head = value(&row),
+                Some(b's') => _ = pieces.insert(key, row),
+                _ => {}
+            }
+        }
+        kept.views.sort_by_key(|v| v.number);
+        kept.log = log.into_iter().filter(|(view, _)| *view == kept.installed).map(|(_, e)| e).collect();
+        kept.log.sort_by_key(|e| e.seq);
+        if let Some(head) = head {
+            let whole: Vec<u8> = pieces.into_values().take(head.pieces as usize).flatten().collect();
+            if whole.len() as u64 == head.length {
+                let mut next = head.seq + 1;
+                kept.log.retain(|e| {
+                    let follows = e.seq == next;
+                    next += u64::from(follows);
+                    follows
+                });
+                kept.snapshot = Some((head, whole));
+            }
+        }
+        if kept.snapshot.is_none() {
+            // Without its state a disk holds nothing that could be a source; its votes still bind it.
+            (kept.installed, kept.log) = (0, Vec::new());
+        }
+        kept
+    }
+}
--- /dev/null
+++ b/crates/rookpulley-chain/src/lib.rs
@@ -0,0 +1,101 @@
+//! Ordered updates through the machines with a disk, and the agreed view that mends the chain. Free of I/O.
+//!
+//! `view` and `message` hold the values, `kept` what stands on the disk, `votes` the acceptor, `mend` how a new view
+//! comes about, `install` how it is set to work, `flow` updates and reads through a chain at work, `entry` the calls
+//! that were asked of this office. `docs/design/system.md` says why it is right.
+
+mod chain;
+mod entry;
+mod flow;
+mod install;
+mod kept;
+mod mend;
+mod message;
+mod view;
+mod votes;
+
+pub use chain::Chain;
+pub use kept::{Kept, Record};
+pub use message::Message;
+pub use view::{Member, View};
+
+/// What the chain keeps: a state that applies entries, the same everywhere.
+pub trait State {
+    /// `at_ms` is the ledger's time; it never falls and never runs faster than real time.
+    fn apply(&mut self, at_ms: u64, entry: &[u8]) -> Vec<u8>;
+    fn read(&self, ask: &[u8]) -> Vec<u8>;
+    fn snapshot(&self) -> Vec<u8>;
+    fn restore(&mut self, bytes: &[u8]) -> bool;
+}
+
+/// What a start brings.
+pub struct Boot {
+    pub me: Member,
+    /// At the first seed, at the first start, with an empty disk: this one makes the first view.
+    pub founder: bool,
+    /// So many machines may be lost at once with their disks.
+    pub losses: usize,
+    pub seed: u64,
+    pub kept: Option<Kept>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub enum CallKind {
+    Update,
+    Read,
+}
+
+#[derive(Debug)]
+pub enum Input {
+    /// Every 50 ms.
+    Tick,
+    /// An office said who it is.
+    Met {
+        member: Member,
+    },
+    Heard {
+        from: u64,
+        message: Message,
+    },
+    /// All that was written up to this ticket is on the disk.
+    Synced {
+        ticket: u64,
+    },
+    Disk {
+        slow: bool,
+    },
+    Call {
+        token: u64,
+        kind: CallKind,
+        body: Vec<u8>,
+    },
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    Done(Vec<u8>),
+    /// It took no effect and never will.
+    Refused,
+    /// It may or may not have taken effect.
+    Unknown,
+}
+
+#[derive(Debug)]
+pub enum Effect {
+    Send {
+        to: u64,
+        message: Message,
+    },
+    /// To be applied as one, in the order of tickets, and synced.
+    Write {
+        ticket: u64,
+        records: Vec<Record>,
+    },
+    Answer {
+        token: u64,
+        outcome: Outcome,
+    },
+    /// The state here has moved.
+    Applied,
+    Log(String),
+}
--- /dev/null
+++ b/crates/rookpulley-courier/src/attempt.rs
@@ -0,0 +1,234 @@
+//! One try: a request goes to one task, and what comes back is judged.
+
+use crate::bodies::{self, Parcel, Reply, Stream};
+use crate::check::{DEADLINE_MS, strip};
+use crate::head::{Worth, worth};
+use crate::state::Courier;
+use crate::wires::{self, NoWire, Wire};
+use hyper::body::{Body, Incoming};
+use hyper::header::{HeaderMap, HeaderName, HeaderValue};
+use hyper::http::response;
+use hyper::{Method, Request, Response, Uri, Version};
+use rookpulley_round::{Fate, Pick};
+use rookpulley_waybill::Line;
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Duration;
+
+static TARGET_INSTANCE: HeaderName = HeaderName::from_static("target-instance");
+/// The task is told a little less than there is: its answer has a way to go.
+const WAY_MS: f64 = 5.0;
+/// An answer that is not to be passed on is read to its end if that is near, so that the connection can be used again.
+const DRAINED: usize = 64 << 10;
+const DRAIN: Duration = Duration::from_millis(100);
+
+/// A request as it goes to tasks.
+pub struct Errand {
+    pub courier: Rc<Courier>,
+    pub method: Method,
+    pub target: Uri,
+    /// Without those of the client's connection.
+    pub headers: HeaderMap,
+    pub id: HeaderValue,
+    pub once: bool,
+    pub until_ms: f64,
+    pub max_connections: u32,
+}
+
+/// How a try ended, what came of it, and the body where it can go out again.
+pub struct Ended {
+    pub how: How,
+    pub answer: Option<Answer>,
+    pub parcel: Option<Parcel>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum How {
+    Fate(Fate),
+    /// There was no room for another connection.
+    Full,
+    /// Somebody else answered.
+    Stranger,
+}
+
+pub enum Answer {
+    Whole(Response<Reply>),
+    /// Its head and first bytes are here; the connection and the rest come along.
+    Begun(response::Parts, Box<Stream>),
+}
+
+impl Ended {
+    fn so(how: How) -> Ended {
+        Ended { how, answer: None, parcel: None }
+    }
+
+    fn fate(fate: Fate) -> Ended {
+        Ended::so(How::Fate(fate))
+    }
+}
+
+impl Errand {
+    /// `left` turns true once bytes of the request may have left.
+    pub async fn attempt(&self, to: &Line, mut parcel: Parcel, left: &Cell<bool>) -> Ended {
+        let bound = wires::bound(self.max_connections, self.courier.couriers());
+        let mut anew = false;
+        loop {
+            let mut wire = match self.courier.wires.take(to, bound, self.once, anew).await {
+                Ok(wire) => wire,
+                Err(NoWire::Full) => return Ended { parcel: Some(parcel), ..Ended::so(How::Full) },
+                Err(NoWire::Unreachable) => {
+                    return Ended { parcel: Some(parcel), ..Ended::fate(Fate::Unsent) };
+                }
+            };
+            // It may have begun to drain while the connection came up.
+            if self.courier.post.borrow().is_gone(&to.life) {
+                return Ended { parcel: Some(parcel), ..Ended::so(How::Full) };
+            }
+            let request = self.request(to, parcel);
+            left.set(true);
+            match wire.sender.try_send_request(request).await {
+                Ok(answer) => return self.judge(wire, answer).await,
+                Err(mut why) => {
+                    // It comes back only if nothing of it was written.
+                    let Some(back) = why.take_message() else { return Ended::fate(Fate::Broken) };
+                    left.set(false);
+                    parcel = back.into_body();
+                    if !wire.used || anew {
+                        return Ended { parcel: Some(parcel), ..Ended::fate(Fate::Unsent) };
+                    }
+                    anew = true;
+                }
+            }
+        }
+    }
+
+    fn request(&self, to: &Line, parcel: Parcel) -> Request<Parcel> {
+        let mut request = Request::new(parcel);
+        *request.method_mut() = self.method.clone();
+        *request.uri_mut() = self.target.clone();
+        *request.version_mut() = Version::HTTP_11;
+        let headers = request.headers_mut();
+        *headers = self.headers.clone();
+        let left_ms = (self.until_ms - self.courier.now_ms() - WAY_MS).max(1.0) as u64;
+        headers.insert(&DEADLINE_MS, HeaderValue::from(left_ms));
+        if let Ok(life) = HeaderValue::from_str(&to.life) {
+            headers.insert(&TARGET_INSTANCE, life);
+        }
+        request
+    }
+
+    async fn judge(&self, wire: Wire, answer: Response<Incoming>) -> Ended {
+        let (mut head, body) = answer.into_parts();
+        let kept_for = wires::kept_for(&head.headers);
+        match worth(&head, &self.id, &self.method) {
+            Worth::Good => {}
+            Worth::NotExecuted => {
+                drain(wire, body, kept_for);
+                return Ended::fate(Fate::NotExecuted);
+            }
+            Worth::Stranger => return Ended::so(How::Stranger),
+            Worth::EmptyPromise => return Ended::fate(Fate::Broken),
+            Worth::Spoilt => return Ended::fate(Fate::Spoilt),
+        }
+        strip(&mut head.headers);
+        head.version = Version::HTTP_11;
+        self.take_body(wire, head, body, kept_for).await
+    }
+
+    /// Holds the answer until it is whole, if it isn't too long for that.
+    async fn take_body(
+        &self,
+        wire: Wire,
+        head: response::Parts,
+        mut body: Incoming,
+        kept_for: Option<Duration>,
+    ) -> Ended {
+        let status = head.status.as_u16();
+        let length = body.size_hint().exact();
+        let wanted =
+            length.map_or(self.courier.hold_bytes, |length| usize::try_from(length).unwrap_or(usize::MAX));
+        let held = (wanted <= self.courier.hold_bytes).then(|| self.courier.hold(wanted)).flatten();
+        let most = if held.is_some() { self.courier.hold_bytes } else { 0 };
+        let read = match bodies::read(&mut body, most).await {
+            Ok(read) => read,
+            Err(_) => return Ended::fate(Fate::Broken),
+        };
+        let answer = if read.whole {
+            wire.free(kept_for);
+            let bytes = read.joined();
+            Answer::Whole(Response::from_parts(
+                head,
+                match held {
+                    Some(held) => Reply::held(bytes, held),
+                    None => Reply::whole(bytes),
+                },
+            ))
+        } else {
+            let until = Box::pin(tokio::time::sleep_until(self.courier.instant(self.until_ms)));
+            let wire = Some((wire, kept_for));
+            let stream = Stream { chunks: read.chunks, rest: body, left: length, until, wire, trial: None };
+            Answer::Begun(head, Box::new(stream))
+        };
+        Ended { answer: Some(answer), ..Ended::fate(Fate::Answered(status)) }
+    }
+}
+
+fn drain(wire: Wire, mut body: Incoming, kept_for: Option<Duration>) {
+    if body.is_end_stream() {
+        return wire.free(kept_for);
+    }
+    tokio::task::spawn_local(async move {
+        let read = tokio::time::timeout(DRAIN, bodies::read(&mut body, DRAINED)).await;
+        if let Ok(Ok(read)) = read
+            && read.whole
+        {
+            wire.free(kept_for);
+        }
+    });
+}
+
+/// A try as the post counts it: dropped without an end, the client left.
+pub struct Trial {
+    courier: Rc<Courier>,
+    service: Rc<str>,
+    pick: Option<Pick>,
+    began_ms: f64,
+}
+
+impl Trial {
+    pub fn new(courier: &Rc<Courier>, service: &Rc<str>, pick: Pick) -> Trial {
+        let began_ms = courier.now_ms();
+        Trial { courier: courier.clone(), service: service.clone(), pick: Some(pick), began_ms }
+    }
+
+    pub fn settle(self, fate: Fate) {
+        self.end(How::Fate(fate));
+    }
+
+    pub fn end(mut self, how: How) {
+        let Some(pick) = self.pick.take() else { return };
+        let now_ms = self.courier.now_ms();
+        let took_ms = now_ms - self.began_ms;
+        let mut post = self.courier.post.borrow_mut();
+        let fate = match how {
+            How::Fate(fate) => fate,
+            How::Full => return post.full(pick, now_ms),
+            How::Stranger => Fate::NotExecuted,
+        };
+        self.courier.tally.borrow_mut().tried(&self.service, &pick.line.life, fate, took_ms);
+        if how == How::Stranger {
+            self.courier.wires.forget(&pick.line.life);
+            post.stranger(pick, now_ms);
+        } else {
+            post.settle(&self.service, pick, fate, took_ms, now_ms);
+        }
+    }
+}
+
+impl Drop for Trial {
+    fn drop(&mut self) {
+        if let Some(pick) = self.pick.take() {
+            self.courier.post.borrow_mut().left(pick);
+        }
+    }
+}
--- /dev/null
+++ b/crates/rookpulley-courier/src/readiness.rs
@@ -0,0 +1,21 @@
+//! Tells the platform whether clients should come here.
+
+use crate::state::Courier;
+use rookpulley_counter::{Bounds, Call, Reply};
+use std::future::ready;
+use std::rc::Rc;
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+
+/// Only the platform asks, now and then.
+const CONNECTIONS: usize = 32;
+const BODY: usize = 64 << 10;
+
+pub async fn serve(courier: Rc<Courier>, listener: TcpListener) {
+    let answer = move |_: Call| ready(Reply::empty(if courier.ready() { 200 } else { 503 }));
+    let bounds =
+        Bounds { connections: CONNECTIONS, body_bytes: BODY, bodies_bytes: BODY, ..Bounds::default() };
+    // It answers until the program ends: that the end has begun is what the platform asks for.
+    let (_stop, stopped) = watch::channel(false);
+    rookpulley_counter::serve(listener, bounds, stopped, Rc::new(answer)).await;
+}
--- /dev/null
+++ b/crates/rookpulley-courier/src/state.rs
@@ -0,0 +1,147 @@
+//! What the parts of a courier share. Nothing borrowed from here is held across a wait.
+
+use crate::links::Links;
+use crate::listener::Clients;
+use crate::tally::Tally;
+use crate::wires::Wires;
+use rookpulley_addressbook::Book;
+use rookpulley_round::{Budget, Post};
+use rookpulley_settings::Node;
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::hash::{BuildHasher, RandomState};
+use std::rc::Rc;
+use tokio::time::Instant;
+
+/// A number of couriers that was heard holds so long against smaller ones: a cut must not make shares larger.
+const COURIERS_MS: f64 = 60_000.0;
+/// Descriptors for offices, listeners, the runtime, and those kept for files.
+const KEPT_FILES: u64 = 300;
+
+pub struct Courier {
+    pub node: Node,
+    /// Minted by each start.
+    pub life: u64,
+    begun: Instant,
+    book: RefCell<Option<Rc<Book>>>,
+    pub post: RefCell<Post>,
+    budgets: RefCell<HashMap<String, Budget>>,
+    couriers: Cell<(u32, f64)>,
+    pub tally: RefCell<Tally>,
+    pub links: Links,
+    pub wires: Wires,
+    pub clients: Clients,
+    pub ending: Cell<bool>,
+    /// Requests that were read and whose answers aren't written yet.
+    pub at_work: Cell<usize>,
+    /// Bytes of bodies that are held whole, and the most there may be.
+    held: Cell<usize>,
+    held_most: usize,
+    /// An answer up to this length is held until it is whole.
+    pub hold_bytes: usize,
+}
+
+impl Courier {
+    pub fn new(node: Node) -> Rc<Courier> {
+        let life = RandomState::new().hash_one(&node.name);
+        let files = node.limits.open_files.saturating_sub(KEPT_FILES).max(100) as usize;
+        let to_tasks = (files / 3).min(800);
+        let hold_bytes = if node.limits.link_mbps >= 100.0 { 1 << 20 } else { 16 << 10 };
+        Rc::new(Courier {
+            life,
+            begun: Instant::now(),
+            book: RefCell::default(),
+            post: RefCell::new(Post::new(&node.zone, life)),
+            budgets: RefCell::default(),
+            couriers: Cell::new((0, 0.0)),
+            tally: RefCell::default(),
+            links: Links::new(&node),
+            wires: Wires::new(&node.zone, to_tasks),
+            clients: Clients::new(files - to_tasks),
+            ending: Cell::new(false),
+            at_work: Cell::new(0),
+            held: Cell::new(0),
+            held_most: (node.limits.memory_mb / 4.0 * 1e6) as usize,
+            hold_bytes,
+            node,
+        })
+    }
+
+    pub fn now_ms(&self) -> f64 {
+        self.begun.elapsed().as_secs_f64() * 1e3
+    }
+
+    pub fn instant(&self, at_ms: f64) -> Instant {
+        self.begun + std::time::Duration::from_secs_f64(at_ms.clamp(0.0, 1e12) / 1e3)
+    }
+
+    pub fn book(&self) -> Option<Rc<Book>> {
+        self.book.borrow().clone()
+    }
+
+    pub fn version(&self) -> u64 {
+        self.book.borrow().as_ref().map_or(0, |book| book.version)
+    }
+
+    /// Within a life the version only rises: an older configuration that comes late changes nothing.
+    pub fn take_book(&self, book: Book) {
+        if book.version > self.version() {
+            tracing::info!("courier: configuration {} is in force", book.version);
+            *self.book.borrow_mut() = Some(Rc::new(book));
+        }
+    }
+
+    pub fn ready(&self) -> bool {
+        !self.ending.get() && self.book.borrow().is_some() && self.post.borrow().any()
+    }
+
+    /// How many couriers there are, as far as heard lately; 0: not heard yet.
+    pub fn couriers(&self) -> u32 {
+        self.couriers.get().0
+    }
+
+    pub fn take_couriers(&self, heard: u32) {
+        let (before, now_ms) = (self.couriers(), self.now_ms());
+        if heard >= before || now_ms - self.couriers.get().1 > COURIERS_MS {
+            self.couriers.set((heard, now_ms));
+        }
+        if heard != before && self.couriers() == heard {
+            self.budgets.borrow_mut().values_mut().for_each(|budget| budget.shared_by(heard));
+        }
+    }
+
+    pub fn budget<T>(&self, service: &str, with: impl FnOnce(&mut Budget) -> T) -> T {
+        let mut budgets = self.budgets.borrow_mut();
+        if let Some(budget) = budgets.get_mut(service) {
+            return with(budget);
+        }
+        let bounds = &self.node.bounds;
+        let budget = budgets
+            .entry(service.to_owned())
+            .or_insert_with(|| Budget::new(bounds.retry_budget_ratio, bounds.retry_budget_slack));
+        if self.couriers() > 0 {
+            budget.shared_by(self.couriers());
+        }
+        with(budget)
+    }
+
+    /// Room for so many bytes more, given back when dropped.
+    pub fn hold(self: &Rc<Self>, bytes: usize) -> Option<Held> {
+        let held = self.held.get() + bytes;
+        (held <= self.held_most).then(|| {
+            self.held.set(held);
+            Held { courier: self.clone(), bytes }
+        })
+    }
+}
+
+pub struct Held {
+    courier: Rc<Courier>,
+    bytes: usize,
+}
+
+impl Drop for Held {
+    fn drop(&mut self) {
+        self.courier.held.set(self.courier.held.get().saturating_sub(self.bytes));
+    }
+}
--- /dev/null
+++ b/crates/rookpulley-courier/src/tally.rs
@@ -0,0 +1,78 @@
+//! What is counted for the home's next report.
+
+use rookpulley_round::Fate;
+use rookpulley_waybill::{Life, Report, ServiceReport, TaskReport};
+use std::collections::HashMap;
+
+#[derive(Default)]
+struct OfTask {
+    tries: u32,
+    bad: u32,
+    good: u32,
+    good_ms: f64,
+}
+
+#[derive(Default)]
+struct OfService {
+    came: u32,
+    bad: u32,
+    tasks: HashMap<Life, OfTask>,
+}
+
+#[derive(Default)]
+pub struct Tally {
+    since_ms: f64,
+    services: HashMap<String, OfService>,
+}
+
+impl Tally {
+    pub fn came(&mut self, service: &str) {
+        self.of(service).came += 1;
+    }
+
+    /// A request for the service failed for good.
+    pub fn failed(&mut self, service: &str) {
+        self.of(service).bad += 1;
+    }
+
+    pub fn tried(&mut self, service: &str, life: &Life, fate: Fate, took_ms: f64) {
+        let task = self.of(service).tasks.entry(life.clone()).or_default();
+        task.tries += 1;
+        match fate {
+            Fate::Answered(..500) => {
+                task.good += 1;
+                task.good_ms += took_ms;
+            }
+            // A task that is full is not a bad one.
+            Fate::NotExecuted => {}
+            _ => task.bad += 1,
+        }
+    }
+
+    pub fn report(&mut self, now_ms: f64) -> Report {
+        let span_ms = (now_ms - self.since_ms).clamp(0.0, 1e9) as u32;
+        self.since_ms = now_ms;
+        let mut services: Vec<ServiceReport> =
+            std::mem::take(&mut self.services).into_iter().map(|(name, of)| of.report(name)).collect();
+        services.sort_by(|a, b| a.service.cmp(&b.service));
+        Report { span_ms, services }
+    }
+
+    fn of(&mut self, service: &str) -> &mut OfService {
+        self.services.entry(service.to_owned()).or_default()
+    }
+}
+
+impl OfService {
+    fn report(self, service: String) -> ServiceReport {
+        let tasks = self.tasks.into_iter().map(|(life, of)| of.report(life)).collect();
+        ServiceReport { service, came: self.came, bad: self.bad, tasks }
+    }
+}
+
+impl OfTask {
+    fn report(self, life: Life) -> TaskReport {
+        let mean_ms = if self.good > 0 { (self.good_ms / f64::from(self.good)) as f32 } else { 0.0 };
+        TaskReport { life, tries: self.tries, bad: self.bad, mean_ms }
+    }
+}
--- /dev/null
+++ b/crates/rookpulley-courier/src/wires.rs
@@ -0,0 +1,220 @@
+//! Connections to tasks: few, used again, never after anything odd.
+
+use crate::bodies::Parcel;
+use hyper::client::conn::http1::{Builder, SendRequest};
+use hyper::header::{CONNECTION, HeaderMap};
+use hyper_util::rt::TokioIo;
+use rookpulley_waybill::{Life, Line, line};
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::task::AbortHandle;
+use tokio::time::Instant;
+
+const CONNECT: Duration = Duration::from_millis(150);
+/// The way to another zone is longer.
+const CONNECT_FAR: Duration = Duration::from_millis(300);
+/// An idle connection is kept so long, less where the task ends it sooner.
+const IDLE: Duration = Duration::from_millis(4_000);
+/// One that was used this lately will hardly have been ended: a request that may run once can go there.
+const FRESH: Duration = Duration::from_millis(1_000);
+/// A connection that was idle and isn't ready at once isn't waited for.
+const READY: Duration = Duration::from_millis(20);
+const HEADERS: usize = 256;
+const BUFFER: usize = 64 << 10;
+/// Connections to a task that doesn't say how many it takes, and the fewest to any.
+const UNKNOWN: usize = 16;
+const LEAST: usize = 4;
+
+/// Connections to one life of a task.
+#[derive(Default)]
+struct Pool {
+    open: Cell<usize>,
+    idle: RefCell<Vec<Wire>>,
+    forgotten: Cell<bool>,
+}
+
+pub struct Wires {
+    zone: String,
+    pools: RefCell<HashMap<Life, Rc<Pool>>>,
+    open: Rc<Cell<usize>>,
+    most: usize,
+}
+
+/// One connection; dropped, it is ended at once.
+pub struct Wire {
+    pub sender: SendRequest<Parcel>,
+    /// It was idle before: the task may have ended it since.
+    pub used: bool,
+    pool: Rc<Pool>,
+    all: Rc<Cell<usize>>,
+    until: Instant,
+    freed: Instant,
+    driver: Option<AbortHandle>,
+}
+
+#[derive(Debug, PartialEq)]
+pub enum NoWire {
+    /// There are as many as there may be.
+    Full,
+    Unreachable,
+}
+
+impl Wires {
+    pub fn new(zone: &str, most: usize) -> Wires {
+        Wires { zone: zone.to_owned(), pools: RefCell::default(), open: Rc::default(), most }
+    }
+
+    /// A connection to this task. `bound`: how many there may be; `once`: for what may run once only;
+    /// `anew`: none that was used before.
+    pub async fn take(&self, to: &Line, bound: usize, once: bool, anew: bool) -> Result<Wire, NoWire> {
+        let pool = self.pools.borrow_mut().entry(to.life.clone()).or_default().clone();
+        while let Some(mut wire) = if anew { None } else { pool.pop(once) } {
+            let ready = tokio::time::timeout(READY, wire.sender.ready()).await;
+            if matches!(ready, Ok(Ok(()))) {
+                return Ok(wire);
+            }
+        }
+        if pool.open.get() >= bound || self.open.get() >= self.most {
+            // One that is idle, though not to be used for this, makes room.
+            let spare = pool.idle.borrow_mut().pop();
+            if spare.is_none() && !(self.open.get() >= self.most && self.free_one()) {
+                return Err(NoWire::Full);
+            }
+        }
+        let count = Count::new(pool, self.open.clone());
+        let within = if to.zone == self.zone { CONNECT } else { CONNECT_FAR };
+        let connect = tokio::time::timeout(within, TcpStream::connect(to.address)).await;
+        let Ok(Ok(stream)) = connect else { return Err(NoWire::Unreachable) };
+        line::tend(&stream, line::UNHEARD);
+        let shaken =
+            Builder::new().max_headers(HEADERS).max_buf_size(BUFFER).handshake(TokioIo::new(stream)).await;
+        let Ok((sender, connection)) = shaken else { return Err(NoWire::Unreachable) };
+        let driver = tokio::task::spawn_local(async move {
+            if let Err(why) = connection.await {
+                tracing::debug!("wires: a task's connection ended: {why}");
+            }
+        });
+        let (pool, all) = count.keep();
+        let now = Instant::now();
+        let driver = Some(driver.abort_handle());
+        Ok(Wire { sender, used: false, pool, all, until: now + IDLE, freed: now, driver })
+    }
+
+    /// No request goes to this life any more.
+    pub fn forget(&self, life: &Life) {
+        let pool = self.pools.borrow_mut().remove(life);
+        if let Some(pool) = pool {
+            pool.forgotten.set(true);
+            let idle = std::mem::take(&mut *pool.idle.borrow_mut());
+            drop(idle);
+        }
+    }
+
+    /// Ends what has been idle too long.
+    pub fn sweep(&self) {
+        let now = Instant::now();
+        let mut old = Vec::new();
+        self.pools.borrow_mut().retain(|_, pool| {
+            let mut idle = pool.idle.borrow_mut();
+            old.extend(idle.extract_if(.., |wire| wire.until <= now || wire.sender.is_closed()));
+            pool.open.get() > 0
+        });
+    }
+
+    /// Ends an idle connection to any task.
+    fn free_one(&self) -> bool {
+        let pools = self.pools.borrow();
+        let spare = pools.values().find_map(|pool| pool.idle.borrow_mut().pop());
+        spare.is_some()
+    }
+}
+
+/// How many connections this courier may have to one task.
+pub fn bound(max_connections: u32, couriers: u32) -> usize {
+    match max_connections {
+        0 => UNKNOWN,
+        most => (most.div_ceil(couriers.max(1)) as usize).max(LEAST),
+    }
+}
+
+impl Pool {
+    /// The one used last.
+    fn pop(&self, once: bool) -> Option<Wire> {
+        let now = Instant::now();
+        let mut idle = self.idle.borrow_mut();
+        while let Some(wire) = idle.pop() {
+            if once && now - wire.freed > FRESH {
+                idle.push(wire);
+                return None;
+            }
+            if wire.until > now && !wire.sender.is_closed() {
+                return Some(wire);
+            }
+        }
+        None
+    }
+}
+
+impl Wire {
+    /// The whole answer has come: the connection may serve again.
+    pub fn free(mut self, kept_for: Option<Duration>) {
+        let now = Instant::now();
+        (self.used, self.freed) = (true, now);
+        self.until = now + kept_for.map_or(IDLE, |time| time.min(IDLE));
+        let pool = self.pool.clone();
+        if !pool.forgotten.get() && !self.sender.is_closed() && self.until > now {
+            pool.idle.borrow_mut().push(self);
+        }
+    }
+}
+
+/// How long the task keeps the connection after this answer; none: it doesn't say. A second less than it says.
+pub fn kept_for(headers: &HeaderMap) -> Option<Duration> {
+    let says = |name: &str| headers.get(name).and_then(|value| value.to_str().ok());
+    if says(CONNECTION.as_str()).is_some_and(|value| value.to_ascii_lowercase().contains("close")) {
+        return Some(Duration::ZERO);
+    }
+    let parameter = |part: &str| part.trim().strip_prefix("timeout=")?.parse::<u64>().ok();
+    let seconds = says("keep-alive")?.split(',').find_map(parameter)?;
+    Some(Duration::from_millis((seconds.min(3_600) * 1_000).saturating_sub(1_000).max(300)))
+}
+
+/// Counts a connection from its first moment, also one that doesn't come up.
+struct Count(Option<(Rc<Pool>, Rc<Cell<usize>>)>);
+
+impl Count {
+    fn new(pool: Rc<Pool>, all: Rc<Cell<usize>>) -> Count {
+        pool.open.set(pool.open.get() + 1);
+        all.set(all.get() + 1);
+        Count(Some((pool, all)))
+    }
+
+    fn keep(mut self) -> (Rc<Pool>, Rc<Cell<usize>>) {
+        self.0.take().unwrap_or_default()
+    }
+}
+
+fn less(pool: &Pool, all: &Cell<usize>) {
+    pool.open.set(pool.open.get().saturating_sub(1));
+    all.set(all.get().saturating_sub(1));
+}
+
+impl Drop for Count {
+    fn drop(&mut self) {
+        if let Some((pool, all)) = &self.0 {
+            less(pool, all);
+        }
+    }
+}
+
+impl Drop for Wire {
+    fn drop(&mut self) {
+        if let Some(driver) = self.driver.take() {
+            driver.abort();
+        }
+        less(&self.pool, &self.all);
+    }
+}
--- /dev/null
+++ b/crates/rookpulley-courier/tests/homes.rs
@@ -0,0 +1,102 @@
+//! Which office a courier calls home.
+
+use rookpulley_courier::{Bound, Courier, Signals, run};
+use rookpulley_settings::Node;
+use rookpulley_waybill::line::{self, Outbox};
+use rookpulley_waybill::{Down, Line, Up};
+use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc;
+
+struct Office {
+    listener: TcpListener,
+    outbox: Outbox,
+    heard: mpsc::UnboundedReceiver<Up>,
+    line: tokio::task::JoinHandle<()>,
+}
+
+async fn open(stream: TcpStream) -> (Outbox, mpsc::UnboundedReceiver<Up>, tokio::task::JoinHandle<()>) {
+    let (opened, mut open) = mpsc::unbounded_channel();
+    let (tell, heard) = mpsc::unbounded_channel();
+    let line = tokio::task::spawn_local(async move {
+        let quiet = Duration::from_secs(600);
+        line::run(stream, quiet, move |outbox| _ = opened.send(outbox), move |up| _ = tell.send(up)).await;
+    });
+    (open.recv().await.unwrap(), heard, line)
+}
+
+impl Office {
+    async fn new(listener: TcpListener) -> Office {
+        let (stream, _) = listener.accept().await.unwrap();
+        let (outbox, heard, line) = open(stream).await;
+        Office { listener, outbox, heard, line }
+    }
+
+    fn pulse(&self, offices: Vec<SocketAddrV4>) {
+        assert!(self.outbox.send(&Down::Pulse { in_touch: true, config: 0, couriers: 1, offices }));
+    }
+
+    /// Waits until the courier says whether this office is its home.
+    async fn home(&mut self) -> bool {
+        loop {
+            match self.heard.recv().await.unwrap() {
+                Up::Hello { home: true, .. } => return true,
+                Up::Home { home } => return home,
+                _ => {}
+            }
+        }
+    }
+
+    async fn took(&mut self) -> u64 {
+        loop {
+            if let Up::Took { mark } = self.heard.recv().await.unwrap() {
+                return mark;
+            }
+        }
+    }
+
+    fn table(&self, service: &str, mark: u64) {
+        let address = SocketAddrV4::new(Ipv4Addr::LOCALHOST, 1);
+        let line = Line { life: service.to_owned(), address, zone: "east".to_owned(), weight: 1.0, slots: 1 };
+        let table = Down::Table { service: service.to_owned(), name: 1, mark, lines: vec![line] };
+        assert!(self.outbox.send(&table));
+    }
+}
+
+#[test]
+fn one_office_is_the_home_and_another_takes_its_place_when_it_is_lost() {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    tokio::task::LocalSet::new().block_on(&runtime, async {
+        let first = TcpListener::bind("127.0.0.2:0").await.unwrap();
+        let port = first.local_addr().unwrap().port();
+        let second = line::listen(SocketAddr::from(([127, 0, 0, 3], port)), 8).unwrap();
+        let mut node = Node::parse(&format!(
+            "nodeName = \"one\"\nserves = [\"edge\"]\nipAddress = \"127.0.0.1\"\nzone = \"east\"\nregion = \"r\"\n\
+             internalPortRange = [{port}, {port}]\nseedNodes = [\"127.0.0.2:9\"]\n[listenAddresses]\n\
+             frontHttp = \"127.0.0.1:1\"\nreadiness = \"127.0.0.1:1\"\n"
+        ))
+        .unwrap();
+        let any = Some(SocketAddrV4::new(node.ip, 0));
+        (node.listen.front, node.listen.readiness) = (any, any);
+        let bound = Bound::new(&node).unwrap();
+        let (_tell, signals) = Signals::by_hand();
+        tokio::task::spawn_local(run(Courier::new(node), bound, None, signals));
+
+        // One office is a seed, the other is heard of from it.
+        let mut first = Office::new(first).await;
+        first.pulse(vec![SocketAddrV4::new([127, 0, 0, 3].into(), 9)]);
+        assert!(first.home().await);
+        let mut second = Office::new(second).await;
+        second.pulse(Vec::new());
+        // What another office than the home says of tables counts for nothing.
+        second.table("s", 7);
+        first.table("s", 8);
+        assert_eq!(first.took().await, 8);
+        first.line.abort();
+        drop((first.outbox, first.listener));
+        assert!(second.home().await);
+        second.table("s", 9);
+        assert_eq!(second.took().await, 9);
+    });
+}
--- /dev/null
+++ b/crates/rookpulley-ledger/src/snapshot.rs
@@ -0,0 +1,80 @@
+//! The whole ledger as bytes: written to disk from time to time, and handed to an office that joins the chain.
+
+use crate::cells::{Cells, Group};
+use crate::ledger::Ledger;
+use crate::locks::{Hold, Locks};
+use crate::numbers::Numbers;
+use std::collections::BTreeMap;
+
+/// Goes up when the bytes change their meaning.
+const FORMAT: u8 = 1;
+
+#[derive(Debug, thiserror::Error, miette::Diagnostic)]
+pub enum SnapshotError {
+    #[error("the bytes can't be read as a snapshot: {0}")]
+    #[diagnostic(help(
+        "give the bytes of `snapshot` whole and unchanged; fetch them again from another office"
+    ))]
+    Spoilt(#[from] postcard::Error),
+    #[error("the snapshot has format {0}; this build reads {FORMAT}")]
+    #[diagnostic(help("run the same build on all offices, and let it write a new snapshot"))]
+    Format(u8),
+    #[error("{0} bytes follow the snapshot")]
+    #[diagnostic(help("give the bytes of `snapshot` and nothing behind them"))]
+    Trailing(usize),
+    #[error("the {0} of the snapshot don't fit together")]
+    #[diagnostic(help("give a snapshot that an office wrote; fetch it again from another office"))]
+    Unsound(&'static str),
+}
+
+/// The parts in the order in which they are written.
+type Parts = (
+    u64,
+    u64,
+    Option<(u64, Vec<u8>)>,
+    u64,
+    BTreeMap<String, Hold>,
+    BTreeMap<String, u64>,
+    BTreeMap<String, Group>,
+);
+
+impl Ledger {
+    /// Everything but the bounds: history for watches and repeats as well, and the last fence.
+    pub fn snapshot(&self) -> Vec<u8> {
+        let parts = (
+            self.at_ms,
+            self.swept_ms,
+            &self.configuration,
+            self.locks.fences(),
+            self.locks.all(),
+            self.numbers.all(),
+            self.cells.all(),
+        );
+        // Writing into memory can't fail; empty bytes would be refused by `restore`.
+        postcard::to_extend(&parts, vec![FORMAT]).unwrap_or_default()
+    }
+
+    /// Takes the place of what was here. On an error nothing changes.
+    pub fn restore(&mut self, bytes: &[u8]) -> Result<(), SnapshotError> {
+        let (format, rest) = bytes.split_first().ok_or(postcard::Error::DeserializeUnexpectedEnd)?;
+        if *format != FORMAT {
+            return Err(SnapshotError::Format(*format));
+        }
+        let (parts, rest) = postcard::take_from_bytes::<Parts>(rest)?;
+        if !rest.is_empty() {
+            return Err(SnapshotError::Trailing(rest.len()));
+        }
+        let (at_ms, swept_ms, configuration, fences, holds, numbers, groups) = parts;
+        let locks = Locks::of(holds, fences).ok_or(SnapshotError::Unsound("locks"))?;
+        let cells = Cells::of(groups).ok_or(SnapshotError::Unsound("cells"))?;
+        let numbers = Numbers::of(numbers);
+        *self = Self { bounds: self.bounds, at_ms, swept_ms, configuration, locks, numbers, cells };
+        Ok(())
+    }
+
+    /// Equal for equal ledgers, on all offices: an FNV-1a hash over the snapshot.
+    pub fn digest(&self) -> u64 {
+        let step = |hash: u64, byte: &u8| (hash ^ u64::from(*byte)).wrapping_mul(0x0100_0000_01b3);
+        self.snapshot().iter().fold(0xcbf2_9ce4_8422_2325, step)
+    }
+}
--- /dev/null
+++ b/crates/rookpulley-ledger/tests/ledger/named.rs
@@ -0,0 +1,111 @@
+//! Single sequences that once were, or easily would be, got wrong.
+
+use super::{give_back, moved, number, put, renew, take};
+use rookpulley_ledger::{Answer, Ask, Ledger, Update, Watched};
+
+#[test]
+fn a_lock_goes_to_another_only_after_the_hold_and_its_spare_time_and_under_a_higher_fence() {
+    let mut ledger = Ledger::default();
+    assert_eq!(take(&mut ledger, 0, "l", "a", 1_000), Answer::Fence(1));
+    assert_eq!(take(&mut ledger, 0, "other", "b", 1_000), Answer::Fence(2));
+    assert_eq!(take(&mut ledger, 1_049, "l", "b", 1_000), Answer::Held);
+    assert_eq!(take(&mut ledger, 1_050, "l", "b", 1_000), Answer::Fence(3));
+    assert_eq!(renew(&mut ledger, 1_060, "l", "a", 1, 9_000), Answer::Held);
+    assert_eq!(give_back(&mut ledger, 1_070, "l", "a", 1), Answer::Dropped);
+    assert_eq!(take(&mut ledger, 1_080, "l", "c", 1_000), Answer::Held);
+    // After its own time, too, a hold is a new one; and a stamp that goes back takes no time away.
+    assert_eq!(take(&mut ledger, 2_200, "l", "b", 1_000), Answer::Fence(4));
+    assert_eq!(take(&mut ledger, 0, "new", "a", 1_000), Answer::Fence(5));
+    assert_eq!(take(&mut ledger, 3_249, "new", "b", 1_000), Answer::Held);
+}
+
+#[test]
+fn a_holder_that_asks_again_keeps_its_fence_and_never_gets_less_time() {
+    let mut ledger = Ledger::default();
+    take(&mut ledger, 0, "l", "a", 5_000);
+    assert_eq!(take(&mut ledger, 100, "l", "a", 10), Answer::Fence(1));
+    assert_eq!(renew(&mut ledger, 200, "l", "a", 1, 10), Answer::Renewed);
+    assert_eq!(take(&mut ledger, 5_049, "l", "b", 10), Answer::Held);
+    // Its time is over, but nobody has it: it isn't lost.
+    assert_eq!(renew(&mut ledger, 6_000, "l", "a", 1, 1_000), Answer::Renewed);
+    assert_eq!(take(&mut ledger, 6_500, "l", "b", 10), Answer::Held);
+}
+
+#[test]
+fn a_renewal_or_a_drop_from_before_a_drop_does_nothing_after_it() {
+    let mut ledger = Ledger::default();
+    take(&mut ledger, 0, "l", "a", 5_000);
+    give_back(&mut ledger, 10, "l", "a", 1);
+    assert_eq!(renew(&mut ledger, 20, "l", "a", 1, 5_000), Answer::Held);
+    assert_eq!(take(&mut ledger, 30, "l", "a", 5_000), Answer::Fence(2));
+    assert_eq!(give_back(&mut ledger, 40, "l", "a", 1), Answer::Dropped);
+    assert_eq!(renew(&mut ledger, 45, "l", "a", 1, 90_000), Answer::Held);
+    assert_eq!(renew(&mut ledger, 46, "l", "b", 2, 90_000), Answer::Held);
+    assert_eq!(take(&mut ledger, 50, "l", "b", 5_000), Answer::Held);
+}
+
+#[test]
+fn fences_and_numbers_go_on_after_a_move_though_nothing_is_held() {
+    let mut ledger = Ledger::default();
+    take(&mut ledger, 0, "l", "a", 1);
+    give_back(&mut ledger, 1, "l", "a", 1);
+    assert_eq!(number(&mut ledger, 2, "n"), Answer::Number(1));
+    let mut ledger = moved(&ledger);
+    assert_eq!(ledger.sizes().locks, 0);
+    assert_eq!(take(&mut ledger, 3, "l", "b", 1), Answer::Fence(2));
+    assert_eq!(number(&mut ledger, 4, "n"), Answer::Number(2));
+}
+
+#[test]
+fn a_put_that_comes_again_gets_its_first_revision_also_where_its_condition_no_longer_holds() {
+    let mut ledger = Ledger::default();
+    assert_eq!(put(&mut ledger, 0, "g.k", "one", Some(0)), Answer::Revision(1));
+    assert_eq!(put(&mut ledger, 1, "g.k", "one", Some(0)), Answer::Revision(1));
+    assert_eq!(put(&mut ledger, 2, "g.other", "x", None), Answer::Revision(2));
+    assert_eq!(put(&mut ledger, 3, "g.k", "two", Some(1)), Answer::Revision(3));
+    assert_eq!(put(&mut ledger, 4, "g.k", "one", Some(0)), Answer::Revision(1));
+    assert_eq!(put(&mut ledger, 5, "g.k", "three", Some(1)), Answer::Conflict { revision: 3 });
+    assert_eq!(put(&mut ledger, 6, "g.none", "y", Some(3)), Answer::Conflict { revision: 0 });
+    let now = Answer::Cell { value: "two".into(), revision: 3 };
+    assert_eq!(ledger.read(&Ask::Cell { name: "g.k".into() }), now);
+    // Long after, the present value is still known as what it is.
+    assert_eq!(put(&mut ledger, 1_000_000, "g.other", "z", None), Answer::Revision(4));
+    assert_eq!(put(&mut ledger, 1_000_001, "g.k", "two", Some(1)), Answer::Revision(3));
+    assert_eq!(ledger.watch("g.", 2, 10), Watched::TooOld);
+    assert_eq!(ledger.watch("g.", 9, 10), Watched::Nothing { revision: 9 });
+}
+
+#[test]
+fn calls_come_back_from_their_bytes_and_other_bytes_do_no_harm() {
+    super::runs(300, 3_000, |u| {
+        let bytes: Vec<u8> = u.arbitrary()?;
+        let mut ledger = Ledger::default();
+        put(&mut ledger, 5, "g.k", "v", None);
+        take(&mut ledger, 6, "l", "a", 9);
+        let whole = ledger.snapshot();
+        let (cut, at, flip) =
+            (u.choose_index(whole.len())?, u.choose_index(whole.len())?, u.int_in_range(1..=255)?);
+        assert!(ledger.clone().restore(&whole[..cut]).is_err());
+        let mut spoilt = whole.clone();
+        spoilt[at] ^= flip;
+        for bytes in [&bytes, &spoilt] {
+            let mut other = ledger.clone();
+            if other.restore(bytes).is_err() {
+                assert_eq!(other.snapshot(), whole);
+            }
+            // Whatever was taken in goes on working.
+            put(&mut other, 7, "g.k", "w", None);
+            take(&mut other, 8, "l", "b", 9);
+            other.watch("g.", 1, 10);
+            other.apply(u64::MAX, &Update::NextNumber { name: "n".into() });
+            moved(&other);
+        }
+        if let Ok(update) = Update::decode(&bytes) {
+            assert_eq!(update.encode(), bytes);
+        }
+        let answer = ledger.apply_bytes(9, &bytes);
+        assert!(Answer::decode(&answer).is_ok());
+        assert!(Answer::decode(&ledger.read_bytes(&bytes)).is_ok());
+        Ok(())
+    });
+}
--- /dev/null
+++ b/crates/rookpulley-office/src/couriers.rs
@@ -0,0 +1,41 @@
+//! Lines of couriers: what they report, and what they are told.
+
+use crate::hub::Hub;
+use rookpulley_waybill::{Up, line};
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::Duration;
+
+const SILENT: Duration = Duration::from_millis(4_000);
+
+pub async fn listen(hub: Rc<Hub>, listener: tokio::net::TcpListener) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+            continue;
+        };
+        line::tend(&stream, line::UNHEARD);
+        let hub = hub.clone();
+        tokio::task::spawn_local(async move {
+            let outbox = Rc::new(RefCell::new(None));
+            let name = RefCell::new(None);
+            let open = |o| *outbox.borrow_mut() = Some(o);
+            let take = |up: Up| {
+                let known = name.borrow().clone();
+                match (up, known) {
+                    (Up::Hello { node, zone, home, config, gone, .. }, None) => {
+                        let Some(outbox) = outbox.borrow().clone() else { return };
+                        *name.borrow_mut() = Some(hub.courier_in(&node, &zone, home, config, &gone, outbox));
+                    }
+                    (up, Some((node, line))) => hub.courier_said(&node, line, up),
+                    _ => {}
+                }
+            };
+            let why = line::run::<Up>(stream, SILENT, open, take).await;
+            if let Some((node, line)) = name.into_inner() {
+                hub.courier_out(&node, line);
+                tracing::info!("couriers: the line of {node} {why}");
+            }
+        });
+    }
+}
--- /dev/null
+++ b/crates/rookpulley-office/src/hub.rs
@@ -0,0 +1,643 @@
+//! Where everything of an office meets: what comes in is handed to the packages that decide, what they want is
+//! carried out. It decides nothing about tables, views or the ledger itself.
+
+use crate::peers::Word;
+use crate::state::Kept;
+use crate::store::{Said, Store};
+use rookpulley_addressbook::Book;
+use rookpulley_chain::{Boot, CallKind, Chain, Effect, Input, Member, Outcome};
+use rookpulley_ledger::{Answer, Ask, Update};
+use rookpulley_settings::Node;
+use rookpulley_sorting::{Beat, Desk, News, Out, Outcome as Sorted, Registry, Service, Word as Spread};
+use rookpulley_waybill::line::Outbox;
+use rookpulley_waybill::{Down, Up, frame};
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use tokio::sync::{Notify, oneshot};
+
+/// An office that nobody has reached for so long, and that no view names, is forgotten.
+const FORGOTTEN_MS: f64 = 20_000.0;
+/// A courier that was here so lately still counts, so that a budget is never dealt out twice.
+const COUNTED_MS: f64 = 12_000.0;
+/// How long a drain waits to be known elsewhere, and an office out of touch still takes beats.
+const CONFIRM_WITHIN: Duration = Duration::from_millis(700);
+const BEATS_UNTOUCHED_MS: f64 = 1_500.0;
+/// A write that takes so long tells of a slow disk; so many quick ones in a row, of one that is well again.
+const SLOW_WRITE: Duration = Duration::from_millis(70);
+const QUICK_WRITES: u32 = 4;
+
+struct Peer {
+    outbox: Option<Outbox>,
+    id: Option<u64>,
+    seen_ms: f64,
+}
+
+struct Courier {
+    line: u64,
+    outbox: Outbox,
+    zone: String,
+    home: bool,
+}
+
+struct Confirm {
+    from: BTreeSet<u64>,
+    wanted: usize,
+    done: Option<oneshot::Sender<()>>,
+}
+
+struct Inner {
+    chain: Chain<Kept>,
+    registry: Registry,
+    desk: Desk,
+    store: Store,
+    peers: BTreeMap<Ipv4Addr, Peer>,
+    to_dial: Vec<Ipv4Addr>,
+    couriers: BTreeMap<String, Courier>,
+    counted: BTreeMap<String, f64>,
+    calls: BTreeMap<u64, oneshot::Sender<Outcome>>,
+    confirms: BTreeMap<u64, Confirm>,
+    next: u64,
+    told_version: u64,
+    touched_ms: f64,
+    writing: Option<(u64, Instant)>,
+    quick: u32,
+    slow: bool,
+}
+
+pub struct Hub {
+    pub node: Node,
+    me: Member,
+    born: Instant,
+    inner: RefCell<Inner>,
+    pub applied: Notify,
+    /// Asks the main loop to dial what became known.
+    pub dial: Notify,
+    pub ending: Cell<bool>,
+}
+
+impl Hub {
+    pub fn new(node: Node, store: Store, kept: Vec<(Vec<u8>, Vec<u8>)>, seed: u64) -> Rc<Self> {
+        let me = Member {
+            id: store.identity,
+            life: seed,
+            address: SocketAddrV4::new(node.ip, node.inner_ports.0 + 1),
+        };
+        let first_seed = node.seeds.first().map(|s| *s.ip());
+        let founder = node.first_start && store.new && first_seed == Some(node.ip);
+        let kept = (!store.new).then(|| rookpulley_chain::Kept::read(kept));
+        let boot = Boot { me, founder, losses: node.tolerance.machines as usize, seed, kept };
+        let inner = Inner {
+            chain: Chain::start(0, boot, Kept::default()),
+            registry: Registry::new(0.0, node.heartbeat_ms as f64, node.bounds.drain_ms as f64),
+            desk: Desk::new(seed),
+            store,
+            peers: BTreeMap::new(),
+            to_dial: Vec::new(),
+            couriers: BTreeMap::new(),
+            counted: BTreeMap::new(),
+            calls: BTreeMap::new(),
+            confirms: BTreeMap::new(),
+            next: 0,
+            told_version: 0,
+            touched_ms: 0.0,
+            writing: None,
+            quick: 0,
+            slow: false,
+        };
+        let hub = Rc::new(Self {
+            node,
+            me,
+            born: Instant::now(),
+            inner: RefCell::new(inner),
+            applied: Notify::new(),
+            dial: Notify::new(),
+            ending: Cell::new(false),
+        });
+        hub.meet_seeds(&hub.node.seeds);
+        hub.step(Input::Tick);
+        hub
+    }
+
+    pub fn now_ms(&self) -> f64 {
+        self.born.elapsed().as_secs_f64() * 1e3
+    }
+
+    pub fn peer_port(&self) -> u16 {
+        self.me.address.port()
+    }
+
+    pub fn status(&self) -> String {
+        let inner = self.inner.borrow();
+        let homes = inner.couriers.values().filter(|c| c.home).count();
+        format!("{}; couriers {} (home of {homes})", inner.chain.status(), inner.couriers.len())
+    }
+
+    pub fn in_touch(&self) -> bool {
+        self.inner.borrow().chain.in_touch(self.now_ms() as u64)
+    }
+
+    // ---- offices ----------------------------------------------------------------------------
+
+    pub fn meet_seeds(&self, seeds: &[SocketAddrV4]) {
+        seeds.iter().for_each(|seed| self.meet(*seed.ip()));
+    }
+
+    fn meet(&self, ip: Ipv4Addr) {
+        let now = self.now_ms();
+        let mut inner = self.inner.borrow_mut();
+        if ip == self.node.ip || inner.peers.contains_key(&ip) || inner.peers.len() >= 64 {
+            return;
+        }
+        inner.peers.insert(ip, Peer { outbox: None, id: None, seen_ms: now });
+        inner.to_dial.push(ip);
+        self.dial.notify_one();
+    }
+
+    /// Offices that became known and have no line yet.
+    pub fn to_dial(&self) -> Vec<Ipv4Addr> {
+        std::mem::take(&mut self.inner.borrow_mut().to_dial)
+    }
+
+    fn hello(&self) -> Word {
+        let inner = self.inner.borrow();
+        let reached = inner.peers.iter().filter(|(_, p)| p.outbox.is_some());
+        let port = self.peer_port();
+        let offices = reached.map(|(ip, _)| SocketAddrV4::new(*ip, port)).chain([self.me.address]).collect();
+        Word::Hello { from: self.me, offices }
+    }
+
+    pub fn dialed(&self, ip: Ipv4Addr, outbox: Outbox) {
+        outbox.send(&self.hello());
+        let now = self.now_ms();
+        let news = self.inner.borrow().registry.all_news(now);
+        outbox.send(&Word::News { ask: 0, news });
+        if let Some(peer) = self.inner.borrow_mut().peers.get_mut(&ip) {
+            (peer.outbox, peer.seen_ms) = (Some(outbox), now);
+        }
+        tracing::info!("peers: reached {ip}");
+    }
+
+    pub fn hung_up(&self, ip: Ipv4Addr) {
+        if let Some(peer) = self.inner.borrow_mut().peers.get_mut(&ip) {
+            peer.outbox = None;
+        }
+    }
+
+    pub fn still_known(&self, ip: Ipv4Addr) -> bool {
+        let inner = self.inner.borrow();
+        let named = inner.chain.view().is_some_and(|v| v.members.iter().any(|m| *m.address.ip() == ip));
+        let seed = self.node.seeds.iter().any(|s| *s.ip() == ip);
+        let lately = inner.peers.get(&ip).is_some_and(|p| self.now_ms() - p.seen_ms < FORGOTTEN_MS);
+        named || seed || lately
+    }
+
+    pub fn forget(&self, ip: Ipv4Addr) {
+        self.inner.borrow_mut().peers.remove(&ip);
+    }
+
+    /// A word from another office; `who` is who said hello on this line.
+    pub fn word(&self, who: &mut Option<u64>, word: Word) {
+        match word {
+            Word::Hello { from, offices } => {
+                *who = Some(from.id);
+                let ip = *from.address.ip();
+                self.meet(ip);
+                offices.iter().for_each(|o| self.meet(*o.ip()));
+                {
+                    let mut inner = self.inner.borrow_mut();
+                    let now = self.now_ms();
+                    inner.peers.values_mut().filter(|p| p.id == Some(from.id)).for_each(|p| p.id = None);
+                    if let Some(peer) = inner.peers.get_mut(&ip) {
+                        (peer.id, peer.seen_ms) = (Some(from.id), now);
+                    }
+                }
+                self.step(Input::Met { member: from });
+            }
+            Word::Chain(message) => {
+                if let Some(from) = *who {
+                    self.step(Input::Heard { from, message });
+                }
+            }
+            Word::News { ask, news } => {
+                let now = self.now_ms();
+                for item in &news {
+                    let sorted = self.inner.borrow_mut().registry.take_news(now, item);
+                    self.sorted(sorted);
+                }
+                if ask > 0
+                    && let Some(from) = *who
+                {
+                    self.send_to(from, &Word::Took { ask });
+                }
+            }
+            Word::Took { ask } => {
+                let mut inner = self.inner.borrow_mut();
+                if let (Some(from), Some(confirm)) = (*who, inner.confirms.get_mut(&ask)) {
+                    confirm.from.insert(from);
+                    if confirm.from.len() >= confirm.wanted
+                        && let Some(done) = confirm.done.take()
+                    {
+                        _ = done.send(());
+                    }
+                }
+            }
+        }
+    }
+
+    fn send_to(&self, id: u64, word: &Word) {
+        let inner = self.inner.borrow();
+        let line = inner.peers.values().find(|p| p.id == Some(id)).and_then(|p| p.outbox.as_ref());
+        if let Some(outbox) = line {
+            outbox.send(word);
+        }
+    }
+
+    fn send_all(&self, word: &Word) {
+        let bytes = frame(word);
+        let inner = self.inner.borrow();
+        inner.peers.values().filter_map(|p| p.outbox.as_ref()).for_each(|o| _ = o.send_framed(bytes.clone()));
+    }
+
+    // ---- the chain --------------------------------------------------------------------------
+
+    fn step(&self, input: Input) {
+        let now = self.now_ms();
+        let effects = self.inner.borrow_mut().chain.handle(now as u64, input);
+        let mut moved = false;
+        for effect in effects {
+            match effect {
+                Effect::Send { to, message } => self.send_to(to, &Word::Chain(message)),
+                Effect::Write { ticket, records } => {
+                    let mut inner = self.inner.borrow_mut();
+                    inner.writing.get_or_insert((ticket, Instant::now()));
+                    inner.store.write(ticket, records);
+                }
+                Effect::Answer { token, outcome } => {
+                    let waiting = self.inner.borrow_mut().calls.remove(&token);
+                    _ = waiting.map(|w| w.send(outcome));
+                }
+                Effect::Log(line) => tracing::info!("{line}"),
+                Effect::Applied => moved = true,
+            }
+        }
+        if moved {
+            self.applied.notify_waiters();
+            self.tell_configuration();
+        }
+    }
+
+    pub fn stored(&self, said: Said) {
+        match said {
+            Said::Synced { ticket, took } => {
+                {
+                    let mut inner = self.inner.borrow_mut();
+                    inner.writing = inner.writing.filter(|(from, _)| *from > ticket);
+                    inner.quick = if took < SLOW_WRITE / 2 { inner.quick + 1 } else { 0 };
+                }
+                self.step(Input::Synced { ticket });
+            }
+            Said::Failed(why) => {
+                tracing::error!(
+                    "store: a write failed ({why}); this process ends, to begin with what the disk holds"
+                );
+                std::process::exit(1);
+            }
+        }
+    }
+
+    fn watch_disk(&self) {
+        let mut inner = self.inner.borrow_mut();
+        let waits = inner.writing.is_some_and(|(_, since)| since.elapsed() > SLOW_WRITE);
+        if waits {
+            inner.quick = 0;
+        }
+        if inner.slow && !waits && inner.writing.is_none() {
+            // Nothing else is written by one that has left the chain: a probe tells when the disk is well.
+            inner.writing = Some((0, Instant::now()));
+            inner.store.write(0, Vec::new());
+        }
+        let slow = if inner.slow { inner.quick < QUICK_WRITES } else { waits };
+        if slow != inner.slow {
+            inner.slow = slow;
+            drop(inner);
+            tracing::info!("store: the disk is {}", if slow { "slow" } else { "quick again" });
+            self.step(Input::Disk { slow });
+        }
+    }
+
+    async fn call(&self, kind: CallKind, body: Vec<u8>) -> Outcome {
+        let (done, answer) = oneshot::channel();
+        let token = {
+            let mut inner = self.inner.borrow_mut();
+            if inner.calls.len() >= 4_096 {
+                return Outcome::Refused;
+            }
+            inner.next += 1;
+            let token = inner.next;
+            inner.calls.insert(token, done);
+            token
+        };
+        self.step(Input::Call { token, kind, body });
+        answer.await.unwrap_or(Outcome::Unknown)
+    }
+
+    /// None: nobody knows whether it took effect; Some(None): it did not and never will.
+    pub async fn update(&self, update: &Update) -> Option<Option<Answer>> {
+        Self::answer(self.call(CallKind::Update, update.encode()).await)
+    }
+
+    pub async fn ask(&self, ask: &Ask) -> Option<Option<Answer>> {
+        Self::answer(self.call(CallKind::Read, ask.encode()).await)
+    }
+
+    fn answer(outcome: Outcome) -> Option<Option<Answer>> {
+        match outcome {
+            Outcome::Done(bytes) => Answer::decode(&bytes).ok().map(Some),
+            Outcome::Refused => Some(None),
+            Outcome::Unknown => None,
+        }
+    }
+
+    pub fn with_ledger<T>(&self, look: impl FnOnce(&rookpulley_ledger::Ledger) -> T) -> T {
+        look(&self.inner.borrow().chain.state().ledger)
+    }
+
+    // ---- the configuration, told to couriers --------------------------------------------------
+
+    fn tell_configuration(&self) {
+        let version = self.with_ledger(|l| l.version());
+        if version <= self.inner.borrow().told_version {
+            return;
+        }
+        self.inner.borrow_mut().told_version = version;
+        let Some(body) = self.with_ledger(|l| l.configuration().map(|(_, body)| body.to_vec())) else {
+            return;
+        };
+        match Book::read(&body) {
+            Ok(book) => {
+                let least = |index| {
+                    let routes =
+                        book.routes().iter().filter(|r| r.targets.iter().any(|(at, _)| *at == index));
+                    routes.map(|r| r.aim_ms).fold(f64::INFINITY, f64::min)
+                };
+                let services = book.services.iter().enumerate().map(|(index, s)| {
+                    let aim_ms = Some(least(index)).filter(|aim| aim.is_finite()).unwrap_or(0.0);
+                    Service { name: s.name.clone(), max_connections: s.max_connections, aim_ms }
+                });
+                let services: Vec<Service> = services.collect();
+                let now = self.now_ms();
+                self.inner.borrow_mut().desk.set_services(now, &services);
+            }
+            Err(why) => tracing::error!("ledger: the configuration held can't be read: {why}"),
+        }
+        let pulse = frame(&self.pulse());
+        let whole = frame(&Down::Config { version, body });
+        let inner = self.inner.borrow();
+        for courier in inner.couriers.values() {
+            courier.outbox.send_framed(if courier.home { whole.clone() } else { pulse.clone() });
+        }
+        drop(inner);
+        tracing::info!("ledger: configuration {version} holds");
+        self.tables();
+    }
+
+    fn pulse(&self) -> Down {
+        let inner = self.inner.borrow();
+        let now = self.now_ms();
+        let in_touch = inner.chain.in_touch(now as u64) && !self.ending.get();
+        let port = self.peer_port();
+        let reached = inner.peers.iter().filter(|(_, p)| p.outbox.is_some()).map(|(ip, _)| *ip);
+        let offices = reached.chain([self.node.ip]).map(|ip| SocketAddrV4::new(ip, port)).collect();
+        Down::Pulse { in_touch, config: inner.told_version, couriers: inner.counted.len() as u32, offices }
+    }
+
+    // ---- couriers ---------------------------------------------------------------------------
+
+    pub fn courier_in(
+        &self,
+        node: &str,
+        zone: &str,
+        home: bool,
+        config: u64,
+        gone: &[String],
+        outbox: Outbox,
+    ) -> (String, u64) {
+        let now = self.now_ms();
+        let line = {
+            let mut inner = self.inner.borrow_mut();
+            inner.next += 1;
+            inner.counted.insert(node.into(), now);
+            let line = inner.next;
+            inner
+                .couriers
+                .insert(node.into(), Courier { line, outbox: outbox.clone(), zone: zone.into(), home });
+            inner.desk.courier_out(now, node);
+            if home {
+                inner.desk.courier_in(now, node, zone, 1.0, config > 0);
+            }
+            line
+        };
+        let news = self.inner.borrow_mut().registry.take_gone(now, gone);
+        if !news.is_empty() {
+            let told = news.iter().map(|life| News::Gone { life: life.clone(), age_ms: 0.0 }).collect();
+            self.send_all(&Word::News { ask: 0, news: told });
+            self.tell_gone(news);
+        }
+        outbox.send(&self.pulse());
+        outbox.send(&Down::Gone { lives: self.inner.borrow().registry.gone_lives() });
+        if home {
+            self.send_configuration(&outbox, config);
+            self.tables();
+        }
+        tracing::info!("couriers: {node} of {zone} is here{}", if home { ", at home" } else { "" });
+        (node.into(), line)
+    }
+
+    pub fn serving(&self) -> bool {
+        self.inner.borrow().chain.serving(self.now_ms() as u64)
+    }
+
+    fn send_configuration(&self, outbox: &Outbox, have: u64) {
+        // One that isn't part of the chain may hold an old one: a courier that has none would begin with it.
+        if !self.serving() {
+            return;
+        }
+        let newer = self.with_ledger(|l| l.configuration().map(|(version, body)| (version, body.to_vec())));
+        if let Some((version, body)) = newer.filter(|(version, _)| *version > have) {
+            outbox.send(&Down::Config { version, body });
+        }
+    }
+
+    pub fn courier_said(&self, node: &str, line: u64, up: Up) {
+        let now = self.now_ms();
+        let mut inner = self.inner.borrow_mut();
+        let inner = &mut *inner;
+        let Some(courier) = inner.couriers.get_mut(node).filter(|c| c.line == line) else { return };
+        match up {
+            Up::Home { home } => {
+                courier.home = home;
+                inner.desk.courier_out(now, node);
+                if home {
+                    inner.desk.courier_in(now, node, &courier.zone, 1.0, true);
+                }
+            }
+            Up::WantConfig { have } if inner.chain.serving(now as u64) => {
+                let newer = inner.chain.state().ledger.configuration().filter(|(version, _)| *version > have);
+                if let Some((version, body)) = newer {
+                    courier.outbox.send(&Down::Config { version, body: body.to_vec() });
+                }
+            }
+            Up::Report(report) => inner.desk.report(now, node, &report),
+            Up::Took { mark } => inner.desk.took(now, node, mark),
+            Up::Hello { .. } | Up::WantConfig { .. } => {}
+        }
+    }
+
+    pub fn courier_out(&self, node: &str, line: u64) {
+        let now = self.now_ms();
+        let mut inner = self.inner.borrow_mut();
+        if inner.couriers.get(node).is_some_and(|c| c.line == line) {
+            inner.couriers.remove(node);
+            inner.desk.courier_out(now, node);
+            inner.counted.insert(node.into(), now);
+        }
+    }
+
+    fn tell_gone(&self, lives: Vec<String>) {
+        if lives.is_empty() {
+            return;
+        }
+        tracing::info!("registry: {} drain or have left", lives.join(" "));
+        let bytes = frame(&Down::Gone { lives });
+        let inner = self.inner.borrow();
+        inner.couriers.values().for_each(|c| _ = c.outbox.send_framed(bytes.clone()));
+        drop(inner);
+        self.tables();
+    }
+
+    fn tables(&self) {
+        let now = self.now_ms();
+        let mut inner = self.inner.borrow_mut();
+        let inner = &mut *inner;
+        inner.desk.sync(now, &inner.registry);
+        for out in inner.desk.tick(now) {
+            match out {
+                Out::Table { courier, service, name, mark, lines } => {
+                    if let Some(to) = inner.couriers.get(&courier) {
+                        to.outbox.send(&Down::Table { service, name, mark, lines });
+                    }
+                }
+                Out::Log { service, text } => tracing::info!("desk: {service}: {text}"),
+            }
+        }
+    }
+
+    // ---- tasks ------------------------------------------------------------------------------
+
+    /// Takes a beat; false: it can't be acknowledged here now.
+    pub async fn beat(&self, beat: Beat) -> bool {
+        let now = self.now_ms();
+        if now - self.inner.borrow().touched_ms > BEATS_UNTOUCHED_MS {
+            return false;
+        }
+        let draining = beat.draining;
+        let life = beat.life.clone();
+        let sorted = self.inner.borrow_mut().registry.beat(now, beat);
+        self.sorted(sorted);
+        // A drain is acknowledged only once it is known elsewhere, also when it is told again.
+        !draining || self.known_elsewhere(life).await
+    }
+
+    pub async fn leave(&self, life: &str) -> bool {
+        let now = self.now_ms();
+        let sorted = self.inner.borrow_mut().registry.leave(now, life);
+        self.sorted(sorted);
+        self.known_elsewhere(life.into()).await
+    }
+
+    /// Carries out what came of a beat or of news.
+    fn sorted(&self, sorted: Sorted) {
+        if let Spread::Now(news) = sorted.word {
+            self.send_all(&Word::News { ask: 0, news: vec![news] });
+        }
+        self.tell_gone(sorted.newly_draining.into_iter().collect());
+    }
+
+    /// Waits until as many others know as may be lost: then the word reaches every courier in touch whatever
+    /// becomes of this machine, and it may be acknowledged.
+    async fn known_elsewhere(&self, life: String) -> bool {
+        let (ask, done) = {
+            let mut inner = self.inner.borrow_mut();
+            let others = inner.chain.view().map_or(0, |v| v.members.len().saturating_sub(1));
+            if !inner.chain.in_touch(self.now_ms() as u64) {
+                return false;
+            }
+            let wanted = others.min(self.node.tolerance.machines.max(1) as usize);
+            inner.next += 1;
+            let ask = inner.next;
+            if wanted == 0 {
+                (ask, None)
+            } else {
+                let (sender, done) = oneshot::channel();
+                inner.confirms.insert(ask, Confirm { from: BTreeSet::new(), wanted, done: Some(sender) });
+                (ask, Some(done))
+            }
+        };
+        self.send_all(&Word::News { ask, news: vec![News::Gone { life, age_ms: 0.0 }] });
+        let Some(done) = done else { return true };
+        let known = tokio::time::timeout(CONFIRM_WITHIN, done).await.is_ok_and(|d| d.is_ok());
+        self.inner.borrow_mut().confirms.remove(&ask);
+        known && self.in_touch()
+    }
+
+    // ---- time -------------------------------------------------------------------------------
+
+    /// Every 50 ms.
+    pub fn tick(&self, round: u64) {
+        self.step(Input::Tick);
+        self.watch_disk();
+        let now = self.now_ms();
+        {
+            let mut inner = self.inner.borrow_mut();
+            let addresses: Vec<Ipv4Addr> = inner
+                .chain
+                .view()
+                .map_or(Vec::new(), |view| view.members.iter().map(|m| *m.address.ip()).collect());
+            if inner.chain.in_touch(now as u64) || inner.registry.settling(now) {
+                inner.touched_ms = now;
+            }
+            drop(inner);
+            addresses.into_iter().for_each(|ip| self.meet(ip));
+        }
+        if round.is_multiple_of(2) {
+            let silent = self.inner.borrow_mut().registry.tick(now);
+            if !silent.is_empty() {
+                tracing::info!("registry: {} fell silent", silent.join(" "));
+            }
+            self.tables();
+        }
+        if round.is_multiple_of(16) {
+            let news = self.inner.borrow_mut().registry.fresh_news(now);
+            if let Some(news) = news {
+                self.send_all(&Word::News { ask: 0, news: vec![news] });
+            }
+        }
+        if round.is_multiple_of(8) {
+            {
+                let mut inner = self.inner.borrow_mut();
+                let inner = &mut *inner;
+                inner.counted.retain(|node, at| inner.couriers.contains_key(node) || now - *at < COUNTED_MS);
+                inner.desk.set_couriers(now, inner.counted.len() as u32);
+            }
+            let pulse = frame(&self.pulse());
+            let inner = self.inner.borrow();
+            inner.couriers.values().for_each(|c| _ = c.outbox.send_framed(pulse.clone()));
+        }
+        if round.is_multiple_of(40) {
+            self.send_all(&self.hello());
+        }
+    }
+}
--- /dev/null
+++ b/crates/rookpulley-office/src/main.rs
@@ -0,0 +1,107 @@
+//! The program that keeps control: beats, configurations, coordination, tables.
+
+mod calls;
+mod couriers;
+mod ending;
+mod hub;
+mod log;
+mod peers;
+mod state;
+mod store;
+
+use miette::{IntoDiagnostic, WrapErr};
+use rookpulley_settings::Node;
+use rookpulley_waybill::line;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+xflags::xflags! {
+    /// The control program of rookpulley. Its settings are read from the file that ROOKPULLEY_BOOT names.
+    cmd rookpulley-office {
+        /// Reads the settings, prints them and ends.
+        optional --check
+        /// Prints lines of the ordinary path, too.
+        optional --verbose
+    }
+}
+
+fn main() -> miette::Result<()> {
+    let flags = RookpulleyOffice::from_env_or_exit();
+    let path = rookpulley_settings::boot_path()?;
+    let node = Node::read(&path)?;
+    if flags.check {
+        print!("{node}");
+        return Ok(());
+    }
+    log::begin(if flags.verbose { tracing::Level::DEBUG } else { tracing::Level::INFO });
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().into_diagnostic()?;
+    tokio::task::LocalSet::new().block_on(&runtime, run(node, path))
+}
+
+async fn run(node: Node, path: std::path::PathBuf) -> miette::Result<()> {
+    let Some(control) = node.listen.control else {
+        return Err(miette::miette!(
+            help = "give the role `control_plane` under serves",
+            "no controlPlane address"
+        ));
+    };
+    let Some(folder) = node.data.clone() else {
+        return Err(miette::miette!(help = "run offices on machines with a disk", "no dataDirectory"));
+    };
+    let listen = |at: SocketAddr| {
+        line::listen(at, 512).into_diagnostic().wrap_err_with(|| format!("office: {at} can't be listened at"))
+    };
+    let counter = listen(SocketAddr::V4(control))?;
+    let for_couriers = listen(SocketAddr::from((node.ip, node.inner_ports.0)))?;
+    let for_peers = listen(SocketAddr::from((node.ip, node.inner_ports.0 + 1)))?;
+    let seed = rand::random::<u64>();
+    let (said, mut heard) = tokio::sync::mpsc::unbounded_channel();
+    let mut store = store::Store::open(&folder, rand::random::<u64>(), said)?;
+    let kept = std::mem::take(&mut store.held);
+    let fresh = store.new;
+    let hub = hub::Hub::new(node, store, kept, seed);
+    tracing::info!("office: {} begins{}", hub.node.name, if fresh { " with an empty disk" } else { "" });
+
+    let (stop, stopped) = tokio::sync::watch::channel(false);
+    let calls = Rc::new(calls::Calls { hub: hub.clone(), tree: calls::tree()? });
+    let handler = Rc::new(move |call| {
+        let calls = calls.clone();
+        async move { calls.answer(call).await }
+    });
+    let bounds = rookpulley_counter::Bounds::default();
+    let counter = tokio::task::spawn_local(rookpulley_counter::serve(counter, bounds, stopped, handler));
+    tokio::task::spawn_local(couriers::listen(hub.clone(), for_couriers));
+    tokio::task::spawn_local(peers::listen(hub.clone(), for_peers));
+    let to = hub.clone();
+    tokio::task::spawn_local(async move {
+        while let Some(word) = heard.recv().await {
+            to.stored(word);
+        }
+    });
+    let to = hub.clone();
+    tokio::task::spawn_local(async move {
+        loop {
+            to.to_dial()
+                .into_iter()
+                .for_each(|ip| drop(tokio::task::spawn_local(peers::keep_dialing(to.clone(), ip))));
+            to.dial.notified().await;
+        }
+    });
+    let to = hub.clone();
+    tokio::task::spawn_local(async move {
+        let mut beat = tokio::time::interval(Duration::from_millis(50));
+        beat.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        for round in 0u64.. {
+            beat.tick().await;
+            to.tick(round);
+            if round.is_multiple_of(200) {
+                tracing::info!("office: {}", to.status());
+            }
+        }
+    });
+    ending::wait(&hub, &path).await;
+    _ = stop.send(true);
+    ending::finish(&hub, counter).await;
+    Ok(())
+}
--- /dev/null
+++ b/crates/rookpulley-office/src/peers.rs
@@ -0,0 +1,82 @@
+//! Lines between offices. Each office dials every other; what it says goes on the line that it dialed.
+
+use crate::hub::Hub;
+use rookpulley_chain::{Member, Message};
+use rookpulley_sorting::News;
+use rookpulley_waybill::line;
+use serde::{Deserialize, Serialize};
+use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
+use std::rc::Rc;
+use std::time::Duration;
+
+/// What offices say to each other.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum Word {
+    /// The first on a line, and again whenever the known offices change.
+    Hello {
+        from: Member,
+        offices: Vec<SocketAddrV4>,
+    },
+    Chain(Message),
+    /// `ask`: to be confirmed by this number once it is known there and told on.
+    News {
+        ask: u64,
+        news: Vec<News>,
+    },
+    Took {
+        ask: u64,
+    },
+}
+
+const DIAL_WITHIN: Duration = Duration::from_millis(400);
+const AGAIN_FIRST: Duration = Duration::from_millis(60);
+const AGAIN_MOST: Duration = Duration::from_millis(500);
+const SILENT: Duration = Duration::from_millis(2_500);
+const NEVER: Duration = Duration::from_secs(86_400);
+
+/// Keeps a line to the office at this address until nobody knows of it any more.
+pub async fn keep_dialing(hub: Rc<Hub>, ip: Ipv4Addr) {
+    let port = hub.peer_port();
+    let to = SocketAddr::from((ip, port));
+    let mut pause = AGAIN_FIRST;
+    loop {
+        match line::dial(to, DIAL_WITHIN).await {
+            Ok(stream) => {
+                pause = AGAIN_FIRST;
+                let why = line::run::<()>(stream, NEVER, |outbox| hub.dialed(ip, outbox), |()| ()).await;
+                hub.hung_up(ip);
+                tracing::info!("peers: the line to {ip} {why}");
+            }
+            Err(_) => pause = (pause * 2).min(AGAIN_MOST),
+        }
+        tokio::time::sleep(pause).await;
+        if !hub.still_known(ip) {
+            hub.forget(ip);
+            return;
+        }
+    }
+}
+
+/// Takes lines of other offices.
+pub async fn listen(hub: Rc<Hub>, listener: tokio::net::TcpListener) {
+    loop {
+        let Ok((stream, from)) = listener.accept().await else {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+            continue;
+        };
+        line::tend(&stream, line::UNHEARD);
+        let hub = hub.clone();
+        tokio::task::spawn_local(async move {
+            let mut who = None;
+            let mut own = None;
+            let why = line::run::<Word>(
+                stream,
+                SILENT,
+                |outbox| own = Some(outbox),
+                |word| hub.word(&mut who, word),
+            )
+            .await;
+            tracing::debug!("peers: the line from {from} {why}");
+        });
+    }
+}
--- /dev/null
+++ b/crates/rookpulley-office/src/store.rs
@@ -0,0 +1,182 @@
+//! The disk: a thread that applies batches to `sled` and says which are synced.
+//!
+//! `flush` of sled 0.34 does not sync (measured: the last puts are lost with the power), so its file `db` is synced
+//! after each flush, and the folder and all its files once after opening.
+
+use rookpulley_chain::Record;
+use std::fs::File;
+use std::path::{Path, PathBuf};
+use std::sync::mpsc;
+use std::time::{Duration, Instant};
+use tokio::sync::mpsc::UnboundedSender;
+
+#[derive(Debug, thiserror::Error, miette::Diagnostic)]
+pub enum StoreError {
+    #[error("the folder {0} can't be used: {1}")]
+    #[diagnostic(help("dataDirectory must name a folder that this process may write to"))]
+    Folder(PathBuf, std::io::Error),
+    #[error("the store can't be opened, even as a new one: {0}")]
+    Store(#[from] sled::Error),
+    #[error("the store's thread can't be started: {0}")]
+    Thread(std::io::Error),
+}
+
+/// What the store says.
+#[derive(Debug)]
+pub enum Said {
+    /// All up to this ticket is on the disk; syncing took so long.
+    Synced {
+        ticket: u64,
+        took: Duration,
+    },
+    Failed(String),
+}
+
+type Job = (u64, Vec<Record>);
+type Rows = Vec<(Vec<u8>, Vec<u8>)>;
+
+pub struct Store {
+    jobs: mpsc::Sender<Job>,
+    /// The identity that was minted with the disk, and whether that was just now.
+    pub identity: u64,
+    pub new: bool,
+    pub held: Rows,
+}
+
+const IDENTITY: &[u8] = b"identity";
+
+fn sync_all(folder: &Path) -> std::io::Result<()> {
+    for entry in std::fs::read_dir(folder)? {
+        let entry = entry?;
+        if entry.file_type()?.is_dir() {
+            sync_all(&entry.path())?;
+        } else {
+            File::open(entry.path())?.sync_all()?;
+        }
+    }
+    File::open(folder)?.sync_all()
+}
+
+fn open_at(folder: &Path) -> Result<sled::Db, sled::Error> {
+    sled::Config::new()
+        .path(folder)
+        .cache_capacity(2 << 20)
+        .flush_every_ms(None)
+        .mode(sled::Mode::LowSpace)
+        .open()
+}
+
+impl Store {
+    /// Opens the store in a folder. One that can't be opened is an empty disk: it is set aside and begun anew.
+    pub fn open(folder: &Path, mint: u64, said: UnboundedSender<Said>) -> Result<Self, StoreError> {
+        let at = folder.join("store");
+        let troubled = |e| StoreError::Folder(folder.to_path_buf(), e);
+        std::fs::create_dir_all(&at).map_err(troubled)?;
+        let opened = std::panic::catch_unwind(|| open_at(&at))
+            .unwrap_or(Err(sled::Error::ReportableBug(String::new())));
+        let read = |db: &sled::Db| -> Result<Rows, sled::Error> {
+            let chain = db.open_tree("chain")?;
+            chain.iter().map(|row| row.map(|(k, v)| (k.to_vec(), v.to_vec()))).collect()
+        };
+        let opened = opened.and_then(|db| read(&db).map(|held| (db, held)));
+        let (db, held) = match opened {
+            Ok(opened) => opened,
+            Err(why) => {
+                tracing::error!("store: can't be opened ({why}); begun anew as an empty disk");
+                std::fs::remove_dir_all(&at).map_err(troubled)?;
+                std::fs::create_dir_all(&at).map_err(troubled)?;
+                (open_at(&at)?, Vec::new())
+            }
+        };
+        let kept = db.get(IDENTITY)?.and_then(|v| v.as_ref().try_into().ok().map(u64::from_le_bytes));
+        let held = if kept.is_some() { held } else { Vec::new() };
+        if kept.is_none() {
+            db.insert(IDENTITY, &mint.to_le_bytes())?;
+        }
+        db.flush()?;
+        sync_all(&at).map_err(troubled)?;
+        File::open(folder).and_then(|f| f.sync_all()).map_err(troubled)?;
+        let file = File::open(at.join("db")).map_err(troubled)?;
+        let tree = db.open_tree("chain")?;
+        let (jobs, queue) = mpsc::channel::<Job>();
+        let work = move || {
+            while let Ok(first) = queue.recv() {
+                let mut batch = sled::Batch::default();
+                let mut ticket = 0;
+                for (number, records) in
+                    std::iter::once(first).chain(std::iter::from_fn(|| queue.try_recv().ok()))
+                {
+                    ticket = number;
+                    for record in records {
+                        match record {
+                            Record::Put { key, value } => batch.insert(key, value),
+                            Record::Delete { key } => batch.remove(key),
+                        }
+                    }
+                }
+                let from = Instant::now();
+                let done = tree.apply_batch(batch).and_then(|()| db.flush()).map_err(|e| e.to_string());
+                let done = done.and_then(|_| file.sync_data().map_err(|e| e.to_string()));
+                let word = match done {
+                    Ok(()) => Said::Synced { ticket, took: from.elapsed() },
+                    Err(why) => Said::Failed(why),
+                };
+                let failed = matches!(word, Said::Failed(_));
+                if said.send(word).is_err() || failed {
+                    return;
+                }
+            }
+        };
+        std::thread::Builder::new().name("store".into()).spawn(work).map_err(StoreError::Thread)?;
+        Ok(Self { jobs, identity: kept.unwrap_or(mint), new: kept.is_none(), held })
+    }
+
+    pub fn write(&self, ticket: u64, records: Vec<Record>) -> bool {
+        self.jobs.send((ticket, records)).is_ok()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn opened(folder: &Path, mint: u64) -> (Store, tokio::sync::mpsc::UnboundedReceiver<Said>) {
+        let (said, heard) = tokio::sync::mpsc::unbounded_channel();
+        (Store::open(folder, mint, said).unwrap(), heard)
+    }
+
+    #[test]
+    fn what_was_said_to_be_synced_is_there_again_under_the_same_identity() {
+        let folder = tempfile::tempdir().unwrap();
+        let (store, mut heard) = opened(folder.path(), 7);
+        assert!(store.new);
+        for n in 0..20u64 {
+            let put = Record::Put { key: n.to_be_bytes().to_vec(), value: vec![n as u8; 1000] };
+            assert!(store.write(n, vec![put]));
+        }
+        assert!(store.write(20, vec![Record::Delete { key: 3u64.to_be_bytes().to_vec() }]));
+        while let Some(Said::Synced { ticket, .. }) = heard.blocking_recv() {
+            if ticket == 20 {
+                break;
+            }
+        }
+        drop(store);
+        while heard.blocking_recv().is_some() {}
+        let (again, _heard) = opened(folder.path(), 8);
+        assert!(!again.new);
+        assert_eq!(again.identity, 7);
+        assert_eq!(again.held.len(), 19);
+    }
+
+    #[test]
+    fn a_store_that_cant_be_opened_is_an_empty_disk_with_a_new_identity() {
+        let folder = tempfile::tempdir().unwrap();
+        std::fs::create_dir_all(folder.path().join("store")).unwrap();
+        std::fs::write(folder.path().join("store/db"), vec![0xa5; 4 << 20]).unwrap();
+        std::fs::write(folder.path().join("store/conf"), b"nothing that sled wrote").unwrap();
+        let (store, _heard) = opened(folder.path(), 9);
+        assert!(store.new);
+        assert_eq!(store.identity, 9);
+        assert!(store.held.is_empty());
+    }
+}
--- /dev/null
+++ b/crates/rookpulley-round/tests/picks.rs
@@ -0,0 +1,154 @@
+//! Which task a request goes to.
+
+use arbtest::arbtest;
+use rookpulley_addressbook::RouteKind;
+use rookpulley_round::{Fate, Pick, Post, Round};
+use rookpulley_waybill::Line;
+use std::collections::BTreeSet;
+
+fn line(life: &str, zone: &str) -> Line {
+    Line {
+        life: life.to_owned(),
+        address: "10.0.0.1:80".parse().unwrap(),
+        zone: zone.to_owned(),
+        weight: 1.0,
+        slots: 4,
+    }
+}
+
+fn round(kind: RouteKind) -> Round {
+    Round::new(kind, 3, 1e9, 0.5)
+}
+
+#[test]
+fn what_is_gone_or_tried_or_in_no_table_is_never_picked_and_all_else_is_found() {
+    arbtest(|u| {
+        let mut post = Post::new("a", 1);
+        let mut now_ms = 0.0;
+        let (mut gone, mut listed) = (BTreeSet::new(), [BTreeSet::new(), BTreeSet::new()]);
+        let mut flying: Vec<(usize, Pick)> = Vec::new();
+        let most = *u.choose(&[6, 150])?;
+        for _ in 0..60 {
+            now_ms += f64::from(u.int_in_range(0..=500u32)?);
+            let table = u.choose_index(2)?;
+            let service = ["s0", "s1"][table];
+            let life = |number: u32| format!("{service}-{number}");
+            match u.int_in_range(0..=5)? {
+                0 => {
+                    let lives: BTreeSet<String> =
+                        (0..most).filter(|_| u.ratio(1, 2).unwrap_or(true)).map(life).collect();
+                    let left = post.table(service, lives.iter().map(|life| line(life, "a")).collect());
+                    let want: Vec<&String> = listed[table].difference(&lives).collect();
+                    assert_eq!(left.iter().collect::<BTreeSet<_>>(), want.into_iter().collect());
+                    listed[table] = lives;
+                }
+                1 => {
+                    let life = life(u.int_in_range(0..=most - 1)?);
+                    assert_eq!(post.gone(vec![life.clone()], now_ms).is_empty(), !gone.insert(life));
+                }
+                2 if !flying.is_empty() => {
+                    let (table, pick) = flying.swap_remove(u.choose_index(flying.len())?);
+                    let fates =
+                        [Fate::Answered(200), Fate::Broken, Fate::Unsent, Fate::NotExecuted, Fate::TimedOut];
+                    match u.int_in_range(0..=7)? {
+                        5 => post.full(pick, now_ms),
+                        6 => post.stranger(pick, now_ms),
+                        7 => post.left(pick),
+                        other => post.settle(["s0", "s1"][table], pick, fates[other], 10.0, now_ms),
+                    }
+                }
+                _ => {
+                    let mut round = round(*u.choose(&[RouteKind::ReadOnly, RouteKind::Mutating])?);
+                    for _ in 0..4 {
+                        let open = listed[table]
+                            .iter()
+                            .any(|life| !gone.contains(life) && !round.tried().contains(life));
+                        assert_eq!(post.another(service, &round), open);
+                        let Some(pick) = post.pick(service, &round, RouteKind::ReadOnly, now_ms) else {
+                            assert!(!open);
+                            break;
+                        };
+                        assert!(listed[table].contains(&pick.line.life) && !gone.contains(&pick.line.life));
+                        assert!(!round.tried().contains(&pick.line.life));
+                        round.goes_to(&pick.line.life);
+                        flying.push((table, pick));
+                    }
+                }
+            }
+            let any = listed.iter().flatten().any(|life| !gone.contains(life));
+            assert_eq!(post.any(), any);
+        }
+        Ok(())
+    });
+}
+
+/// Sends so many requests one after the other; each task answers by its rule. Returns how many each life got.
+fn play(
+    post: &mut Post,
+    count: usize,
+    kind: RouteKind,
+    answer: impl Fn(&str, f64) -> (Fate, f64),
+) -> Vec<usize> {
+    let mut got = vec![0; 4];
+    for turn in 0..count {
+        let now_ms = 25.0 * turn as f64;
+        let pick = post.pick("s", &round(kind), kind, now_ms).unwrap();
+        let life = pick.line.life.clone();
+        got[life[1..].parse::<usize>().unwrap()] += 1;
+        let (fate, took_ms) = answer(&life, now_ms);
+        post.settle("s", pick, fate, took_ms, now_ms + 1.0);
+    }
+    got
+}
+
+#[test]
+fn a_task_that_fails_is_left_alone_for_longer_and_longer_and_comes_back_once_it_works() {
+    let mut post = Post::new("a", 1);
+    post.table("s", (0..4).map(|number| line(&format!("t{number}"), "a")).collect());
+    let got = play(&mut post, 2_000, RouteKind::ReadOnly, |life, now_ms| {
+        if life == "t0" && now_ms < 25_000.0 { (Fate::Broken, 1.0) } else { (Fate::Answered(200), 10.0) }
+    });
+    assert!((150..=400).contains(&got[0]), "{got:?}");
+    let got = play(&mut post, 400, RouteKind::ReadOnly, |life, _| {
+        if life == "t0" { (Fate::Unsent, 1.0) } else { (Fate::Answered(200), 10.0) }
+    });
+    assert!(got[0] <= 6, "{got:?}");
+}
+
+#[test]
+fn the_own_zone_is_taken_until_it_is_busy() {
+    let mut post = Post::new("a", 1);
+    post.table(
+        "s",
+        (0..4).map(|number| line(&format!("t{number}"), if number < 2 { "a" } else { "b" })).collect(),
+    );
+    let got = play(&mut post, 200, RouteKind::Download, |_, _| (Fate::Answered(200), 10.0));
+    assert_eq!(got[0] + got[1], 200, "{got:?}");
+    // With all that was sent still under way, the other zone gets its part.
+    let picks: Vec<Pick> = (0..16)
+        .filter_map(|_| post.pick("s", &round(RouteKind::ReadOnly), RouteKind::ReadOnly, 5_000.0))
+        .collect();
+    let far = picks.iter().filter(|pick| pick.line.zone == "b").count();
+    assert!((4..=8).contains(&far), "{far}");
+}
+
+#[test]
+fn faster_tasks_get_more() {
+    let mut post = Post::new("a", 1);
+    post.table("s", (0..2).map(|number| line(&format!("t{number}"), "a")).collect());
+    let mut flying: Vec<(f64, Pick)> = Vec::new();
+    let mut got = [0, 0];
+    for turn in 0..2_000 {
+        let now_ms = 5.0 * f64::from(turn);
+        while let Some(at) = flying.iter().position(|(end_ms, _)| *end_ms <= now_ms) {
+            let (end_ms, pick) = flying.swap_remove(at);
+            let took_ms = if pick.line.life == "t0" { 20.0 } else { 60.0 };
+            post.settle("s", pick, Fate::Answered(200), took_ms, end_ms);
+        }
+        let pick = post.pick("s", &round(RouteKind::ReadOnly), RouteKind::ReadOnly, now_ms).unwrap();
+        let fast = pick.line.life == "t0";
+        got[usize::from(!fast)] += 1;
+        flying.push((now_ms + if fast { 20.0 } else { 60.0 }, pick));
+    }
+    assert!(got[0] > 2 * got[1] && got[1] > 50, "{got:?}");
+}
--- /dev/null
+++ b/crates/rookpulley-settings/src/describe.rs
@@ -0,0 +1,114 @@
+//! What is in force, under the names of the file, for `--check`.
+
+use crate::node::Node;
+use std::fmt::{self, Debug, Display, Formatter, Write};
+
+/// One `name = value` a line, as the file would have it.
+impl Display for Node {
+    fn fmt(&self, f: &mut Formatter) -> fmt::Result {
+        let mut line = |name: &str, value: &dyn Display| writeln!(f, "{name} = {value}");
+        line("nodeName", &quoted(&self.name))?;
+        line("role", &quoted(&self.role))?;
+        line("machineClass", &quoted(&self.class))?;
+        line("serves", &list(&self.serves))?;
+        line("ipAddress", &quoted(&self.ip))?;
+        line("zone", &quoted(&self.zone))?;
+        line("region", &quoted(&self.region))?;
+        line("internalPortRange", &format_args!("[{}, {}]", self.inner_ports.0, self.inner_ports.1))?;
+        line("seedNodes", &list(&self.seeds))?;
+        line("firstStart", &self.first_start)?;
+        line("lossCounted", &self.loss_counted)?;
+        if let Some(data) = &self.data {
+            line("dataDirectory", &quoted(&data.display()))?;
+        }
+        line("heartbeatMs", &self.heartbeat_ms)?;
+
+        writeln!(f, "\n[zones]")?;
+        for (zone, region) in &self.zones {
+            writeln!(f, "{} = {}", quoted(zone), quoted(region))?;
+        }
+
+        writeln!(f, "\n[listenAddresses]")?;
+        let listen = &self.listen;
+        for (name, address) in
+            [("frontHttp", listen.front), ("readiness", listen.readiness), ("controlPlane", listen.control)]
+        {
+            if let Some(address) = address {
+                writeln!(f, "{name} = {}", quoted(&address))?;
+            }
+        }
+
+        writeln!(f, "\n[limits]")?;
+        let limits = &self.limits;
+        figures(
+            f,
+            &[
+                ("cpuShare", &limits.cpu_share),
+                ("cpuCores", &limits.cpu_cores),
+                ("memoryMb", &limits.memory_mb),
+                ("maxOpenFiles", &limits.open_files),
+                ("linkMbps", &limits.link_mbps),
+            ],
+        )?;
+        if let Some(disk) = limits.disk_mb {
+            figures(f, &[("diskMb", &disk)])?;
+        }
+
+        writeln!(f, "\n[faultTolerance]")?;
+        let tolerance = &self.tolerance;
+        figures(
+            f,
+            &[
+                ("machineLosses", &tolerance.machines),
+                ("zones", &tolerance.zones),
+                ("regionLosses", &tolerance.regions),
+            ],
+        )?;
+
+        writeln!(f, "\n[bounds]")?;
+        let bounds = &self.bounds;
+        figures(
+            f,
+            &[
+                ("seedLagS", &bounds.seed_lag_s),
+                ("addressReuseS", &bounds.address_reuse_s),
+                ("contactMs", &bounds.contact_ms),
+                ("ackDeadlineMs", &bounds.ack_deadline_ms),
+                ("catchUpS", &bounds.catch_up_s),
+                ("drainMs", &bounds.drain_ms),
+                ("gracePeriodS", &bounds.grace_period_s),
+                ("lossSlackMs", &bounds.loss_slack_ms),
+                ("configApplyMs", &bounds.config_apply_ms),
+                ("downgradeSlackMs", &bounds.downgrade_slack_ms),
+                ("maxStretchMs", &bounds.max_stretch_ms),
+                ("retryBudgetRatio", &bounds.retry_budget_ratio),
+                ("retryWindowS", &bounds.retry_window_s),
+                ("retryBudgetSlack", &bounds.retry_budget_slack),
+                ("recoveryS", &bounds.recovery_s),
+                ("historyRetentionS", &bounds.history_retention_s),
+                ("releaseMs", &bounds.release_ms),
+            ],
+        )
+    }
+}
+
+fn figures(f: &mut Formatter, lines: &[(&str, &dyn Debug)]) -> fmt::Result {
+    lines.iter().try_for_each(|(name, figure)| writeln!(f, "{name} = {figure:?}"))
+}
+
+fn quoted(text: &dyn Display) -> String {
+    let mut out = String::from("\"");
+    for c in text.to_string().chars() {
+        match c {
+            '"' | '\\' => out.extend(['\\', c]),
+            c if c.is_control() => _ = write!(out, "\\u{:04x}", u32::from(c)),
+            c => out.push(c),
+        }
+    }
+    out + "\""
+}
+
+fn list<T: Display>(items: &[T]) -> String {
+    let quoted: Vec<String> = items.iter().map(|item| quoted(item)).collect();
+    format!("[{}]", quoted.join(", "))
+}
--- /dev/null
+++ b/crates/rookpulley-settings/src/node.rs
@@ -0,0 +1,133 @@
+//! The values of a settings file, and what holds where the file leaves one out.
+
+use std::collections::BTreeMap;
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::path::PathBuf;
+
+/// What one process is told of itself and of its deployment.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Node {
+    pub name: String,
+    /// Empty where the file doesn't say, as is `class`.
+    pub role: String,
+    pub class: String,
+    /// Who may call this process from outside: `edge`, `control_plane`, both or nobody.
+    pub serves: Vec<String>,
+    pub ip: Ipv4Addr,
+    pub zone: String,
+    /// Where the file doesn't say: what `zones` has for the zone.
+    pub region: String,
+    /// The first and the last port that are ours for what our programs say to each other.
+    pub inner_ports: (u16, u16),
+    pub seeds: Vec<SocketAddrV4>,
+    /// False where the file doesn't say: a deployment founded twice loses what the first one acknowledged.
+    pub first_start: bool,
+    pub loss_counted: bool,
+    /// None: this machine has no disk for us.
+    pub data: Option<PathBuf>,
+    pub heartbeat_ms: u64,
+    /// Every zone with its region.
+    pub zones: BTreeMap<String, String>,
+    pub listen: Listen,
+    pub limits: Limits,
+    pub tolerance: Tolerance,
+    pub bounds: Bounds,
+}
+
+impl Node {
+    pub fn serves(&self, whom: &str) -> bool {
+        self.serves.iter().any(|one| one == whom)
+    }
+
+    /// Where this machine's office hears the other programs of ours.
+    pub fn inner_address(&self) -> SocketAddrV4 {
+        SocketAddrV4::new(self.ip, self.inner_ports.0)
+    }
+}
+
+/// Where calls from outside come in. What `serves` asks for is there.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Listen {
+    pub front: Option<SocketAddrV4>,
+    pub readiness: Option<SocketAddrV4>,
+    pub control: Option<SocketAddrV4>,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct Limits {
+    pub cpu_share: f64,
+    pub cpu_cores: f64,
+    pub memory_mb: f64,
+    pub open_files: u64,
+    pub link_mbps: f64,
+    pub disk_mb: Option<f64>,
+}
+
+impl Default for Limits {
+    /// A small machine: who is told nothing takes little.
+    fn default() -> Self {
+        Self {
+            cpu_share: 1.0,
+            cpu_cores: 1.0,
+            memory_mb: 256.0,
+            open_files: 1_024,
+            link_mbps: 1_000.0,
+            disk_mb: None,
+        }
+    }
+}
+
+/// What may be lost at once with nothing that was acknowledged lost with it.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Tolerance {
+    pub machines: u32,
+    pub zones: u32,
+    pub regions: u32,
+}
+
+/// The figures of the deployment's rules, under the names and in the units of the file.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Bounds {
+    pub seed_lag_s: f64,
+    pub address_reuse_s: f64,
+    pub contact_ms: u64,
+    pub ack_deadline_ms: u64,
+    pub catch_up_s: f64,
+    pub drain_ms: u64,
+    pub grace_period_s: f64,
+    pub loss_slack_ms: u64,
+    pub config_apply_ms: u64,
+    pub downgrade_slack_ms: u64,
+    pub max_stretch_ms: u64,
+    pub retry_budget_ratio: f64,
+    pub retry_window_s: f64,
+    pub retry_budget_slack: f64,
+    pub recovery_s: f64,
+    pub history_retention_s: f64,
+    pub release_ms: u64,
+}
+
+impl Default for Bounds {
+    /// For a file that leaves figures out, each on its careful side.
+    fn default() -> Self {
+        Self {
+            seed_lag_s: 3.0,
+            address_reuse_s: 2.0,
+            contact_ms: 3_000,
+            ack_deadline_ms: 4_000,
+            catch_up_s: 4.0,
+            drain_ms: 2_000,
+            grace_period_s: 5.0,
+            loss_slack_ms: 200,
+            config_apply_ms: 2_000,
+            downgrade_slack_ms: 200,
+            max_stretch_ms: 5_000,
+            retry_budget_ratio: 0.1,
+            retry_window_s: 10.0,
+            retry_budget_slack: 32.0,
+            recovery_s: 15.0,
+            history_retention_s: 30.0,
+            release_ms: 1_500,
+        }
+    }
+}
--- /dev/null
+++ b/crates/rookpulley-sorting/src/beat.rs
@@ -0,0 +1,184 @@
+//! A task's beat, read from the body of its call.
+
+use rookpulley_waybill::Life;
+use serde::{Deserialize, Serialize};
+use std::collections::HashMap;
+use std::net::SocketAddrV4;
+use tinyjson::JsonValue;
+
+/// A beat is some hundred bytes.
+const LONGEST: usize = 16 << 10;
+/// The reader goes down a level for each bracket, on our stack: a beat needs three.
+const BRACKETS_MOST: usize = 64;
+const NAME_LONGEST: usize = 128;
+
+/// What a task says of itself.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Beat {
+    pub life: Life,
+    pub service: String,
+    pub address: SocketAddrV4,
+    pub zone: String,
+    /// The version of the task's software.
+    pub software: String,
+    pub slots: u16,
+    pub draining: bool,
+    /// How much longer it stays slow after its start.
+    pub cold_ms: f64,
+    /// Goes up with each call of this life.
+    pub sequence: u64,
+}
+
+#[derive(Debug, thiserror::Error, miette::Diagnostic)]
+pub enum BeatFault {
+    #[error("the path of the beat holds no id of a task's life")]
+    #[diagnostic(help("write /rookpulley/instances/ID with 1 to {NAME_LONGEST} visible ASCII characters"))]
+    Life,
+    #[error("the body of the beat has {0} bytes")]
+    #[diagnostic(help("write one JSON object of at most {LONGEST} bytes"))]
+    Long(usize),
+    #[error("the body of the beat can't be read: {0}")]
+    #[diagnostic(help("write one JSON object, in UTF-8, with the parts nodeInfo and currentStatus"))]
+    Json(String),
+    #[error("in the beat, `{field}` is {found}")]
+    #[diagnostic(help("write {instead} as `{field}`"))]
+    Field { field: &'static str, found: &'static str, instead: &'static str },
+}
+
+type Object = HashMap<String, JsonValue>;
+
+/// The parts of a beat. A flat one has all fields at the top.
+struct Parts<'a> {
+    top: &'a Object,
+    inner: Option<&'a Object>,
+}
+
+impl<'a> Parts<'a> {
+    fn of(top: &'a Object, part: &str) -> Self {
+        let inner = top.get(part).and_then(|v| v.get::<Object>());
+        Self { top, inner }
+    }
+
+    fn find(&self, field: &'static str) -> Option<&'a JsonValue> {
+        self.inner.and_then(|part| part.get(field)).or_else(|| self.top.get(field))
+    }
+
+    fn wrong(&self, field: &'static str, instead: &'static str) -> BeatFault {
+        let found = match self.find(field) {
+            None => "missing",
+            Some(JsonValue::Null) => "null",
+            Some(JsonValue::String(_)) => "a text that won't do",
+            Some(JsonValue::Number(_)) => "a number that won't do",
+            Some(_) => "of another type",
+        };
+        BeatFault::Field { field, found, instead }
+    }
+
+    fn name(&self, field: &'static str, least: usize) -> Result<String, BeatFault> {
+        let wrong = || self.wrong(field, "a text of at most 128 bytes");
+        let text = self.find(field).and_then(|v| v.get::<String>());
+        let text = match text {
+            None if least == 0 && self.find(field).is_none() => return Ok(String::new()),
+            text => text.ok_or_else(wrong)?,
+        };
+        if (least..=NAME_LONGEST).contains(&text.len()) { Ok(text.clone()) } else { Err(wrong()) }
+    }
+
+    fn whole(&self, field: &'static str, least: f64, most: f64) -> Result<f64, BeatFault> {
+        let number = self.find(field).and_then(|v| v.get::<f64>()).copied();
+        let sound = number.filter(|n| n.fract() == 0.0 && (least..=most).contains(n));
+        sound.ok_or_else(|| self.wrong(field, "a whole number in its range"))
+    }
+}
+
+/// Whether this can be the id of a life; it goes into a header.
+pub(crate) fn names_a_life(life: &str) -> bool {
+    (1..=NAME_LONGEST).contains(&life.len()) && life.bytes().all(|b| b.is_ascii_graphic())
+}
+
+impl Beat {
+    /// Reads the body of a beat, its fields in their two parts or all at the top.
+    pub fn read(life: &str, body: &[u8]) -> Result<Self, BeatFault> {
+        if !names_a_life(life) {
+            return Err(BeatFault::Life);
+        }
+        if body.len() > LONGEST {
+            return Err(BeatFault::Long(body.len()));
+        }
+        if body.iter().filter(|b| matches!(b, b'{' | b'[')).count() > BRACKETS_MOST {
+            return Err(BeatFault::Json("too many brackets".into()));
+        }
+        let text = std::str::from_utf8(body).map_err(|e| BeatFault::Json(e.to_string()))?;
+        let value: JsonValue = text.parse().map_err(|e: tinyjson::JsonParseError| {
+            // The reader's own words show the input around the place.
+            BeatFault::Json(e.to_string())
+        })?;
+        let top = value.get::<Object>().ok_or_else(|| BeatFault::Json("it is no JSON object".into()))?;
+        let (node, status) = (Parts::of(top, "nodeInfo"), Parts::of(top, "currentStatus"));
+        let address = status.name("address", 1)?;
+        let address: SocketAddrV4 =
+            address.parse().ok().filter(|a: &SocketAddrV4| a.port() != 0).ok_or(BeatFault::Field {
+                field: "address",
+                found: "no address",
+                instead: "an IPv4 address and a port",
+            })?;
+        let draining = match status.name("lifecycleState", 1)?.as_str() {
+            "available" => false,
+            "draining" => true,
+            _ => return Err(status.wrong("lifecycleState", "`available` or `draining`")),
+        };
+        let cold = status.find("coldRemainingMs").and_then(|v| v.get::<f64>()).copied();
+        Ok(Self {
+            life: life.into(),
+            service: node.name("targetService", 1)?,
+            address,
+            zone: node.name("zone", 1)?,
+            software: node.name("configVersion", 0)?,
+            slots: node.whole("capacitySlots", 1.0, f64::from(u16::MAX))? as u16,
+            draining,
+            cold_ms: cold.filter(|ms| ms.is_finite()).unwrap_or(0.0).clamp(0.0, 600_000.0),
+            sequence: status.whole("callSequence", 0.0, 9e15)? as u64,
+        })
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const NESTED: &str = r#"{"address":"10.128.0.9:8080",
+        "nodeInfo":{"targetService":"a","configVersion":"v1","zone":"z","capacitySlots":4},
+        "currentStatus":{"lifecycleState":"draining","callSequence":4,"coldRemainingMs":0}}"#;
+    const FLAT: &str = r#"{"address":"10.128.0.9:8080","targetService":"a","configVersion":"v1","zone":"z",
+        "capacitySlots":4,"lifecycleState":"draining","callSequence":4,"coldRemainingMs":0}"#;
+
+    #[test]
+    fn a_beat_reads_alike_in_parts_and_flat() {
+        let beat = Beat::read("i-1", NESTED.as_bytes()).unwrap();
+        assert_eq!(beat, Beat::read("i-1", FLAT.as_bytes()).unwrap());
+        assert_eq!((beat.slots, beat.draining, beat.sequence), (4, true, 4));
+    }
+
+    #[test]
+    fn a_spoilt_beat_is_refused_with_words_and_never_ends_the_program() {
+        let spoilt = [("\"a\"", "7"), ("4", "0"), ("draining", "gone"), (":8080", ""), ("\"z\"", "[[]]")];
+        for (was, is) in spoilt {
+            let fault = Beat::read("i-1", NESTED.replacen(was, is, 1).as_bytes()).unwrap_err();
+            assert!(miette::Diagnostic::help(&fault).is_some(), "{fault}");
+        }
+        assert!(Beat::read("i-1", &[b'['; 10_000]).is_err());
+        assert!(Beat::read("i 1", NESTED.as_bytes()).is_err());
+        for seed in 0..2_000 {
+            let spoil = |u: &mut arbtest::arbitrary::Unstructured| {
+                let mut body = NESTED.as_bytes().to_vec();
+                for _ in 0..u.int_in_range(1..=4)? {
+                    let at = u.choose_index(body.len())?;
+                    body[at] = u.arbitrary()?;
+                }
+                _ = Beat::read("i-1", &body);
+                Ok(())
+            };
+            arbtest::arbtest(spoil).seed(seed << 32 | 64).run();
+        }
+    }
+}
--- /dev/null
+++ b/crates/rookpulley-sorting/src/lib.rs
@@ -0,0 +1,19 @@
+//! Which tasks there are, and the tables that offices cut from them. No sockets, files or clocks.
+//!
+//! `registry` keeps the lives of tasks by their `beat`s and by `news` of other offices. `desk` hosts the module,
+//! one controller a service (`hosted`, `module`): `list` turns the registry into the module's list, `posted` holds
+//! what a courier was sent.
+
+mod beat;
+mod desk;
+mod hosted;
+mod list;
+mod module;
+mod news;
+mod posted;
+mod registry;
+
+pub use beat::{Beat, BeatFault};
+pub use desk::{Desk, Out, Service, Shown};
+pub use news::{News, Outcome, Still, Word};
+pub use registry::{Registry, Standing, Task};
--- /dev/null
+++ b/crates/rookpulley-sorting/src/news.rs
@@ -0,0 +1,53 @@
+//! What offices tell each other of tasks.
+
+use crate::beat::Beat;
+use rookpulley_waybill::Life;
+use serde::{Deserialize, Serialize};
+
+/// Ages instead of times: offices share no clock.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum News {
+    Beat {
+        beat: Beat,
+        age_ms: f64,
+    },
+    Gone {
+        life: Life,
+        age_ms: f64,
+    },
+    /// Later beats of lives that are known, many at once.
+    Heard {
+        lives: Vec<Still>,
+    },
+}
+
+/// A life that goes on beating.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Still {
+    pub life: Life,
+    pub sequence: u64,
+    pub age_ms: f64,
+}
+
+/// How soon the others must know of what came in.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Word {
+    Now(News),
+    /// It goes with the next batch, or need not go at all.
+    Later,
+    /// It came too late and changed nothing.
+    Late,
+}
+
+/// What became of what came in.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Outcome {
+    pub word: Word,
+    /// This life is to get nothing new from now on: all couriers must know before it is acknowledged.
+    pub newly_draining: Option<Life>,
+}
+
+impl Outcome {
+    pub(crate) const LATE: Self = Self { word: Word::Late, newly_draining: None };
+    pub(crate) const LATER: Self = Self { word: Word::Later, newly_draining: None };
+}
--- /dev/null
+++ b/crates/rookpulley-sorting/tests/desk.rs
@@ -0,0 +1,307 @@
+//! A registry and a desk with tasks and couriers of chance.
+
+use arbtest::arbitrary::{Result, Unstructured};
+use rookpulley_sorting::{Beat, Desk, Out, Registry, Service, Standing};
+use rookpulley_waybill::{Line, Report, ServiceReport, TaskReport};
+use std::collections::{BTreeMap, BTreeSet};
+
+const HEARTBEAT_MS: f64 = 1_500.0;
+const STEP_MS: f64 = 100.0;
+
+#[derive(Clone)]
+struct Task {
+    beat: Beat,
+    due_ms: f64,
+}
+
+/// What a courier holds of a service.
+#[derive(Clone, Default)]
+struct Held {
+    lines: Vec<Line>,
+    at_ms: f64,
+}
+
+struct World {
+    now: f64,
+    registry: Registry,
+    desk: Desk,
+    tasks: Vec<Task>,
+    couriers: BTreeSet<String>,
+    held: BTreeMap<(String, String), Held>,
+    lives: usize,
+    log: Vec<String>,
+}
+
+impl World {
+    fn new(services: &[&str], max_connections: u32) -> Self {
+        let mut desk = Desk::new(7);
+        let service = |name: &&str| Service { name: name.to_string(), max_connections, aim_ms: 250.0 };
+        desk.set_services(0.0, &services.iter().map(service).collect::<Vec<_>>());
+        Self {
+            now: 0.0,
+            registry: Registry::new(0.0, HEARTBEAT_MS, 2_500.0),
+            desk,
+            tasks: Vec::new(),
+            couriers: BTreeSet::new(),
+            held: BTreeMap::new(),
+            lives: 0,
+            log: Vec::new(),
+        }
+    }
+
+    fn start(&mut self, service: &str, place: usize, cold_ms: f64) -> String {
+        self.lives += 1;
+        let life = format!("i-{}", self.lives);
+        let address = format!("10.0.{}.{}:80", place / 200, place % 200 + 1).parse().unwrap();
+        // A new life at a place means that the one before has ended.
+        self.tasks.retain(|task| task.beat.address != address);
+        let beat = Beat {
+            life: life.clone(),
+            service: service.into(),
+            address,
+            zone: format!("z{}", place % 3),
+            software: "v1".into(),
+            slots: 4 + (place % 3) as u16,
+            draining: false,
+            cold_ms,
+            sequence: 0,
+        };
+        self.tasks.push(Task { beat, due_ms: self.now });
+        life
+    }
+
+    fn drain(&mut self, life: &str) {
+        for task in self.tasks.iter_mut().filter(|task| task.beat.life == life) {
+            (task.beat.draining, task.due_ms) = (true, self.now);
+        }
+    }
+
+    fn courier_in(&mut self, name: &str) {
+        self.couriers.insert(name.into());
+        self.held.retain(|(courier, _), _| courier != name);
+        self.desk.courier_in(self.now, name, "z0", 1.0, false);
+        self.desk.set_couriers(self.now, self.couriers.len() as u32);
+    }
+
+    /// One step of time: beats that are due, a tick, and what goes out is taken.
+    fn step(&mut self) {
+        self.now += STEP_MS;
+        for task in self.tasks.iter_mut().filter(|task| task.due_ms <= self.now) {
+            task.due_ms = self.now + HEARTBEAT_MS;
+            task.beat.sequence += 1;
+            self.registry.beat(self.now, task.beat.clone());
+            task.beat.cold_ms = (task.beat.cold_ms - HEARTBEAT_MS).max(0.0);
+        }
+        self.registry.tick(self.now);
+        self.desk.sync(self.now, &self.registry);
+        for out in self.desk.tick(self.now) {
+            match out {
+                Out::Table { courier, service, mark, lines, .. } => {
+                    self.check_sent(&courier, &service, &lines);
+                    self.desk.took(self.now, &courier, mark);
+                    self.held.insert((courier, service), Held { lines, at_ms: self.now });
+                }
+                Out::Log { text, .. } => self.log.push(text),
+            }
+        }
+        self.check_held();
+    }
+
+    fn steps(&mut self, count: usize) {
+        (0..count).for_each(|_| self.step());
+    }
+
+    fn gone(&self, line: &Line) -> bool {
+        !matches!(self.registry.standing(&line.life), Standing::Live | Standing::Silent)
+    }
+
+    fn check_sent(&self, courier: &str, service: &str, lines: &[Line]) {
+        assert!(self.couriers.contains(courier), "a table for a courier that is out");
+        let live: BTreeMap<_, _> = self.registry.listed(service).map(|b| (&b.life, b.address)).collect();
+        let named: BTreeSet<_> = lines.iter().map(|line| &line.life).collect();
+        assert_eq!(named.len(), lines.len());
+        let before = self.lives_held(courier, service);
+        for line in lines {
+            // One that is merely silent may stay where there is nothing better, and is never new.
+            let silent = self.registry.standing(&line.life) == Standing::Silent;
+            let kept = silent && before.contains(&line.life);
+            assert!(live.get(&line.life) == Some(&line.address) || kept, "{line:?} is not live");
+            assert!(line.weight > 0.0);
+        }
+        if let Some(held) = self.held.get(&(courier.into(), service.into())) {
+            let urgent = held.lines.is_empty() || held.lines.iter().any(|line| self.gone(line));
+            let pace_ms = if self.registry.settling(self.now) { 300.0 } else { 1_000.0 };
+            assert!(urgent || self.now - held.at_ms >= pace_ms - 1.0, "tables change too often");
+            assert_ne!(held.lines, lines, "the same table again");
+        }
+    }
+
+    fn check_held(&self) {
+        for (of, held) in &self.held {
+            let gone: Vec<_> = held.lines.iter().filter(|line| self.gone(line)).collect();
+            // Lines of which none is any good are as bad as no lines.
+            let settling = self.registry.settling(self.now) && gone.len() == held.lines.len();
+            assert!(gone.is_empty() || settling, "{of:?} still holds {gone:?}");
+        }
+    }
+
+    /// Each courier reports tries at all that it holds.
+    fn report(&mut self, tries: u32, bad: u32) {
+        for ((courier, service), held) in &self.held {
+            let mean_ms = 20.0;
+            let task = |l: &Line| TaskReport { life: l.life.clone(), tries, bad, mean_ms };
+            let tasks: Vec<_> = held.lines.iter().map(task).collect();
+            let came = tries * tasks.len() as u32;
+            let of = ServiceReport { service: service.clone(), came, bad: 0, tasks };
+            self.desk.report(self.now, courier, &Report { span_ms: 1_000, services: vec![of] });
+        }
+    }
+
+    fn lives_held(&self, courier: &str, service: &str) -> BTreeSet<String> {
+        let held = self.held.get(&(courier.into(), service.into()));
+        held.into_iter().flat_map(|h| &h.lines).map(|line| line.life.clone()).collect()
+    }
+
+    fn act(&mut self, u: &mut Unstructured) -> Result<()> {
+        let some = if self.tasks.is_empty() { None } else { Some(u.choose_index(self.tasks.len())?) };
+        match (u.int_in_range(0..=11)?, some) {
+            (0..=2, _) => {
+                let service = *u.choose(&["a", "b"])?;
+                let place = u.choose_index(12)?;
+                let cold_ms = *u.choose(&[0.0, 2_000.0, 8_000.0])?;
+                self.start(service, place, cold_ms);
+            }
+            (3, Some(at)) => {
+                let life = self.tasks[at].beat.life.clone();
+                self.drain(&life);
+            }
+            (4, Some(at)) => {
+                let task = self.tasks.swap_remove(at);
+                self.registry.leave(self.now, &task.beat.life);
+            }
+            // Its beats stop for a while, or for good.
+            (5, Some(at)) => self.tasks[at].due_ms = self.now + f64::from(u.int_in_range(1..=9)?) * 1e3,
+            (6, Some(at)) => _ = self.tasks.swap_remove(at),
+            (7 | 8, _) => {
+                let name = format!("c{}", u.choose_index(4)?);
+                self.courier_in(&name);
+            }
+            (9, _) => {
+                let name = format!("c{}", u.choose_index(4)?);
+                self.couriers.remove(&name);
+                self.held.retain(|(courier, _), _| *courier != name);
+                self.desk.courier_out(self.now, &name);
+            }
+            _ => {
+                let bad = u.int_in_range(0..=10)?;
+                self.report(10, bad);
+            }
+        }
+        Ok(())
+    }
+}
+
+/// The same runs each time, longer and longer ones.
+fn play(runs: u32, run: impl Fn(&mut Unstructured) -> Result<()>) {
+    for n in 1..=runs {
+        let seed = u64::from(n.wrapping_mul(0x9e37_79b9)) << 32 | u64::from(64 + n % 100 * 24);
+        arbtest::arbtest(&run).seed(seed).run();
+    }
+}
+
+#[test]
+fn tables_name_live_tasks_alone_and_lose_a_drained_one_with_the_next_tick() {
+    play(60, |u| {
+        let mut world = World::new(&["a", "b"], 130);
+        for _ in 0..u.int_in_range(5..=60)? {
+            world.act(u)?;
+            world.steps(u.int_in_range(1..=8)?);
+        }
+        // Once all is calm for longer than anybody is held out, every task is in a table of somebody.
+        world.courier_in("c9");
+        (0..40).for_each(|_| {
+            world.report(10, 0);
+            world.steps(10);
+        });
+        for service in ["a", "b"] {
+            let live: BTreeSet<String> = world.registry.listed(service).map(|b| b.life.clone()).collect();
+            let held: BTreeSet<String> =
+                world.couriers.iter().flat_map(|courier| world.lives_held(courier, service)).collect();
+            assert!(live.is_subset(&held), "{service}: {live:?} are live, in tables {held:?}");
+        }
+        Ok(())
+    });
+}
+
+#[test]
+fn a_small_fleet_is_open_to_every_courier_and_a_large_one_in_parts() {
+    for (tasks, couriers, most, least) in [(25, 12, 130, 25), (419, 91, 610, 60)] {
+        let mut world = World::new(&["a"], most);
+        (0..tasks).for_each(|place| _ = world.start("a", place, 0.0));
+        (0..couriers).for_each(|n| world.courier_in(&format!("c{n}")));
+        world.steps(100);
+        let mut reach = BTreeMap::<String, usize>::new();
+        for held in world.held.values() {
+            let count = held.lines.len();
+            assert!((least..=110).contains(&count), "{count} lines of {tasks}");
+            held.lines.iter().for_each(|line| *reach.entry(line.life.clone()).or_default() += 1);
+        }
+        assert_eq!((world.held.len(), reach.len()), (couriers, tasks));
+        assert!(reach.values().all(|count| *count >= couriers / 10), "{reach:?}");
+    }
+}
+
+#[test]
+fn a_table_that_fails_is_tainted_and_the_one_before_comes_back_without_what_drains() {
+    let mut world = World::new(&["a"], 130);
+    let lives: Vec<String> = (0..4).map(|place| world.start("a", place, 0.0)).collect();
+    world.courier_in("c0");
+    for _ in 0..10 {
+        world.report(20, 0);
+        world.steps(10);
+    }
+    assert_eq!(world.lives_held("c0", "a").len(), 4);
+    let before = world.desk.shown()[0].name;
+    let new = world.start("a", 4, 0.0);
+    world.drain(&lives[0]);
+    world.steps(15);
+    let held = world.lives_held("c0", "a");
+    assert!(held.contains(&new) && !held.contains(&lives[0]) && held.len() == 4, "{held:?}");
+    assert_ne!(world.desk.shown()[0].name, before);
+    for _ in 0..10 {
+        world.report(20, 3);
+        world.steps(10);
+    }
+    let held = world.lives_held("c0", "a");
+    assert_eq!(held.iter().collect::<Vec<_>>(), [&lives[1], &lives[2], &lives[3]], "{:?}", world.log);
+    assert!(world.log.iter().any(|text| text.contains("tainted, rolled back")), "{:?}", world.log);
+}
+
+#[test]
+fn one_that_holds_tables_gets_none_from_an_office_that_is_still_settling() {
+    let mut world = World::new(&["a"], 130);
+    world.start("a", 0, 0.0);
+    world.desk.courier_in(0.0, "old", "z0", 1.0, true);
+    world.couriers.insert("old".into());
+    world.courier_in("new");
+    world.steps(25);
+    assert_eq!(world.lives_held("new", "a").len(), 1);
+    assert_eq!(world.lives_held("old", "a").len(), 0);
+    world.steps(10);
+    assert_eq!(world.lives_held("old", "a").len(), 1);
+}
+
+#[test]
+fn the_last_known_tasks_stay_while_they_are_merely_silent() {
+    let mut world = World::new(&["a"], 130);
+    let life = world.start("a", 0, 0.0);
+    world.courier_in("c0");
+    world.steps(40);
+    world.tasks.clear();
+    world.steps(100);
+    assert_eq!(world.registry.standing(&life), Standing::Silent);
+    assert_eq!(world.lives_held("c0", "a").len(), 1);
+    world.registry.leave(world.now, &life);
+    world.step();
+    assert_eq!(world.lives_held("c0", "a").len(), 0);
+}
--- /dev/null
+++ b/crates/rookpulley-sorting/tests/registry.rs
@@ -0,0 +1,193 @@
+//! Several registries, each told a part, in orders of chance.
+
+use arbtest::arbitrary::{Result, Unstructured};
+use rookpulley_sorting::{Beat, News, Outcome, Registry, Standing, Word};
+use std::collections::BTreeSet;
+
+const HEARTBEAT_MS: f64 = 1_500.0;
+const OFFICES: usize = 3;
+const LIVES: usize = 8;
+
+fn beat(life: usize, sequence: u64, draining: bool) -> Beat {
+    // Two lives share each address, and some of these pairs are of different services.
+    let address = format!("10.0.0.{}:80", life / 2 + 1).parse().unwrap();
+    let service = if life.is_multiple_of(3) { "a" } else { "b" };
+    Beat {
+        life: format!("i-{life}"),
+        service: service.into(),
+        address,
+        zone: "z".into(),
+        software: "v1".into(),
+        slots: 4,
+        draining,
+        cold_ms: 0.0,
+        sequence,
+    }
+}
+
+fn listed(registry: &Registry) -> BTreeSet<String> {
+    let both = registry.listed("a").chain(registry.listed("b"));
+    both.map(|beat| beat.life.clone()).collect()
+}
+
+fn aged(news: &News, by_ms: f64) -> News {
+    let mut news = news.clone();
+    match &mut news {
+        News::Beat { age_ms, .. } | News::Gone { age_ms, .. } => *age_ms += by_ms,
+        News::Heard { lives } => lives.iter_mut().for_each(|still| still.age_ms += by_ms),
+    }
+    news
+}
+
+enum Way {
+    Beat(Beat),
+    Leave(String),
+    News(News, f64),
+}
+
+struct World {
+    now: f64,
+    offices: Vec<Registry>,
+    on_the_way: Vec<(usize, Way)>,
+    /// By office, the lives that it has been told drain or are gone.
+    gone: Vec<BTreeSet<String>>,
+}
+
+impl World {
+    fn deliver(&mut self, at: usize) {
+        let (to, way) = self.on_the_way.swap_remove(at);
+        let (now, office) = (self.now, &mut self.offices[to]);
+        let (life, Outcome { word, newly_draining }) = match way {
+            Way::Beat(beat) => {
+                let gone = beat.draining.then(|| beat.life.clone());
+                (gone, office.beat(now, beat))
+            }
+            Way::Leave(life) => {
+                let outcome = office.leave(now, &life);
+                (Some(life), outcome)
+            }
+            Way::News(news, sent_ms) => {
+                let gone = match &news {
+                    News::Beat { beat, .. } => beat.draining.then(|| beat.life.clone()),
+                    News::Gone { life, .. } => Some(life.clone()),
+                    News::Heard { .. } => None,
+                };
+                (gone, office.take_news(now, &aged(&news, now - sent_ms)))
+            }
+        };
+        assert_eq!(newly_draining.is_some(), life.is_some_and(|life| self.gone[to].insert(life)));
+        if let Word::Now(news) = word {
+            self.spread(to, &news);
+        }
+    }
+
+    fn spread(&mut self, from: usize, news: &News) {
+        let others = (0..OFFICES).filter(|to| *to != from);
+        self.on_the_way.extend(others.map(|to| (to, Way::News(news.clone(), self.now))));
+    }
+
+    fn check(&self) {
+        for (office, gone) in self.offices.iter().zip(&self.gone) {
+            let listed = listed(office);
+            assert!(listed.is_disjoint(gone), "a gone life is listed: {listed:?}, {gone:?}");
+            let kept: BTreeSet<String> = office.gone_lives().into_iter().collect();
+            assert_eq!(kept, *gone);
+            let places = office.listed("a").chain(office.listed("b")).map(|beat| beat.address);
+            assert_eq!(places.collect::<BTreeSet<_>>().len(), listed.len(), "one address, two lives");
+        }
+    }
+}
+
+/// The same runs each time, longer and longer ones.
+fn play(runs: u32, run: impl Fn(&mut Unstructured) -> Result<()>) {
+    for n in 1..=runs {
+        let seed = u64::from(n.wrapping_mul(0x9e37_79b9)) << 32 | u64::from(64 + n % 100 * 24);
+        arbtest::arbtest(&run).seed(seed).run();
+    }
+}
+
+#[test]
+fn offices_that_heard_the_same_in_any_order_agree_and_list_no_gone_life() {
+    play(300, |u| {
+        let offices = (0..OFFICES).map(|_| Registry::new(0.0, HEARTBEAT_MS, 2_500.0)).collect();
+        let gone = vec![BTreeSet::new(); OFFICES];
+        let mut world = World { now: 0.0, offices, on_the_way: Vec::new(), gone };
+        let (mut sequence, mut draining) = ([0; LIVES], [false; LIVES]);
+        for _ in 0..u.int_in_range(10..=120)? {
+            world.now += f64::from(u.int_in_range(1..=400)?);
+            let life = u.choose_index(LIVES)?;
+            let to = u.choose_index(OFFICES)?;
+            match u.int_in_range(0..=9)? {
+                0 => draining[life] = true,
+                1 if sequence[life] > 0 => world.on_the_way.push((to, Way::Leave(format!("i-{life}")))),
+                2 => {
+                    let news = world.offices[to].fresh_news(world.now);
+                    news.iter().for_each(|news| world.spread(to, news));
+                }
+                3..=5 => {
+                    sequence[life] += 1;
+                    world.on_the_way.push((to, Way::Beat(beat(life, sequence[life], draining[life]))));
+                }
+                _ if !world.on_the_way.is_empty() => {
+                    let at = u.choose_index(world.on_the_way.len())?;
+                    world.deliver(at);
+                }
+                _ => {}
+            }
+            let now = world.now;
+            world.offices.iter_mut().for_each(|office| _ = office.tick(now));
+            world.check();
+        }
+        while !world.on_the_way.is_empty() {
+            let at = u.choose_index(world.on_the_way.len()).unwrap_or(0);
+            world.deliver(at);
+        }
+        for from in 0..OFFICES {
+            let now = world.now;
+            let news = world.offices[from].fresh_news(now);
+            let all = world.offices[from].all_news(now);
+            news.iter().chain(&all).for_each(|news| world.spread(from, news));
+            while !world.on_the_way.is_empty() {
+                world.deliver(0);
+            }
+        }
+        let now = world.now;
+        world.offices.iter_mut().for_each(|office| _ = office.tick(now));
+        world.check();
+        assert_eq!(listed(&world.offices[0]), listed(&world.offices[1]));
+        assert_eq!(listed(&world.offices[0]), listed(&world.offices[2]));
+        Ok(())
+    });
+}
+
+#[test]
+fn a_silent_life_leaves_and_comes_back_and_nobody_is_silent_to_one_that_settles_or_slept() {
+    let mut office = Registry::new(0.0, HEARTBEAT_MS, 2_500.0);
+    let old = News::Beat { beat: beat(1, 1, false), age_ms: 9_000.0 };
+    assert!(matches!(office.take_news(0.0, &old).word, Word::Now(_)));
+    let pass = |office: &mut Registry, from: u32, to: u32| {
+        (from..to).step_by(100).flat_map(|at| office.tick(f64::from(at))).collect::<Vec<_>>()
+    };
+    assert_eq!(pass(&mut office, 100, 3_000), [""; 0]);
+    assert!(office.settling(2_999.0) && listed(&office).len() == 1);
+    assert_eq!(pass(&mut office, 3_000, 3_200), ["i-1"]);
+    assert_eq!(office.standing("i-1"), Standing::Silent);
+    assert!(matches!(office.beat(3_200.0, beat(1, 2, false)).word, Word::Now(_)));
+    assert_eq!(listed(&office).len(), 1);
+    assert_eq!(pass(&mut office, 3_300, 8_200), [""; 0]);
+    // It sleeps, and the beats of that time wait for it.
+    assert_eq!(office.tick(12_000.0), [""; 0]);
+    assert!(office.settling(12_000.0));
+    assert_eq!(pass(&mut office, 12_100, 15_000), [""; 0]);
+    assert_eq!(pass(&mut office, 15_000, 15_200), ["i-1"]);
+}
+
+#[test]
+fn what_a_courier_knows_to_be_gone_is_never_listed_by_an_office_that_starts_anew() {
+    let mut office = Registry::new(0.0, HEARTBEAT_MS, 2_500.0);
+    let gone = ["i-1".to_string(), "i-2".to_string()];
+    assert_eq!(office.take_gone(0.0, &gone), gone);
+    assert_eq!(office.take_gone(1.0, &gone), [""; 0]);
+    assert_eq!(office.beat(2.0, beat(1, 7, false)).word, Word::Late);
+    assert!(listed(&office).is_empty());
+}
--- /dev/null
+++ b/crates/rookpulley-waybill/src/messages.rs
@@ -0,0 +1,81 @@
+//! The values that couriers and offices exchange.
+
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddrV4;
+
+/// The id of one life of a task.
+pub type Life = String;
+
+/// What a courier tells an office.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Up {
+    /// The first word on a connection. `home`: this office is asked to cut the courier's tables.
+    Hello {
+        node: String,
+        zone: String,
+        life: u64,
+        home: bool,
+        config: u64,
+        gone: Vec<Life>,
+    },
+    Home {
+        home: bool,
+    },
+    /// It has heard of a newer configuration than the one it holds.
+    WantConfig {
+        have: u64,
+    },
+    /// About once a second, to its home.
+    Report(Report),
+    /// The tables up to this mark are in use.
+    Took {
+        mark: u64,
+    },
+}
+
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Report {
+    pub span_ms: u32,
+    pub services: Vec<ServiceReport>,
+}
+
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct ServiceReport {
+    pub service: String,
+    /// Requests that came for it, and those of them that failed.
+    pub came: u32,
+    pub bad: u32,
+    pub tasks: Vec<TaskReport>,
+}
+
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct TaskReport {
+    pub life: Life,
+    pub tries: u32,
+    pub bad: u32,
+    /// Over the good tries.
+    pub mean_ms: f32,
+}
+
+/// What an office tells a courier.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Down {
+    /// A few times a second. `in_touch`: this office stands in a view that is at work.
+    Pulse { in_touch: bool, config: u64, couriers: u32, offices: Vec<SocketAddrV4> },
+    /// The operator's bytes as they were sent.
+    Config { version: u64, body: Vec<u8> },
+    /// A whole table, in the place of the one before.
+    Table { service: String, name: u64, mark: u64, lines: Vec<Line> },
+    /// These lives drain or have ended: nothing new goes there from now on, whatever tables say.
+    Gone { lives: Vec<Life> },
+}
+
+/// A task in a table.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Line {
+    pub life: Life,
+    pub address: SocketAddrV4,
+    pub zone: String,
+    pub weight: f32,
+    pub slots: u16,
+}
