After all were killed: offices meet at once, tasks are known from the disk, one home for all

Ruled out: the disk (25 ms to open), the ledger.

Now who has just come is pinged at once both ways, couriers hear at once that their office is in touch, what is known of tasks stands on the disk (drains before they are acknowledged), and couriers choose their home by one rank.

--- a/crates/rookpulley-chain/src/chain.rs
+++ b/crates/rookpulley-chain/src/chain.rs
@@ -295,21 +295,27 @@
         if known.standing.me.life != member.life {
             (known.standing.me, known.sent, known.contact_ms) = (member, None, None);
         }
+        let unheard = known.contact_ms.is_none();
         // An address that another identity has now: who was there before has lost its disk.
         self.known.retain(|id, k| *id == member.id || k.standing.me.address != member.address);
+        // Who has just come is heard of both ways as soon as can be.
+        if unheard {
+            self.ping_one(now, member.id);
+        }
+    }
+
+    fn ping_one(&mut self, now: u64, to: u64) {
+        let Some(echo) = self.known.get(&to).map(|k| k.sent) else { return };
+        let (standing, ledger) = (self.standing(), self.ledger_time(now));
+        self.out.push(Effect::Send { to, message: Message::Ping { standing, sent: now, echo, ledger } });
     }
 
     fn ping(&mut self, now: u64) {
-        let ledger = self.ledger_time(now);
-        let standing = self.standing();
         let old = |k: &Known| now > k.heard_ms + 30_000;
         let view = self.views.last();
         self.known.retain(|id, k| !old(k) || view.is_some_and(|v| v.place(*id).is_some()));
-        let to: Vec<(u64, Option<u64>)> = self.known.iter().map(|(id, k)| (*id, k.sent)).collect();
-        for (to, echo) in to {
-            let message = Message::Ping { standing: standing.clone(), sent: now, echo, ledger };
-            self.out.push(Effect::Send { to, message });
-        }
+        let to: Vec<u64> = self.known.keys().copied().collect();
+        to.into_iter().for_each(|to| self.ping_one(now, to));
     }
 
     fn pinged(
@@ -321,8 +327,10 @@
         echo: Option<u64>,
         ledger: Option<u64>,
     ) {
-        self.met(now, standing.me);
-        let Some(known) = self.known.get_mut(&from) else { return };
+        let Some(known) = self.known.get_mut(&from).filter(|k| k.standing.me.life == standing.me.life) else {
+            return self.met(now, standing.me);
+        };
+        let first = known.sent.is_none();
         known.heard_ms = now;
         known.sent = Some(sent);
         // Our clock came back: both ways were open since then.
@@ -330,6 +338,9 @@
             known.contact_ms = known.contact_ms.max(Some(echo));
         }
         known.standing = standing.clone();
+        if first {
+            self.ping_one(now, from);
+        }
         if let Some(ledger) = ledger {
             self.calls.heard_ledger(standing.installed, from, ledger, now);
         }
--- a/crates/rookpulley-courier/src/links.rs
+++ b/crates/rookpulley-courier/src/links.rs
@@ -20,8 +20,6 @@
 /// An office that nobody names for so long is no longer dialled.
 const NAMED_MS: f64 = 60_000.0;
 const OFFICES: usize = 64;
-/// At the start, the office on this machine is given so long to come up before another one becomes home.
-const OWN_OFFICE_MS: f64 = 600.0;
 /// A configuration that was asked for is waited for this long.
 const ASKED_MS: f64 = 300.0;
 
@@ -174,27 +172,20 @@
     }
 }
 
-/// The home stays as long as it can be borne. A new one is the office on this machine, else one that is drawn by
-/// name, so that couriers spread and each finds the same one again.
+/// The home stays as long as it can be borne. All couriers choose by the same rank: the module that cuts their tables
+/// then knows the whole of the demand, and hears of each task from all.
 fn choose_home(courier: &Courier) {
     let (links, now_ms) = (&courier.links, courier.now_ms());
-    let own = courier.node.ip;
     let before = links.home.get();
     let chosen = {
         let offices = links.offices.borrow();
         if before.and_then(|home| offices.get(&home)).is_some_and(|home| home.bearable(now_ms)) {
             return;
         }
-        let own_is_waited_for = before.is_none()
-            && now_ms < OWN_OFFICE_MS
-            && offices.get(&own).is_some_and(|office| !office.fit());
-        if own_is_waited_for {
-            return;
-        }
         let rank = |office: Ipv4Addr| {
             let mut hasher = DefaultHasher::new();
-            (&courier.node.name, office).hash(&mut hasher);
-            (office == own, hasher.finish())
+            office.hash(&mut hasher);
+            hasher.finish()
         };
         offices.iter().filter(|(_, office)| office.fit()).map(|(&ip, _)| ip).max_by_key(|&ip| rank(ip))
     };
--- a/crates/rookpulley-office/src/hub.rs
+++ b/crates/rookpulley-office/src/hub.rs
@@ -3,9 +3,9 @@
 
 use crate::peers::Word;
 use crate::state::Kept;
-use crate::store::{Said, Store};
+use crate::store::{Part, Said, Store};
 use rookpulley_addressbook::Book;
-use rookpulley_chain::{Boot, CallKind, Chain, Effect, Input, Member, Outcome};
+use rookpulley_chain::{Boot, CallKind, Chain, Effect, Input, Member, Outcome, Record};
 use rookpulley_ledger::{Answer, Ask, Update};
 use rookpulley_settings::Node;
 use rookpulley_sorting::{Beat, Desk, News, Out, Outcome as Sorted, Registry, Service, Word as Spread};
@@ -25,6 +25,8 @@
 /// How long a drain waits to be known elsewhere, and an office out of touch still takes beats.
 const CONFIRM_WITHIN: Duration = Duration::from_millis(700);
 const BEATS_UNTOUCHED_MS: f64 = 1_500.0;
+/// What was noted before a start and hasn't been heard of since is dropped after so long.
+const NOTES_KEPT_MS: f64 = 90_000.0;
 /// A write that takes so long tells of a slow disk; so many quick ones in a row, of one that is well again.
 const SLOW_WRITE: Duration = Duration::from_millis(70);
 const QUICK_WRITES: u32 = 4;
@@ -42,6 +44,12 @@
     home: bool,
 }
 
+/// What waits for a word on a task to be on the disk: an answer to another office, or a task's own call.
+enum Noted {
+    Tell { to: u64, ask: u64 },
+    Done(oneshot::Sender<()>),
+}
+
 struct Confirm {
     from: BTreeSet<u64>,
     wanted: usize,
@@ -59,6 +67,9 @@
     counted: BTreeMap<String, f64>,
     calls: BTreeMap<u64, oneshot::Sender<Outcome>>,
     confirms: BTreeMap<u64, Confirm>,
+    notes: u64,
+    noting: Vec<(u64, Noted)>,
+    tidied: bool,
     next: u64,
     told_version: u64,
     touched_ms: f64,
@@ -67,6 +78,16 @@
     slow: bool,
 }
 
+/// A life and the last that matters of it, as it stands on the disk.
+fn note_of(news: &News) -> Record {
+    let life = match news {
+        News::Beat { beat, .. } => beat.life.as_str(),
+        News::Gone { life, .. } => life.as_str(),
+        News::Heard { .. } => "",
+    };
+    Record::Put { key: life.into(), value: postcard::to_allocvec(news).unwrap_or_default() }
+}
+
 pub struct Hub {
     pub node: Node,
     me: Member,
@@ -76,6 +97,7 @@
     /// Asks the main loop to dial what became known.
     pub dial: Notify,
     pub ending: Cell<bool>,
+    told_touch: Cell<bool>,
 }
 
 impl Hub {
@@ -100,6 +122,9 @@
             counted: BTreeMap::new(),
             calls: BTreeMap::new(),
             confirms: BTreeMap::new(),
+            notes: 0,
+            noting: Vec::new(),
+            tidied: false,
             next: 0,
             told_version: 0,
             touched_ms: 0.0,
@@ -115,12 +140,25 @@
             applied: Notify::new(),
             dial: Notify::new(),
             ending: Cell::new(false),
+            told_touch: Cell::new(false),
         });
+        hub.begin_with_notes();
         hub.meet_seeds(&hub.node.seeds);
         hub.step(Input::Tick);
         hub
     }
 
+    /// What was known of tasks before this start, as if it were heard now: what no longer beats falls silent soon.
+    fn begin_with_notes(&self) {
+        let mut inner = self.inner.borrow_mut();
+        let inner = &mut *inner;
+        for (_, value) in &inner.store.lives {
+            if let Ok(news) = postcard::from_bytes::<News>(value) {
+                inner.registry.take_news(0.0, &news.as_of_now());
+            }
+        }
+    }
+
     pub fn now_ms(&self) -> f64 {
         self.born.elapsed().as_secs_f64() * 1e3
     }
@@ -230,7 +268,7 @@
                 if ask > 0
                     && let Some(from) = *who
                 {
-                    self.send_to(from, &Word::Took { ask });
+                    self.note(Vec::new(), Some(Noted::Tell { to: from, ask }));
                 }
             }
             Word::Took { ask } => {
@@ -273,7 +311,7 @@
                 Effect::Write { ticket, records } => {
                     let mut inner = self.inner.borrow_mut();
                     inner.writing.get_or_insert((ticket, Instant::now()));
-                    inner.store.write(ticket, records);
+                    inner.store.write(Part::Chain, ticket, records);
                 }
                 Effect::Answer { token, outcome } => {
                     let waiting = self.inner.borrow_mut().calls.remove(&token);
@@ -291,13 +329,20 @@
 
     pub fn stored(&self, said: Said) {
         match said {
-            Said::Synced { ticket, took } => {
+            Said::Synced { chain, lives, took } => {
                 {
                     let mut inner = self.inner.borrow_mut();
-                    inner.writing = inner.writing.filter(|(from, _)| *from > ticket);
+                    if let Some(ticket) = chain {
+                        inner.writing = inner.writing.filter(|(from, _)| *from > ticket);
+                    }
                     inner.quick = if took < SLOW_WRITE / 2 { inner.quick + 1 } else { 0 };
                 }
-                self.step(Input::Synced { ticket });
+                if let Some(ticket) = chain {
+                    self.step(Input::Synced { ticket });
+                }
+                if let Some(ticket) = lives {
+                    self.noted(ticket);
+                }
             }
             Said::Failed(why) => {
                 tracing::error!(
@@ -317,7 +362,7 @@
         if inner.slow && !waits && inner.writing.is_none() {
             // Nothing else is written by one that has left the chain: a probe tells when the disk is well.
             inner.writing = Some((0, Instant::now()));
-            inner.store.write(0, Vec::new());
+            inner.store.write(Part::Chain, 0, Vec::new());
         }
         let slow = if inner.slow { inner.quick < QUICK_WRITES } else { waits };
         if slow != inner.slow {
@@ -561,11 +606,46 @@
     /// Carries out what came of a beat or of news.
     fn sorted(&self, sorted: Sorted) {
         if let Spread::Now(news) = sorted.word {
+            self.note(vec![note_of(&news)], None);
             self.send_all(&Word::News { ask: 0, news: vec![news] });
         }
         self.tell_gone(sorted.newly_draining.into_iter().collect());
     }
 
+    /// Writes what is known of tasks. After a crash it is where the registry begins: beats alone would take a while,
+    /// and a drain that was acknowledged must hold.
+    fn note(&self, records: Vec<Record>, then: Option<Noted>) {
+        let mut inner = self.inner.borrow_mut();
+        inner.notes += 1;
+        let ticket = inner.notes;
+        inner.noting.extend(then.map(|then| (ticket, then)));
+        inner.store.write(Part::Lives, ticket, records);
+    }
+
+    fn noted(&self, ticket: u64) {
+        let due: Vec<_> = self.inner.borrow_mut().noting.extract_if(.., |(t, _)| *t <= ticket).collect();
+        for (_, then) in due {
+            match then {
+                Noted::Tell { to, ask } => self.send_to(to, &Word::Took { ask }),
+                Noted::Done(done) => _ = done.send(()),
+            }
+        }
+    }
+
+    /// Once beats have had time to come, what is noted of lives that are unknown now is dropped.
+    fn tidy_notes(&self) {
+        let lives = std::mem::take(&mut self.inner.borrow_mut().store.lives);
+        let gone = |key: &Vec<u8>| {
+            let life = std::str::from_utf8(key).unwrap_or_default();
+            self.inner.borrow().registry.standing(life) == rookpulley_sorting::Standing::Unknown
+        };
+        let drops = lives.into_iter().filter(|(key, _)| gone(key)).map(|(key, _)| Record::Delete { key });
+        let drops: Vec<Record> = drops.collect();
+        if !drops.is_empty() {
+            self.note(drops, None);
+        }
+    }
+
     /// Waits until as many others know as may be lost: then the word reaches every courier in touch whatever
     /// becomes of this machine, and it may be acknowledged.
     async fn known_elsewhere(&self, life: String) -> bool {
@@ -587,8 +667,16 @@
             }
         };
         self.send_all(&Word::News { ask, news: vec![News::Gone { life, age_ms: 0.0 }] });
-        let Some(done) = done else { return true };
-        let known = tokio::time::timeout(CONFIRM_WITHIN, done).await.is_ok_and(|d| d.is_ok());
+        let (sender, here) = oneshot::channel();
+        self.note(Vec::new(), Some(Noted::Done(sender)));
+        let both = async {
+            here.await.is_ok()
+                && match done {
+                    Some(done) => done.await.is_ok(),
+                    None => true,
+                }
+        };
+        let known = tokio::time::timeout(CONFIRM_WITHIN, both).await.is_ok_and(|known| known);
         self.inner.borrow_mut().confirms.remove(&ask);
         known && self.in_touch()
     }
@@ -632,6 +720,9 @@
                 inner.counted.retain(|node, at| inner.couriers.contains_key(node) || now - *at < COUNTED_MS);
                 inner.desk.set_couriers(now, inner.counted.len() as u32);
             }
+        }
+        let in_touch = self.in_touch();
+        if round.is_multiple_of(8) || self.told_touch.replace(in_touch) != in_touch {
             let pulse = frame(&self.pulse());
             let inner = self.inner.borrow();
             inner.couriers.values().for_each(|c| _ = c.outbox.send_framed(pulse.clone()));
@@ -639,5 +730,8 @@
         if round.is_multiple_of(40) {
             self.send_all(&self.hello());
         }
+        if now > NOTES_KEPT_MS && !std::mem::replace(&mut self.inner.borrow_mut().tidied, true) {
+            self.tidy_notes();
+        }
     }
 }
--- a/crates/rookpulley-office/src/store.rs
+++ b/crates/rookpulley-office/src/store.rs
@@ -24,15 +24,23 @@
 /// What the store says.
 #[derive(Debug)]
 pub enum Said {
-    /// All up to this ticket is on the disk; syncing took so long.
+    /// All up to these tickets is on the disk, as far as there were any; syncing took so long.
     Synced {
-        ticket: u64,
+        chain: Option<u64>,
+        lives: Option<u64>,
         took: Duration,
     },
     Failed(String),
 }
 
-type Job = (u64, Vec<Record>);
+/// What a write belongs to: the chain's records, or what is known of tasks.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Part {
+    Chain,
+    Lives,
+}
+
+type Job = (Part, u64, Vec<Record>);
 type Rows = Vec<(Vec<u8>, Vec<u8>)>;
 
 pub struct Store {
@@ -41,8 +49,12 @@
     pub identity: u64,
     pub new: bool,
     pub held: Rows,
+    pub lives: Rows,
 }
 
+/// A disk that refuses is asked again so often, after such a pause.
+const PATIENCE: u32 = 100;
+const AGAIN: Duration = Duration::from_millis(100);
 const IDENTITY: &[u8] = b"identity";
 
 fn sync_all(folder: &Path) -> std::io::Result<()> {
@@ -72,24 +84,36 @@
         let at = folder.join("store");
         let troubled = |e| StoreError::Folder(folder.to_path_buf(), e);
         std::fs::create_dir_all(&at).map_err(troubled)?;
-        let opened = std::panic::catch_unwind(|| open_at(&at))
-            .unwrap_or(Err(sled::Error::ReportableBug(String::new())));
-        let read = |db: &sled::Db| -> Result<Rows, sled::Error> {
-            let chain = db.open_tree("chain")?;
-            chain.iter().map(|row| row.map(|(k, v)| (k.to_vec(), v.to_vec()))).collect()
+        let open = || {
+            std::panic::catch_unwind(|| open_at(&at))
+                .unwrap_or(Err(sled::Error::ReportableBug(String::new())))
+        };
+        let mut opened = open();
+        // What the system refuses now it may grant soon; only a store that is spoilt itself is given up.
+        for _ in 0..PATIENCE {
+            if !matches!(&opened, Err(sled::Error::Io(why)) if why.raw_os_error().is_some()) {
+                break;
+            }
+            std::thread::sleep(AGAIN);
+            opened = open();
+        }
+        let read = |db: &sled::Db, name| -> Result<Rows, sled::Error> {
+            let tree = db.open_tree(name)?;
+            tree.iter().map(|row| row.map(|(k, v)| (k.to_vec(), v.to_vec()))).collect()
         };
-        let opened = opened.and_then(|db| read(&db).map(|held| (db, held)));
-        let (db, held) = match opened {
+        let opened = opened.and_then(|db| Ok((read(&db, "chain")?, read(&db, "lives")?, db)));
+        let (held, lives, db) = match opened {
             Ok(opened) => opened,
+            Err(sled::Error::Io(why)) if why.raw_os_error().is_some() => return Err(troubled(why)),
             Err(why) => {
                 tracing::error!("store: can't be opened ({why}); begun anew as an empty disk");
                 std::fs::remove_dir_all(&at).map_err(troubled)?;
                 std::fs::create_dir_all(&at).map_err(troubled)?;
-                (open_at(&at)?, Vec::new())
+                (Vec::new(), Vec::new(), open_at(&at)?)
             }
         };
         let kept = db.get(IDENTITY)?.and_then(|v| v.as_ref().try_into().ok().map(u64::from_le_bytes));
-        let held = if kept.is_some() { held } else { Vec::new() };
+        let (held, lives) = if kept.is_some() { (held, lives) } else { (Vec::new(), Vec::new()) };
         if kept.is_none() {
             db.insert(IDENTITY, &mint.to_le_bytes())?;
         }
@@ -97,16 +121,18 @@
         sync_all(&at).map_err(troubled)?;
         File::open(folder).and_then(|f| f.sync_all()).map_err(troubled)?;
         let file = File::open(at.join("db")).map_err(troubled)?;
-        let tree = db.open_tree("chain")?;
+        let (chain_tree, lives_tree) = (db.open_tree("chain")?, db.open_tree("lives")?);
         let (jobs, queue) = mpsc::channel::<Job>();
         let work = move || {
             while let Ok(first) = queue.recv() {
-                let mut batch = sled::Batch::default();
-                let mut ticket = 0;
-                for (number, records) in
+                let mut batches = [sled::Batch::default(), sled::Batch::default()];
+                let mut tickets = [None, None];
+                for (part, ticket, records) in
                     std::iter::once(first).chain(std::iter::from_fn(|| queue.try_recv().ok()))
                 {
-                    ticket = number;
+                    let [chain, lives] = &mut batches;
+                    let (batch, at) = if part == Part::Chain { (chain, 0) } else { (lives, 1) };
+                    tickets[at] = Some(ticket);
                     for record in records {
                         match record {
                             Record::Put { key, value } => batch.insert(key, value),
@@ -115,10 +141,14 @@
                     }
                 }
                 let from = Instant::now();
-                let done = tree.apply_batch(batch).and_then(|()| db.flush()).map_err(|e| e.to_string());
+                let [of_chain, of_lives] = batches;
+                let applied =
+                    chain_tree.apply_batch(of_chain).and_then(|()| lives_tree.apply_batch(of_lives));
+                let done = applied.and_then(|()| db.flush()).map_err(|e| e.to_string());
                 let done = done.and_then(|_| file.sync_data().map_err(|e| e.to_string()));
+                let [chain, lives] = tickets;
                 let word = match done {
-                    Ok(()) => Said::Synced { ticket, took: from.elapsed() },
+                    Ok(()) => Said::Synced { chain, lives, took: from.elapsed() },
                     Err(why) => Said::Failed(why),
                 };
                 let failed = matches!(word, Said::Failed(_));
@@ -128,11 +158,11 @@
             }
         };
         std::thread::Builder::new().name("store".into()).spawn(work).map_err(StoreError::Thread)?;
-        Ok(Self { jobs, identity: kept.unwrap_or(mint), new: kept.is_none(), held })
+        Ok(Self { jobs, identity: kept.unwrap_or(mint), new: kept.is_none(), held, lives })
     }
 
-    pub fn write(&self, ticket: u64, records: Vec<Record>) -> bool {
-        self.jobs.send((ticket, records)).is_ok()
+    pub fn write(&self, part: Part, ticket: u64, records: Vec<Record>) -> bool {
+        self.jobs.send((part, ticket, records)).is_ok()
     }
 }
 
@@ -152,11 +182,11 @@
         assert!(store.new);
         for n in 0..20u64 {
             let put = Record::Put { key: n.to_be_bytes().to_vec(), value: vec![n as u8; 1000] };
-            assert!(store.write(n, vec![put]));
+            assert!(store.write(Part::Chain, n, vec![put]));
         }
-        assert!(store.write(20, vec![Record::Delete { key: 3u64.to_be_bytes().to_vec() }]));
-        while let Some(Said::Synced { ticket, .. }) = heard.blocking_recv() {
-            if ticket == 20 {
+        assert!(store.write(Part::Chain, 20, vec![Record::Delete { key: 3u64.to_be_bytes().to_vec() }]));
+        while let Some(Said::Synced { chain, .. }) = heard.blocking_recv() {
+            if chain == Some(20) {
                 break;
             }
         }
--- a/crates/rookpulley-sorting/src/news.rs
+++ b/crates/rookpulley-sorting/src/news.rs
@@ -21,6 +21,17 @@
     },
 }
 
+impl News {
+    /// What was kept, told as if it came now: how long ago it was heard isn't known after a start.
+    pub fn as_of_now(self) -> Self {
+        match self {
+            News::Beat { beat, .. } => News::Beat { beat, age_ms: 0.0 },
+            News::Gone { life, .. } => News::Gone { life, age_ms: 0.0 },
+            News::Heard { lives } => News::Heard { lives },
+        }
+    }
+}
+
 /// A life that goes on beating.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Still {
