A courier that comes back says that it holds no tables, and is given its configuration by its home

The configuration came half a second late: it was asked for once before the office could give it. An office now names no version that can't be had.

--- a/crates/rookpulley-courier/src/links.rs
+++ b/crates/rookpulley-courier/src/links.rs
@@ -118,6 +118,7 @@
         life: courier.life,
         home: courier.links.home.get() == Some(office),
         config: courier.version(),
+        tables: courier.post.borrow().any(),
         gone: courier.post.borrow().all_gone(),
     };
     if let Some(known) = courier.links.offices.borrow_mut().get_mut(&office) {
@@ -195,8 +196,9 @@
     }
     links.home.set(Some(chosen));
     tracing::info!("links: {chosen} is the home");
+    let (config, tables) = (courier.version(), courier.post.borrow().any());
     if let Some(before) = before {
-        links.send(before, &Up::Home { home: false });
+        links.send(before, &Up::Home { home: false, config, tables });
     }
-    links.send(chosen, &Up::Home { home: true });
+    links.send(chosen, &Up::Home { home: true, config, tables });
 }
--- a/crates/rookpulley-courier/tests/homes.rs
+++ b/crates/rookpulley-courier/tests/homes.rs
@@ -42,7 +42,7 @@
         loop {
             match self.heard.recv().await.unwrap() {
                 Up::Hello { home: true, .. } => return true,
-                Up::Home { home } => return home,
+                Up::Home { home, .. } => return home,
                 _ => {}
             }
         }
--- a/crates/rookpulley-office/src/couriers.rs
+++ b/crates/rookpulley-office/src/couriers.rs
@@ -23,9 +23,10 @@
             let take = |up: Up| {
                 let known = name.borrow().clone();
                 match (up, known) {
-                    (Up::Hello { node, zone, home, config, gone, .. }, None) => {
+                    (Up::Hello { node, zone, home, config, tables, gone, .. }, None) => {
                         let Some(outbox) = outbox.borrow().clone() else { return };
-                        *name.borrow_mut() = Some(hub.courier_in(&node, &zone, home, config, &gone, outbox));
+                        *name.borrow_mut() =
+                            Some(hub.courier_in(&node, &zone, home, (config, tables), &gone, outbox));
                     }
                     (up, Some((node, line))) => hub.courier_said(&node, line, up),
                     _ => {}
--- a/crates/rookpulley-office/src/hub.rs
+++ b/crates/rookpulley-office/src/hub.rs
@@ -453,10 +453,17 @@
         let inner = self.inner.borrow();
         let now = self.now_ms();
         let in_touch = inner.chain.in_touch(now as u64) && !self.ending.get();
+        // What can't be had here is not told of.
+        let serving = inner.chain.serving(now as u64);
         let port = self.peer_port();
         let reached = inner.peers.iter().filter(|(_, p)| p.outbox.is_some()).map(|(ip, _)| *ip);
         let offices = reached.chain([self.node.ip]).map(|ip| SocketAddrV4::new(ip, port)).collect();
-        Down::Pulse { in_touch, config: inner.told_version, couriers: inner.counted.len() as u32, offices }
+        Down::Pulse {
+            in_touch,
+            config: if serving { inner.told_version } else { 0 },
+            couriers: inner.counted.len() as u32,
+            offices,
+        }
     }
 
     // ---- couriers ---------------------------------------------------------------------------
@@ -466,7 +473,7 @@
         node: &str,
         zone: &str,
         home: bool,
-        config: u64,
+        (config, tables): (u64, bool),
         gone: &[String],
         outbox: Outbox,
     ) -> (String, u64) {
@@ -481,7 +488,7 @@
                 .insert(node.into(), Courier { line, outbox: outbox.clone(), zone: zone.into(), home });
             inner.desk.courier_out(now, node);
             if home {
-                inner.desk.courier_in(now, node, zone, 1.0, config > 0);
+                inner.desk.courier_in(now, node, zone, 1.0, tables);
             }
             line
         };
@@ -522,11 +529,17 @@
         let inner = &mut *inner;
         let Some(courier) = inner.couriers.get_mut(node).filter(|c| c.line == line) else { return };
         match up {
-            Up::Home { home } => {
+            Up::Home { home, config, tables } => {
                 courier.home = home;
                 inner.desk.courier_out(now, node);
                 if home {
-                    inner.desk.courier_in(now, node, &courier.zone, 1.0, true);
+                    inner.desk.courier_in(now, node, &courier.zone, 1.0, tables);
+                    let newer = inner.chain.state().ledger.configuration();
+                    let newer =
+                        newer.filter(|(version, _)| *version > config && inner.chain.serving(now as u64));
+                    if let Some((version, body)) = newer {
+                        courier.outbox.send(&Down::Config { version, body: body.to_vec() });
+                    }
                 }
             }
             Up::WantConfig { have } if inner.chain.serving(now as u64) => {
--- a/crates/rookpulley-waybill/src/messages.rs
+++ b/crates/rookpulley-waybill/src/messages.rs
@@ -9,17 +9,21 @@
 /// What a courier tells an office.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Up {
-    /// The first word on a connection. `home`: this office is asked to cut the courier's tables.
+    /// The first word on a connection. `home`: this office is asked to cut the courier's tables; `tables`: it holds
+    /// some already.
     Hello {
         node: String,
         zone: String,
         life: u64,
         home: bool,
         config: u64,
+        tables: bool,
         gone: Vec<Life>,
     },
     Home {
         home: bool,
+        config: u64,
+        tables: bool,
     },
     /// It has heard of a newer configuration than the one it holds.
     WantConfig {
