Offices no longer hang up on couriers whose home is elsewhere

Silence now ends a line only where the other side must speak; who is gone shows in what is written to it. Test: who_need_not_speak_is_not_hung_up_on.

--- a/crates/rookpulley-courier/src/links.rs
+++ b/crates/rookpulley-courier/src/links.rs
@@ -85,7 +85,7 @@
             let begun_ms = courier.now_ms();
             let why = line::run(
                 stream,
-                QUIET,
+                Some(QUIET),
                 |outbox| opened(&courier, office, outbox),
                 |down| {
                     take(&courier, office, down);
--- a/crates/rookpulley-courier/tests/homes.rs
+++ b/crates/rookpulley-courier/tests/homes.rs
@@ -20,8 +20,7 @@
     let (opened, mut open) = mpsc::unbounded_channel();
     let (tell, heard) = mpsc::unbounded_channel();
     let line = tokio::task::spawn_local(async move {
-        let quiet = Duration::from_secs(600);
-        line::run(stream, quiet, move |outbox| _ = opened.send(outbox), move |up| _ = tell.send(up)).await;
+        line::run(stream, None, move |outbox| _ = opened.send(outbox), move |up| _ = tell.send(up)).await;
     });
     (open.recv().await.unwrap(), heard, line)
 }
--- a/crates/rookpulley-courier/tests/scene/mod.rs
+++ b/crates/rookpulley-courier/tests/scene/mod.rs
@@ -6,7 +6,6 @@
 use std::cell::RefCell;
 use std::net::{SocketAddr, SocketAddrV4};
 use std::rc::Rc;
-use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
@@ -95,7 +94,7 @@
         let (marks, took) = mpsc::unbounded_channel();
         tokio::task::spawn_local(line::run(
             stream,
-            Duration::from_secs(600),
+            None,
             move |outbox| _ = opened.send(outbox),
             move |up| {
                 if let Up::Took { mark } = up {
--- a/crates/rookpulley-office/src/couriers.rs
+++ b/crates/rookpulley-office/src/couriers.rs
@@ -1,4 +1,5 @@
-//! Lines of couriers: what they report, and what they are told.
+//! Lines of couriers: what they report, and what they are told. A courier whose home is elsewhere says nothing here for
+//! long; that it is there shows in what is told to it.
 
 use crate::hub::Hub;
 use rookpulley_waybill::{Up, line};
@@ -6,8 +7,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-const SILENT: Duration = Duration::from_millis(4_000);
-
 pub async fn listen(hub: Rc<Hub>, listener: tokio::net::TcpListener) {
     loop {
         let Ok((stream, _)) = listener.accept().await else {
@@ -32,7 +31,7 @@
                     _ => {}
                 }
             };
-            let why = line::run::<Up>(stream, SILENT, open, take).await;
+            let why = line::run::<Up>(stream, None, open, take).await;
             if let Some((node, line)) = name.into_inner() {
                 hub.courier_out(&node, line);
                 tracing::info!("couriers: the line of {node} {why}");
--- a/crates/rookpulley-office/src/peers.rs
+++ b/crates/rookpulley-office/src/peers.rs
@@ -32,7 +32,6 @@
 const AGAIN_FIRST: Duration = Duration::from_millis(60);
 const AGAIN_MOST: Duration = Duration::from_millis(500);
 const SILENT: Duration = Duration::from_millis(2_500);
-const NEVER: Duration = Duration::from_secs(86_400);
 
 /// Keeps a line to the office at this address until nobody knows of it any more.
 pub async fn keep_dialing(hub: Rc<Hub>, ip: Ipv4Addr) {
@@ -43,7 +42,7 @@
         match line::dial(to, DIAL_WITHIN).await {
             Ok(stream) => {
                 pause = AGAIN_FIRST;
-                let why = line::run::<()>(stream, NEVER, |outbox| hub.dialed(ip, outbox), |()| ()).await;
+                let why = line::run::<()>(stream, None, |outbox| hub.dialed(ip, outbox), |()| ()).await;
                 hub.hung_up(ip);
                 tracing::info!("peers: the line to {ip} {why}");
             }
@@ -71,7 +70,7 @@
             let mut own = None;
             let why = line::run::<Word>(
                 stream,
-                SILENT,
+                Some(SILENT),
                 |outbox| own = Some(outbox),
                 |word| hub.word(&mut who, word),
             )
--- a/crates/rookpulley-waybill/src/line.rs
+++ b/crates/rookpulley-waybill/src/line.rs
@@ -56,10 +56,11 @@
 }
 
 /// Runs a line until either side ends it: what comes is handed to `take`, what the outbox is given is written.
-/// The caller gets the outbox first, through `open`. Silence of `quiet` ends it.
+/// The caller gets the outbox first, through `open`. Silence of `quiet` ends it; None where the other side need not say
+/// anything, and what we write to it shows whether it is there.
 pub async fn run<T: DeserializeOwned>(
     stream: TcpStream,
-    quiet: Duration,
+    quiet: Option<Duration>,
     open: impl FnOnce(Outbox),
     mut take: impl FnMut(T),
 ) -> &'static str {
@@ -82,10 +83,17 @@
     let read = async move {
         let (mut frames, mut chunk) = (Frames::default(), vec![0; 16 << 10]);
         loop {
-            let got = match tokio::time::timeout(quiet, reader.read(&mut chunk)).await {
-                Err(_) => return "fell silent",
-                Ok(Err(_) | Ok(0)) => return "was ended by the other side",
-                Ok(Ok(got)) => got,
+            let reading = reader.read(&mut chunk);
+            let read = match quiet {
+                Some(quiet) => match tokio::time::timeout(quiet, reading).await {
+                    Ok(read) => read,
+                    Err(_) => return "fell silent",
+                },
+                None => reading.await,
+            };
+            let got = match read {
+                Err(_) | Ok(0) => return "was ended by the other side",
+                Ok(got) => got,
             };
             frames.push(&chunk[..got]);
             loop {
@@ -99,3 +107,27 @@
     };
     tokio::select! { why = write => why, why = read => why }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Two ends of a line; who stays silent is ended after its time, and only where it has one.
+    async fn ended_after(quiet: Option<Duration>, within: Duration) -> bool {
+        let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let there = TcpStream::connect(listener.local_addr().unwrap()).await.unwrap();
+        let (here, _) = listener.accept().await.unwrap();
+        let mut kept = None;
+        let ended =
+            tokio::time::timeout(within, run::<u8>(here, quiet, |outbox| kept = Some(outbox), |_| ())).await;
+        drop(there);
+        ended.is_ok()
+    }
+
+    #[tokio::test(start_paused = true)]
+    async fn who_need_not_speak_is_not_hung_up_on() {
+        let hour = Duration::from_secs(3_600);
+        assert!(!ended_after(None, hour).await);
+        assert!(ended_after(Some(Duration::from_secs(2)), hour).await);
+    }
+}
