--- a/crates/rookpulley-courier/src/state.rs
+++ b/crates/rookpulley-courier/src/state.rs
@@ -4,6 +4,7 @@
 use crate::listener::Clients;
 use crate::tally::Tally;
 use crate::wires::Wires;
+use bytes::Bytes;
 use rookpulley_addressbook::Book;
 use rookpulley_round::{Budget, Post};
 use rookpulley_settings::Node;
@@ -11,12 +12,14 @@
 use std::collections::HashMap;
 use std::hash::{BuildHasher, RandomState};
 use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering::Relaxed};
 use tokio::time::Instant;
 
 /// A number of couriers that was heard holds so long against smaller ones: a cut must not make shares larger.
 const COURIERS_MS: f64 = 60_000.0;
 /// Descriptors for offices, listeners, the runtime, and those kept for files.
-const KEPT_FILES: u64 = 300;
+const KEPT_FILES: u64 = 400;
 
 pub struct Courier {
     pub node: Node,
@@ -35,7 +38,7 @@
     /// Requests that were read and whose answers aren't written yet.
     pub at_work: Cell<usize>,
     /// Bytes of bodies that are held whole, and the most there may be.
-    held: Cell<usize>,
+    held: Arc<AtomicUsize>,
     held_most: usize,
     /// An answer up to this length is held until it is whole.
     pub hold_bytes: usize,
@@ -60,7 +63,7 @@
             clients: Clients::new(files - to_tasks),
             ending: Cell::new(false),
             at_work: Cell::new(0),
-            held: Cell::new(0),
+            held: Arc::default(),
             held_most: (node.limits.memory_mb / 4.0 * 1e6) as usize,
             hold_bytes,
             node,
@@ -125,23 +128,77 @@
         with(budget)
     }
 
-    /// Room for so many bytes more, given back when dropped.
-    pub fn hold(self: &Rc<Self>, bytes: usize) -> Option<Held> {
-        let held = self.held.get() + bytes;
-        (held <= self.held_most).then(|| {
-            self.held.set(held);
-            Held { courier: self.clone(), bytes }
+    /// Room for so many bytes of an answer, given back when dropped.
+    pub fn hold(&self, bytes: usize) -> Option<Held> {
+        self.hold_within(bytes, self.held_most)
+    }
+
+    /// The same for what a client sends. Clients that take their time can't take all the room there is.
+    pub fn hold_sent(&self, bytes: usize) -> Option<Held> {
+        self.hold_within(bytes, self.held_most / 2)
+    }
+
+    fn hold_within(&self, bytes: usize, most: usize) -> Option<Held> {
+        let held = self.held.load(Relaxed).checked_add(bytes)?;
+        (held <= most).then(|| {
+            self.held.store(held, Relaxed);
+            Held { all: self.held.clone(), bytes }
         })
     }
 }
 
+/// Room that is taken. It can go along with bytes into whatever writes them, hence no plain cell.
 pub struct Held {
-    courier: Rc<Courier>,
+    all: Arc<AtomicUsize>,
     bytes: usize,
 }
 
+impl Held {
+    /// Bytes that keep no more room than they need, until the last copy of them is gone.
+    pub fn around(mut self, bytes: Bytes) -> Bytes {
+        let spare = self.bytes.saturating_sub(bytes.len());
+        self.bytes -= spare;
+        self.all.fetch_sub(spare, Relaxed);
+        if bytes.is_empty() { bytes } else { Bytes::from_owner(Kept { bytes, _room: self }) }
+    }
+}
+
 impl Drop for Held {
     fn drop(&mut self) {
-        self.courier.held.set(self.courier.held.get().saturating_sub(self.bytes));
+        self.all.fetch_sub(self.bytes, Relaxed);
+    }
+}
+
+struct Kept {
+    bytes: Bytes,
+    _room: Held,
+}
+
+impl AsRef<[u8]> for Kept {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn room_is_given_back_with_the_last_copy_of_what_takes_it() {
+        let node = Node::parse(
+            "nodeName = \"one\"\nserves = []\nipAddress = \"127.0.0.1\"\nzone = \"east\"\nregion = \"r\"\n\
+             internalPortRange = [1, 1]\nseedNodes = []\n[limits]\nmemoryMb = 4",
+        );
+        let courier = Courier::new(node.unwrap());
+        let all = courier.held_most;
+        assert!(courier.hold(all + 1).is_none() && courier.hold_sent(all / 2 + 1).is_none());
+        let bytes = courier.hold(all).map(|held| held.around(Bytes::from(vec![1; 10])));
+        assert!(courier.hold(all - 9).is_none());
+        let part = bytes.as_ref().map(|bytes| bytes.slice(2..3));
+        drop(bytes);
+        assert!(courier.hold(all - 9).is_none());
+        drop(part);
+        assert!(courier.hold(all).is_some());
     }
 }
--- a/crates/rookpulley-courier/src/wires.rs
+++ b/crates/rookpulley-courier/src/wires.rs
@@ -1,8 +1,9 @@
 //! Connections to tasks: few, used again, never after anything odd.
 
 use crate::bodies::Parcel;
+use crate::sieve::{Awaited, Sieve};
 use hyper::client::conn::http1::{Builder, SendRequest};
-use hyper::header::{CONNECTION, HeaderMap};
+use hyper::header::{CONNECTION, HeaderMap, HeaderValue};
 use hyper_util::rt::TokioIo;
 use rookpulley_waybill::{Life, Line, line};
 use std::cell::{Cell, RefCell};
@@ -18,12 +19,18 @@
 const CONNECT_FAR: Duration = Duration::from_millis(300);
 /// An idle connection is kept so long, less where the task ends it sooner.
 const IDLE: Duration = Duration::from_millis(4_000);
-/// One that was used this lately will hardly have been ended: a request that may run once can go there.
-const FRESH: Duration = Duration::from_millis(1_000);
+/// A task that doesn't say how long it keeps a connection may end it within the second. One that was used this lately
+/// will hardly have been ended: a request that may run once can go there.
+const FRESH: Duration = Duration::from_millis(250);
+/// One that rested longer is looked at again before it is used.
+const LOOKED_AT: Duration = Duration::from_millis(20);
 /// A connection that was idle and isn't ready at once isn't waited for.
 const READY: Duration = Duration::from_millis(20);
-const HEADERS: usize = 256;
 const BUFFER: usize = 64 << 10;
+/// A task that has enough connections resets a new one as soon as it sees it. What may run once waits for so long, a
+/// way there and back and some: before it has left, it can still go elsewhere.
+const REST: Duration = Duration::from_millis(1);
+const LONGEST_REST: Duration = Duration::from_millis(10);
 /// Connections to a task that doesn't say how many it takes, and the fewest to any.
 const UNKNOWN: usize = 16;
 const LEAST: usize = 4;
@@ -48,9 +55,12 @@
     pub sender: SendRequest<Parcel>,
     /// It was idle before: the task may have ended it since.
     pub used: bool,
+    awaited: Rc<Awaited>,
     pool: Rc<Pool>,
     all: Rc<Cell<usize>>,
     until: Instant,
+    /// The task said how long it keeps it.
+    told: bool,
     freed: Instant,
     driver: Option<AbortHandle>,
 }
@@ -72,25 +82,31 @@
     pub async fn take(&self, to: &Line, bound: usize, once: bool, anew: bool) -> Result<Wire, NoWire> {
         let pool = self.pools.borrow_mut().entry(to.life.clone()).or_default().clone();
         while let Some(mut wire) = if anew { None } else { pool.pop(once) } {
-            let ready = tokio::time::timeout(READY, wire.sender.ready()).await;
-            if matches!(ready, Ok(Ok(()))) {
+            if wire.sender.is_ready()
+                || matches!(tokio::time::timeout(READY, wire.sender.ready()).await, Ok(Ok(())))
+            {
                 return Ok(wire);
             }
         }
-        if pool.open.get() >= bound || self.open.get() >= self.most {
-            // One that is idle, though not to be used for this, makes room.
-            let spare = pool.idle.borrow_mut().pop();
-            if spare.is_none() && !(self.open.get() >= self.most && self.free_one()) {
-                return Err(NoWire::Full);
-            }
+        let before = pool.open.get() + self.open.get();
+        if !self.make_room(&pool, bound) {
+            return Err(NoWire::Full);
         }
+        let makes_room = pool.open.get() + self.open.get() < before;
         let count = Count::new(pool, self.open.clone());
+        if makes_room {
+            // What was just given up is ended before the task hears of another.
+            tokio::task::yield_now().await;
+        }
+        let began = Instant::now();
         let within = if to.zone == self.zone { CONNECT } else { CONNECT_FAR };
         let connect = tokio::time::timeout(within, TcpStream::connect(to.address)).await;
         let Ok(Ok(stream)) = connect else { return Err(NoWire::Unreachable) };
+        let way = began.elapsed();
         line::tend(&stream, line::UNHEARD);
-        let shaken =
-            Builder::new().max_headers(HEADERS).max_buf_size(BUFFER).handshake(TokioIo::new(stream)).await;
+        let awaited = Rc::new(Awaited::default());
+        let sieve = TokioIo::new(Sieve::new(stream, awaited.clone()));
+        let shaken = Builder::new().max_buf_size(BUFFER).handshake(sieve).await;
         let Ok((sender, connection)) = shaken else { return Err(NoWire::Unreachable) };
         let driver = tokio::task::spawn_local(async move {
             if let Err(why) = connection.await {
@@ -100,7 +116,25 @@
         let (pool, all) = count.keep();
         let now = Instant::now();
         let driver = Some(driver.abort_handle());
-        Ok(Wire { sender, used: false, pool, all, until: now + IDLE, freed: now, driver })
+        let (until, told) = (now + IDLE, false);
+        let wire = Wire { sender, used: false, awaited, pool, all, until, told, freed: now, driver };
+        if once {
+            tokio::time::sleep((way * 2).clamp(REST, LONGEST_REST)).await;
+            if wire.sender.is_closed() {
+                return Err(NoWire::Unreachable);
+            }
+        }
+        Ok(wire)
+    }
+
+    /// Ends connections that are idle where there are as many as there may be.
+    fn make_room(&self, pool: &Pool, bound: usize) -> bool {
+        while pool.open.get() >= bound {
+            if pool.idle.borrow_mut().pop().is_none() {
+                return false;
+            }
+        }
+        self.open.get() < self.most || pool.idle.borrow_mut().pop().is_some() || self.free_one()
     }
 
     /// No request goes to this life any more.
@@ -146,7 +180,7 @@
         let now = Instant::now();
         let mut idle = self.idle.borrow_mut();
         while let Some(wire) = idle.pop() {
-            if once && now - wire.freed > FRESH {
+            if once && !wire.told && now - wire.freed > FRESH {
                 idle.push(wire);
                 return None;
             }
@@ -159,13 +193,26 @@
 }
 
 impl Wire {
+    /// A request goes out on it.
+    pub fn begin(&self, id: &HeaderValue, head: bool, once: bool) {
+        let look = once || self.freed.elapsed() > LOOKED_AT;
+        self.awaited.begin(id, head, look);
+    }
+
+    /// Nothing of the request that went out has left.
+    pub fn unsent(&self) -> bool {
+        self.awaited.unsent()
+    }
+
     /// The whole answer has come: the connection may serve again.
     pub fn free(mut self, kept_for: Option<Duration>) {
         let now = Instant::now();
         (self.used, self.freed) = (true, now);
         self.until = now + kept_for.map_or(IDLE, |time| time.min(IDLE));
+        self.told = kept_for.is_some();
         let pool = self.pool.clone();
-        if !pool.forgotten.get() && !self.sender.is_closed() && self.until > now {
+        let spoilt = pool.forgotten.get() || self.awaited.mixed() || self.sender.is_closed();
+        if !spoilt && self.until > now {
             pool.idle.borrow_mut().push(self);
         }
     }
@@ -173,12 +220,14 @@
 
 /// How long the task keeps the connection after this answer; none: it doesn't say. A second less than it says.
 pub fn kept_for(headers: &HeaderMap) -> Option<Duration> {
-    let says = |name: &str| headers.get(name).and_then(|value| value.to_str().ok());
-    if says(CONNECTION.as_str()).is_some_and(|value| value.to_ascii_lowercase().contains("close")) {
+    let closes =
+        |value: &HeaderValue| value.to_str().is_ok_and(|value| value.to_ascii_lowercase().contains("close"));
+    if headers.get_all(CONNECTION).iter().any(closes) {
         return Some(Duration::ZERO);
     }
+    let says = headers.get("keep-alive")?.to_str().ok()?;
     let parameter = |part: &str| part.trim().strip_prefix("timeout=")?.parse::<u64>().ok();
-    let seconds = says("keep-alive")?.split(',').find_map(parameter)?;
+    let seconds = says.split(',').find_map(parameter)?;
     Some(Duration::from_millis((seconds.min(3_600) * 1_000).saturating_sub(1_000).max(300)))
 }
 
@@ -218,3 +267,6 @@
         less(&self.pool, &self.all);
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/rookpulley-courier/src/wires/tests.rs
@@ -0,0 +1,97 @@
+use super::*;
+use bytes::Bytes;
+use hyper::Request;
+use std::net::SocketAddr;
+use tokio::net::TcpListener;
+
+fn play<F: Future>(test: F) -> F::Output {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    tokio::task::LocalSet::new().block_on(&runtime, test)
+}
+
+async fn task(life: &str) -> (TcpListener, Line) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let SocketAddr::V4(address) = listener.local_addr().unwrap() else { unreachable!() };
+    (listener, Line { life: life.into(), address, zone: "z".into(), weight: 1.0, slots: 1 })
+}
+
+#[test]
+fn no_task_gets_more_connections_than_its_bound_though_others_could_spare_one() {
+    play(async {
+        let ((_one, one), (_two, two)) = (task("one").await, task("two").await);
+        let wires = Wires::new("z", 3);
+        let first = wires.take(&one, 2, false, false).await.unwrap();
+        let _second = wires.take(&one, 2, false, false).await.unwrap();
+        wires.take(&two, 2, false, false).await.unwrap().free(None);
+        assert_eq!(wires.take(&one, 2, false, false).await.err(), Some(NoWire::Full));
+        // More couriers, a smaller bound: what is idle goes first.
+        first.free(None);
+        assert_eq!(wires.take(&one, 1, false, true).await.err(), Some(NoWire::Full));
+        assert_eq!((wires.open.get(), wires.pools.borrow()["one"].open.get()), (2, 1));
+        // One that is idle elsewhere makes room where the bound of all is reached.
+        let _third = wires.take(&one, 2, false, false).await.unwrap();
+        let _fourth = wires.take(&one, 3, false, false).await.unwrap();
+        assert_eq!((wires.open.get(), wires.pools.borrow()["two"].open.get()), (3, 0));
+    });
+}
+
+#[test]
+fn what_may_run_once_leaves_only_where_the_task_keeps_the_connection() {
+    play(async {
+        let (listener, line) = task("one").await;
+        let wires = Wires::new("z", 3);
+        tokio::task::spawn_local(async move {
+            loop {
+                let (stream, _) = listener.accept().await.unwrap();
+                socket2::SockRef::from(&stream).set_linger(Some(Duration::ZERO)).unwrap();
+            }
+        });
+        for _ in 0..10 {
+            let Ok(mut wire) = wires.take(&line, 3, true, false).await else { continue };
+            wire.begin(&HeaderValue::from_static("q"), false, true);
+            let request = Request::new(Parcel::Whole(Bytes::new()));
+            assert!(wire.sender.try_send_request(request).await.is_err() && wire.unsent());
+        }
+    });
+}
+
+#[test]
+fn what_may_run_once_goes_on_a_used_connection_only_where_the_task_is_known_to_keep_it() {
+    play(async {
+        let (listener, line) = task("one").await;
+        let wires = Wires::new("z", 3);
+        let rested = async |told: Option<u64>, rest: u64| {
+            let mut wire = wires.take(&line, 3, false, true).await.unwrap();
+            wire.sender.ready().await.unwrap();
+            wire.free(told.map(Duration::from_millis));
+            let pool = wires.pools.borrow()["one"].clone();
+            pool.idle.borrow_mut().iter_mut().for_each(|wire| {
+                wire.freed -= Duration::from_millis(rest);
+                wire.until -= Duration::from_millis(rest);
+            });
+            let (once, many) = (pool.pop(true).is_some(), pool.pop(false).is_some());
+            (once, once || many)
+        };
+        assert_eq!(rested(None, 100).await, (true, true));
+        assert_eq!(rested(None, 900).await, (false, true));
+        assert_eq!(rested(Some(3_000), 900).await, (true, true));
+        assert_eq!(rested(Some(300), 900).await, (false, false));
+        drop(listener);
+    });
+}
+
+#[test]
+fn a_task_is_left_when_it_says_so_and_a_second_before_it_says() {
+    let after = |lines: &[(&'static str, &'static str)]| {
+        let mut headers = HeaderMap::new();
+        for (name, value) in lines {
+            headers.append(*name, HeaderValue::from_static(value));
+        }
+        kept_for(&headers).map(|time| time.as_millis())
+    };
+    assert_eq!(after(&[]), None);
+    assert_eq!(after(&[("connection", "keep-alive"), ("connection", "x, Close")]), Some(0));
+    assert_eq!(after(&[("keep-alive", "max=9, timeout=5")]), Some(4_000));
+    assert_eq!(after(&[("keep-alive", "timeout=1")]), Some(300));
+    assert_eq!(after(&[("keep-alive", "timeout=-1")]), None);
+}
--- a/crates/rookpulley-courier/tests/homes.rs
+++ b/crates/rookpulley-courier/tests/courier/homes.rs
@@ -5,7 +5,6 @@
 use rookpulley_waybill::line::{self, Outbox};
 use rookpulley_waybill::{Down, Line, Up};
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
-use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
 
--- /dev/null
+++ b/crates/rookpulley-courier/tests/courier/main.rs
@@ -0,0 +1,7 @@
+//! A courier on loopback: what clients, tasks and offices see of it.
+
+mod clients;
+mod homes;
+mod requests;
+mod scene;
+mod tasks;
--- a/crates/rookpulley-courier/tests/requests.rs
+++ b/crates/rookpulley-courier/tests/courier/requests.rs
@@ -1,8 +1,6 @@
 //! What clients and tasks see of a courier, on loopback.
 
-mod scene;
-
-use scene::{Act, Scene, answer, good, play, status, turned_away};
+use crate::scene::{Act, Scene, Talk, answer, good, play, request, status, turned_away};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
@@ -118,10 +116,10 @@
         assert_eq!((code, back.split_once("\r\n\r\n").unwrap().1.len()), (200, 3 << 20));
         let (code, back) = scene.ask("GET", "/d/cut", "d2").await;
         assert_eq!(code, 200);
-        assert_eq!(scene::header(&back, "content-length"), Some("3145728"));
+        assert_eq!(crate::scene::header(&back, "content-length"), Some("3145728"));
         assert!(back.len() < 3 << 20);
         let (code, back) = scene.ask("HEAD", "/d/whole", "d3").await;
-        assert_eq!((code, scene::header(&back, "content-length")), (200, Some("3145728")));
+        assert_eq!((code, crate::scene::header(&back, "content-length")), (200, Some("3145728")));
         assert!(back.ends_with("\r\n\r\n"), "{back}");
     });
 }
@@ -261,3 +259,68 @@
         panic!("it ended too soon");
     });
 }
+
+#[test]
+fn a_target_arrives_as_it_was_sent_or_is_refused() {
+    play(async {
+        let scene = Scene::with_tasks(1, |got| good(got, "")).await;
+        let mut targets: Vec<Vec<u8>> = (1..=255u8)
+            .flat_map(|byte| {
+                [[b"/r/a", [byte].as_slice(), b"b"].concat(), [b"/r/?a", [byte].as_slice()].concat()]
+            })
+            .collect();
+        let words =
+            ["/r/?", "/r/??/#", "/r//", "/r/./..", "/r/%", "/r/%00", "/r/;a=b", "/r/é", "/r/?é", "/r/\\"];
+        targets.extend(words.map(|word| word.as_bytes().to_vec()));
+        let mut refused = 0;
+        for target in targets {
+            let mut client = scene.client().await;
+            let rest = b" HTTP/1.1\r\nHost: h.example\r\nRequest-Id: q\r\n\r\n";
+            client.say([b"GET ", target.as_slice(), rest].concat()).await;
+            let status = client.message().await.unwrap().status();
+            let got = std::mem::take(&mut *scene.got.borrow_mut());
+            match status {
+                400 => {
+                    assert!(got.is_empty());
+                    refused += 1;
+                }
+                200 => assert!(
+                    got[0].head.as_bytes()[4..].starts_with(&[target.as_slice(), b" HTTP/1.1\r\n"].concat())
+                ),
+                other => panic!("{other} for {:?}", String::from_utf8_lossy(&target)),
+            }
+        }
+        assert!((60..350).contains(&refused), "{refused}");
+    });
+}
+
+#[test]
+fn a_request_keeps_to_the_configuration_that_it_began_under_and_tables_may_come_before_or_behind() {
+    play(async {
+        let mut scene = Scene::new(|got| good(got, "")).await;
+        let listener = scene.by_hand().await;
+        let mut client = scene.client().await;
+        client.say(request("POST", "/m/x", "a", "")).await;
+        assert_eq!(client.message().await.unwrap().status(), 503);
+        scene.configure(1, "/m/").await;
+        scene.marked().await;
+        client.say(request("POST", "/m/x", "b", "")).await;
+        let mut task = Talk::new(listener.accept().await.unwrap().0);
+        let asked = task.message().await.unwrap();
+        // Its route goes, and its task's table, while it is at work.
+        scene.configure(2, "/other/").await;
+        scene.table(Vec::new()).await;
+        let id = asked.header("request-id").unwrap();
+        task.say(format!("HTTP/1.1 404 No\r\nRequest-Id: {id}\r\nContent-Length: 2\r\n\r\nno")).await;
+        let back = client.message().await.unwrap();
+        assert_eq!((back.status(), back.body.as_slice()), (404, b"no".as_slice()));
+        client.say(request("POST", "/m/x", "c", "")).await;
+        assert_ne!(client.message().await.unwrap().body, b"no");
+        client.say(request("POST", "/other/x", "d", "")).await;
+        let back = client.message().await.unwrap();
+        assert_eq!(back.status(), 503);
+        assert!(back.header("retry-after").unwrap().starts_with("0."));
+        // A connection to a task that is in no table any more isn't kept.
+        assert!(task.ends().await);
+    });
+}
--- a/crates/rookpulley-courier/tests/scene/mod.rs
+++ b/crates/rookpulley-courier/tests/courier/scene/mod.rs
@@ -2,7 +2,7 @@
 
 use rookpulley_courier::{Bound, Courier, Signal, Signals, run};
 use rookpulley_settings::Node;
-use rookpulley_waybill::{Down, Line, Up, line};
+use rookpulley_waybill::{Down, Line, Report, Up, line};
 use std::cell::RefCell;
 use std::net::{SocketAddr, SocketAddrV4};
 use std::rc::Rc;
@@ -10,6 +10,10 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
 
+mod talk;
+
+pub use talk::{Message, Talk, header, status};
+
 /// What a stand-in task does with a request.
 pub enum Act {
     /// Writes these bytes and waits for the next request.
@@ -34,13 +38,6 @@
     }
 }
 
-pub fn header<'a>(head: &'a str, name: &str) -> Option<&'a str> {
-    head.lines().skip(1).find_map(|line| {
-        let (key, value) = line.split_once(':')?;
-        key.eq_ignore_ascii_case(name).then(|| value.trim())
-    })
-}
-
 /// A proper answer to what was got.
 pub fn answer(got: &Got, status: &str, more: &str, body: &str) -> Vec<u8> {
     let id = got.header("request-id").unwrap_or("none");
@@ -65,21 +62,33 @@
     pub tell: mpsc::Sender<Signal>,
     office: line::Outbox,
     took: mpsc::UnboundedReceiver<u64>,
+    reports: mpsc::UnboundedReceiver<Report>,
     pub got: Rc<RefCell<Vec<Got>>>,
     script: Script,
     mark: u64,
+    /// What the operator allows to clients.
+    pub limits: &'static str,
 }
 
+/// Headers are long enough, bodies longer than any that is held whole, heads may take long.
+const USUAL: &str =
+    r#""maxHeaderBytes":9000,"maxBodyBytes":300000,"headerTimeoutMs":3000,"idleTimeoutMs":15000"#;
+
 impl Scene {
     /// A courier with one office; nothing is known to it yet.
     pub async fn new(script: impl Fn(&Got) -> Act + 'static) -> Scene {
+        Scene::with_files(1_000, script).await
+    }
+
+    /// The same, with so many descriptors.
+    pub async fn with_files(files: usize, script: impl Fn(&Got) -> Act + 'static) -> Scene {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let port = listener.local_addr().unwrap().port();
         let mut node = Node::parse(&format!(
             "nodeName = \"one\"\nserves = [\"edge\"]\nipAddress = \"127.0.0.1\"\nzone = \"east\"\n\
              region = \"r\"\ninternalPortRange = [{port}, {port}]\nseedNodes = [\"127.0.0.1:1\"]\n\
              [zones]\neast = \"r\"\n[listenAddresses]\nfrontHttp = \"127.0.0.1:1\"\nreadiness = \"127.0.0.1:1\"\n\
-             [limits]\nmemoryMb = 260\nmaxOpenFiles = 1000\nlinkMbps = 1000.0\n\
+             [limits]\nmemoryMb = 260\nmaxOpenFiles = {files}\nlinkMbps = 1000.0\n\
              [bounds]\nretryBudgetRatio = 10.0\nretryBudgetSlack = 64\ngracePeriodS = 6\n"
         ))
         .unwrap();
@@ -91,14 +100,16 @@
         tokio::task::spawn_local(run(Courier::new(node), bound, None, signals));
         let (stream, _) = listener.accept().await.unwrap();
         let (opened, mut open) = mpsc::unbounded_channel();
-        let (marks, took) = mpsc::unbounded_channel();
+        let ((marks, took), (tell_report, reports)) = (mpsc::unbounded_channel(), mpsc::unbounded_channel());
         tokio::task::spawn_local(line::run(
             stream,
             None,
             move |outbox| _ = opened.send(outbox),
             move |up| {
-                if let Up::Took { mark } = up {
-                    _ = marks.send(mark);
+                _ = match up {
+                    Up::Took { mark } => marks.send(mark).is_ok(),
+                    Up::Report(report) => tell_report.send(report).is_ok(),
+                    _ => true,
                 }
             },
         ));
@@ -106,7 +117,8 @@
         let pulse = Down::Pulse { in_touch: true, config: 0, couriers: 1, offices: Vec::new() };
         assert!(office.send(&pulse));
         let got = Rc::default();
-        Scene { front, readiness, tell, office, took, got, script: Rc::new(script), mark: 0 }
+        let (script, limits) = (Rc::new(script), USUAL);
+        Scene { front, readiness, tell, office, took, reports, got, script, mark: 0, limits }
     }
 
     /// A configuration with routes of each kind, patient and not, all of the service `s`, and so many tasks.
@@ -130,8 +142,9 @@
         };
         let body = format!(
             r#"{{"configVersion":{version},"services":[{{"name":"s","healthCheckPath":"/h","maxConnections":50}}],
-            "limits":{{"maxHeaderBytes":9000,"maxBodyBytes":300000,"headerTimeoutMs":3000,"idleTimeoutMs":15000}},
+            "limits":{{{}}},
             "hostnames":[{{"hostname":"h.example","pathRules":[{},{},{},{},{}]}}]}}"#,
+            self.limits,
             route("r", "/r/", "read_only", 20_000, 15_000),
             route("m", mutating, "mutating", 20_000, 15_000),
             route("d", "/d/", "download", 20_000, 15_000),
@@ -149,6 +162,14 @@
         assert_eq!(self.took.recv().await, Some(self.mark));
     }
 
+    /// Waits until all that was told before is in use.
+    pub async fn marked(&mut self) {
+        self.mark += 1;
+        let table = Down::Table { service: "nobody's".into(), name: 1, mark: self.mark, lines: Vec::new() };
+        assert!(self.office.send(&table));
+        assert_eq!(self.took.recv().await, Some(self.mark));
+    }
+
     pub async fn gone(&mut self, life: &str) {
         assert!(self.office.send(&Down::Gone { lives: vec![life.into()] }));
         // What follows on the line is taken after it.
@@ -169,6 +190,40 @@
         line
     }
 
+    /// A task that the test plays itself: its connections come in here.
+    pub async fn by_hand(&mut self) -> TcpListener {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let SocketAddr::V4(address) = listener.local_addr().unwrap() else { unreachable!() };
+        let (life, zone) = ("by-hand".to_owned(), "east".to_owned());
+        self.table(vec![Line { life, address, zone, weight: 1.0, slots: 4 }]).await;
+        listener
+    }
+
+    /// A configuration, no task yet.
+    pub async fn configured(script: impl Fn(&Got) -> Act + 'static) -> Scene {
+        let mut scene = Scene::new(script).await;
+        scene.configure(1, "/m/").await;
+        scene
+    }
+
+    /// A connection of a client.
+    pub async fn client(&self) -> Talk {
+        Talk::new(TcpStream::connect(self.front).await.unwrap())
+    }
+
+    /// The tries at tasks, and the bad ones, of all that is reported until `came` requests are.
+    pub async fn reported(&mut self, came: u32) -> (u32, u32) {
+        let (mut so_far, mut tries, mut bad) = (0, 0, 0);
+        while so_far < came {
+            for service in self.reports.recv().await.unwrap().services {
+                so_far += service.came;
+                tries += service.tasks.iter().map(|task| task.tries).sum::<u32>();
+                bad += service.tasks.iter().map(|task| task.bad).sum::<u32>();
+            }
+        }
+        (tries, bad)
+    }
+
     /// Sends bytes on a connection of their own and returns all that comes back until it ends.
     pub async fn send(&self, bytes: &[u8]) -> String {
         let mut stream = TcpStream::connect(self.front).await.unwrap();
@@ -197,41 +252,26 @@
     }
 }
 
-pub fn status(back: &str) -> u16 {
-    back.split(' ').nth(1).and_then(|code| code.parse().ok()).unwrap_or(0)
-}
-
-async fn task(mut stream: TcpStream, connection: usize, got: Rc<RefCell<Vec<Got>>>, script: Script) {
-    let mut bytes = Vec::new();
-    loop {
-        let head = loop {
-            if let Some(end) = bytes.windows(4).position(|four| four == b"\r\n\r\n") {
-                break String::from_utf8(bytes.drain(..end + 4).collect()).unwrap();
-            }
-            if stream.read_buf(&mut bytes).await.unwrap_or(0) == 0 {
-                return;
-            }
-        };
-        let length = header(&head, "content-length").map_or(0, |length| length.parse().unwrap());
-        while bytes.len() < length {
-            if stream.read_buf(&mut bytes).await.unwrap_or(0) == 0 {
-                return;
-            }
-        }
-        let body = bytes.drain(..length).collect();
+async fn task(stream: TcpStream, connection: usize, got: Rc<RefCell<Vec<Got>>>, script: Script) {
+    let mut talk = Talk::new(stream);
+    while let Some(Message { head, body }) = talk.message().await {
         let one = Got { connection, head, body };
         got.borrow_mut().push(one.clone());
         match script(&one) {
-            Act::Write(answer) => stream.write_all(&answer).await.unwrap(),
-            Act::Cut(answer) => {
-                _ = stream.write_all(&answer).await;
-                return;
-            }
+            Act::Write(answer) => talk.say(answer).await,
+            Act::Cut(answer) => return talk.say(answer).await,
             Act::Silence => std::future::pending().await,
         }
     }
 }
 
+/// A request that keeps its connection.
+pub fn request(method: &str, target: &str, id: &str, more: &str) -> String {
+    format!(
+        "{method} {target} HTTP/1.1\r\nHost: h.example\r\nRequest-Id: {id}\r\nDeadline-Ms: 19000\r\n{more}\r\n"
+    )
+}
+
 /// Runs a test on one thread.
 pub fn play<F: Future>(scene: F) -> F::Output {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
--- /dev/null
+++ b/crates/rookpulley-depot/src/beats.rs
@@ -0,0 +1,119 @@
+//! What a task tells the offices: that it lives, that it drains, that it has left.
+
+use crate::caller::{SILENCE, once};
+use crate::record::Drain;
+use crate::sheet::{DRAIN_MS, HEARTBEAT_MS};
+use crate::task::{Stage, Task};
+use std::collections::HashMap;
+use std::net::SocketAddrV4;
+use std::rc::Rc;
+use std::time::Duration;
+use tinyjson::JsonValue;
+use tokio::time::{Instant, sleep, sleep_until, timeout};
+
+const ACKNOWLEDGEMENT_MOST: usize = 4 << 10;
+/// A task that nobody acknowledges ends all the same.
+const UNHEARD: Duration = Duration::from_secs(5);
+/// How long a task serves beyond what it must: whoever still sends there then is seen.
+const LINGER: Duration = Duration::from_millis(900);
+const PAUSE: Duration = Duration::from_millis(50);
+
+struct Beats {
+    task: Rc<Task>,
+    offices: Vec<SocketAddrV4>,
+    next: usize,
+    /// Where an office asked for later beats, until one to it fails.
+    endpoint: Option<SocketAddrV4>,
+    sequence: u64,
+}
+
+impl Beats {
+    fn body(&self) -> String {
+        let task = &self.task;
+        let state = if task.stage() == Stage::Available { "available" } else { "draining" };
+        format!(
+            r#"{{"address":"{}","nodeInfo":{{"targetService":"{}","configVersion":"v1","zone":"{}","capacitySlots":{}}},"currentStatus":{{"lifecycleState":"{state}","callSequence":{},"coldRemainingMs":{}}}}}"#,
+            task.address,
+            task.service,
+            task.zone,
+            task.slots,
+            self.sequence,
+            task.cold().as_millis(),
+        )
+    }
+
+    /// One beat, to one office after another.
+    async fn beat(&mut self) -> bool {
+        let path = format!("/rookpulley/instances/{}", self.task.life);
+        for _ in 0..=self.offices.len() {
+            self.sequence += 1;
+            let asked = self.endpoint.take();
+            let listed = self.offices.get(self.next % self.offices.len().max(1)).copied();
+            let Some(office) = asked.or(listed) else { return false };
+            match once(office, "PUT", &path, &self.body(), SILENCE).await {
+                Some((200..=299, answer)) if answer.len() <= ACKNOWLEDGEMENT_MOST => {
+                    self.endpoint = endpoint(&answer).or(asked);
+                    return true;
+                }
+                _ if asked.is_some() => {}
+                _ => self.next += 1,
+            }
+        }
+        false
+    }
+
+    async fn leave(&self) -> bool {
+        let path = format!("/rookpulley/instances/{}", self.task.life);
+        let given_up = Instant::now() + UNHEARD;
+        for office in self.offices.iter().cycle().skip(self.next) {
+            if let Some((200..=299, _)) = once(*office, "DELETE", &path, "", SILENCE).await {
+                return true;
+            }
+            if Instant::now() > given_up {
+                break;
+            }
+            sleep(PAUSE).await;
+        }
+        false
+    }
+}
+
+fn endpoint(answer: &[u8]) -> Option<SocketAddrV4> {
+    let value: JsonValue = std::str::from_utf8(answer).ok()?.parse().ok()?;
+    let fields: &HashMap<String, JsonValue> = value.get()?;
+    fields.get("heartbeatEndpoint")?.get::<String>()?.parse().ok()
+}
+
+/// A task's whole life as the offices hear of it.
+pub async fn live(task: Rc<Task>, offices: Vec<SocketAddrV4>) {
+    let next = crate::record::digest(&task.life) as usize % offices.len().max(1);
+    let mut beats = Beats { task: task.clone(), offices, next, endpoint: None, sequence: 0 };
+    let mut stage = task.stage.subscribe();
+    while *stage.borrow_and_update() == Stage::Available {
+        let pause = if beats.beat().await { Duration::from_millis(HEARTBEAT_MS) } else { PAUSE };
+        // A word that it is to drain is passed on at once.
+        _ = timeout(pause, stage.changed()).await;
+    }
+    let given_up = Instant::now() + UNHEARD;
+    let acknowledged = loop {
+        if beats.beat().await {
+            let (life, now) = (task.life.clone(), task.record.now());
+            task.record.drains.borrow_mut().push(Drain { life, acknowledged: now });
+            break true;
+        }
+        if Instant::now() > given_up {
+            break false;
+        }
+        sleep(PAUSE).await;
+    };
+    let serves_until = Instant::now() + Duration::from_millis(DRAIN_MS) + LINGER;
+    while acknowledged && Instant::now() < serves_until {
+        let next = Instant::now() + Duration::from_millis(HEARTBEAT_MS);
+        sleep_until(next.min(serves_until)).await;
+        beats.beat().await;
+    }
+    if !beats.leave().await {
+        task.record.unheard.borrow_mut().push(task.life.clone());
+    }
+    task.stage.send_replace(Stage::Gone);
+}
--- /dev/null
+++ b/crates/rookpulley-depot/src/sheet.rs
@@ -0,0 +1,75 @@
+//! The settings file of each process.
+
+use crate::ground::{Ground, MACHINES};
+use rookpulley_settings::{Bounds, Limits, Listen, Node, Tolerance};
+
+pub const ZONES: [&str; MACHINES] = ["north-quay", "east-quay", "south-quay"];
+const REGION: &str = "harbour";
+/// Shorter than installations have it, so that a trial is soon through.
+pub const HEARTBEAT_MS: u64 = 400;
+pub const DRAIN_MS: u64 = 1_000;
+pub const CONFIG_APPLY_MS: u64 = 1_500;
+pub const GRACE_S: f64 = 6.0;
+/// For so long after a start a machine still counts as lost, so another loss would be one too many.
+pub const CATCH_UP_S: f64 = 4.0;
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Role {
+    Courier,
+    Office,
+}
+
+impl Role {
+    pub fn word(self) -> &'static str {
+        match self {
+            Role::Courier => "courier",
+            Role::Office => "office",
+        }
+    }
+}
+
+/// `first`: the whole gateway starts for the first time, with empty disks.
+pub fn sheet(ground: &Ground, machine: usize, role: Role, first: bool) -> Node {
+    let name = format!("{}-{}", role.word(), machine + 1);
+    let (serves, listen) = match role {
+        Role::Courier => (
+            "edge",
+            Listen {
+                front: Some(ground.front(machine)),
+                readiness: Some(ground.readiness(machine)),
+                control: None,
+            },
+        ),
+        Role::Office => {
+            ("control_plane", Listen { control: Some(ground.control(machine)), ..Listen::default() })
+        }
+    };
+    Node {
+        role: role.word().into(),
+        class: "edge".into(),
+        serves: vec![serves.into()],
+        ip: ground.ip(machine),
+        zone: ZONES.get(machine).copied().unwrap_or_default().into(),
+        region: REGION.into(),
+        inner_ports: ground.ports.inner(),
+        seeds: ground.controls(),
+        first_start: first,
+        loss_counted: true,
+        data: (role == Role::Office).then(|| ground.folder().join(format!("{name}.data"))),
+        heartbeat_ms: HEARTBEAT_MS,
+        zones: ZONES.iter().map(|zone| (zone.to_string(), REGION.into())).collect(),
+        listen,
+        limits: Limits { disk_mb: Some(64.0), ..Limits::default() },
+        tolerance: Tolerance { machines: 1, zones: 0, regions: 0 },
+        bounds: Bounds {
+            drain_ms: DRAIN_MS,
+            grace_period_s: GRACE_S,
+            catch_up_s: CATCH_UP_S,
+            config_apply_ms: CONFIG_APPLY_MS,
+            retry_budget_ratio: 0.2,
+            retry_budget_slack: 64.0,
+            ..Bounds::default()
+        },
+        name,
+    }
+}
--- /dev/null
+++ b/crates/rookpulley-depot/src/trial.rs
@@ -0,0 +1,189 @@
+//! A trial: clients and applications at work while an office is killed, a route added and a task drained.
+
+use crate::caller::once;
+use crate::clients::Clients;
+use crate::coordination::Applications;
+use crate::depot::{Depot, WITHIN};
+use crate::faults::DepotError;
+use crate::ground::MACHINES;
+use crate::judge::{Check, Requests};
+use crate::operator::{SECOND, configuration};
+use crate::order;
+use crate::record::Moment;
+use crate::sheet::{CATCH_UP_S, CONFIG_APPLY_MS, DRAIN_MS, sheet};
+use crate::task::Stage;
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::task::{JoinHandle, spawn_local};
+use tokio::time::timeout;
+
+/// Requests served before the first trouble, and sent until the end at least.
+const BEFORE: usize = 60;
+const REQUESTS_LEAST: u32 = 400;
+/// Requests for the new route that are waited for.
+const NEW_ROUTE: usize = 20;
+const ANSWERS: Duration = Duration::from_secs(1);
+
+pub struct Trial {
+    pub checks: Vec<Check>,
+    pub lines: Vec<String>,
+}
+
+impl Trial {
+    pub fn passed(&self) -> bool {
+        self.checks.iter().all(Check::passed)
+    }
+}
+
+fn say(depot: &Depot, what: &str) {
+    tell!("trial: {:5.2} s  {what}", depot.record.now().as_secs_f64());
+}
+
+/// Ends what it runs also where the trial is broken off.
+struct Beside(JoinHandle<()>);
+
+impl Drop for Beside {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
+/// `machine`: whose office is killed.
+pub async fn run(depot: &mut Depot, machine: usize) -> Result<Trial, DepotError> {
+    let couriers = (0..MACHINES).map(|machine| depot.ground.front(machine)).collect();
+    let clients = Clients::new(couriers, depot.record.clone());
+    let applications = Rc::new(Applications::new(depot.ground.controls(), depot.record.clone()));
+    let (requests, calls) = (clients.clone(), applications.clone());
+    let mut load = Beside(spawn_local(requests.run()));
+    let mut control = Beside(spawn_local(async move { calls.run().await }));
+    let played = script(depot, machine, &clients, &applications).await;
+    write_down(depot, &clients);
+    let second_holds = played?;
+    clients.over.set(true);
+    applications.over.set(true);
+    say(depot, "the last answers are waited for");
+    let both = async { _ = tokio::join!(&mut load.0, &mut control.0) };
+    let mut checks = Vec::new();
+    let mut through = Check::new("clients and applications come to their end");
+    through.look(timeout(WITHIN, both).await.is_ok(), || format!("not within {} s", WITHIN.as_secs()));
+    let read_back = read_back(depot).await;
+
+    let (tries, record) = (clients.tries.borrow(), depot.record.clone());
+    let (arrivals, drains) = (record.arrivals.borrow(), record.drains.borrow());
+    let bounds = sheet(&depot.ground, 0, crate::sheet::Role::Courier, false).bounds;
+    let requests = Requests {
+        tries: &tries,
+        arrivals: &arrivals,
+        drains: &drains,
+        drain: Duration::from_millis(DRAIN_MS),
+        second_holds: Some(second_holds),
+        retry_ratio: bounds.retry_budget_ratio,
+        retry_slack: bounds.retry_budget_slack,
+    };
+    checks.extend(requests.checks());
+    checks.extend(order::checks(&applications.told));
+    checks.extend([read_back, through]);
+    let (usual, slowest) = requests.times();
+    let outcomes = requests.outcomes().into_iter().map(|(what, count)| format!("{what}: {count}"));
+    let lines = vec![
+        format!("answers to {} tries: {}", tries.len(), outcomes.collect::<Vec<_>>().join(", ")),
+        format!(
+            "successes took {} ms in the middle, {} ms for 1 of 100",
+            usual.as_millis(),
+            slowest.as_millis()
+        ),
+    ];
+    Ok(Trial { checks, lines })
+}
+
+/// Gives back when the second version must hold everywhere.
+async fn script(
+    depot: &mut Depot,
+    machine: usize,
+    clients: &Rc<Clients>,
+    applications: &Rc<Applications>,
+) -> Result<Moment, DepotError> {
+    let office = format!("office-{}", machine + 1);
+    say(depot, "requests go through all couriers, applications call all offices");
+    let served = |courier: Option<usize>| {
+        let tries = clients.tries.borrow();
+        tries.iter().filter(|one| one.served() && courier.is_none_or(|at| at == one.courier)).count()
+    };
+    depot
+        .wait("that every courier serves", async || {
+            served(None) >= BEFORE && (0..MACHINES).all(|at| served(Some(at)) > 0)
+        })
+        .await?;
+    let told = &applications.told;
+    let hold_seen = async || !told.holds.borrow().is_empty() && !told.events.borrow().is_empty();
+    depot.wait("a lock held and a put seen by its watch", hold_seen).await?;
+
+    let record = depot.record.clone();
+    let caught_up = Duration::from_secs_f64(CATCH_UP_S);
+    depot.wait("the time by which all have caught up", async || record.now() > caught_up).await?;
+
+    depot.processes.kill(&office).await;
+    let killed = depot.record.now();
+    say(depot, &format!("{office} is killed"));
+    let numbered = async || told.numbers.borrow().iter().any(|number| number.sent > killed);
+    depot.wait("a number from the offices that are left", numbered).await?;
+    let waited = depot.record.now().saturating_sub(killed).as_millis();
+    say(depot, &format!("the offices that are left answer, {waited} ms later"));
+
+    depot.configure(SECOND).await?;
+    let holds = depot.record.now() + Duration::from_millis(CONFIG_APPLY_MS);
+    say(depot, &format!("configuration {SECOND} is acknowledged by them"));
+    depot.processes.start(&depot.ground, &office)?;
+    say(depot, &format!("{office} starts again"));
+    let (control, newest) = (depot.ground.control(machine), configuration(SECOND));
+    let newest = newest.as_str();
+    let knows = || async move {
+        let answer = once(control, "GET", "/rookpulley/configuration", "", ANSWERS).await;
+        answer.is_some_and(|(status, body)| status == 200 && body == newest.as_bytes())
+    };
+    depot.wait(&format!("that {office} is back and knows configuration {SECOND}"), knows).await?;
+    say(depot, &format!("{office} is back and knows it"));
+    depot.wait("the time by which the new route must hold", async || record.now() > holds).await?;
+    clients.use_second();
+
+    let Some(task) = depot.tasks.first().cloned() else { return Ok(holds) };
+    task.stage.send_replace(Stage::Draining);
+    say(depot, &format!("{} drains", task.life));
+    let acknowledged = async || record.drains.borrow().iter().any(|drain| drain.life == task.life);
+    depot.wait("an acknowledgement of the drain", acknowledged).await?;
+    say(depot, "its drain is acknowledged");
+    depot.wait("the end of the task", async || task.stage() == Stage::Gone).await?;
+    say(depot, "it has left");
+
+    let new_route = Cell::new(0);
+    let enough = async || {
+        let tries = clients.tries.borrow();
+        new_route.set(tries.iter().filter(|one| one.served() && one.route.since == SECOND).count());
+        clients.sent.get() >= REQUESTS_LEAST && new_route.get() >= NEW_ROUTE
+    };
+    depot.wait("enough requests, some by the new route", enough).await?;
+    Ok(holds)
+}
+
+/// Leaves what clients and tasks saw beside the logs, for whoever keeps the folder.
+fn write_down(depot: &Depot, clients: &Clients) {
+    let lines = |items: Vec<String>| items.join("\n") + "\n";
+    let tries = clients.tries.borrow().iter().map(|one| format!("{one:?}")).collect();
+    let arrivals = depot.record.arrivals.borrow().iter().map(|one| format!("{one:?}")).collect();
+    for (name, text) in [("tries.txt", lines(tries)), ("arrivals.txt", lines(arrivals))] {
+        _ = std::fs::write(depot.ground.folder().join(name), text);
+    }
+}
+
+/// Every office must give back the newest configuration as it was sent.
+async fn read_back(depot: &Depot) -> Check {
+    let mut check = Check::new("every office reads the newest configuration back");
+    let sent = configuration(SECOND);
+    for (machine, office) in depot.ground.controls().into_iter().enumerate() {
+        let answer = once(office, "GET", "/rookpulley/configuration", "", ANSWERS).await;
+        let fine = answer.as_ref().is_some_and(|(status, body)| *status == 200 && body == sent.as_bytes());
+        check.look(fine, || format!("office-{}: {:?}", machine + 1, answer.map(|(status, _)| status)));
+    }
+    check
+}
--- a/crates/rookpulley-office/src/calls.rs
+++ b/crates/rookpulley-office/src/calls.rs
@@ -1,6 +1,7 @@
 //! The calls of tasks, the operator and applications: which they are, what is asked of them, how they are answered.
 
 use crate::hub::Hub;
+use crate::show::{self, Part};
 use rookpulley_addressbook::Book;
 use rookpulley_counter::{Call, Match, Reply, Tree, query};
 use rookpulley_ledger::{Answer, Ask, Update, Watched};
@@ -23,6 +24,8 @@
     PutCell,
     GetCell,
     Watch,
+    /// Read only, and of this office alone.
+    Show(Part),
 }
 
 pub fn tree() -> Result<Tree<Path>, rookpulley_counter::TreeError> {
@@ -38,6 +41,14 @@
         ("PUT /rookpulley/cells/{}", Path::PutCell),
         ("GET /rookpulley/cells/{}", Path::GetCell),
         ("GET /rookpulley/watch/{}", Path::Watch),
+        ("GET /rookpulley/show/view", Path::Show(Part::View)),
+        ("GET /rookpulley/show/tasks", Path::Show(Part::Tasks)),
+        ("GET /rookpulley/show/tasks/{}", Path::Show(Part::Tasks)),
+        ("GET /rookpulley/show/tables", Path::Show(Part::Tables)),
+        ("GET /rookpulley/show/tables/{}", Path::Show(Part::Tables)),
+        ("GET /rookpulley/show/couriers", Path::Show(Part::Couriers)),
+        ("GET /rookpulley/show/ledger", Path::Show(Part::Ledger)),
+        ("GET /rookpulley/show/counters", Path::Show(Part::Counters)),
     ])
 }
 
@@ -76,11 +87,11 @@
     }
 }
 
-fn object<const N: usize>(fields: [(&str, JsonValue); N]) -> JsonValue {
+pub fn object<const N: usize>(fields: [(&str, JsonValue); N]) -> JsonValue {
     JsonValue::Object(fields.into_iter().map(|(name, value)| (name.into(), value)).collect())
 }
 
-fn number(n: u64) -> JsonValue {
+pub fn number(n: u64) -> JsonValue {
     JsonValue::Number(n as f64)
 }
 
@@ -97,11 +108,15 @@
 
 impl Calls {
     pub async fn answer(&self, call: Call) -> Reply {
-        match self.tree.lookup(&call.method, &call.path) {
-            Match::Nothing => Reply::error(404, "there is no such call"),
-            Match::WrongMethod => Reply::error(405, "there is no such call with this method"),
-            Match::Found(path, name) => self.take(path, &name, call).await.unwrap_or_else(|wrong| wrong),
-        }
+        let (path, reply) = match self.tree.lookup(&call.method, &call.path) {
+            Match::Nothing => (None, Reply::error(404, "there is no such call")),
+            Match::WrongMethod => (None, Reply::error(405, "there is no such call with this method")),
+            Match::Found(path, name) => {
+                (Some(path), self.take(path, &name, call).await.unwrap_or_else(|wrong| wrong))
+            }
+        };
+        self.hub.counts.call(path, reply.status);
+        reply
     }
 
     async fn take(&self, path: Path, name: &str, call: Call) -> Result<Reply, Wrong> {
@@ -179,6 +194,7 @@
                 other => not_done(other),
             },
             Path::Watch => self.watch(&name(), &call.query).await?,
+            Path::Show(part) => show::answer(hub, part, &name()),
         })
     }
 
--- a/crates/rookpulley-office/src/ending.rs
+++ b/crates/rookpulley-office/src/ending.rs
@@ -42,10 +42,25 @@
     }
 }
 
-/// Calls at work are answered, then the process ends.
-pub async fn finish(hub: &Rc<Hub>, counter: tokio::task::JoinHandle<()>) {
+/// The others mend the chain while this office is still there, so that nobody waits for what has gone.
+const LEAVE_WITHIN: Duration = Duration::from_millis(1_200);
+const LOOK_AGAIN: Duration = Duration::from_millis(20);
+
+/// The chain is left, calls at work are answered, then the process ends.
+pub async fn finish(
+    hub: &Rc<Hub>,
+    stop: tokio::sync::watch::Sender<bool>,
+    counter: tokio::task::JoinHandle<()>,
+) {
     tracing::info!("ending: {}", hub.status());
     hub.ending.set(true);
+    let left = async {
+        while !hub.left_the_chain() {
+            tokio::time::sleep(LOOK_AGAIN).await;
+        }
+    };
+    _ = tokio::time::timeout(LEAVE_WITHIN, left).await;
+    _ = stop.send(true);
     let most =
         Duration::from_secs_f64((hub.node.bounds.grace_period_s - 1.0).max(0.5)).min(Duration::from_secs(2));
     _ = tokio::time::timeout(most, counter).await;
--- a/crates/rookpulley-office/src/hub.rs
+++ b/crates/rookpulley-office/src/hub.rs
@@ -2,6 +2,7 @@
 //! carried out. It decides nothing about tables, views or the ledger itself.
 
 use crate::peers::Word;
+use crate::show::Counts;
 use crate::state::Kept;
 use crate::store::{Part, Said, Store};
 use rookpulley_addressbook::Book;
@@ -25,23 +26,31 @@
 /// How long a drain waits to be known elsewhere, and an office out of touch still takes beats.
 const CONFIRM_WITHIN: Duration = Duration::from_millis(700);
 const BEATS_UNTOUCHED_MS: f64 = 1_500.0;
+/// A confirmed drain is remembered so long.
+const DRAINED_MS: f64 = 60_000.0;
 /// What was noted before a start and hasn't been heard of since is dropped after so long.
 const NOTES_KEPT_MS: f64 = 90_000.0;
 /// A write that takes so long tells of a slow disk; so many quick ones in a row, of one that is well again.
-const SLOW_WRITE: Duration = Duration::from_millis(70);
+const SLOW_WRITE: Duration = Duration::from_millis(60);
+/// A process that didn't look for so long was held up itself: that tells nothing of its disk.
+const HELD_UP: Duration = Duration::from_millis(100);
 const QUICK_WRITES: u32 = 4;
 
 struct Peer {
+    /// It has spoken: no reason to wait with dialing it.
+    wake: Rc<Notify>,
     outbox: Option<Outbox>,
     id: Option<u64>,
     seen_ms: f64,
 }
 
-struct Courier {
+pub struct Courier {
     line: u64,
     outbox: Outbox,
-    zone: String,
-    home: bool,
+    pub zone: String,
+    pub home: bool,
+    /// The configuration that it last said that it holds.
+    pub config: u64,
 }
 
 /// What waits for a word on a task to be on the disk: an answer to another office, or a task's own call.
@@ -56,17 +65,19 @@
     done: Option<oneshot::Sender<()>>,
 }
 
-struct Inner {
-    chain: Chain<Kept>,
-    registry: Registry,
-    desk: Desk,
+pub struct Inner {
+    pub chain: Chain<Kept>,
+    pub registry: Registry,
+    pub desk: Desk,
     store: Store,
     peers: BTreeMap<Ipv4Addr, Peer>,
     to_dial: Vec<Ipv4Addr>,
-    couriers: BTreeMap<String, Courier>,
+    pub couriers: BTreeMap<String, Courier>,
     counted: BTreeMap<String, f64>,
     calls: BTreeMap<u64, oneshot::Sender<Outcome>>,
     confirms: BTreeMap<u64, Confirm>,
+    /// Lives that others know to be draining, and since when.
+    drained: BTreeMap<String, f64>,
     notes: u64,
     noting: Vec<(u64, Noted)>,
     tidied: bool,
@@ -74,8 +85,9 @@
     told_version: u64,
     touched_ms: f64,
     writing: Option<(u64, Instant)>,
+    watched: Instant,
     quick: u32,
-    slow: bool,
+    pub slow: bool,
 }
 
 /// A life and the last that matters of it, as it stands on the disk.
@@ -97,6 +109,7 @@
     /// Asks the main loop to dial what became known.
     pub dial: Notify,
     pub ending: Cell<bool>,
+    pub counts: Counts,
     told_touch: Cell<bool>,
 }
 
@@ -122,6 +135,7 @@
             counted: BTreeMap::new(),
             calls: BTreeMap::new(),
             confirms: BTreeMap::new(),
+            drained: BTreeMap::new(),
             notes: 0,
             noting: Vec::new(),
             tidied: false,
@@ -129,6 +143,7 @@
             told_version: 0,
             touched_ms: 0.0,
             writing: None,
+            watched: Instant::now(),
             quick: 0,
             slow: false,
         };
@@ -140,6 +155,7 @@
             applied: Notify::new(),
             dial: Notify::new(),
             ending: Cell::new(false),
+            counts: Counts::default(),
             told_touch: Cell::new(false),
         });
         hub.begin_with_notes();
@@ -173,6 +189,11 @@
         format!("{}; couriers {} (home of {homes})", inner.chain.status(), inner.couriers.len())
     }
 
+    /// For `show`.
+    pub fn look<T>(&self, look: impl FnOnce(&Inner) -> T) -> T {
+        look(&self.inner.borrow())
+    }
+
     pub fn in_touch(&self) -> bool {
         self.inner.borrow().chain.in_touch(self.now_ms() as u64)
     }
@@ -189,7 +210,7 @@
         if ip == self.node.ip || inner.peers.contains_key(&ip) || inner.peers.len() >= 64 {
             return;
         }
-        inner.peers.insert(ip, Peer { outbox: None, id: None, seen_ms: now });
+        inner.peers.insert(ip, Peer { wake: Rc::default(), outbox: None, id: None, seen_ms: now });
         inner.to_dial.push(ip);
         self.dial.notify_one();
     }
@@ -224,6 +245,11 @@
         }
     }
 
+    /// Tells when the office at this address has spoken.
+    pub fn wake(&self, ip: Ipv4Addr) -> Rc<Notify> {
+        self.inner.borrow().peers.get(&ip).map_or_else(Rc::default, |peer| peer.wake.clone())
+    }
+
     pub fn still_known(&self, ip: Ipv4Addr) -> bool {
         let inner = self.inner.borrow();
         let named = inner.chain.view().is_some_and(|v| v.members.iter().any(|m| *m.address.ip() == ip));
@@ -250,16 +276,19 @@
                     inner.peers.values_mut().filter(|p| p.id == Some(from.id)).for_each(|p| p.id = None);
                     if let Some(peer) = inner.peers.get_mut(&ip) {
                         (peer.id, peer.seen_ms) = (Some(from.id), now);
+                        peer.wake.notify_waiters();
                     }
                 }
                 self.step(Input::Met { member: from });
             }
             Word::Chain(message) => {
                 if let Some(from) = *who {
+                    self.watch_disk();
                     self.step(Input::Heard { from, message });
                 }
             }
             Word::News { ask, news } => {
+                self.counts.news_heard(news.len());
                 let now = self.now_ms();
                 for item in &news {
                     let sorted = self.inner.borrow_mut().registry.take_news(now, item);
@@ -285,6 +314,11 @@
         }
     }
 
+    /// The line on which an office spoke is over.
+    pub fn line_ended(&self, id: u64) {
+        self.step(Input::HungUp { id });
+    }
+
     fn send_to(&self, id: u64, word: &Word) {
         let inner = self.inner.borrow();
         let line = inner.peers.values().find(|p| p.id == Some(id)).and_then(|p| p.outbox.as_ref());
@@ -294,6 +328,9 @@
     }
 
     fn send_all(&self, word: &Word) {
+        if matches!(word, Word::News { .. }) {
+            self.counts.news_told();
+        }
         let bytes = frame(word);
         let inner = self.inner.borrow();
         inner.peers.values().filter_map(|p| p.outbox.as_ref()).for_each(|o| _ = o.send_framed(bytes.clone()));
@@ -321,6 +358,7 @@
                 Effect::Applied => moved = true,
             }
         }
+        self.counts.view(self.inner.borrow().chain.view().map_or(0, |v| v.number));
         if moved {
             self.applied.notify_waiters();
             self.tell_configuration();
@@ -330,6 +368,7 @@
     pub fn stored(&self, said: Said) {
         match said {
             Said::Synced { chain, lives, took } => {
+                self.counts.sync(took);
                 {
                     let mut inner = self.inner.borrow_mut();
                     if let Some(ticket) = chain {
@@ -354,7 +393,13 @@
     }
 
     fn watch_disk(&self) {
+        if self.ending.get() {
+            return;
+        }
         let mut inner = self.inner.borrow_mut();
+        if std::mem::replace(&mut inner.watched, Instant::now()).elapsed() > HELD_UP {
+            inner.writing = inner.writing.map(|(ticket, _)| (ticket, Instant::now()));
+        }
         let waits = inner.writing.is_some_and(|(_, since)| since.elapsed() > SLOW_WRITE);
         if waits {
             inner.quick = 0;
@@ -483,9 +528,10 @@
             inner.next += 1;
             inner.counted.insert(node.into(), now);
             let line = inner.next;
-            inner
-                .couriers
-                .insert(node.into(), Courier { line, outbox: outbox.clone(), zone: zone.into(), home });
+            inner.couriers.insert(
+                node.into(),
+                Courier { line, outbox: outbox.clone(), zone: zone.into(), home, config },
+            );
             inner.desk.courier_out(now, node);
             if home {
                 inner.desk.courier_in(now, node, zone, 1.0, tables);
@@ -530,7 +576,7 @@
         let Some(courier) = inner.couriers.get_mut(node).filter(|c| c.line == line) else { return };
         match up {
             Up::Home { home, config, tables } => {
-                courier.home = home;
+                (courier.home, courier.config) = (home, config);
                 inner.desk.courier_out(now, node);
                 if home {
                     inner.desk.courier_in(now, node, &courier.zone, 1.0, tables);
@@ -543,6 +589,7 @@
                 }
             }
             Up::WantConfig { have } if inner.chain.serving(now as u64) => {
+                courier.config = have;
                 let newer = inner.chain.state().ledger.configuration().filter(|(version, _)| *version > have);
                 if let Some((version, body)) = newer {
                     courier.outbox.send(&Down::Config { version, body: body.to_vec() });
@@ -569,6 +616,7 @@
             return;
         }
         tracing::info!("registry: {} drain or have left", lives.join(" "));
+        self.counts.drains(lives.len());
         let bytes = frame(&Down::Gone { lives });
         let inner = self.inner.borrow();
         inner.couriers.values().for_each(|c| _ = c.outbox.send_framed(bytes.clone()));
@@ -602,18 +650,34 @@
             return false;
         }
         let draining = beat.draining;
+        self.counts.beat(draining);
         let life = beat.life.clone();
         let sorted = self.inner.borrow_mut().registry.beat(now, beat);
         self.sorted(sorted);
         // A drain is acknowledged only once it is known elsewhere, also when it is told again.
-        !draining || self.known_elsewhere(life).await
+        !draining || self.drain_known(life).await
     }
 
     pub async fn leave(&self, life: &str) -> bool {
         let now = self.now_ms();
         let sorted = self.inner.borrow_mut().registry.leave(now, life);
         self.sorted(sorted);
-        self.known_elsewhere(life.into()).await
+        self.drain_known(life.into()).await
+    }
+
+    /// A life that drains or ends: once that is known elsewhere it need not be asked about again.
+    async fn drain_known(&self, life: String) -> bool {
+        if self.inner.borrow().drained.contains_key(&life) {
+            return true;
+        }
+        let known = self.known_elsewhere(life.clone()).await;
+        if known {
+            let now = self.now_ms();
+            let mut inner = self.inner.borrow_mut();
+            inner.drained.retain(|_, at| now - *at < DRAINED_MS);
+            inner.drained.insert(life, now);
+        }
+        known
     }
 
     /// Carries out what came of a beat or of news.
@@ -696,6 +760,13 @@
 
     // ---- time -------------------------------------------------------------------------------
 
+    /// Asks the others to go on without this office; true once they do.
+    pub fn left_the_chain(&self) -> bool {
+        self.step(Input::Disk { slow: true });
+        let inner = self.inner.borrow();
+        inner.chain.view().is_none_or(|v| v.members.iter().all(|m| m.id != self.me.id))
+    }
+
     /// Every 50 ms.
     pub fn tick(&self, round: u64) {
         self.step(Input::Tick);
--- a/crates/rookpulley-office/src/main.rs
+++ b/crates/rookpulley-office/src/main.rs
@@ -6,11 +6,12 @@
 mod hub;
 mod log;
 mod peers;
+mod show;
 mod state;
-mod store;
 
 use miette::{IntoDiagnostic, WrapErr};
 use rookpulley_settings::Node;
+use rookpulley_strongroom as store;
 use rookpulley_waybill::line;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -101,7 +102,6 @@
         }
     });
     ending::wait(&hub, &path).await;
-    _ = stop.send(true);
-    ending::finish(&hub, counter).await;
+    ending::finish(&hub, stop, counter).await;
     Ok(())
 }
--- a/crates/rookpulley-office/src/peers.rs
+++ b/crates/rookpulley-office/src/peers.rs
@@ -48,7 +48,11 @@
             }
             Err(_) => pause = (pause * 2).min(AGAIN_MOST),
         }
-        tokio::time::sleep(pause).await;
+        let wake = hub.wake(ip);
+        tokio::select! {
+            () = tokio::time::sleep(pause) => {}
+            () = wake.notified() => pause = AGAIN_FIRST,
+        }
         if !hub.still_known(ip) {
             hub.forget(ip);
             return;
@@ -75,6 +79,7 @@
                 |word| hub.word(&mut who, word),
             )
             .await;
+            who.into_iter().for_each(|id| hub.line_ended(id));
             tracing::debug!("peers: the line from {from} {why}");
         });
     }
--- /dev/null
+++ b/crates/rookpulley-office/src/show.rs
@@ -0,0 +1,182 @@
+//! What operators may look at: how things look from this office, and counters for collectors. Nothing here changes
+//! anything, and no answer grows beyond bounds.
+
+mod counts;
+
+use crate::calls::{number, object};
+use crate::hub::{Hub, Inner};
+pub use counts::Counts;
+use rookpulley_counter::Reply;
+use rookpulley_sorting::Standing;
+use tinyjson::JsonValue;
+
+/// One of the parts that can be shown.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Part {
+    View,
+    Tasks,
+    Tables,
+    Couriers,
+    Ledger,
+    Counters,
+}
+
+/// So many rows go into an answer; `more` says how many it lacks.
+const ROWS: usize = 2_000;
+
+/// The answer to a look. `service`: of this one alone.
+pub fn answer(hub: &Hub, part: Part, service: &str) -> Reply {
+    let now = hub.now_ms();
+    let shown = |shown: JsonValue| Reply::json(200, &shown);
+    hub.look(|inner| match part {
+        Part::View => shown(view(hub, inner, now)),
+        Part::Tasks => shown(tasks(inner, now, service)),
+        Part::Tables => shown(tables(inner, service)),
+        Part::Couriers => shown(couriers(inner)),
+        Part::Ledger => shown(ledger(inner)),
+        Part::Counters => Reply {
+            status: 200,
+            headers: vec![("content-type", "text/plain; version=0.0.4".into())],
+            body: counts::page(hub, inner, now).into_bytes(),
+        },
+    })
+}
+
+fn text(text: impl ToString) -> JsonValue {
+    JsonValue::String(text.to_string())
+}
+
+/// A number as JSON can't hold it.
+fn hex(n: u64) -> JsonValue {
+    text(format_args!("{n:016x}"))
+}
+
+fn whole_ms(ms: f64) -> JsonValue {
+    JsonValue::Number(ms.max(0.0).round())
+}
+
+/// The first rows, and how many more there are.
+fn bounded(rows: impl Iterator<Item = JsonValue>) -> (JsonValue, JsonValue) {
+    let (mut kept, mut more) = (Vec::new(), 0);
+    for row in rows {
+        if kept.len() < ROWS { kept.push(row) } else { more += 1 }
+    }
+    (JsonValue::Array(kept), number(more))
+}
+
+fn view(hub: &Hub, inner: &Inner, now: f64) -> JsonValue {
+    let shown = inner.chain.shown(now as u64);
+    let last = shown.members.len().saturating_sub(1);
+    let members = shown.members.iter().enumerate().map(|(at, one)| {
+        let part = match at {
+            _ if last == 0 => "alone",
+            0 => "head",
+            at if at == last => "tail",
+            _ => "middle",
+        };
+        let heard =
+            |of: fn(&rookpulley_chain::Heard) -> JsonValue| one.heard.as_ref().map_or(JsonValue::Null, of);
+        object([
+            ("part", text(part)),
+            ("id", hex(one.member.id)),
+            ("address", text(one.member.address)),
+            ("here", (one.member.id == inner.chain.me().id).into()),
+            ("inContact", one.in_contact.into()),
+            ("applied", heard(|h| number(h.applied))),
+            ("diskSlow", heard(|h| h.slow.into())),
+            ("heardMs", heard(|h| number(h.ago_ms))),
+        ])
+    });
+    object([
+        ("office", text(&hub.node.name)),
+        ("zone", text(&hub.node.zone)),
+        ("view", number(shown.view)),
+        ("installed", number(shown.installed)),
+        ("atWork", number(shown.at_work)),
+        ("acting", shown.acting.into()),
+        ("inTouch", shown.in_touch.into()),
+        ("held", number(shown.last)),
+        ("applied", number(shown.applied)),
+        ("diskSlow", inner.slow.into()),
+        ("lossesBorne", number(shown.losses as u64)),
+        ("members", JsonValue::Array(members.collect())),
+    ])
+}
+
+fn standing_name(standing: Standing) -> &'static str {
+    match standing {
+        Standing::Live => "live",
+        Standing::Silent => "silent",
+        Standing::Draining => "draining",
+        Standing::Displaced => "displaced",
+        Standing::Ended => "ended",
+        Standing::Unknown => "unknown",
+    }
+}
+
+fn tasks(inner: &Inner, now: f64, service: &str) -> JsonValue {
+    let tasks = inner.registry.tasks().filter(|t| service.is_empty() || t.beat.service == service);
+    let rows = tasks.map(|task| {
+        object([
+            ("life", text(&task.beat.life)),
+            ("service", text(&task.beat.service)),
+            ("address", text(task.beat.address)),
+            ("zone", text(&task.beat.zone)),
+            ("slots", number(task.beat.slots.into())),
+            ("standing", text(standing_name(task.standing))),
+            ("ageMs", whole_ms(now - task.heard_ms)),
+        ])
+    });
+    let (rows, more) = bounded(rows);
+    object([("settling", inner.registry.settling(now).into()), ("tasks", rows), ("more", more)])
+}
+
+fn tables(inner: &Inner, service: &str) -> JsonValue {
+    let tables = inner.desk.shown().into_iter().filter(|t| service.is_empty() || t.service == service);
+    let rows = tables.map(|table| {
+        object([
+            ("service", text(&table.service)),
+            ("courier", text(&table.courier)),
+            ("revision", hex(table.name)),
+            ("revisions", number(table.revisions as u64)),
+            ("lines", number(table.lines as u64)),
+            ("mark", number(table.mark)),
+        ])
+    });
+    let (rows, more) = bounded(rows);
+    object([("tables", rows), ("more", more)])
+}
+
+fn couriers(inner: &Inner) -> JsonValue {
+    let rows = inner.couriers.iter().map(|(name, courier)| {
+        object([
+            ("name", text(name)),
+            ("zone", text(&courier.zone)),
+            ("home", courier.home.into()),
+            ("config", number(courier.config)),
+        ])
+    });
+    let (rows, more) = bounded(rows);
+    object([("couriers", rows), ("more", more)])
+}
+
+fn ledger(inner: &Inner) -> JsonValue {
+    let ledger = &inner.chain.state().ledger;
+    let sizes = ledger.sizes();
+    let size = |n: usize| number(n as u64);
+    object([
+        ("configVersion", number(ledger.version())),
+        ("atMs", number(ledger.at_ms())),
+        ("locks", size(sizes.locks)),
+        ("numbers", size(sizes.numbers)),
+        ("cells", size(sizes.cells)),
+        ("groups", size(sizes.groups)),
+        ("events", size(sizes.events)),
+        ("standingBytes", size(sizes.standing_bytes)),
+        ("historyBytes", size(sizes.history_bytes)),
+        ("configurationBytes", size(sizes.configuration_bytes)),
+    ])
+}
+
+#[cfg(test)]
+mod tests;
--- a/crates/rookpulley-settings/src/faults.rs
+++ b/crates/rookpulley-settings/src/faults.rs
@@ -6,7 +6,7 @@
 /// Faults told of one file. More would not be read.
 const TOLD: usize = 40;
 /// Of what was found, so much is shown.
-const SHOWN: usize = 60;
+const SHOWN: usize = 100;
 
 #[derive(Debug, thiserror::Error, miette::Diagnostic)]
 pub enum SettingsError {
--- a/crates/rookpulley-settings/src/fields.rs
+++ b/crates/rookpulley-settings/src/fields.rs
@@ -11,21 +11,39 @@
 const NUMBER: &str = "a number from 0 to 9007199254740991";
 
 pub(crate) struct Table<'a> {
-    /// Empty for the top of the file.
-    name: &'static str,
+    /// With the tables that it is in; empty for the top of the file.
+    name: String,
     fields: Option<&'a HashMap<String, JsonValue>>,
     faults: &'a RefCell<Faults>,
 }
 
 impl<'a> Table<'a> {
     pub fn top(file: &'a JsonValue, faults: &'a RefCell<Faults>) -> Self {
-        Self { name: "", fields: file.get(), faults }
+        Self { name: String::new(), fields: file.get(), faults }
     }
 
     /// A table in this one. One that is absent has no fields.
-    pub fn table(&self, name: &'static str) -> Table<'a> {
+    pub fn table(&self, name: &str) -> Table<'a> {
         let fields = self.take(name, "a table", |value| value.get::<HashMap<_, _>>());
-        Table { name, fields, faults: self.faults }
+        Table { name: self.path(name), fields, faults: self.faults }
+    }
+
+    pub fn is_there(&self) -> bool {
+        self.fields.is_some()
+    }
+
+    /// The names of all fields, in order.
+    pub fn names(&self) -> Vec<&'a str> {
+        let mut names: Vec<&str> = self.fields.into_iter().flatten().map(|(name, _)| name.as_str()).collect();
+        names.sort_unstable();
+        names
+    }
+
+    /// Notes fields of other names than these.
+    pub fn only(&self, known: &[&str]) {
+        for name in self.names().into_iter().filter(|name| !known.contains(name)) {
+            self.note(name, "no field of this file", &format!("one of {}", known.join(", ")));
+        }
     }
 
     fn value(&self, field: &str) -> Option<&'a JsonValue> {
@@ -42,7 +60,7 @@
     }
 
     /// A field in the form that `form` gives it; None where it is absent, or faulty and noted.
-    fn take<T>(
+    pub fn take<T>(
         &self,
         field: &str,
         instead: &str,
@@ -77,6 +95,10 @@
         self.must(field, instead, form).unwrap_or_default()
     }
 
+    pub fn has(&self, field: &str) -> bool {
+        self.value(field).is_some()
+    }
+
     pub fn flag(&self, field: &str, otherwise: bool) -> bool {
         self.take(field, "true or false", |value| value.get::<bool>().copied()).unwrap_or(otherwise)
     }
--- a/crates/rookpulley-settings/src/read.rs
+++ b/crates/rookpulley-settings/src/read.rs
@@ -15,8 +15,8 @@
 /// A file is a few kilobytes.
 const BYTES_MOST: u64 = 1 << 20;
 /// The words of `serves`.
-const CLIENTS: &str = "edge";
-const CONTROL: &str = "control_plane";
+pub(crate) const CLIENTS: &str = "edge";
+pub(crate) const CONTROL: &str = "control_plane";
 
 pub fn boot_path() -> Result<PathBuf, SettingsError> {
     std::env::var_os(BOOT).filter(|path| !path.is_empty()).map(PathBuf::from).ok_or(SettingsError::NotTold)
@@ -24,26 +24,35 @@
 
 impl Node {
     pub fn read(path: &Path) -> Result<Self, SettingsError> {
-        let unreadable = |cause| SettingsError::Unreadable { path: path.into(), cause };
-        let mut text = String::new();
-        let file = File::open(path).map_err(unreadable)?;
-        file.take(BYTES_MOST + 1).read_to_string(&mut text).map_err(unreadable)?;
-        Self::parse(&text)
+        Self::parse(&text(path)?)
     }
 
     pub fn parse(text: &str) -> Result<Self, SettingsError> {
-        let bytes = text.len() as u64;
-        if bytes > BYTES_MOST {
-            return Err(SettingsError::TooLong { bytes, most: BYTES_MOST });
-        }
-        let table: toml::Table = text.parse().map_err(|e| not_toml(text, &e))?;
-        let (file, faults) = (turned(toml::Value::Table(table)), RefCell::default());
+        let (file, faults) = (values(text)?, RefCell::default());
         let node = node(&Table::top(&file, &faults));
         let faults = faults.into_inner();
         if faults.is_empty() { Ok(node) } else { Err(faults.into()) }
     }
 }
 
+/// The text of a file, as far as it may go.
+pub(crate) fn text(path: &Path) -> Result<String, SettingsError> {
+    let unreadable = |cause| SettingsError::Unreadable { path: path.into(), cause };
+    let mut text = String::new();
+    let file = File::open(path).map_err(unreadable)?;
+    file.take(BYTES_MOST + 1).read_to_string(&mut text).map_err(unreadable)?;
+    Ok(text)
+}
+
+pub(crate) fn values(text: &str) -> Result<JsonValue, SettingsError> {
+    let bytes = text.len() as u64;
+    if bytes > BYTES_MOST {
+        return Err(SettingsError::TooLong { bytes, most: BYTES_MOST });
+    }
+    let table: toml::Table = text.parse().map_err(|e| not_toml(text, &e))?;
+    Ok(turned(toml::Value::Table(table)))
+}
+
 fn not_toml(text: &str, error: &toml::de::Error) -> SettingsError {
     let start = error.span().map_or(0, |span| span.start);
     let before = text.get(..start).unwrap_or(text);
--- /dev/null
+++ b/crates/rookpulley-settings/tests/deploy.rs
@@ -0,0 +1,126 @@
+//! The deploy file against what may stand in it.
+
+use rookpulley_settings::{Amount, Deploy, SettingsError};
+
+const GOOD: &str = r#"
+build = "cargo build --release"
+[roles.carrier]
+run = "target/release/gate carry --quiet"
+on = "edge"
+share = 1.0
+serves = ["edge"]
+[roles.keeper]
+run = "target/release/gate keep"
+on = "edge"
+count = 1
+serves = ["control_plane"]
+"#;
+
+fn faults(text: &str) -> Vec<String> {
+    match Deploy::parse(text) {
+        Ok(_) => Vec::new(),
+        Err(SettingsError::Faulty(told)) => told.faults.iter().map(ToString::to_string).collect(),
+        Err(other) => vec![other.to_string()],
+    }
+}
+
+#[test]
+fn a_deploy_file_is_read_role_by_role() {
+    let deploy = Deploy::parse(GOOD).unwrap();
+    let (carrier, keeper) = (&deploy.roles["carrier"], &deploy.roles["keeper"]);
+    assert_eq!(carrier.run, ["target/release/gate", "carry", "--quiet"]);
+    assert_eq!((carrier.amount, keeper.amount), (Amount::Share(1.0), Amount::Count(1)));
+    assert_eq!((keeper.apart, &keeper.serves[..]), (false, &["control_plane".to_string()][..]));
+}
+
+#[test]
+fn each_fault_has_its_place_what_was_found_and_what_to_write() {
+    for (was, is, said) in [
+        ("build = \"cargo build --release\"", "", "build is missing; write the line that builds it"),
+        ("build =", "rebuild = 1\nbuild =", "rebuild is no field of this file; write one of build, roles"),
+        ("share = 1.0", "share = 0", "roles.carrier.share is 0; write a number over 0 and up to 1"),
+        ("share = 1.0", "share = 1.5", "roles.carrier.share is 1.5; write a number over 0 and up to 1"),
+        ("share = 1.0", "", "roles.carrier.share is missing, and so is count"),
+        ("share = 1.0", "share = 1.0\ncount = 2", "roles.carrier.count is there beside share; write one"),
+        ("count = 1", "count = 0.5", "roles.keeper.count is 0.5; write a whole number from 1 on"),
+        ("count = 1", "count = true", "roles.keeper.count is true; write a whole number"),
+        ("on = \"edge\"\ncount", "on = \"core\"\ncount", "roles.keeper.on is \"core\", which is no class"),
+        ("\"control_plane\"", "\"edge\"", "roles.keeper.serves is a list with \"edge\", which roles.carrier"),
+        ("\"control_plane\"", "\"edges\"", "roles.keeper.serves[0] is \"edges\"; write \"edge\" for clients"),
+        ("\"control_plane\"", "", "roles is a table with no role that serves \"control_plane\""),
+        ("\"control_plane\"", "\"control_plane\",\"control_plane\"", "has \"control_plane\" twice"),
+        (
+            "gate keep\"",
+            "gate keep | tee log\"",
+            "roles.keeper.run is a line with |, which no shell reads: \"target",
+        ),
+        (
+            "target/release/gate keep",
+            "/usr/bin/env gate",
+            "a line that has a helper start the program: \"/usr/bin/env gate\"; write that",
+        ),
+        (
+            "target/release/gate keep",
+            "MODE=keep gate",
+            "a line that begins with a variable: \"MODE=keep gate\"; write the program",
+        ),
+        ("count = 1", "count = 1\napart = 1", "roles.keeper.apart is 1; write true or false"),
+        ("[roles.keeper]", "[roles]\nkeeper = 3\n[rolls.keeper]", "roles.keeper is 3; write a table"),
+    ] {
+        assert!(GOOD.contains(was), "{was}");
+        let told = faults(&GOOD.replacen(was, is, 1));
+        assert!(told.iter().any(|fault| fault.contains(said)), "{was} -> {is}: {told:?}");
+    }
+    let broken = faults("build = \"x\"\n[roles.a\n");
+    assert!(broken[0].contains("line 2, column 9"), "{broken:?}");
+}
+
+#[test]
+fn no_machine_is_given_more_than_two_roles() {
+    let third = "[roles.sweeper]\nrun = \"target/release/gate sweep\"\non = \"edge\"\ncount = 2\n";
+    let told = faults(&format!("{GOOD}{third}"));
+    let said = "roles is a table that puts 3 on a zone's first machine (carrier, keeper, sweeper)";
+    assert!(told.len() == 1 && told[0].contains(said), "{told:?}");
+    assert_eq!(faults(&format!("{GOOD}{third}apart = true\n")), [""; 0]);
+    let told = faults(&format!("{GOOD}{}apart = true\n", third.replace("count = 2", "share = 1.0")));
+    assert!(told[0].contains("first machine"), "{told:?}");
+}
+
+#[test]
+fn a_spoilt_deploy_file_never_panics_and_what_is_taken_keeps_the_bounds() {
+    let lines: Vec<&str> = GOOD.lines().collect();
+    let property = |u: &mut arbtest::arbitrary::Unstructured| {
+        let mut text = String::new();
+        for line in &lines {
+            match u.int_in_range(0..=9)? {
+                0 => continue,
+                1 => {
+                    text +=
+                        *u.choose(&["share = 0.3", "count = 7", "serves = []", "apart = true", "on = 4"])?
+                }
+                2 => text += &line.replace(['"', '1'], u.choose(&["", "2", "-", "'", "[", "é"])?),
+                _ => text += line,
+            }
+            text += "\n";
+        }
+        if let Ok(deploy) = Deploy::parse(&text) {
+            assert!(!deploy.build.is_empty() && !deploy.roles.is_empty());
+            for whom in ["edge", "control_plane"] {
+                assert_eq!(deploy.roles.values().filter(|r| r.serves.iter().any(|s| s == whom)).count(), 1);
+            }
+            for role in deploy.roles.values() {
+                assert!(!role.run.is_empty() && role.on == "edge");
+                assert!(match role.amount {
+                    Amount::Share(share) => share > 0.0 && share <= 1.0,
+                    Amount::Count(count) => count > 0,
+                });
+            }
+        } else {
+            assert!(faults(&text).iter().all(|fault| !fault.is_empty()));
+        }
+        Ok(())
+    };
+    for run in 1..=600_u32 {
+        arbtest::arbtest(property).seed(u64::from(run.wrapping_mul(0x9e37_79b1)) << 32 | 128).run();
+    }
+}
--- a/crates/rookpulley-office/src/store.rs
+++ b/crates/rookpulley-strongroom/src/store.rs
@@ -15,6 +15,9 @@
     #[error("the folder {0} can't be used: {1}")]
     #[diagnostic(help("dataDirectory must name a folder that this process may write to"))]
     Folder(PathBuf, std::io::Error),
+    #[error("the store in {0} is in use by another process")]
+    #[diagnostic(help("let one process at a time have a dataDirectory; end the other one first"))]
+    InUse(PathBuf),
     #[error("the store can't be opened, even as a new one: {0}")]
     Store(#[from] sled::Error),
     #[error("the store's thread can't be started: {0}")]
@@ -41,7 +44,7 @@
 }
 
 type Job = (Part, u64, Vec<Record>);
-type Rows = Vec<(Vec<u8>, Vec<u8>)>;
+pub(crate) type Rows = Vec<(Vec<u8>, Vec<u8>)>;
 
 pub struct Store {
     jobs: mpsc::Sender<Job>,
@@ -55,9 +58,20 @@
 /// A disk that refuses is asked again so often, after such a pause.
 const PATIENCE: u32 = 100;
 const AGAIN: Duration = Duration::from_millis(100);
-const IDENTITY: &[u8] = b"identity";
+pub(crate) const IDENTITY: &[u8] = b"identity";
 
-fn sync_all(folder: &Path) -> std::io::Result<()> {
+/// Where in its data folder an office has its store.
+pub(crate) const FOLDER: &str = "store";
+pub(crate) const CHAIN: &str = "chain";
+pub(crate) const LIVES: &str = "lives";
+
+/// Another process has the store. `sled` tells it in words only.
+pub(crate) fn in_use(why: &sled::Error) -> bool {
+    let told = |why: &std::io::Error| why.to_string().starts_with("could not acquire lock");
+    matches!(why, sled::Error::Io(io) if io.raw_os_error().is_none() && told(io))
+}
+
+pub(crate) fn sync_all(folder: &Path) -> std::io::Result<()> {
     for entry in std::fs::read_dir(folder)? {
         let entry = entry?;
         if entry.file_type()?.is_dir() {
@@ -69,42 +83,60 @@
     File::open(folder)?.sync_all()
 }
 
-fn open_at(folder: &Path) -> Result<sled::Db, sled::Error> {
-    sled::Config::new()
-        .path(folder)
-        .cache_capacity(2 << 20)
-        .flush_every_ms(None)
-        .mode(sled::Mode::LowSpace)
-        .open()
+/// What spoils `sled` may make it panic: that is an error as well.
+pub(crate) fn open_at(folder: &Path) -> Result<sled::Db, sled::Error> {
+    let open = || {
+        sled::Config::new()
+            .path(folder)
+            .cache_capacity(2 << 20)
+            .flush_every_ms(None)
+            .mode(sled::Mode::LowSpace)
+            .open()
+    };
+    std::panic::catch_unwind(open).unwrap_or(Err(sled::Error::ReportableBug(String::new())))
 }
 
 impl Store {
     /// Opens the store in a folder. One that can't be opened is an empty disk: it is set aside and begun anew.
     pub fn open(folder: &Path, mint: u64, said: UnboundedSender<Said>) -> Result<Self, StoreError> {
-        let at = folder.join("store");
+        Self::open_with(folder, mint, said, PATIENCE)
+    }
+
+    fn open_with(
+        folder: &Path,
+        mint: u64,
+        said: UnboundedSender<Said>,
+        patience: u32,
+    ) -> Result<Self, StoreError> {
+        let at = folder.join(FOLDER);
         let troubled = |e| StoreError::Folder(folder.to_path_buf(), e);
         std::fs::create_dir_all(&at).map_err(troubled)?;
-        let open = || {
-            std::panic::catch_unwind(|| open_at(&at))
-                .unwrap_or(Err(sled::Error::ReportableBug(String::new())))
-        };
-        let mut opened = open();
+        let mut opened = open_at(&at);
         // What the system refuses now it may grant soon; only a store that is spoilt itself is given up.
-        for _ in 0..PATIENCE {
-            if !matches!(&opened, Err(sled::Error::Io(why)) if why.raw_os_error().is_some()) {
+        for _ in 0..patience {
+            let refused =
+                |why: &sled::Error| matches!(why, sled::Error::Io(io) if io.raw_os_error().is_some());
+            if !matches!(&opened, Err(why) if refused(why) || in_use(why)) {
                 break;
             }
             std::thread::sleep(AGAIN);
-            opened = open();
+            opened = open_at(&at);
         }
         let read = |db: &sled::Db, name| -> Result<Rows, sled::Error> {
             let tree = db.open_tree(name)?;
             tree.iter().map(|row| row.map(|(k, v)| (k.to_vec(), v.to_vec()))).collect()
         };
-        let opened = opened.and_then(|db| Ok((read(&db, "chain")?, read(&db, "lives")?, db)));
+        let opened = opened.and_then(|db| Ok((read(&db, CHAIN)?, read(&db, LIVES)?, db)));
+        let whole = |rows: &Rows| rookpulley_chain::Kept::read(rows.iter().cloned()).sound();
+        let opened = opened.and_then(|(held, lives, db)| match whole(&held) {
+            true => Ok((held, lives, db)),
+            false => Err(sled::Error::ReportableBug("the chain's rows are torn".into())),
+        });
         let (held, lives, db) = match opened {
             Ok(opened) => opened,
             Err(sled::Error::Io(why)) if why.raw_os_error().is_some() => return Err(troubled(why)),
+            // Not spoilt: who has it must not lose it.
+            Err(why) if in_use(&why) => return Err(StoreError::InUse(at)),
             Err(why) => {
                 tracing::error!("store: can't be opened ({why}); begun anew as an empty disk");
                 std::fs::remove_dir_all(&at).map_err(troubled)?;
@@ -121,7 +153,7 @@
         sync_all(&at).map_err(troubled)?;
         File::open(folder).and_then(|f| f.sync_all()).map_err(troubled)?;
         let file = File::open(at.join("db")).map_err(troubled)?;
-        let (chain_tree, lives_tree) = (db.open_tree("chain")?, db.open_tree("lives")?);
+        let (chain_tree, lives_tree) = (db.open_tree(CHAIN)?, db.open_tree(LIVES)?);
         let (jobs, queue) = mpsc::channel::<Job>();
         let work = move || {
             while let Ok(first) = queue.recv() {
@@ -132,7 +164,8 @@
                 {
                     let [chain, lives] = &mut batches;
                     let (batch, at) = if part == Part::Chain { (chain, 0) } else { (lives, 1) };
-                    tickets[at] = Some(ticket);
+                    // A probe of the disk has ticket 0, and may come behind others.
+                    tickets[at] = tickets[at].max(Some(ticket));
                     for record in records {
                         match record {
                             Record::Put { key, value } => batch.insert(key, value),
@@ -198,6 +231,18 @@
         assert_eq!(again.held.len(), 19);
     }
 
+    #[test]
+    fn a_store_that_another_process_has_is_left_alone() {
+        let folder = tempfile::tempdir().unwrap();
+        let (store, mut heard) = opened(folder.path(), 7);
+        let (said, _) = tokio::sync::mpsc::unbounded_channel();
+        assert!(matches!(Store::open_with(folder.path(), 8, said, 0), Err(StoreError::InUse(_))));
+        assert!(matches!(crate::look(folder.path()), Err(crate::LookError::InUse(_))));
+        drop(store);
+        while heard.blocking_recv().is_some() {}
+        assert_eq!(opened(folder.path(), 9).0.identity, 7);
+    }
+
     #[test]
     fn a_store_that_cant_be_opened_is_an_empty_disk_with_a_new_identity() {
         let folder = tempfile::tempdir().unwrap();
