A place of a task is freed only when no table has it; idle connections are dropped outright; rude peers by chance

A life in the tables of two services gave its place up with the first of them, and another service's task could take it: places are counted by tables now. Idle clients' connections, also those that sent only empty lines, are dropped.

--- a/crates/rookpulley-courier/src/ear/tests.rs
+++ b/crates/rookpulley-courier/src/ear/tests.rs
@@ -121,7 +121,8 @@
             assert_eq!(*seen.borrow(), sent.into_iter().map(|sent| sent.seen).collect::<Vec<_>>());
         });
         Ok(())
-    });
+    })
+    .size_min(1 << 11);
 }
 
 #[test]
@@ -210,5 +211,6 @@
         }
         assert_eq!(whole && rest == NEXT, next, "{body:?}");
         Ok(())
-    });
+    })
+    .size_min(1 << 11);
 }
--- a/crates/rookpulley-courier/src/listener.rs
+++ b/crates/rookpulley-courier/src/listener.rs
@@ -11,7 +11,6 @@
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::convert::Infallible;
-use std::pin::Pin;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::io::AsyncWriteExt;
@@ -129,15 +128,15 @@
             () = watch.close.notified() => {}
         }
         match watch.due(limits(&courier), courier.ending.get()) {
-            Some(Due::Stuck) => break,
+            // Nothing of a request is here, or the client leaves us to sit.
+            Some(Due::Idle | Due::Stuck) => break,
             Some(Due::SlowHead) if watch.held_up() => break,
             Some(Due::SlowHead) => {
                 let ear = connection.into_parts().io.into_inner();
                 _ = tokio::time::timeout(LAST_WORD, too_slow(ear)).await;
                 break;
             }
-            Some(Due::Idle) => Pin::new(&mut connection).graceful_shutdown(),
-            None if watch.leaves.take() && watch.idle() => Pin::new(&mut connection).graceful_shutdown(),
+            None if watch.leaves.take() && watch.idle() => break,
             None => {}
         }
     }
--- a/crates/rookpulley-courier/src/sieve/tests.rs
+++ b/crates/rookpulley-courier/src/sieve/tests.rs
@@ -88,7 +88,8 @@
             before.push(own);
         }
         Ok(())
-    });
+    })
+    .size_min(1 << 11);
 }
 
 #[test]
--- a/crates/rookpulley-courier/tests/courier/clients.rs
+++ b/crates/rookpulley-courier/tests/courier/clients.rs
@@ -195,6 +195,22 @@
     });
 }
 
+#[test]
+fn who_rests_too_long_is_ended_whatever_lines_without_a_request_it_sent() {
+    play(async {
+        let mut scene = Scene::new(|got| good(got, "")).await;
+        scene.limits = r#""idleTimeoutMs":1"#;
+        scene.configure(1, "/m/").await;
+        scene.marked().await;
+        for lines in ["", "\r\n", "\n\r\n"] {
+            let mut client = scene.client().await;
+            client.say(lines).await;
+            let ends = tokio::time::timeout(std::time::Duration::from_secs(10), client.ends()).await;
+            assert_eq!(ends, Ok(true), "{lines:?}");
+        }
+    });
+}
+
 #[test]
 fn where_descriptors_are_short_who_rests_makes_room_for_who_asks() {
     play(async {
--- a/crates/rookpulley-courier/tests/courier/main.rs
+++ b/crates/rookpulley-courier/tests/courier/main.rs
@@ -3,5 +3,6 @@
 mod clients;
 mod homes;
 mod requests;
+mod rude;
 mod scene;
 mod tasks;
--- a/crates/rookpulley-courier/tests/courier/requests.rs
+++ b/crates/rookpulley-courier/tests/courier/requests.rs
@@ -260,6 +260,32 @@
     });
 }
 
+#[test]
+fn what_is_at_work_when_the_end_begins_is_finished_and_so_is_what_still_comes() {
+    play(async {
+        let mut scene = Scene::configured(|got| good(got, "")).await;
+        let listener = scene.by_hand().await;
+        let (mut early, mut late) = (scene.client().await, scene.client().await);
+        early.say(request("POST", "/m/x", "early", "")).await;
+        let mut first = Talk::new(listener.accept().await.unwrap().0);
+        let asked = first.message().await.unwrap();
+        scene.tell.send(rookpulley_courier::Signal::End).await.unwrap();
+        late.say(request("GET", "/r/x", "late", "")).await;
+        let mut second = Talk::new(listener.accept().await.unwrap().0);
+        let also = second.message().await.unwrap();
+        for (task, asked, client) in [(&mut second, also, &mut late), (&mut first, asked, &mut early)] {
+            let id = asked.header("request-id").unwrap();
+            task.say(format!(
+                "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Signature: s\r\nContent-Length: 2\r\n\r\nok"
+            ))
+            .await;
+            let back = client.message().await.unwrap();
+            assert_eq!((back.status(), back.header("connection")), (200, Some("close")));
+            assert!(client.ends().await);
+        }
+    });
+}
+
 #[test]
 fn a_target_arrives_as_it_was_sent_or_is_refused() {
     play(async {
--- a/crates/rookpulley-round/src/post.rs
+++ b/crates/rookpulley-round/src/post.rs
@@ -72,18 +72,15 @@
     pub fn table(&mut self, service: &str, lines: Vec<Line>) -> Vec<Life> {
         let before =
             self.tables.get_mut(service).map(|table| std::mem::take(&mut table.spots)).unwrap_or_default();
-        for &at in &before {
-            if let Some(Some(spot)) = self.spots.get_mut(at) {
-                spot.listed = false;
-            }
-        }
         let mut spots = Vec::with_capacity(lines.len());
         for line in lines {
             let at = self.place(line);
             if !spots.contains(&at) {
                 spots.push(at);
+                self.list(at, 1);
             }
         }
+        before.iter().for_each(|&at| self.list(at, -1));
         self.tables.entry(service.to_owned()).or_default().spots = spots;
         let left: Vec<usize> = before.into_iter().filter(|&at| !self.listed(at)).collect();
         let lives = left.iter().filter_map(|&at| Some(self.spot(at)?.line.life.clone())).collect();
@@ -225,7 +222,14 @@
     }
 
     fn listed(&self, at: usize) -> bool {
-        self.spot(at).is_some_and(|spot| spot.listed)
+        self.spot(at).is_some_and(|spot| spot.listed > 0)
+    }
+
+    /// A table more has it, or one less.
+    fn list(&mut self, at: usize, by: i32) {
+        if let Some(Some(spot)) = self.spots.get_mut(at) {
+            spot.listed = spot.listed.saturating_add_signed(by);
+        }
     }
 
     fn place(&mut self, line: Line) -> usize {
@@ -233,7 +237,6 @@
             && let Some(Some(spot)) = self.spots.get_mut(at)
         {
             spot.line = Rc::new(line);
-            spot.listed = true;
             return at;
         }
         let life = line.life.clone();
@@ -254,7 +257,7 @@
 
     /// Forgets a task that is in no table once its last try has ended.
     fn tidy(&mut self, at: usize) {
-        let done = |spot: &Spot| !spot.listed && spot.in_flight == 0;
+        let done = |spot: &Spot| spot.listed == 0 && spot.in_flight == 0;
         if let Some(place) = self.spots.get_mut(at)
             && place.as_ref().is_some_and(done)
             && let Some(spot) = place.take()
--- a/crates/rookpulley-round/src/spot.rs
+++ b/crates/rookpulley-round/src/spot.rs
@@ -20,8 +20,8 @@
 pub(crate) struct Spot {
     pub line: Rc<Line>,
     pub in_flight: u32,
-    /// False once its table has come without it; kept until its last try has ended.
-    pub listed: bool,
+    /// The tables that have it: one, or none while its last tries end. A place is given to another only then.
+    pub listed: u32,
     pub gone: bool,
     habit_ms: Option<f64>,
     measured_ms: f64,
@@ -35,7 +35,7 @@
         Spot {
             line,
             in_flight: 0,
-            listed: true,
+            listed: 0,
             gone,
             habit_ms: None,
             measured_ms: 0.0,
--- a/crates/rookpulley-round/tests/picks.rs
+++ b/crates/rookpulley-round/tests/picks.rs
@@ -32,14 +32,19 @@
             now_ms += f64::from(u.int_in_range(0..=500u32)?);
             let table = u.choose_index(2)?;
             let service = ["s0", "s1"][table];
-            let life = |number: u32| format!("{service}-{number}");
+            // Some stand in both tables, which the module wouldn't order: nothing may get lost or mixed up by it.
+            let life = |number: u32| match number % 3 {
+                0 => format!("both-{number}"),
+                _ => format!("{service}-{number}"),
+            };
             match u.int_in_range(0..=5)? {
                 0 => {
                     let lives: BTreeSet<String> =
                         (0..most).filter(|_| u.ratio(1, 2).unwrap_or(true)).map(life).collect();
                     let left = post.table(service, lives.iter().map(|life| line(life, "a")).collect());
-                    let want: Vec<&String> = listed[table].difference(&lives).collect();
-                    assert_eq!(left.iter().collect::<BTreeSet<_>>(), want.into_iter().collect());
+                    let want =
+                        listed[table].difference(&lives).filter(|life| !listed[1 - table].contains(*life));
+                    assert_eq!(left.iter().collect::<BTreeSet<_>>(), want.collect());
                     listed[table] = lives;
                 }
                 1 => {
@@ -79,7 +84,8 @@
             assert_eq!(post.any(), any);
         }
         Ok(())
-    });
+    })
+    .size_min(1 << 14);
 }
 
 /// Sends so many requests one after the other; each task answers by its rule. Returns how many each life got.
--- a/crates/rookpulley-round/tests/rounds.rs
+++ b/crates/rookpulley-round/tests/rounds.rs
@@ -83,7 +83,8 @@
             assert!(story.sends_ms.len() as u32 <= attempts && story.unsent <= 4);
         }
         Ok(())
-    });
+    })
+    .size_min(1 << 14);
 }
 
 #[test]
@@ -92,7 +93,7 @@
     arbtest(|u| {
         let (ratio, slack) =
             (f64::from(u.int_in_range(1..=10u32)?) / 10.0, f64::from(u.int_in_range(8..=80u32)?));
-        let couriers = u.int_in_range(1..=(slack * 0.7) as u32)?.min(8);
+        let couriers = *u.choose(&[1, 2, 8, 60])?;
         let fresh = || {
             let mut budget = Budget::new(ratio, slack);
             budget.shared_by(couriers);
@@ -121,7 +122,8 @@
             assert!(count(&further, from) <= ratio * counted + slack);
         }
         Ok(())
-    });
+    })
+    .size_min(1 << 14);
 }
 
 #[test]
