A drain that only one office knows is no longer answered with a promise

A drain or an end that could not be confirmed elsewhere in time had been taken here all the same: couriers were told. Its answer was 503, which says that nothing was done. It is 504 now; 503 stays where nothing was done. Callers go to the next office after either. Test: a_drain_that_only_this_office_knows_is_not_promised_to_have_done_nothing.

--- a/crates/rookpulley-office/src/calls.rs
+++ b/crates/rookpulley-office/src/calls.rs
@@ -1,6 +1,6 @@
 //! The calls of tasks, the operator and applications: which they are, what is asked of them, how they are answered.
 
-use crate::hub::Hub;
+use crate::hub::{Hub, Taken};
 use crate::show::{self, Part};
 use rookpulley_addressbook::Book;
 use rookpulley_counter::{Call, Match, Reply, Tree, query};
@@ -126,15 +126,9 @@
             Path::Beat => {
                 let beat =
                     Beat::read(&name(), &call.body).map_err(|why| Reply::error(400, &why.to_string()))?;
-                if hub.beat(beat).await { Reply::json(200, &object([])) } else { later() }
-            }
-            Path::Leave => {
-                if hub.leave(&name()).await {
-                    Reply::empty(200)
-                } else {
-                    later()
-                }
+                taken(hub.beat(beat).await, Reply::json(200, &object([])))
             }
+            Path::Leave => taken(hub.leave(&name()).await, Reply::empty(200)),
             Path::PutConfiguration => {
                 let book = Book::read(&call.body).map_err(|why| {
                     tracing::info!("calls: a configuration was refused: {why}");
@@ -249,6 +243,15 @@
     }
 }
 
+/// Only what did nothing may be promised to have done nothing.
+fn taken(taken: Taken, known: Reply) -> Reply {
+    match taken {
+        Taken::Known => known,
+        Taken::HereAlone => unknown(),
+        Taken::Not => later(),
+    }
+}
+
 fn lock(answer: Option<Option<Answer>>) -> Reply {
     match answer {
         Some(Some(Answer::Fence(fence))) => Reply::json(200, &object([("fence", number(fence))])),
@@ -269,3 +272,14 @@
         Some(Some(_)) => Reply::error(400, "the call does not fit what it names"),
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_drain_that_only_this_office_knows_is_not_promised_to_have_done_nothing() {
+        let status = |word| taken(word, Reply::empty(200)).status;
+        assert_eq!([Taken::Known, Taken::HereAlone, Taken::Not].map(status), [200, 504, 503]);
+    }
+}
--- a/crates/rookpulley-office/src/hub.rs
+++ b/crates/rookpulley-office/src/hub.rs
@@ -59,6 +59,17 @@
     Done(oneshot::Sender<()>),
 }
 
+/// What became of a task's word.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Taken {
+    /// It holds, whatever becomes of this office.
+    Known,
+    /// This office and its couriers go by it; whether others do isn't known.
+    HereAlone,
+    /// Nothing was done.
+    Not,
+}
+
 struct Confirm {
     from: BTreeSet<u64>,
     wanted: usize,
@@ -643,11 +654,11 @@
 
     // ---- tasks ------------------------------------------------------------------------------
 
-    /// Takes a beat; false: it can't be acknowledged here now.
-    pub async fn beat(&self, beat: Beat) -> bool {
+    /// Takes a beat.
+    pub async fn beat(&self, beat: Beat) -> Taken {
         let now = self.now_ms();
         if now - self.inner.borrow().touched_ms > BEATS_UNTOUCHED_MS {
-            return false;
+            return Taken::Not;
         }
         let draining = beat.draining;
         self.counts.beat(draining);
@@ -655,10 +666,10 @@
         let sorted = self.inner.borrow_mut().registry.beat(now, beat);
         self.sorted(sorted);
         // A drain is acknowledged only once it is known elsewhere, also when it is told again.
-        !draining || self.drain_known(life).await
+        if draining { self.drain_known(life).await } else { Taken::Known }
     }
 
-    pub async fn leave(&self, life: &str) -> bool {
+    pub async fn leave(&self, life: &str) -> Taken {
         let now = self.now_ms();
         let sorted = self.inner.borrow_mut().registry.leave(now, life);
         self.sorted(sorted);
@@ -666,18 +677,18 @@
     }
 
     /// A life that drains or ends: once that is known elsewhere it need not be asked about again.
-    async fn drain_known(&self, life: String) -> bool {
+    async fn drain_known(&self, life: String) -> Taken {
         if self.inner.borrow().drained.contains_key(&life) {
-            return true;
+            return Taken::Known;
         }
-        let known = self.known_elsewhere(life.clone()).await;
-        if known {
-            let now = self.now_ms();
-            let mut inner = self.inner.borrow_mut();
-            inner.drained.retain(|_, at| now - *at < DRAINED_MS);
-            inner.drained.insert(life, now);
+        if !self.known_elsewhere(life.clone()).await {
+            return Taken::HereAlone;
         }
-        known
+        let now = self.now_ms();
+        let mut inner = self.inner.borrow_mut();
+        inner.drained.retain(|_, at| now - *at < DRAINED_MS);
+        inner.drained.insert(life, now);
+        Taken::Known
     }
 
     /// Carries out what came of a beat or of news.
