Lines, log and the settings file while a program runs stand once, in rookpulley-mailroom

The log and the re-reading of settings were written twice, in the office and in the courier; the counter tended its sockets by its own copy. Packages that decide leaned on the waybill, which opened sockets: it now holds values and bytes only. An office's line for a settings file that can't be used is the courier's now, a warning; nothing else changes.

--- a/crates/rookpulley-counter/src/serve.rs
+++ b/crates/rookpulley-counter/src/serve.rs
@@ -6,6 +6,7 @@
 use crate::hall::{Guest, Hall};
 use crate::letter;
 use crate::refusal::Refusal;
+use rookpulley_mailroom::line;
 use std::io::ErrorKind;
 use std::rc::Rc;
 use std::time::Duration;
@@ -84,9 +85,7 @@
         tracing::warn!("counter: all connections are at work, the newest is refused");
         return;
     };
-    let socket = socket2::SockRef::from(&stream);
-    _ = socket.set_tcp_nodelay(true);
-    _ = socket.set_tcp_user_timeout(Some(UNHEARD));
+    line::tend(&stream, UNHEARD);
     guests.spawn_local(attend(stream, guest, handler.clone()));
 }
 
--- a/crates/rookpulley-courier/src/ending.rs
+++ b/crates/rookpulley-courier/src/ending.rs
@@ -1,9 +1,10 @@
 //! What the platform says by signals, and all that is due from time to time.
 
 use crate::links;
-use crate::settings::File;
 use crate::state::Courier;
 use rookpulley_addressbook::Limits;
+use rookpulley_mailroom::File;
+use rookpulley_settings::Node;
 use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::Duration;
@@ -61,14 +62,14 @@
         tokio::select! {
             Some(heard) = signals.heard.recv() => match (heard, &file) {
                 (Signal::End, _) => break,
-                (Signal::Read, Some(file)) => file.read(&courier),
+                (Signal::Read, Some(file)) => take_settings(&courier, file.read()),
                 (Signal::Read, None) => {}
             },
             _ = ticks.tick() => {
                 tick = tick.wrapping_add(1);
                 due(&courier, tick);
                 if tick.is_multiple_of(8) && let Some(file) = &mut file {
-                    file.look(&courier);
+                    take_settings(&courier, file.look());
                 }
             }
         }
@@ -76,6 +77,10 @@
     end(&courier).await;
 }
 
+fn take_settings(courier: &Courier, node: Option<Node>) {
+    node.into_iter().for_each(|node| courier.links.set_seeds(node.seeds));
+}
+
 fn due(courier: &Rc<Courier>, tick: u32) {
     links::tend(courier);
     if tick.is_multiple_of(2) {
--- a/crates/rookpulley-courier/src/lib.rs
+++ b/crates/rookpulley-courier/src/lib.rs
@@ -3,7 +3,7 @@
 //! `state` is what the parts share, `links` are the lines to offices. A request passes `listener`, `check`, `carry`
 //! (its tries), `attempt` (one try) and `head` (what an answer is worth); `wires` keeps connections to tasks, `bodies`
 //! carries bytes both ways. `ear` stands between a client's connection and the parser, `sieve` between a task's and
-//! the parser, `span` tells both where a body ends. `ending` and `settings` hear the platform, `readiness` tells it, `tally` counts.
+//! the parser, `span` tells both where a body ends. `ending` hears the platform, `readiness` tells it, `tally` counts.
 
 mod answers;
 mod attempt;
@@ -15,10 +15,8 @@
 mod head;
 mod links;
 mod listener;
-pub mod log;
 mod office;
 mod readiness;
-mod settings;
 mod sieve;
 mod span;
 mod state;
@@ -28,8 +26,8 @@
 pub use ending::{Signal, Signals};
 pub use state::Courier;
 
+use rookpulley_mailroom::line;
 use rookpulley_settings::Node;
-use rookpulley_waybill::line;
 use std::net::{SocketAddr, SocketAddrV4};
 use std::path::PathBuf;
 use std::rc::Rc;
--- a/crates/rookpulley-courier/src/links.rs
+++ b/crates/rookpulley-courier/src/links.rs
@@ -3,8 +3,9 @@
 use crate::office::Office;
 use crate::state::Courier;
 use rookpulley_addressbook::Book;
+use rookpulley_mailroom::line;
 use rookpulley_settings::Node;
-use rookpulley_waybill::{Down, Up, line};
+use rookpulley_waybill::{Down, Up};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::hash::{DefaultHasher, Hash, Hasher};
--- a/crates/rookpulley-courier/src/main.rs
+++ b/crates/rookpulley-courier/src/main.rs
@@ -1,6 +1,7 @@
 //! The program that carries traffic.
 
-use rookpulley_courier::{Bound, CannotRun, Courier, Signals, log, run};
+use rookpulley_courier::{Bound, CannotRun, Courier, Signals, run};
+use rookpulley_mailroom::log;
 use rookpulley_settings::Node;
 use std::io::Write;
 
--- a/crates/rookpulley-courier/src/office.rs
+++ b/crates/rookpulley-courier/src/office.rs
@@ -1,6 +1,6 @@
 //! One office as this courier sees it.
 
-use rookpulley_waybill::line::Outbox;
+use rookpulley_mailroom::line::Outbox;
 
 /// So long a home may be out of touch before another one is looked for.
 const PATIENCE_MS: f64 = 600.0;
--- a/crates/rookpulley-courier/tests/courier/scene/mod.rs
+++ b/crates/rookpulley-courier/tests/courier/scene/mod.rs
@@ -1,8 +1,9 @@
 //! A courier on loopback between a stand-in office, stand-in tasks and a client that sends bytes.
 
 use rookpulley_courier::{Bound, Courier, Signal, Signals, run};
+use rookpulley_mailroom::line;
 use rookpulley_settings::Node;
-use rookpulley_waybill::{Down, Line, Report, Up, line};
+use rookpulley_waybill::{Down, Line, Report, Up};
 use std::cell::RefCell;
 use std::net::{SocketAddr, SocketAddrV4};
 use std::rc::Rc;
--- a/crates/rookpulley-office/src/couriers.rs
+++ b/crates/rookpulley-office/src/couriers.rs
@@ -2,7 +2,8 @@
 //! long; that it is there shows in what is told to it.
 
 use crate::hub::Hub;
-use rookpulley_waybill::{Up, line};
+use rookpulley_mailroom::line;
+use rookpulley_waybill::Up;
 use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
--- a/crates/rookpulley-office/src/ending.rs
+++ b/crates/rookpulley-office/src/ending.rs
@@ -1,44 +1,26 @@
 //! Signals: SIGHUP and a changed file bring new seeds; SIGTERM ends in order.
 
 use crate::hub::Hub;
-use rookpulley_settings::Node;
-use std::path::Path;
+use rookpulley_mailroom::File;
 use std::rc::Rc;
-use std::time::{Duration, SystemTime};
+use std::time::Duration;
 use tokio::signal::unix::{SignalKind, signal};
 
 const LOOK_EVERY: Duration = Duration::from_secs(2);
 
-fn changed(path: &Path) -> Option<SystemTime> {
-    std::fs::metadata(path).and_then(|m| m.modified()).ok()
-}
-
 /// Returns when the process is to end.
-pub async fn wait(hub: &Rc<Hub>, path: &Path) {
+pub async fn wait(hub: &Rc<Hub>, mut file: File) {
     let (Ok(mut term), Ok(mut hup)) = (signal(SignalKind::terminate()), signal(SignalKind::hangup())) else {
         tracing::error!("ending: signals can't be heard");
         return;
     };
-    let mut known = changed(path);
     loop {
-        tokio::select! {
+        let node = tokio::select! {
             _ = term.recv() => return,
-            _ = hup.recv() => {}
-            () = tokio::time::sleep(LOOK_EVERY) => {
-                let now = changed(path);
-                if now == known {
-                    continue;
-                }
-                known = now;
-            }
-        }
-        match Node::read(path) {
-            Ok(node) => {
-                tracing::info!("settings: read again, {} seeds", node.seeds.len());
-                hub.meet_seeds(&node.seeds);
-            }
-            Err(why) => tracing::error!("settings: left as they were: {why}"),
-        }
+            _ = hup.recv() => file.read(),
+            () = tokio::time::sleep(LOOK_EVERY) => file.look(),
+        };
+        node.into_iter().for_each(|node| hub.meet_seeds(&node.seeds));
     }
 }
 
--- a/crates/rookpulley-office/src/main.rs
+++ b/crates/rookpulley-office/src/main.rs
@@ -4,15 +4,14 @@
 mod couriers;
 mod ending;
 mod hub;
-mod log;
 mod peers;
 mod show;
 mod state;
 
 use miette::{IntoDiagnostic, WrapErr};
+use rookpulley_mailroom::{File, line, log};
 use rookpulley_settings::Node;
 use rookpulley_strongroom as store;
-use rookpulley_waybill::line;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -101,7 +100,7 @@
             }
         }
     });
-    ending::wait(&hub, &path).await;
+    ending::wait(&hub, File::new(path)).await;
     ending::finish(&hub, stop, counter).await;
     Ok(())
 }
--- a/crates/rookpulley-office/src/peers.rs
+++ b/crates/rookpulley-office/src/peers.rs
@@ -2,8 +2,8 @@
 
 use crate::hub::Hub;
 use rookpulley_chain::{Member, Message};
+use rookpulley_mailroom::line;
 use rookpulley_sorting::News;
-use rookpulley_waybill::line;
 use serde::{Deserialize, Serialize};
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
 use std::rc::Rc;
