Whether a disk is slow is decided in the chain's package, not by the office's shell

The bounds and counts by which an office calls its disk slow or well again stood among sockets, on the process's clock. They are a value now, told the time and what took how long.

--- a/crates/rookpulley-chain/src/lib.rs
+++ b/crates/rookpulley-chain/src/lib.rs
@@ -5,6 +5,7 @@
 //! answered lately, `entry` the calls that were asked of this office. `docs/design/chain.md` says why it is right.
 
 mod chain;
+mod disk;
 mod entry;
 mod flow;
 mod install;
@@ -17,6 +18,7 @@
 mod votes;
 
 pub use chain::Chain;
+pub use disk::Disk;
 pub use kept::{Kept, Record};
 pub use message::{Message, Standing};
 pub use shown::{Heard, Shown, ShownKept, ShownMember};
--- a/crates/rookpulley-office/src/hub.rs
+++ b/crates/rookpulley-office/src/hub.rs
@@ -6,7 +6,7 @@
 use crate::state::Kept;
 use crate::store::{Part, Said, Store};
 use rookpulley_addressbook::Book;
-use rookpulley_chain::{Boot, CallKind, Chain, Effect, Input, Member, Outcome, Record};
+use rookpulley_chain::{Boot, CallKind, Chain, Disk, Effect, Input, Member, Outcome, Record};
 use rookpulley_ledger::{Answer, Ask, Update};
 use rookpulley_mailroom::line::Outbox;
 use rookpulley_settings::Node;
@@ -30,12 +30,6 @@
 const DRAINED_MS: f64 = 60_000.0;
 /// What was noted before a start and hasn't been heard of since is dropped after so long.
 const NOTES_KEPT_MS: f64 = 90_000.0;
-/// A write that takes so long tells of a slow disk; so many quick ones in a row, of one that is well again.
-const SLOW_WRITE: Duration = Duration::from_millis(60);
-/// A process that didn't look for so long was held up itself: that tells nothing of its disk.
-const HELD_UP: Duration = Duration::from_millis(100);
-const QUICK_WRITES: u32 = 24;
-
 struct Peer {
     /// It has spoken: no reason to wait with dialing it.
     wake: Rc<Notify>,
@@ -95,10 +89,7 @@
     next: u64,
     told_version: u64,
     touched_ms: f64,
-    writing: Option<(u64, Instant)>,
-    watched: Instant,
-    quick: u32,
-    pub slow: bool,
+    pub disk: Disk,
 }
 
 /// A life and the last that matters of it, as it stands on the disk.
@@ -153,10 +144,7 @@
             next: 0,
             told_version: 0,
             touched_ms: 0.0,
-            writing: None,
-            watched: Instant::now(),
-            quick: 0,
-            slow: false,
+            disk: Disk::default(),
         };
         let hub = Rc::new(Self {
             node,
@@ -358,7 +346,7 @@
                 Effect::Send { to, message } => self.send_to(to, &Word::Chain(message)),
                 Effect::Write { ticket, records } => {
                     let mut inner = self.inner.borrow_mut();
-                    inner.writing.get_or_insert((ticket, Instant::now()));
+                    inner.disk.begins(self.now_ms(), ticket);
                     inner.store.write(Part::Chain, ticket, records);
                 }
                 Effect::Answer { token, outcome } => {
@@ -380,13 +368,7 @@
         match said {
             Said::Synced { chain, lives, took } => {
                 self.counts.sync(took);
-                {
-                    let mut inner = self.inner.borrow_mut();
-                    if let Some(ticket) = chain {
-                        inner.writing = inner.writing.filter(|(from, _)| *from > ticket);
-                    }
-                    inner.quick = if took < SLOW_WRITE / 2 { inner.quick + 1 } else { 0 };
-                }
+                self.inner.borrow_mut().disk.synced(chain, took.as_secs_f64() * 1e3);
                 if let Some(ticket) = chain {
                     self.step(Input::Synced { ticket });
                 }
@@ -407,23 +389,13 @@
         if self.ending.get() {
             return;
         }
-        let mut inner = self.inner.borrow_mut();
-        if std::mem::replace(&mut inner.watched, Instant::now()).elapsed() > HELD_UP {
-            inner.writing = inner.writing.map(|(ticket, _)| (ticket, Instant::now()));
-        }
-        let waits = inner.writing.is_some_and(|(_, since)| since.elapsed() > SLOW_WRITE);
-        if waits {
-            inner.quick = 0;
-        }
-        if inner.slow && !waits && inner.writing.is_none() {
-            // Nothing else is written by one that has left the chain: a probe tells when the disk is well.
-            inner.writing = Some((0, Instant::now()));
-            inner.store.write(Part::Chain, 0, Vec::new());
-        }
-        let slow = if inner.slow { inner.quick < QUICK_WRITES } else { waits };
-        if slow != inner.slow {
-            inner.slow = slow;
-            drop(inner);
+        let look = {
+            let mut inner = self.inner.borrow_mut();
+            let look = inner.disk.look(self.now_ms());
+            look.probe.into_iter().for_each(|ticket| _ = inner.store.write(Part::Chain, ticket, Vec::new()));
+            look
+        };
+        if let Some(slow) = look.turned {
             tracing::info!("store: the disk is {}", if slow { "slow" } else { "quick again" });
             self.step(Input::Disk { slow });
         }
--- a/crates/rookpulley-office/src/show.rs
+++ b/crates/rookpulley-office/src/show.rs
@@ -97,7 +97,7 @@
         ("inTouch", shown.in_touch.into()),
         ("held", number(shown.last)),
         ("applied", number(shown.applied)),
-        ("diskSlow", inner.slow.into()),
+        ("diskSlow", inner.disk.slow().into()),
         ("lossesBorne", number(shown.losses as u64)),
         ("members", JsonValue::Array(members.collect())),
     ])
--- a/crates/rookpulley-office/src/show/counts.rs
+++ b/crates/rookpulley-office/src/show/counts.rs
@@ -183,7 +183,7 @@
     gauge("rookpulley_office_view_at_work", "The newest view known to be at work.", shown.at_work);
     gauge("rookpulley_office_acting", "1: part of the chain.", shown.acting.into());
     gauge("rookpulley_office_in_touch", "1: in touch with most of the view.", shown.in_touch.into());
-    gauge("rookpulley_office_disk_slow", "1: the disk is slow.", inner.slow.into());
+    gauge("rookpulley_office_disk_slow", "1: the disk is slow.", inner.disk.slow().into());
     gauge("rookpulley_office_update_applied", "The last update applied.", shown.applied);
     let version = inner.chain.state().ledger.version();
     gauge("rookpulley_office_configuration_version", "Of the configuration held; 0: none.", version);
