Which office is home and what share of connections is a courier's are decided in the round's package

Both were decided among sockets, with their bounds, on the process's clock; so was how long a number of couriers holds. They are values that are told the time now. Same bounds, same rank.

--- a/crates/rookpulley-courier/src/attempt.rs
+++ b/crates/rookpulley-courier/src/attempt.rs
@@ -81,7 +81,7 @@
 impl Errand {
     /// `left` turns true once bytes of the request may have left.
     pub async fn attempt(&self, to: &Line, mut parcel: Parcel, left: &Cell<bool>) -> Ended {
-        let bound = wires::bound(self.max_connections, self.courier.couriers());
+        let bound = self.courier.fleet().connections(self.max_connections);
         let mut anew = false;
         loop {
             let mut wire = match self.courier.wires.take(to, bound, self.once, anew).await {
--- a/crates/rookpulley-courier/src/lib.rs
+++ b/crates/rookpulley-courier/src/lib.rs
@@ -15,7 +15,6 @@
 mod head;
 mod links;
 mod listener;
-mod office;
 mod readiness;
 mod sieve;
 mod span;
--- a/crates/rookpulley-courier/src/links.rs
+++ b/crates/rookpulley-courier/src/links.rs
@@ -1,14 +1,13 @@
 //! The lines to all offices: each is heard, one of them is this courier's home.
 
-use crate::office::Office;
 use crate::state::Courier;
 use rookpulley_addressbook::Book;
 use rookpulley_mailroom::line;
+use rookpulley_round::{Move, Offices};
 use rookpulley_settings::Node;
 use rookpulley_waybill::{Down, Up};
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::collections::BTreeMap;
-use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
 use std::rc::Rc;
 use std::time::Duration;
@@ -18,21 +17,16 @@
 const DIAL: Duration = Duration::from_millis(500);
 const PAUSE: Duration = Duration::from_millis(100);
 const LONGEST_PAUSE: Duration = Duration::from_secs(1);
-/// An office that nobody names for so long is no longer dialled.
-const NAMED_MS: f64 = 60_000.0;
-const OFFICES: usize = 64;
-/// A configuration that was asked for is waited for this long.
-const ASKED_MS: f64 = 300.0;
-
 pub struct Links {
-    offices: RefCell<BTreeMap<Ipv4Addr, Office>>,
+    offices: RefCell<Offices>,
+    lines: RefCell<BTreeMap<Ipv4Addr, line::Outbox>>,
     seeds: RefCell<Vec<SocketAddrV4>>,
-    home: Cell<Option<Ipv4Addr>>,
 }
 
 impl Links {
     pub fn new(node: &Node) -> Links {
-        Links { offices: RefCell::default(), seeds: RefCell::new(node.seeds.clone()), home: Cell::new(None) }
+        let seeds = RefCell::new(node.seeds.clone());
+        Links { offices: RefCell::default(), lines: RefCell::default(), seeds }
     }
 
     pub fn set_seeds(&self, seeds: Vec<SocketAddrV4>) {
@@ -40,12 +34,20 @@
     }
 
     fn send(&self, office: Ipv4Addr, up: &Up) {
-        if let Some(office) = self.offices.borrow_mut().get_mut(&office)
-            && office.outbox.as_ref().is_some_and(|outbox| !outbox.send(up))
-        {
-            office.outbox = None;
+        let ended = self.lines.borrow().get(&office).is_some_and(|line| !line.send(up));
+        if ended {
+            self.lost(office);
         }
     }
+
+    fn lost(&self, office: Ipv4Addr) {
+        self.lines.borrow_mut().remove(&office);
+        self.offices.borrow_mut().lost(office);
+    }
+
+    fn home(&self) -> Option<Ipv4Addr> {
+        self.offices.borrow().home()
+    }
 }
 
 /// What is due from time to time: lines to offices named anew, and another home where this one is no good.
@@ -56,7 +58,7 @@
 
 /// To the home, about once a second.
 pub fn report(courier: &Courier) {
-    let Some(home) = courier.links.home.get() else { return };
+    let Some(home) = courier.links.home() else { return };
     let report = courier.tally.borrow_mut().report(courier.now_ms());
     courier.links.send(home, &Up::Report(report));
 }
@@ -67,12 +69,8 @@
 }
 
 fn named(courier: &Rc<Courier>, office: Ipv4Addr) {
-    let now_ms = courier.now_ms();
-    let mut offices = courier.links.offices.borrow_mut();
-    if let Some(known) = offices.get_mut(&office) {
-        known.named_ms = now_ms;
-    } else if offices.len() < OFFICES {
-        offices.insert(office, Office { named_ms: now_ms, asked_ms: -ASKED_MS, ..Office::default() });
+    let new = courier.links.offices.borrow_mut().named(courier.now_ms(), office);
+    if new {
         tokio::task::spawn_local(keep(courier.clone(), office));
     }
 }
@@ -94,9 +92,7 @@
             );
             let why = why.await;
             tracing::info!("links: the line to {office} {why}");
-            if let Some(office) = courier.links.offices.borrow_mut().get_mut(&office) {
-                (office.outbox, office.in_touch) = (None, false);
-            }
+            courier.links.lost(office);
             choose_home(&courier);
             if courier.now_ms() - begun_ms > 1_000.0 {
                 pause = PAUSE;
@@ -104,9 +100,7 @@
         }
         tokio::time::sleep(pause).await;
         pause = (pause * 2).min(LONGEST_PAUSE);
-        let mut offices = courier.links.offices.borrow_mut();
-        if offices.get(&office).is_none_or(|office| courier.now_ms() - office.named_ms > NAMED_MS) {
-            offices.remove(&office);
+        if courier.links.offices.borrow_mut().forgotten(courier.now_ms(), office) {
             return;
         }
     }
@@ -117,35 +111,23 @@
         node: courier.node.name.clone(),
         zone: courier.node.zone.clone(),
         life: courier.life,
-        home: courier.links.home.get() == Some(office),
+        home: courier.links.home() == Some(office),
         config: courier.version(),
         tables: courier.post.borrow().any(),
         gone: courier.post.borrow().all_gone(),
     };
-    if let Some(known) = courier.links.offices.borrow_mut().get_mut(&office) {
-        outbox.send(&hello);
-        known.outbox = Some(outbox);
-        known.touched_ms = courier.now_ms();
-    }
+    outbox.send(&hello);
+    courier.links.lines.borrow_mut().insert(office, outbox);
+    courier.links.offices.borrow_mut().connected(courier.now_ms(), office);
 }
 
 fn take(courier: &Rc<Courier>, office: Ipv4Addr, down: Down) {
     match down {
         Down::Pulse { in_touch, config, couriers, offices } => {
-            let now_ms = courier.now_ms();
-            let mut want = false;
-            if let Some(known) = courier.links.offices.borrow_mut().get_mut(&office) {
-                known.in_touch = in_touch;
-                if in_touch {
-                    known.touched_ms = now_ms;
-                }
-                want = config > courier.version() && now_ms - known.asked_ms >= ASKED_MS;
-                if want {
-                    known.asked_ms = now_ms;
-                }
-            }
+            let (now_ms, held) = (courier.now_ms(), courier.version());
+            let want = courier.links.offices.borrow_mut().pulse(now_ms, office, in_touch, config, held);
             if want {
-                courier.links.send(office, &Up::WantConfig { have: courier.version() });
+                courier.links.send(office, &Up::WantConfig { have: held });
             }
             if couriers > 0 {
                 courier.take_couriers(couriers);
@@ -161,7 +143,7 @@
         },
         Down::Config { .. } => {}
         // Another office than the home may still think that it is the home.
-        Down::Table { service, mark, lines, .. } if courier.links.home.get() == Some(office) => {
+        Down::Table { service, mark, lines, .. } if courier.links.home() == Some(office) => {
             let left = courier.post.borrow_mut().table(&service, lines);
             left.iter().for_each(|life| courier.wires.forget(life));
             courier.links.send(office, &Up::Took { mark });
@@ -174,32 +156,12 @@
     }
 }
 
-/// The home stays as long as it can be borne. All couriers choose by the same rank: the module that cuts their tables
-/// then knows the whole of the demand, and hears of each task from all.
 fn choose_home(courier: &Courier) {
-    let (links, now_ms) = (&courier.links, courier.now_ms());
-    let before = links.home.get();
-    let chosen = {
-        let offices = links.offices.borrow();
-        if before.and_then(|home| offices.get(&home)).is_some_and(|home| home.bearable(now_ms)) {
-            return;
-        }
-        let rank = |office: Ipv4Addr| {
-            let mut hasher = DefaultHasher::new();
-            office.hash(&mut hasher);
-            hasher.finish()
-        };
-        offices.iter().filter(|(_, office)| office.fit()).map(|(&ip, _)| ip).max_by_key(|&ip| rank(ip))
-    };
-    let Some(chosen) = chosen else { return };
-    if before == Some(chosen) {
-        return;
-    }
-    links.home.set(Some(chosen));
-    tracing::info!("links: {chosen} is the home");
+    let links = &courier.links;
+    let moved = links.offices.borrow_mut().choose(courier.now_ms());
+    let Some(Move { from, to }) = moved else { return };
+    tracing::info!("links: {to} is the home");
     let (config, tables) = (courier.version(), courier.post.borrow().any());
-    if let Some(before) = before {
-        links.send(before, &Up::Home { home: false, config, tables });
-    }
-    links.send(chosen, &Up::Home { home: true, config, tables });
+    from.into_iter().for_each(|from| links.send(from, &Up::Home { home: false, config, tables }));
+    links.send(to, &Up::Home { home: true, config, tables });
 }
--- a/crates/rookpulley-courier/src/state.rs
+++ b/crates/rookpulley-courier/src/state.rs
@@ -6,7 +6,7 @@
 use crate::wires::Wires;
 use bytes::Bytes;
 use rookpulley_addressbook::Book;
-use rookpulley_round::{Budget, Post};
+use rookpulley_round::{Budget, Fleet, Post};
 use rookpulley_settings::Node;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -16,8 +16,6 @@
 use std::sync::atomic::{AtomicUsize, Ordering::Relaxed};
 use tokio::time::Instant;
 
-/// A number of couriers that was heard holds so long against smaller ones: a cut must not make shares larger.
-const COURIERS_MS: f64 = 60_000.0;
 /// Descriptors for offices, listeners, the runtime, and those kept for files.
 const KEPT_FILES: u64 = 400;
 
@@ -29,7 +27,7 @@
     book: RefCell<Option<Rc<Book>>>,
     pub post: RefCell<Post>,
     budgets: RefCell<HashMap<String, Budget>>,
-    couriers: Cell<(u32, f64)>,
+    fleet: Cell<Fleet>,
     pub tally: RefCell<Tally>,
     pub links: Links,
     pub wires: Wires,
@@ -56,7 +54,7 @@
             book: RefCell::default(),
             post: RefCell::new(Post::new(&node.zone, life)),
             budgets: RefCell::default(),
-            couriers: Cell::new((0, 0.0)),
+            fleet: Cell::default(),
             tally: RefCell::default(),
             links: Links::new(&node),
             wires: Wires::new(&node.zone, to_tasks),
@@ -98,19 +96,16 @@
         !self.ending.get() && self.book.borrow().is_some() && self.post.borrow().any()
     }
 
-    /// How many couriers there are, as far as heard lately; 0: not heard yet.
-    pub fn couriers(&self) -> u32 {
-        self.couriers.get().0
+    pub fn fleet(&self) -> Fleet {
+        self.fleet.get()
     }
 
     pub fn take_couriers(&self, heard: u32) {
-        let (before, now_ms) = (self.couriers(), self.now_ms());
-        if heard >= before || now_ms - self.couriers.get().1 > COURIERS_MS {
-            self.couriers.set((heard, now_ms));
-        }
-        if heard != before && self.couriers() == heard {
-            self.budgets.borrow_mut().values_mut().for_each(|budget| budget.shared_by(heard));
+        let mut fleet = self.fleet.get();
+        if fleet.heard(self.now_ms(), heard) {
+            self.budgets.borrow_mut().values_mut().for_each(|budget| budget.shared_by(fleet.couriers()));
         }
+        self.fleet.set(fleet);
     }
 
     pub fn budget<T>(&self, service: &str, with: impl FnOnce(&mut Budget) -> T) -> T {
@@ -122,8 +117,9 @@
         let budget = budgets
             .entry(service.to_owned())
             .or_insert_with(|| Budget::new(bounds.retry_budget_ratio, bounds.retry_budget_slack));
-        if self.couriers() > 0 {
-            budget.shared_by(self.couriers());
+        let couriers = self.fleet().couriers();
+        if couriers > 0 {
+            budget.shared_by(couriers);
         }
         with(budget)
     }
--- a/crates/rookpulley-courier/src/wires.rs
+++ b/crates/rookpulley-courier/src/wires.rs
@@ -32,9 +32,6 @@
 /// way there and back and some: before it has left, it can still go elsewhere.
 const REST: Duration = Duration::from_millis(1);
 const LONGEST_REST: Duration = Duration::from_millis(10);
-/// Connections to a task that doesn't say how many it takes, and the fewest to any.
-const UNKNOWN: usize = 16;
-const LEAST: usize = 4;
 
 /// Connections to one life of a task.
 #[derive(Default)]
@@ -167,14 +164,6 @@
     }
 }
 
-/// How many connections this courier may have to one task.
-pub fn bound(max_connections: u32, couriers: u32) -> usize {
-    match max_connections {
-        0 => UNKNOWN,
-        most => (most.div_ceil(couriers.max(1)) as usize).max(LEAST),
-    }
-}
-
 impl Pool {
     /// The one used last.
     fn pop(&self, once: bool) -> Option<Wire> {
