Times that the desk never read and a courier's life that nobody read are gone

set_services, set_couriers, report and took of the desk had a time that they passed over; the first word of a courier bore a life that no office looked at. The wire between our programs is one field shorter; all run one build.

--- a/crates/rookpulley-courier/src/links.rs
+++ b/crates/rookpulley-courier/src/links.rs
@@ -110,7 +110,6 @@
     let hello = Up::Hello {
         node: courier.node.name.clone(),
         zone: courier.node.zone.clone(),
-        life: courier.life,
         home: courier.links.home() == Some(office),
         config: courier.version(),
         tables: courier.post.borrow().any(),
--- a/crates/rookpulley-courier/src/state.rs
+++ b/crates/rookpulley-courier/src/state.rs
@@ -21,8 +21,6 @@
 
 pub struct Courier {
     pub node: Node,
-    /// Minted by each start.
-    pub life: u64,
     begun: Instant,
     book: RefCell<Option<Rc<Book>>>,
     pub post: RefCell<Post>,
@@ -44,15 +42,14 @@
 
 impl Courier {
     pub fn new(node: Node) -> Rc<Courier> {
-        let life = RandomState::new().hash_one(&node.name);
+        let seed = RandomState::new().hash_one(&node.name);
         let files = node.limits.open_files.saturating_sub(KEPT_FILES).max(100) as usize;
         let to_tasks = (files / 3).min(800);
         let hold_bytes = if node.limits.link_mbps >= 100.0 { 1 << 20 } else { 16 << 10 };
         Rc::new(Courier {
-            life,
             begun: Instant::now(),
             book: RefCell::default(),
-            post: RefCell::new(Post::new(&node.zone, life)),
+            post: RefCell::new(Post::new(&node.zone, seed)),
             budgets: RefCell::default(),
             fleet: Cell::default(),
             tally: RefCell::default(),
--- a/crates/rookpulley-office/src/couriers.rs
+++ b/crates/rookpulley-office/src/couriers.rs
@@ -23,7 +23,7 @@
             let take = |up: Up| {
                 let known = name.borrow().clone();
                 match (up, known) {
-                    (Up::Hello { node, zone, home, config, tables, gone, .. }, None) => {
+                    (Up::Hello { node, zone, home, config, tables, gone }, None) => {
                         let Some(outbox) = outbox.borrow().clone() else { return };
                         *name.borrow_mut() =
                             Some(hub.courier_in(&node, &zone, home, (config, tables), &gone, outbox));
--- a/crates/rookpulley-office/src/hub.rs
+++ b/crates/rookpulley-office/src/hub.rs
@@ -461,8 +461,7 @@
                     Service { name: s.name.clone(), max_connections: s.max_connections, aim_ms }
                 });
                 let services: Vec<Service> = services.collect();
-                let now = self.now_ms();
-                self.inner.borrow_mut().desk.set_services(now, &services);
+                self.inner.borrow_mut().desk.set_services(&services);
             }
             Err(why) => tracing::error!("ledger: the configuration held can't be read: {why}"),
         }
@@ -578,8 +577,8 @@
                     courier.outbox.send(&Down::Config { version, body: body.to_vec() });
                 }
             }
-            Up::Report(report) => inner.desk.report(now, node, &report),
-            Up::Took { mark } => inner.desk.took(now, node, mark),
+            Up::Report(report) => inner.desk.report(node, &report),
+            Up::Took { mark } => inner.desk.took(node, mark),
             Up::Hello { .. } | Up::WantConfig { .. } => {}
         }
     }
@@ -785,7 +784,7 @@
                 let mut inner = self.inner.borrow_mut();
                 let inner = &mut *inner;
                 inner.counted.retain(|node, at| inner.couriers.contains_key(node) || now - *at < COUNTED_MS);
-                inner.desk.set_couriers(now, inner.counted.len() as u32);
+                inner.desk.set_couriers(inner.counted.len() as u32);
             }
         }
         let in_touch = self.in_touch();
--- a/crates/rookpulley-office/src/show/tests.rs
+++ b/crates/rookpulley-office/src/show/tests.rs
@@ -78,7 +78,6 @@
         let hello = Up::Hello {
             node: "edge-quay-2".into(),
             zone: "quay".into(),
-            life: 1,
             home: true,
             config: 5,
             tables: false,
--- a/crates/rookpulley-sorting/src/desk.rs
+++ b/crates/rookpulley-sorting/src/desk.rs
@@ -104,7 +104,7 @@
     }
 
     /// The services of a configuration. What is not named is hosted no longer.
-    pub fn set_services(&mut self, _now: f64, services: &[Service]) {
+    pub fn set_services(&mut self, services: &[Service]) {
         self.services.retain(|name, _| services.iter().any(|s| s.name == *name));
         for service in services {
             if let Some(hosted) = self.services.get_mut(&service.name) {
@@ -120,7 +120,7 @@
     }
 
     /// How many couriers the whole system has: arcs are sized by that.
-    pub fn set_couriers(&mut self, _now: f64, count: u32) {
+    pub fn set_couriers(&mut self, count: u32) {
         self.known = count;
     }
 
@@ -161,7 +161,7 @@
     }
 
     /// What a courier has met since its last report.
-    pub fn report(&mut self, _now: f64, name: &str, report: &Report) {
+    pub fn report(&mut self, name: &str, report: &Report) {
         let Some(member) = self.member(name) else { return };
         for of in &report.services {
             if let Some(hosted) = self.services.get_mut(&of.service) {
@@ -171,7 +171,7 @@
     }
 
     /// A courier uses its tables up to this mark.
-    pub fn took(&mut self, _now: f64, name: &str, mark: u64) {
+    pub fn took(&mut self, name: &str, mark: u64) {
         let Some(member) = self.member(name) else { return };
         self.services.values_mut().for_each(|hosted| hosted.took(member.proxy, mark));
     }
--- a/crates/rookpulley-sorting/tests/desk.rs
+++ b/crates/rookpulley-sorting/tests/desk.rs
@@ -36,7 +36,7 @@
     fn new(services: &[&str], max_connections: u32) -> Self {
         let mut desk = Desk::new(7);
         let service = |name: &&str| Service { name: name.to_string(), max_connections, aim_ms: 250.0 };
-        desk.set_services(0.0, &services.iter().map(service).collect::<Vec<_>>());
+        desk.set_services(&services.iter().map(service).collect::<Vec<_>>());
         Self {
             now: 0.0,
             registry: Registry::new(0.0, HEARTBEAT_MS, 2_500.0),
@@ -80,7 +80,7 @@
         self.couriers.insert(name.into());
         self.held.retain(|(courier, _), _| courier != name);
         self.desk.courier_in(self.now, name, "z0", 1.0, false);
-        self.desk.set_couriers(self.now, self.couriers.len() as u32);
+        self.desk.set_couriers(self.couriers.len() as u32);
     }
 
     /// One step of time: beats that are due, a tick, and what goes out is taken.
@@ -98,7 +98,7 @@
             match out {
                 Out::Table { courier, service, mark, lines, .. } => {
                     self.check_sent(&courier, &service, &lines);
-                    self.desk.took(self.now, &courier, mark);
+                    self.desk.took(&courier, mark);
                     self.held.insert((courier, service), Held { lines, at_ms: self.now });
                 }
                 Out::Log { text, .. } => self.log.push(text),
@@ -153,7 +153,7 @@
             let tasks: Vec<_> = held.lines.iter().map(task).collect();
             let came = tries * tasks.len() as u32;
             let of = ServiceReport { service: service.clone(), came, bad: 0, tasks };
-            self.desk.report(self.now, courier, &Report { span_ms: 1_000, services: vec![of] });
+            self.desk.report(courier, &Report { span_ms: 1_000, services: vec![of] });
         }
     }
 
--- a/crates/rookpulley-waybill/src/messages.rs
+++ b/crates/rookpulley-waybill/src/messages.rs
@@ -14,7 +14,6 @@
     Hello {
         node: String,
         zone: String,
-        life: u64,
         home: bool,
         config: u64,
         tables: bool,
