--- a/crates/rookpulley-addressbook/src/book.rs
+++ b/crates/rookpulley-addressbook/src/book.rs
@@ -66,6 +66,12 @@
         Self { version, limits, services, places, routes, hosts }
     }
 
+    /// The shortest aim of the routes that may go to this service; none: no route does.
+    pub fn least_aim_ms(&self, service: usize) -> Option<f64> {
+        let its = self.routes.iter().filter(|route| route.targets.iter().any(|(at, _)| *at == service));
+        its.map(|route| route.aim_ms).min_by(f64::total_cmp)
+    }
+
     /// The route of a request: of the host's routes, the one with the longest prefix that begins the path. The
     /// host comes without port and in any case, the path without query.
     pub fn route(&self, host: &str, path: &str) -> Option<&Route> {
--- a/crates/rookpulley-office/src/hub.rs
+++ b/crates/rookpulley-office/src/hub.rs
@@ -451,14 +451,10 @@
         };
         match Book::read(&body) {
             Ok(book) => {
-                let least = |index| {
-                    let routes =
-                        book.routes().iter().filter(|r| r.targets.iter().any(|(at, _)| *at == index));
-                    routes.map(|r| r.aim_ms).fold(f64::INFINITY, f64::min)
-                };
-                let services = book.services.iter().enumerate().map(|(index, s)| {
-                    let aim_ms = Some(least(index)).filter(|aim| aim.is_finite()).unwrap_or(0.0);
-                    Service { name: s.name.clone(), max_connections: s.max_connections, aim_ms }
+                let services = book.services.iter().enumerate().map(|(at, s)| Service {
+                    name: s.name.clone(),
+                    max_connections: s.max_connections,
+                    aim_ms: book.least_aim_ms(at).unwrap_or(0.0),
                 });
                 let services: Vec<Service> = services.collect();
                 self.inner.borrow_mut().desk.set_services(&services);
--- a/crates/rookpulley-sorting/src/desk.rs
+++ b/crates/rookpulley-sorting/src/desk.rs
@@ -18,7 +18,7 @@
     pub name: String,
     /// As many connections as a task accepts from all; 0: not told.
     pub max_connections: u32,
-    /// The mean aim of its routes; 0: not known.
+    /// The shortest aim of its routes; 0: not known.
     pub aim_ms: f64,
 }
 
