--- a/crates/rookpulley-office/src/calls.rs
+++ b/crates/rookpulley-office/src/calls.rs
@@ -1,6 +1,6 @@
 //! The calls of tasks, the operator and applications: which they are, what is asked of them, how they are answered.
 
-use crate::hub::{Hub, Taken};
+use crate::hub::{Hub, Taken, Told};
 use crate::show::{self, Part};
 use rookpulley_addressbook::Book;
 use rookpulley_counter::{Call, Match, Reply, Tree, query};
@@ -136,15 +136,15 @@
                 })?;
                 let version = book.version;
                 match hub.update(&Update::PutConfiguration { version, body: call.body }).await {
-                    Some(Some(Answer::Configured { .. })) => {
+                    Told::Answer(Answer::Configured { .. }) => {
                         Reply::json(200, &object([("configVersion", number(version))]))
                     }
                     other => not_done(other),
                 }
             }
             Path::GetConfiguration => match hub.ask(&Ask::Configuration).await {
-                Some(Some(Answer::Configuration { body, .. })) => Reply::bytes(200, body),
-                Some(Some(Answer::Nothing)) => Reply::error(404, "no configuration was taken yet"),
+                Told::Answer(Answer::Configuration { body, .. }) => Reply::bytes(200, body),
+                Told::Answer(Answer::Nothing) => Reply::error(404, "no configuration was taken yet"),
                 other => not_done(other),
             },
             Path::TakeLock => {
@@ -164,7 +164,7 @@
                 lock(hub.update(&Update::DropLock { name: name(), holder, fence }).await)
             }
             Path::Number => match hub.update(&Update::NextNumber { name: name() }).await {
-                Some(Some(Answer::Number(value))) => Reply::json(200, &object([("value", number(value))])),
+                Told::Answer(Answer::Number(value)) => Reply::json(200, &object([("value", number(value))])),
                 other => not_done(other),
             },
             Path::PutCell => {
@@ -172,19 +172,19 @@
                 let value = text(&f, "value")?;
                 let active = f.contains_key("active").then(|| whole(&f, "active")).transpose()?;
                 match hub.update(&Update::PutCell { name: name(), value, active }).await {
-                    Some(Some(Answer::Revision(r))) => Reply::json(200, &object([("revision", number(r))])),
-                    Some(Some(Answer::Conflict { revision })) => {
+                    Told::Answer(Answer::Revision(r)) => Reply::json(200, &object([("revision", number(r))])),
+                    Told::Answer(Answer::Conflict { revision }) => {
                         Reply::json(412, &object([("revision", number(revision))]))
                     }
                     other => not_done(other),
                 }
             }
             Path::GetCell => match hub.ask(&Ask::Cell { name: name() }).await {
-                Some(Some(Answer::Cell { value, revision })) => Reply::json(
+                Told::Answer(Answer::Cell { value, revision }) => Reply::json(
                     200,
                     &object([("value", JsonValue::String(value)), ("revision", number(revision))]),
                 ),
-                Some(Some(Answer::Nothing)) => Reply::error(404, "there is no such cell"),
+                Told::Answer(Answer::Nothing) => Reply::error(404, "there is no such cell"),
                 other => not_done(other),
             },
             Path::Watch => self.watch(&name(), &call.query).await?,
@@ -204,7 +204,7 @@
         if after == 0 {
             // Where a watcher begins must be no older than what it may have seen acknowledged.
             return Ok(match self.hub.ask(&Ask::Revision { group: group.into() }).await {
-                Some(Some(Answer::Revision(revision))) => shown(Vec::new(), revision),
+                Told::Answer(Answer::Revision(revision)) => shown(Vec::new(), revision),
                 other => not_done(other),
             });
         }
@@ -252,24 +252,24 @@
     }
 }
 
-fn lock(answer: Option<Option<Answer>>) -> Reply {
-    match answer {
-        Some(Some(Answer::Fence(fence))) => Reply::json(200, &object([("fence", number(fence))])),
-        Some(Some(Answer::Dropped | Answer::Renewed)) => Reply::json(200, &object([])),
-        Some(Some(Answer::Held)) => Reply::error(409, "another holds it, or it was lost"),
+fn lock(told: Told) -> Reply {
+    match told {
+        Told::Answer(Answer::Fence(fence)) => Reply::json(200, &object([("fence", number(fence))])),
+        Told::Answer(Answer::Dropped | Answer::Renewed) => Reply::json(200, &object([])),
+        Told::Answer(Answer::Held) => Reply::error(409, "another holds it, or it was lost"),
         other => not_done(other),
     }
 }
 
-fn not_done(answer: Option<Option<Answer>>) -> Reply {
-    match answer {
-        None => unknown(),
-        Some(None) => later(),
-        Some(Some(Answer::TooLong)) => {
+fn not_done(told: Told) -> Reply {
+    match told {
+        Told::Unknown => unknown(),
+        Told::Refused => later(),
+        Told::Answer(Answer::TooLong) => {
             Reply::error(413, "a name, holder, value or body is too long; nothing was done")
         }
-        Some(Some(Answer::Full)) => Reply::error(503, "there is no room for more; nothing was done"),
-        Some(Some(_)) => Reply::error(400, "the call does not fit what it names"),
+        Told::Answer(Answer::Full) => Reply::error(503, "there is no room for more; nothing was done"),
+        Told::Answer(_) => Reply::error(400, "the call does not fit what it names"),
     }
 }
 
--- a/crates/rookpulley-office/src/hub.rs
+++ b/crates/rookpulley-office/src/hub.rs
@@ -53,6 +53,26 @@
     Done(oneshot::Sender<()>),
 }
 
+/// What the chain has for a call.
+#[derive(Debug)]
+pub enum Told {
+    Answer(Answer),
+    /// It did not take effect and never will.
+    Refused,
+    /// Nobody knows whether it took effect.
+    Unknown,
+}
+
+impl From<Outcome> for Told {
+    fn from(outcome: Outcome) -> Told {
+        match outcome {
+            Outcome::Done(bytes) => Answer::decode(&bytes).map_or(Told::Unknown, Told::Answer),
+            Outcome::Refused => Told::Refused,
+            Outcome::Unknown => Told::Unknown,
+        }
+    }
+}
+
 /// What became of a task's word.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Taken {
@@ -417,21 +437,12 @@
         answer.await.unwrap_or(Outcome::Unknown)
     }
 
-    /// None: nobody knows whether it took effect; Some(None): it did not and never will.
-    pub async fn update(&self, update: &Update) -> Option<Option<Answer>> {
-        Self::answer(self.call(CallKind::Update, update.encode()).await)
-    }
-
-    pub async fn ask(&self, ask: &Ask) -> Option<Option<Answer>> {
-        Self::answer(self.call(CallKind::Read, ask.encode()).await)
+    pub async fn update(&self, update: &Update) -> Told {
+        self.call(CallKind::Update, update.encode()).await.into()
     }
 
-    fn answer(outcome: Outcome) -> Option<Option<Answer>> {
-        match outcome {
-            Outcome::Done(bytes) => Answer::decode(&bytes).ok().map(Some),
-            Outcome::Refused => Some(None),
-            Outcome::Unknown => None,
-        }
+    pub async fn ask(&self, ask: &Ask) -> Told {
+        self.call(CallKind::Read, ask.encode()).await.into()
     }
 
     pub fn with_ledger<T>(&self, look: impl FnOnce(&rookpulley_ledger::Ledger) -> T) -> T {
