When a drain may be acknowledged, who counts as a courier and when beats are taken are decided in sorting

The office's shell held these with their bounds: how many others must know, for how long a drain stays known, how long a courier that went still counts, how long an office out of touch takes beats. Same figures; values that are told the time.

--- a/crates/rookpulley-office/src/hub.rs
+++ b/crates/rookpulley-office/src/hub.rs
@@ -10,10 +10,12 @@
 use rookpulley_ledger::{Answer, Ask, Update};
 use rookpulley_mailroom::line::Outbox;
 use rookpulley_settings::Node;
-use rookpulley_sorting::{Beat, Desk, News, Out, Outcome as Sorted, Registry, Service, Word as Spread};
+use rookpulley_sorting::{
+    Beat, Desk, Drains, News, Out, Outcome as Sorted, Registry, Roll, Service, Word as Spread,
+};
 use rookpulley_waybill::{Down, Up, frame};
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -21,13 +23,8 @@
 
 /// An office that nobody has reached for so long, and that no view names, is forgotten.
 const FORGOTTEN_MS: f64 = 20_000.0;
-/// A courier that was here so lately still counts, so that a budget is never dealt out twice.
-const COUNTED_MS: f64 = 12_000.0;
-/// How long a drain waits to be known elsewhere, and an office out of touch still takes beats.
+/// How long a drain waits to be known elsewhere.
 const CONFIRM_WITHIN: Duration = Duration::from_millis(700);
-const BEATS_UNTOUCHED_MS: f64 = 1_500.0;
-/// A confirmed drain is remembered so long.
-const DRAINED_MS: f64 = 60_000.0;
 /// What was noted before a start and hasn't been heard of since is dropped after so long.
 const NOTES_KEPT_MS: f64 = 90_000.0;
 struct Peer {
@@ -84,12 +81,6 @@
     Not,
 }
 
-struct Confirm {
-    from: BTreeSet<u64>,
-    wanted: usize,
-    done: Option<oneshot::Sender<()>>,
-}
-
 pub struct Inner {
     pub chain: Chain<Kept>,
     pub registry: Registry,
@@ -98,17 +89,16 @@
     peers: BTreeMap<Ipv4Addr, Peer>,
     to_dial: Vec<Ipv4Addr>,
     pub couriers: BTreeMap<String, Courier>,
-    counted: BTreeMap<String, f64>,
+    roll: Roll,
     calls: BTreeMap<u64, oneshot::Sender<Outcome>>,
-    confirms: BTreeMap<u64, Confirm>,
-    /// Lives that others know to be draining, and since when.
-    drained: BTreeMap<String, f64>,
+    drains: Drains,
+    /// Who waits for a drain to be known elsewhere, by the number that others were asked under.
+    confirms: BTreeMap<u64, oneshot::Sender<()>>,
     notes: u64,
     noting: Vec<(u64, Noted)>,
     tidied: bool,
     next: u64,
     told_version: u64,
-    touched_ms: f64,
     pub disk: Disk,
 }
 
@@ -154,16 +144,15 @@
             peers: BTreeMap::new(),
             to_dial: Vec::new(),
             couriers: BTreeMap::new(),
-            counted: BTreeMap::new(),
+            roll: Roll::default(),
             calls: BTreeMap::new(),
+            drains: Drains::new(node.tolerance.machines as usize),
             confirms: BTreeMap::new(),
-            drained: BTreeMap::new(),
             notes: 0,
             noting: Vec::new(),
             tidied: false,
             next: 0,
             told_version: 0,
-            touched_ms: 0.0,
             disk: Disk::default(),
         };
         let hub = Rc::new(Self {
@@ -321,13 +310,10 @@
             }
             Word::Took { ask } => {
                 let mut inner = self.inner.borrow_mut();
-                if let (Some(from), Some(confirm)) = (*who, inner.confirms.get_mut(&ask)) {
-                    confirm.from.insert(from);
-                    if confirm.from.len() >= confirm.wanted
-                        && let Some(done) = confirm.done.take()
-                    {
-                        _ = done.send(());
-                    }
+                if who.is_some_and(|from| inner.drains.took(ask, from))
+                    && let Some(done) = inner.confirms.remove(&ask)
+                {
+                    _ = done.send(());
                 }
             }
         }
@@ -495,7 +481,7 @@
         Down::Pulse {
             in_touch,
             config: if serving { inner.told_version } else { 0 },
-            couriers: inner.counted.len() as u32,
+            couriers: inner.roll.count(),
             offices,
         }
     }
@@ -515,7 +501,7 @@
         let line = {
             let mut inner = self.inner.borrow_mut();
             inner.next += 1;
-            inner.counted.insert(node.into(), now);
+            inner.roll.came(node);
             let line = inner.next;
             inner.couriers.insert(
                 node.into(),
@@ -596,7 +582,7 @@
         if inner.couriers.get(node).is_some_and(|c| c.line == line) {
             inner.couriers.remove(node);
             inner.desk.courier_out(now, node);
-            inner.counted.insert(node.into(), now);
+            inner.roll.went(now, node);
         }
     }
 
@@ -635,7 +621,7 @@
     /// Takes a beat.
     pub async fn beat(&self, beat: Beat) -> Taken {
         let now = self.now_ms();
-        if now - self.inner.borrow().touched_ms > BEATS_UNTOUCHED_MS {
+        if !self.inner.borrow().registry.takes_beats(now) {
             return Taken::Not;
         }
         let draining = beat.draining;
@@ -656,16 +642,14 @@
 
     /// A life that drains or ends: once that is known elsewhere it need not be asked about again.
     async fn drain_known(&self, life: String) -> Taken {
-        if self.inner.borrow().drained.contains_key(&life) {
+        if self.inner.borrow().drains.is_known(&life) {
             return Taken::Known;
         }
         if !self.known_elsewhere(life.clone()).await {
             return Taken::HereAlone;
         }
         let now = self.now_ms();
-        let mut inner = self.inner.borrow_mut();
-        inner.drained.retain(|_, at| now - *at < DRAINED_MS);
-        inner.drained.insert(life, now);
+        self.inner.borrow_mut().drains.known(now, life);
         Taken::Known
     }
 
@@ -721,16 +705,14 @@
             if !inner.chain.in_touch(self.now_ms() as u64) {
                 return false;
             }
-            let wanted = others.min(self.node.tolerance.machines.max(1) as usize);
             inner.next += 1;
             let ask = inner.next;
-            if wanted == 0 {
-                (ask, None)
-            } else {
+            let done = inner.drains.ask(ask, others).then(|| {
                 let (sender, done) = oneshot::channel();
-                inner.confirms.insert(ask, Confirm { from: BTreeSet::new(), wanted, done: Some(sender) });
-                (ask, Some(done))
-            }
+                inner.confirms.insert(ask, sender);
+                done
+            });
+            (ask, done)
         };
         self.send_all(&Word::News { ask, news: vec![News::Gone { life, age_ms: 0.0 }] });
         let (sender, here) = oneshot::channel();
@@ -743,7 +725,10 @@
                 }
         };
         let known = tokio::time::timeout(CONFIRM_WITHIN, both).await.is_ok_and(|known| known);
-        self.inner.borrow_mut().confirms.remove(&ask);
+        let mut inner = self.inner.borrow_mut();
+        inner.drains.over(ask);
+        inner.confirms.remove(&ask);
+        drop(inner);
         known && self.in_touch()
     }
 
@@ -767,9 +752,8 @@
                 .chain
                 .view()
                 .map_or(Vec::new(), |view| view.members.iter().map(|m| *m.address.ip()).collect());
-            if inner.chain.in_touch(now as u64) || inner.registry.settling(now) {
-                inner.touched_ms = now;
-            }
+            let in_touch = inner.chain.in_touch(now as u64);
+            inner.registry.touch(now, in_touch);
             drop(inner);
             addresses.into_iter().for_each(|ip| self.meet(ip));
         }
@@ -787,12 +771,10 @@
             }
         }
         if round.is_multiple_of(8) {
-            {
-                let mut inner = self.inner.borrow_mut();
-                let inner = &mut *inner;
-                inner.counted.retain(|node, at| inner.couriers.contains_key(node) || now - *at < COUNTED_MS);
-                inner.desk.set_couriers(inner.counted.len() as u32);
-            }
+            let mut inner = self.inner.borrow_mut();
+            inner.roll.forget_old(now);
+            let couriers = inner.roll.count();
+            inner.desk.set_couriers(couriers);
         }
         let in_touch = self.in_touch();
         if round.is_multiple_of(8) || self.told_touch.replace(in_touch) != in_touch {
--- a/crates/rookpulley-sorting/src/lib.rs
+++ b/crates/rookpulley-sorting/src/lib.rs
@@ -6,14 +6,18 @@
 
 mod beat;
 mod desk;
+mod drains;
 mod hosted;
 mod list;
 mod module;
 mod news;
 mod posted;
 mod registry;
+mod roll;
 
 pub use beat::{Beat, BeatFault};
 pub use desk::{Desk, Out, Service, Shown};
+pub use drains::Drains;
 pub use news::{News, Outcome, Still, Word};
 pub use registry::{Registry, Standing, Task};
+pub use roll::Roll;
--- a/crates/rookpulley-sorting/src/registry.rs
+++ b/crates/rookpulley-sorting/src/registry.rs
@@ -14,6 +14,8 @@
 const SILENT_SLACK_MS: f64 = 500.0;
 /// After a start, or a pause of this process, so many heartbeats pass before silence means anything.
 const SETTLING_BEATS: f64 = 2.0;
+/// An office out of touch takes beats for so long; then tasks had better call another.
+const UNTOUCHED_MS: f64 = 1_500.0;
 /// Nobody turned the clock for so long: this process slept, and the tasks need not have been silent.
 const PAUSE_MS: f64 = 1_000.0;
 const REMEMBER_MS: f64 = 60_000.0;
@@ -51,6 +53,7 @@
     remember_ms: f64,
     settled_ms: f64,
     ticked_ms: f64,
+    touched_ms: f64,
     lives: BTreeMap<Life, Known>,
     /// Those that said that they end, and when.
     ended: BTreeMap<Life, f64>,
@@ -65,6 +68,7 @@
             remember_ms: REMEMBER_MS.max(4.0 * drain_ms),
             settled_ms: start_ms + SETTLING_BEATS * heartbeat_ms,
             ticked_ms: start_ms,
+            touched_ms: start_ms,
             lives: BTreeMap::new(),
             ended: BTreeMap::new(),
             addresses: BTreeMap::new(),
@@ -77,6 +81,18 @@
         now < self.settled_ms
     }
 
+    /// Whether this office is in touch with most of the others now.
+    pub fn touch(&mut self, now: f64, in_touch: bool) {
+        if in_touch || self.settling(now) {
+            self.touched_ms = now;
+        }
+    }
+
+    /// Whether a beat may be acknowledged here.
+    pub fn takes_beats(&self, now: f64) -> bool {
+        now - self.touched_ms <= UNTOUCHED_MS
+    }
+
     /// Another one each time that the standing or the facts of any life change.
     pub fn version(&self) -> u64 {
         self.version
--- /dev/null
+++ b/crates/rookpulley-sorting/src/roll.rs
@@ -0,0 +1,48 @@
+//! The couriers of the whole system, as this office sees them come and go.
+
+use std::collections::BTreeMap;
+
+/// A courier that was here so lately still counts, so that a budget is never dealt out twice.
+const COUNTED_MS: f64 = 12_000.0;
+
+#[derive(Default)]
+pub struct Roll {
+    /// None: it is here; else when it went.
+    couriers: BTreeMap<String, Option<f64>>,
+}
+
+impl Roll {
+    pub fn came(&mut self, courier: &str) {
+        self.couriers.insert(courier.into(), None);
+    }
+
+    pub fn went(&mut self, now: f64, courier: &str) {
+        self.couriers.insert(courier.into(), Some(now));
+    }
+
+    pub fn forget_old(&mut self, now: f64) {
+        self.couriers.retain(|_, went| went.is_none_or(|at| now - at < COUNTED_MS));
+    }
+
+    pub fn count(&self) -> u32 {
+        self.couriers.len() as u32
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn who_went_counts_for_a_while_and_who_came_back_for_good() {
+        let mut roll = Roll::default();
+        ["a", "b"].into_iter().for_each(|name| roll.came(name));
+        roll.went(0.0, "a");
+        roll.went(0.0, "b");
+        roll.came("b");
+        roll.forget_old(11_999.0);
+        assert_eq!(roll.count(), 2);
+        roll.forget_old(12_000.0);
+        assert_eq!(roll.count(), 1);
+    }
+}
--- a/crates/rookpulley-sorting/tests/registry.rs
+++ b/crates/rookpulley-sorting/tests/registry.rs
@@ -191,3 +191,14 @@
     assert_eq!(office.beat(2.0, beat(1, 7, false)).word, Word::Late);
     assert!(listed(&office).is_empty());
 }
+
+#[test]
+fn an_office_out_of_touch_takes_beats_only_for_a_while_after_it_has_settled() {
+    let mut registry = Registry::new(0.0, 1_000.0, 2_500.0);
+    registry.touch(1_900.0, false);
+    assert!(registry.takes_beats(3_400.0));
+    registry.touch(2_100.0, false);
+    assert!(!registry.takes_beats(3_401.0));
+    registry.touch(3_402.0, true);
+    assert!(registry.takes_beats(3_403.0));
+}
