Whether notes were tidied shows in the notes; two comments say what is so

The notes read at the start are taken once and then empty: a flag beside them said the same. Offices say hello every two seconds, and calls take no effect after 750 ms, not 900.

--- a/crates/rookpulley-ledger/src/locks.rs
+++ b/crates/rookpulley-ledger/src/locks.rs
@@ -4,7 +4,7 @@
 //! is the fence: each hold that begins gets one above all fences ever given, for whatever lock, so that a renewal or a
 //! drop of an earlier hold fits no later one. A drop that was sent before its holder took the lock *again* while it
 //! still had it is the exception, as both stand under one fence. It can't come so late: a caller waits a second for
-//! an answer before it goes on, and the chain lets no call take effect that is 900 ms old.
+//! an answer before it goes on, and the chain lets no call take effect that is 750 ms old.
 
 use crate::bounds::{Bounds, ENTRY};
 use crate::call::Answer;
--- a/crates/rookpulley-office/src/hub.rs
+++ b/crates/rookpulley-office/src/hub.rs
@@ -96,7 +96,6 @@
     confirms: BTreeMap<u64, oneshot::Sender<()>>,
     notes: u64,
     noting: Vec<(u64, Noted)>,
-    tidied: bool,
     next: u64,
     told_version: u64,
     pub disk: Disk,
@@ -150,7 +149,6 @@
             confirms: BTreeMap::new(),
             notes: 0,
             noting: Vec::new(),
-            tidied: false,
             next: 0,
             told_version: 0,
             disk: Disk::default(),
@@ -785,7 +783,7 @@
         if round.is_multiple_of(40) {
             self.send_all(&self.hello());
         }
-        if now > NOTES_KEPT_MS && !std::mem::replace(&mut self.inner.borrow_mut().tidied, true) {
+        if now > NOTES_KEPT_MS {
             self.tidy_notes();
         }
     }
--- a/crates/rookpulley-office/src/peers.rs
+++ b/crates/rookpulley-office/src/peers.rs
@@ -12,7 +12,7 @@
 /// What offices say to each other.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum Word {
-    /// The first on a line, and again whenever the known offices change.
+    /// The first on a line, and again every two seconds: the known offices may have changed.
     Hello {
         from: Member,
         offices: Vec<SocketAddrV4>,
