One kind of body holds bytes whole or passes them on, for requests and answers alike

Parcel and Reply each said how a body held whole gives its one frame, when it is at its end and what length it states. Content says it once for both; what comes piece by piece tells it the next piece and the bytes still to come. Ruled out: http-body-util's Full as the whole arm, which leaves that arm to be written in both, with an error that can't happen to be turned into ours; its Either, whose Left and Right don't say which is held and which passes on.

--- a/crates/rookpulley-courier/src/bodies.rs
+++ b/crates/rookpulley-courier/src/bodies.rs
@@ -69,14 +69,53 @@
     Failed(u16),
 }
 
-/// The body of a request on its way to a task.
-pub enum Parcel {
-    /// Held whole: it can be sent again.
+/// A body held whole, or one that is passed on as it comes.
+pub enum Content<P> {
     Whole(Bytes),
-    Stream(Box<Passing>),
+    Stream(Box<P>),
 }
 
-/// A body that is passed on as it comes.
+/// What comes piece by piece.
+pub trait Passes {
+    fn poll(&mut self, context: &mut Context<'_>) -> Poll<Option<Result<Bytes, Fault>>>;
+
+    /// The bytes still to come, where that is known.
+    fn left(&self) -> Option<u64>;
+}
+
+impl<P: Passes> Body for Content<P> {
+    type Data = Bytes;
+    type Error = Fault;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Fault>>> {
+        let chunk = match self.get_mut() {
+            Content::Whole(bytes) if bytes.is_empty() => None,
+            Content::Whole(bytes) => Some(Ok(std::mem::take(bytes))),
+            Content::Stream(passing) => ready!(passing.poll(context)),
+        };
+        Poll::Ready(chunk.map(|chunk| chunk.map(Frame::data)))
+    }
+
+    fn is_end_stream(&self) -> bool {
+        matches!(self, Content::Whole(bytes) if bytes.is_empty())
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        let left = match self {
+            Content::Whole(bytes) => Some(bytes.len() as u64),
+            Content::Stream(passing) => passing.left(),
+        };
+        left.map_or_else(SizeHint::new, SizeHint::with_exact)
+    }
+}
+
+/// The body of a request on its way to a task. Held whole, it can be sent again.
+pub type Parcel = Content<Passing>;
+
+/// A request's body that is too long to be held.
 pub struct Passing {
     chunks: VecDeque<Bytes>,
     rest: Incoming,
@@ -107,7 +146,7 @@
     }
 }
 
-impl Passing {
+impl Passes for Passing {
     fn poll(&mut self, context: &mut Context<'_>) -> Poll<Option<Result<Bytes, Fault>>> {
         if let Some(chunk) = self.chunks.pop_front() {
             return Poll::Ready(Some(Ok(chunk)));
@@ -131,53 +170,20 @@
         self.upload.set(upload);
         chunk
     }
-}
-
-impl Body for Parcel {
-    type Data = Bytes;
-    type Error = Fault;
-
-    fn poll_frame(
-        self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, Fault>>> {
-        match self.get_mut() {
-            Parcel::Whole(bytes) if bytes.is_empty() => Poll::Ready(None),
-            Parcel::Whole(bytes) => Poll::Ready(Some(Ok(Frame::data(std::mem::take(bytes))))),
-            Parcel::Stream(passing) => {
-                passing.poll(context).map(|chunk| chunk.map(|chunk| chunk.map(Frame::data)))
-            }
-        }
-    }
-
-    fn is_end_stream(&self) -> bool {
-        matches!(self, Parcel::Whole(bytes) if bytes.is_empty())
-    }
 
-    fn size_hint(&self) -> SizeHint {
-        match self {
-            Parcel::Whole(bytes) => SizeHint::with_exact(bytes.len() as u64),
-            Parcel::Stream(passing) => {
-                let here: usize = passing.chunks.iter().map(Bytes::len).sum();
-                let rest = passing.rest.size_hint().exact();
-                rest.map_or_else(SizeHint::new, |rest| SizeHint::with_exact(rest + here as u64))
-            }
-        }
+    fn left(&self) -> Option<u64> {
+        let here: usize = self.chunks.iter().map(Bytes::len).sum();
+        self.rest.size_hint().exact().map(|rest| rest + here as u64)
     }
 }
 
 /// The body of an answer on its way to a client.
 pub struct Reply {
-    content: Content,
+    content: Content<Stream>,
     /// Kept until the last byte has been handed on.
     work: Option<AtWork>,
 }
 
-enum Content {
-    Whole(Bytes),
-    Stream(Box<Stream>),
-}
-
 /// An answer that is too long to be held. If it breaks off, so does the client's connection: it must not look whole.
 pub struct Stream {
     pub chunks: VecDeque<Bytes>,
@@ -202,8 +208,22 @@
     }
 }
 
-impl Stream {
+impl Passes for Stream {
     fn poll(&mut self, context: &mut Context<'_>) -> Poll<Option<Result<Bytes, Fault>>> {
+        let chunk = ready!(self.next(context));
+        if let (Some(Ok(chunk)), Some(left)) = (&chunk, &mut self.left) {
+            *left = left.saturating_sub(chunk.len() as u64);
+        }
+        Poll::Ready(chunk)
+    }
+
+    fn left(&self) -> Option<u64> {
+        self.left
+    }
+}
+
+impl Stream {
+    fn next(&mut self, context: &mut Context<'_>) -> Poll<Option<Result<Bytes, Fault>>> {
         if let Some(chunk) = self.chunks.pop_front() {
             return Poll::Ready(Some(Ok(chunk)));
         }
@@ -247,28 +267,15 @@
         self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Fault>>> {
-        match &mut self.get_mut().content {
-            Content::Whole(bytes) if bytes.is_empty() => Poll::Ready(None),
-            Content::Whole(bytes) => Poll::Ready(Some(Ok(Frame::data(std::mem::take(bytes))))),
-            Content::Stream(stream) => {
-                let chunk = ready!(stream.poll(context));
-                if let (Some(Ok(chunk)), Some(left)) = (&chunk, &mut stream.left) {
-                    *left = left.saturating_sub(chunk.len() as u64);
-                }
-                Poll::Ready(chunk.map(|chunk| chunk.map(Frame::data)))
-            }
-        }
+        Pin::new(&mut self.get_mut().content).poll_frame(context)
     }
 
     fn is_end_stream(&self) -> bool {
-        matches!(&self.content, Content::Whole(bytes) if bytes.is_empty())
+        self.content.is_end_stream()
     }
 
     fn size_hint(&self) -> SizeHint {
-        match &self.content {
-            Content::Whole(bytes) => SizeHint::with_exact(bytes.len() as u64),
-            Content::Stream(stream) => stream.left.map_or_else(SizeHint::new, SizeHint::with_exact),
-        }
+        self.content.size_hint()
     }
 }
 
