Whether an errand may run once at most is asked of its route's kind, not kept beside it

Errand held once, which is kind == Mutating, next to kind: two fields that could disagree. It is a question to the kind now, in the words that the address book has for it. Ruled out: the book and the route's place in the errand instead of the route's pieces. Routes are found by reference and have no place outside the book, so the book would have to give places out and every use would look the route up again; a clone of the route would copy its name, host and prefix for each request. Both are longer.

--- a/crates/rookpulley-courier/src/attempt.rs
+++ b/crates/rookpulley-courier/src/attempt.rs
@@ -33,7 +33,6 @@
     pub id: HeaderValue,
     pub service: Rc<str>,
     pub kind: RouteKind,
-    pub once: bool,
     pub attempts: u32,
     pub aim_ms: f64,
     pub until_ms: f64,
@@ -79,12 +78,17 @@
 }
 
 impl Errand {
+    /// It may run once at most.
+    pub fn once(&self) -> bool {
+        !self.kind.repeatable()
+    }
+
     /// `left` turns true once bytes of the request may have left.
     pub async fn attempt(&self, to: &Line, mut parcel: Parcel, left: &Cell<bool>) -> Ended {
         let bound = wires::bound(self.max_connections, self.courier.couriers());
         let mut anew = false;
         loop {
-            let mut wire = match self.courier.wires.take(to, bound, self.once, anew).await {
+            let mut wire = match self.courier.wires.take(to, bound, self.once(), anew).await {
                 Ok(wire) => wire,
                 Err(NoWire::Full) => return Ended { parcel: Some(parcel), ..Ended::so(How::Full) },
                 Err(NoWire::Unreachable) => return Ended::unsent(Some(parcel)),
@@ -96,7 +100,7 @@
             let (spare, upload) = (parcel.again(), parcel.upload());
             let Some(request) = self.request(to, parcel) else { return Ended::unsent(spare) };
             left.set(true);
-            wire.begin(&self.id, self.method == Method::HEAD, self.once);
+            wire.begin(&self.id, self.method == Method::HEAD, self.once());
             match wire.sender.try_send_request(request).await {
                 Ok(answer) => return self.judge(wire, answer).await,
                 Err(mut why) => {
--- a/crates/rookpulley-courier/src/carry.rs
+++ b/crates/rookpulley-courier/src/carry.rs
@@ -11,7 +11,7 @@
 use hyper::body::{Body, Incoming};
 use hyper::header::{CONNECTION, EXPECT, HeaderValue};
 use hyper::{Request, Response};
-use rookpulley_addressbook::{Limits, RouteKind};
+use rookpulley_addressbook::Limits;
 use rookpulley_round::{Fate, Next, Round};
 use std::cell::Cell;
 use std::collections::VecDeque;
@@ -111,14 +111,13 @@
         id: checked.id,
         service: Rc::from(service.name.as_str()),
         kind: route.kind,
-        once: route.kind == RouteKind::Mutating,
         attempts: route.attempts,
         aim_ms: route.aim_ms,
         until_ms,
         max_connections: service.max_connections,
     };
     let gone = Rc::new(Cell::new(false));
-    if !errand.once {
+    if !errand.once() {
         return tries(errand, parcel, gone).await;
     }
     // A task that has begun on it may finish though the client has left: its work is done once and not broken off.
