Two readers of bodies in chunks, and why one can't serve for both

The counter's reader takes the data out and refuses what two readers could take for two things: sizes beyond 16 digits, spaces behind a size, other than visible letters in extensions, trailers that are no lines. The courier's keeps no data and finds where a body ends in bytes that hyper reads, too; where it were stricter, it would lose that place. Ruled out: one reader with a switch, as hardly a step of the two would be the same.

--- a/crates/rookpulley-courier/src/span.rs
+++ b/crates/rookpulley-courier/src/span.rs
@@ -9,7 +9,8 @@
     Endless,
 }
 
-/// Where a body in chunks stands. It is read as hyper reads it, byte by byte where lines are.
+/// Where a body in chunks stands. It is read as hyper reads it, byte by byte where lines are: the counter's reader
+/// refuses what hyper takes, and so would lose the place where hyper's body ends.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Chunks {
     Start,
