The depot names its processes in one place

Role says it now, and who walks over all processes asks one list of them. Their end is waited for by timeout_at, as elsewhere. Ruled out: naming a process by its place in the list, which the logs and the user could not read.

--- a/crates/rookpulley-depot/src/depot.rs
+++ b/crates/rookpulley-depot/src/depot.rs
@@ -6,7 +6,7 @@
 use crate::operator::{FIRST, LETTERS, PARCELS, configuration};
 use crate::processes::{Processes, tails};
 use crate::record::Record;
-use crate::sheet::ZONES;
+use crate::sheet::{Role, ZONES};
 use crate::task::{Stage, Task, begin};
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::rc::Rc;
@@ -47,7 +47,7 @@
                 let answer = once(to, "GET", "/rookpulley/readiness", "", ANSWERS).await;
                 answer.is_some_and(|(status, _)| status == 200)
             };
-            self.wait(&format!("that courier-{} is ready", machine + 1), ready).await?;
+            self.wait(&format!("that {} is ready", Role::Courier.name(machine)), ready).await?;
         }
         Ok(())
     }
--- a/crates/rookpulley-depot/src/judge.rs
+++ b/crates/rookpulley-depot/src/judge.rs
@@ -3,6 +3,7 @@
 use crate::clients::{Seen, Try};
 use crate::operator::SECOND;
 use crate::record::{Arrival, Drain, Given, Moment};
+use crate::sheet::Role;
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::time::Duration;
 
@@ -243,10 +244,6 @@
     };
     let took = one.ended.saturating_sub(one.sent).as_millis();
     let at = one.sent.as_secs_f64();
-    format!(
-        "{} at {at:.2} s by courier-{} ({}): {seen} after {took} ms",
-        one.id,
-        one.courier + 1,
-        one.route.name
-    )
+    let courier = Role::Courier.name(one.courier);
+    format!("{} at {at:.2} s by {courier} ({}): {seen} after {took} ms", one.id, one.route.name)
 }
--- a/crates/rookpulley-depot/src/processes.rs
+++ b/crates/rookpulley-depot/src/processes.rs
@@ -10,15 +10,15 @@
 use std::process::{ExitStatus, Stdio};
 use std::time::Duration;
 use tokio::process::{Child, Command};
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout_at};
 
 /// Of a log, so many lines are shown where something went wrong.
 const TAIL: usize = 6;
 /// What a process may take beyond its grace before it is killed.
 const BEYOND: Duration = Duration::from_secs(2);
 
-pub struct Process {
-    pub name: String,
+struct Process {
+    name: String,
     role: Role,
     machine: usize,
     child: Option<Child>,
@@ -31,6 +31,11 @@
     all: Vec<Process>,
 }
 
+/// All offices, then all couriers.
+fn places() -> impl Iterator<Item = (Role, usize)> {
+    Role::ALL.into_iter().flat_map(|role| (0..MACHINES).map(move |machine| (role, machine)))
+}
+
 /// The program that stands beside this one.
 fn sibling(name: &str) -> Result<PathBuf, DepotError> {
     let own = std::env::current_exe().map_err(DepotError::system("this program's own place is unknown"))?;
@@ -41,14 +46,9 @@
 impl Processes {
     pub fn find(verbose: bool) -> Result<Self, DepotError> {
         let (offices, couriers) = (sibling("rookpulley-office")?, sibling("rookpulley-courier")?);
-        let both = [Role::Office, Role::Courier];
-        let all = both.into_iter().flat_map(|role| {
-            (0..MACHINES).map(move |machine| Process {
-                name: format!("{}-{}", role.word(), machine + 1),
-                role,
-                machine,
-                child: None,
-            })
+        let all = places().map(|(role, machine)| {
+            let name = role.name(machine);
+            Process { name, role, machine, child: None }
         });
         Ok(Self { offices, couriers, verbose, all: all.collect() })
     }
@@ -119,10 +119,10 @@
             ending.push((process.name.clone(), child));
         }
         let within = Duration::from_secs_f64(GRACE_S) + BEYOND;
-        let until = tokio::time::Instant::now() + within;
+        let until = Instant::now() + within;
         let mut faults = Vec::new();
         for (name, mut child) in ending {
-            match timeout(until.saturating_duration_since(tokio::time::Instant::now()), child.wait()).await {
+            match timeout_at(until, child.wait()).await {
                 Ok(Ok(status)) if status.success() => {}
                 Ok(Ok(status)) => faults.push(format!("{name} ended with {status}")),
                 Ok(Err(why)) => faults.push(format!("{name} can't be waited for: {why}")),
@@ -154,8 +154,7 @@
 
 /// The last lines of all, to be shown where something was late.
 pub fn tails(ground: &Ground) -> String {
-    let names = ["office", "courier"].map(|role| (1..=MACHINES).map(move |at| format!("{role}-{at}")));
-    names.into_iter().flatten().map(|name| tail(ground, &name)).collect()
+    places().map(|(role, machine)| tail(ground, &role.name(machine))).collect()
 }
 
 /// What all logs say above the ordinary, to be read after a trial.
--- a/crates/rookpulley-depot/src/sheet.rs
+++ b/crates/rookpulley-depot/src/sheet.rs
@@ -20,26 +20,29 @@
 }
 
 impl Role {
-    pub fn word(self) -> &'static str {
+    pub const ALL: [Role; 2] = [Role::Office, Role::Courier];
+
+    fn word(self) -> &'static str {
         match self {
             Role::Courier => "courier",
             Role::Office => "office",
         }
     }
+
+    /// What its process on this machine is called, in settings, logs and all that is told.
+    pub fn name(self, machine: usize) -> String {
+        format!("{}-{}", self.word(), machine + 1)
+    }
 }
 
 /// `first`: the whole gateway starts for the first time, with empty disks.
 pub fn sheet(ground: &Ground, machine: usize, role: Role, first: bool) -> Node {
-    let name = format!("{}-{}", role.word(), machine + 1);
+    let name = role.name(machine);
     let (serves, listen) = match role {
-        Role::Courier => (
-            "edge",
-            Listen {
-                front: Some(ground.front(machine)),
-                readiness: Some(ground.readiness(machine)),
-                control: None,
-            },
-        ),
+        Role::Courier => {
+            let (front, readiness) = (Some(ground.front(machine)), Some(ground.readiness(machine)));
+            ("edge", Listen { front, readiness, control: None })
+        }
         Role::Office => {
             ("control_plane", Listen { control: Some(ground.control(machine)), ..Listen::default() })
         }
--- a/crates/rookpulley-depot/src/trial.rs
+++ b/crates/rookpulley-depot/src/trial.rs
@@ -10,7 +10,7 @@
 use crate::operator::{SECOND, configuration};
 use crate::order;
 use crate::record::Moment;
-use crate::sheet::{CATCH_UP_S, CONFIG_APPLY_MS, DRAIN_MS, sheet};
+use crate::sheet::{CATCH_UP_S, CONFIG_APPLY_MS, DRAIN_MS, Role, sheet};
 use crate::task::Stage;
 use std::cell::Cell;
 use std::rc::Rc;
@@ -71,7 +71,7 @@
 
     let (tries, record) = (clients.tries.borrow(), depot.record.clone());
     let (arrivals, drains) = (record.arrivals.borrow(), record.drains.borrow());
-    let bounds = sheet(&depot.ground, 0, crate::sheet::Role::Courier, false).bounds;
+    let bounds = sheet(&depot.ground, 0, Role::Courier, false).bounds;
     let requests = Requests {
         tries: &tries,
         arrivals: &arrivals,
@@ -104,7 +104,7 @@
     clients: &Rc<Clients>,
     applications: &Rc<Applications>,
 ) -> Result<Moment, DepotError> {
-    let office = format!("office-{}", machine + 1);
+    let office = Role::Office.name(machine);
     say(depot, "requests go through all couriers, applications call all offices");
     let served = |courier: Option<usize>| {
         let tries = clients.tries.borrow();
@@ -183,7 +183,8 @@
     for (machine, office) in depot.ground.controls().into_iter().enumerate() {
         let answer = once(office, "GET", "/rookpulley/configuration", "", ANSWERS).await;
         let fine = answer.as_ref().is_some_and(|(status, body)| *status == 200 && body == sent.as_bytes());
-        check.look(fine, || format!("office-{}: {:?}", machine + 1, answer.map(|(status, _)| status)));
+        check
+            .look(fine, || format!("{}: {:?}", Role::Office.name(machine), answer.map(|(status, _)| status)));
     }
     check
 }
