The depot reads answers, asks for the configuration and names a task's path once each

Beats took a field out of an answer's JSON as Reply does: both ask one function. The path of a task's life and the call that reads the configuration back stood twice; a try's body was copied to be digested. Ruled out: the gateway's own RouteKind, its beats and its readers in place of the depot's. The depot judges the gateway from outside, and a fault in what both shared would hide from it. An HTTP client in common with the command line, which is a program and lends nothing.

--- a/crates/rookpulley-depot/src/beats.rs
+++ b/crates/rookpulley-depot/src/beats.rs
@@ -1,14 +1,12 @@
 //! What a task tells the offices: that it lives, that it drains, that it has left.
 
-use crate::caller::{SILENCE, once};
-use crate::record::Drain;
+use crate::caller::{SILENCE, field, once};
+use crate::record::{Drain, digest};
 use crate::sheet::{DRAIN_MS, HEARTBEAT_MS};
 use crate::task::{Stage, Task};
-use std::collections::HashMap;
 use std::net::SocketAddrV4;
 use std::rc::Rc;
 use std::time::Duration;
-use tinyjson::JsonValue;
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 
 const ACKNOWLEDGEMENT_MOST: usize = 4 << 10;
@@ -28,6 +26,10 @@
 }
 
 impl Beats {
+    fn path(&self) -> String {
+        format!("/rookpulley/instances/{}", self.task.life)
+    }
+
     fn body(&self) -> String {
         let task = &self.task;
         let state = if task.stage() == Stage::Available { "available" } else { "draining" };
@@ -44,7 +46,7 @@
 
     /// One beat, to one office after another.
     async fn beat(&mut self) -> bool {
-        let path = format!("/rookpulley/instances/{}", self.task.life);
+        let path = self.path();
         for _ in 0..=self.offices.len() {
             self.sequence += 1;
             let asked = self.endpoint.take();
@@ -63,7 +65,7 @@
     }
 
     async fn leave(&self) -> bool {
-        let path = format!("/rookpulley/instances/{}", self.task.life);
+        let path = self.path();
         let given_up = Instant::now() + UNHEARD;
         for office in self.offices.iter().cycle().skip(self.next) {
             if let Some((200..=299, _)) = once(*office, "DELETE", &path, "", SILENCE).await {
@@ -79,14 +81,12 @@
 }
 
 fn endpoint(answer: &[u8]) -> Option<SocketAddrV4> {
-    let value: JsonValue = std::str::from_utf8(answer).ok()?.parse().ok()?;
-    let fields: &HashMap<String, JsonValue> = value.get()?;
-    fields.get("heartbeatEndpoint")?.get::<String>()?.parse().ok()
+    field(answer, "heartbeatEndpoint")?.get::<String>()?.parse().ok()
 }
 
 /// A task's whole life as the offices hear of it.
 pub async fn live(task: Rc<Task>, offices: Vec<SocketAddrV4>) {
-    let next = crate::record::digest(&task.life) as usize % offices.len().max(1);
+    let next = digest(&task.life) as usize % offices.len().max(1);
     let mut beats = Beats { task: task.clone(), offices, next, endpoint: None, sequence: 0 };
     let mut stage = task.stage.subscribe();
     while *stage.borrow_and_update() == Stage::Available {
--- a/crates/rookpulley-depot/src/caller.rs
+++ b/crates/rookpulley-depot/src/caller.rs
@@ -33,24 +33,25 @@
         (200..300).contains(&self.status)
     }
 
-    fn field(&self, name: &str) -> Option<JsonValue> {
-        let value: JsonValue = std::str::from_utf8(&self.body).ok()?.parse().ok()?;
-        value.get::<HashMap<String, JsonValue>>()?.get(name).cloned()
-    }
-
     pub fn number(&self, name: &str) -> Option<u64> {
-        self.field(name)?.get::<f64>().map(|number| *number as u64)
+        field(&self.body, name)?.get::<f64>().map(|number| *number as u64)
     }
 
     pub fn text(&self, name: &str) -> Option<String> {
-        self.field(name)?.get::<String>().cloned()
+        field(&self.body, name)?.get::<String>().cloned()
     }
 
     pub fn list(&self, name: &str) -> Option<Vec<JsonValue>> {
-        self.field(name)?.get::<Vec<JsonValue>>().cloned()
+        field(&self.body, name)?.get::<Vec<JsonValue>>().cloned()
     }
 }
 
+/// A field of the JSON object that an answer is.
+pub fn field(answer: &[u8], name: &str) -> Option<JsonValue> {
+    let value: JsonValue = std::str::from_utf8(answer).ok()?.parse().ok()?;
+    value.get::<HashMap<String, JsonValue>>()?.get(name).cloned()
+}
+
 /// One call to one office on a connection of its own.
 pub async fn once(
     to: SocketAddrV4,
--- a/crates/rookpulley-depot/src/clients.rs
+++ b/crates/rookpulley-depot/src/clients.rs
@@ -58,7 +58,7 @@
     pub tries: RefCell<Vec<Try>>,
     pub sent: Cell<u32>,
     /// The version whose routes are asked for.
-    pub version: Cell<u64>,
+    version: Cell<u64>,
     pub over: Cell<bool>,
 }
 
@@ -134,8 +134,9 @@
             request = request.header(CONNECTION, "close");
         }
         let sent = self.record.now();
-        let bytes = digest(Bytes::from(body.clone()));
-        let outcome = match request.body(Full::new(Bytes::from(body))) {
+        let body = Bytes::from(body);
+        let digested = digest(&body);
+        let outcome = match request.body(Full::new(body)) {
             Ok(request) => self.exchange(courier, request, fresh, until).await,
             Err(_) => Outcome::Nothing,
         };
@@ -160,7 +161,7 @@
             route,
             method,
             target,
-            body: bytes,
+            body: digested,
             sent,
             ended: self.record.now(),
             seen: seen.clone(),
--- a/crates/rookpulley-depot/src/coordination.rs
+++ b/crates/rookpulley-depot/src/coordination.rs
@@ -1,6 +1,6 @@
 //! Applications: they take a lock from each other, ask for numbers, put small keys and watch them.
 
-use crate::caller::{Caller, Reply};
+use crate::caller::{Caller, Reply, SILENCE};
 use crate::record::{Moment, Record};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -248,7 +248,7 @@
             }
             let path = format!("/rookpulley/watch/{GROUP}?after={after}&waitMs={}", WATCHES.as_millis());
             let until = Instant::now() + PATIENCE;
-            let silence = WATCHES + crate::caller::SILENCE;
+            let silence = WATCHES + SILENCE;
             let Some(reply) = caller.call_within("GET", &path, "", silence, until).await else {
                 self.odd(format!("GET {path}: no clear answer"));
                 continue;
--- a/crates/rookpulley-depot/src/trial.rs
+++ b/crates/rookpulley-depot/src/trial.rs
@@ -12,7 +12,9 @@
 use crate::record::Moment;
 use crate::sheet::{CATCH_UP_S, CONFIG_APPLY_MS, DRAIN_MS, Role, sheet};
 use crate::task::Stage;
+use bytes::Bytes;
 use std::cell::Cell;
+use std::net::SocketAddrV4;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::task::{JoinHandle, spawn_local};
@@ -136,12 +138,8 @@
     say(depot, &format!("configuration {SECOND} is acknowledged by them"));
     depot.processes.start(&depot.ground, &office)?;
     say(depot, &format!("{office} starts again"));
-    let (control, newest) = (depot.ground.control(machine), configuration(SECOND));
-    let newest = newest.as_str();
-    let knows = || async move {
-        let answer = once(control, "GET", "/rookpulley/configuration", "", ANSWERS).await;
-        answer.is_some_and(|(status, body)| status == 200 && body == newest.as_bytes())
-    };
+    let (control, newest) = (depot.ground.control(machine), (200, Bytes::from(configuration(SECOND))));
+    let knows = async || held_by(control).await.as_ref() == Some(&newest);
     depot.wait(&format!("that {office} is back and knows configuration {SECOND}"), knows).await?;
     say(depot, &format!("{office} is back and knows it"));
     depot.wait("the time by which the new route must hold", async || record.now() > holds).await?;
@@ -176,15 +174,19 @@
     }
 }
 
+/// The status and configuration that an office gives back.
+async fn held_by(office: SocketAddrV4) -> Option<(u16, Bytes)> {
+    once(office, "GET", "/rookpulley/configuration", "", ANSWERS).await
+}
+
 /// Every office must give back the newest configuration as it was sent.
 async fn read_back(depot: &Depot) -> Check {
     let mut check = Check::new("every office reads the newest configuration back");
-    let sent = configuration(SECOND);
+    let sent = (200, Bytes::from(configuration(SECOND)));
     for (machine, office) in depot.ground.controls().into_iter().enumerate() {
-        let answer = once(office, "GET", "/rookpulley/configuration", "", ANSWERS).await;
-        let fine = answer.as_ref().is_some_and(|(status, body)| *status == 200 && body == sent.as_bytes());
-        check
-            .look(fine, || format!("{}: {:?}", Role::Office.name(machine), answer.map(|(status, _)| status)));
+        let held = held_by(office).await;
+        let status = held.as_ref().map(|(status, _)| *status);
+        check.look(held.as_ref() == Some(&sent), || format!("{}: {status:?}", Role::Office.name(machine)));
     }
     check
 }
