--- a/crates/rookpulley-depot/src/trial.rs
+++ b/crates/rookpulley-depot/src/trial.rs
@@ -10,9 +10,11 @@
 use crate::operator::{SECOND, configuration};
 use crate::order;
 use crate::record::Moment;
-use crate::sheet::{CATCH_UP_S, CONFIG_APPLY_MS, DRAIN_MS, sheet};
+use crate::sheet::{CATCH_UP_S, CONFIG_APPLY_MS, DRAIN_MS, Role, sheet};
 use crate::task::Stage;
+use bytes::Bytes;
 use std::cell::Cell;
+use std::net::SocketAddrV4;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::task::{JoinHandle, spawn_local};
@@ -71,7 +73,7 @@
 
     let (tries, record) = (clients.tries.borrow(), depot.record.clone());
     let (arrivals, drains) = (record.arrivals.borrow(), record.drains.borrow());
-    let bounds = sheet(&depot.ground, 0, crate::sheet::Role::Courier, false).bounds;
+    let bounds = sheet(&depot.ground, 0, Role::Courier, false).bounds;
     let requests = Requests {
         tries: &tries,
         arrivals: &arrivals,
@@ -104,7 +106,7 @@
     clients: &Rc<Clients>,
     applications: &Rc<Applications>,
 ) -> Result<Moment, DepotError> {
-    let office = format!("office-{}", machine + 1);
+    let office = Role::Office.name(machine);
     say(depot, "requests go through all couriers, applications call all offices");
     let served = |courier: Option<usize>| {
         let tries = clients.tries.borrow();
@@ -136,12 +138,8 @@
     say(depot, &format!("configuration {SECOND} is acknowledged by them"));
     depot.processes.start(&depot.ground, &office)?;
     say(depot, &format!("{office} starts again"));
-    let (control, newest) = (depot.ground.control(machine), configuration(SECOND));
-    let newest = newest.as_str();
-    let knows = || async move {
-        let answer = once(control, "GET", "/rookpulley/configuration", "", ANSWERS).await;
-        answer.is_some_and(|(status, body)| status == 200 && body == newest.as_bytes())
-    };
+    let (control, newest) = (depot.ground.control(machine), (200, Bytes::from(configuration(SECOND))));
+    let knows = async || held_by(control).await.as_ref() == Some(&newest);
     depot.wait(&format!("that {office} is back and knows configuration {SECOND}"), knows).await?;
     say(depot, &format!("{office} is back and knows it"));
     depot.wait("the time by which the new route must hold", async || record.now() > holds).await?;
@@ -176,14 +174,19 @@
     }
 }
 
+/// The status and configuration that an office gives back.
+async fn held_by(office: SocketAddrV4) -> Option<(u16, Bytes)> {
+    once(office, "GET", "/rookpulley/configuration", "", ANSWERS).await
+}
+
 /// Every office must give back the newest configuration as it was sent.
 async fn read_back(depot: &Depot) -> Check {
     let mut check = Check::new("every office reads the newest configuration back");
-    let sent = configuration(SECOND);
+    let sent = (200, Bytes::from(configuration(SECOND)));
     for (machine, office) in depot.ground.controls().into_iter().enumerate() {
-        let answer = once(office, "GET", "/rookpulley/configuration", "", ANSWERS).await;
-        let fine = answer.as_ref().is_some_and(|(status, body)| *status == 200 && body == sent.as_bytes());
-        check.look(fine, || format!("office-{}: {:?}", machine + 1, answer.map(|(status, _)| status)));
+        let held = held_by(office).await;
+        let status = held.as_ref().map(|(status, _)| *status);
+        check.look(held.as_ref() == Some(&sent), || format!("{}: {status:?}", Role::Office.name(machine)));
     }
     check
 }
