Faults with place, found and instead are gathered and told by one package, returns

A configuration and a settings file each had their own Fault and Faults, alike but for the heading, the help and how much is told; the operator's `check` had a third pair, into which both were copied. Values that a fault shows, counts of things and the line and column of a place were written two or three times as well.

`rookpulley-returns` holds them. A `Manner` says what differs: how many faults and letters are told, the heading, the help; each text's own stands in its package. `check` prints the same faults without copying them. In settings, the field `field` of a fault is `place` now; faults are no longer compared (nothing did) nor made by default, as each has a manner. A `null` in settings was to be "nothing"; TOML has none, so that word is gone.

Ruled out: a type parameter instead of the manner, as `check` holds faults of both kinds in one list; a wrapper a package round shared faults, which would be as long as the copies.

--- a/crates/rookpulley-addressbook/src/json.rs
+++ b/crates/rookpulley-addressbook/src/json.rs
@@ -1,6 +1,8 @@
 //! Bytes become JSON values. What would cost too much stack or memory is refused before it is built.
 
-use crate::faults::Faults;
+use crate::faults::CONFIGURATION;
+use rookpulley_returns::{Faults, Place};
+use std::fmt::Display;
 use tinyjson::JsonValue;
 
 /// A configuration of 3,000 routes takes about a megabyte.
@@ -13,11 +15,11 @@
 pub(crate) fn parse(bytes: &[u8]) -> Result<JsonValue, Faults> {
     if bytes.len() > BYTES_MOST {
         let found = format!("{} bytes long", bytes.len());
-        return Err(Faults::one("the body", found, format!("at most {BYTES_MOST} bytes")));
+        return Err(fault("the body", found, format!("at most {BYTES_MOST} bytes")));
     }
     let text = std::str::from_utf8(bytes).map_err(|e| {
         let before = bytes.get(..e.valid_up_to()).unwrap_or(bytes);
-        Faults::one(Place::after(before), "no UTF-8", "the whole configuration as JSON in UTF-8")
+        fault(Place::after(before), "no UTF-8", "the whole configuration as JSON in UTF-8")
     })?;
     weigh(bytes)?;
     text.parse().map_err(|e: tinyjson::JsonParseError| {
@@ -25,17 +27,17 @@
         let told = e.to_string();
         let cause = told.split_once(": ").map_or("no JSON", |(_, cause)| cause);
         if cause.starts_with("Unexpected EOF") {
-            Faults::one(
-                place,
-                "where the text ends too soon",
-                "the whole configuration; this one was cut short",
-            )
+            fault(place, "where the text ends too soon", "the whole configuration; this one was cut short")
         } else {
-            Faults::one(place, format!("no JSON ({cause})"), "one JSON object and nothing after it")
+            fault(place, format!("no JSON ({cause})"), "one JSON object and nothing after it")
         }
     })
 }
 
+fn fault(place: impl Display, found: impl Display, instead: impl Display) -> Faults {
+    Faults::one(&CONFIGURATION, place, found, instead)
+}
+
 /// Counts depth and values, without building any.
 fn weigh(bytes: &[u8]) -> Result<(), Faults> {
     let (mut depth, mut values, mut quoted, mut escaped) = (0usize, 1usize, false, false);
@@ -53,31 +55,11 @@
         if depth > DEPTH_MOST || values > VALUES_MOST {
             let place = Place::after(bytes.get(..at).unwrap_or(bytes));
             return Err(if depth > DEPTH_MOST {
-                Faults::one(place, "nested too deep", format!("at most {DEPTH_MOST} levels"))
+                fault(place, "nested too deep", format!("at most {DEPTH_MOST} levels"))
             } else {
-                Faults::one(place, "one value too many", format!("at most {VALUES_MOST} values"))
+                fault(place, "one value too many", format!("at most {VALUES_MOST} values"))
             });
         }
     }
     Ok(())
 }
-
-struct Place {
-    line: usize,
-    column: usize,
-}
-
-impl Place {
-    /// The place of the byte that follows these.
-    fn after(before: &[u8]) -> Self {
-        let last = before.rsplit(|byte| *byte == b'\n').next().unwrap_or_default();
-        let lines = before.iter().filter(|byte| **byte == b'\n').count();
-        Self { line: lines + 1, column: String::from_utf8_lossy(last).chars().count() + 1 }
-    }
-}
-
-impl std::fmt::Display for Place {
-    fn fmt(&self, f: &mut std::fmt::Formatter) -> std::fmt::Result {
-        write!(f, "line {}, column {}", self.line, self.column)
-    }
-}
--- a/crates/rookpulley-addressbook/src/lib.rs
+++ b/crates/rookpulley-addressbook/src/lib.rs
@@ -1,7 +1,7 @@
 //! The operator's configuration, checked and turned into a snapshot that routes.
 //!
 //! `json` turns bytes into values within bounds, `values` takes fields out of them, `read` checks what they say,
-//! `book` and `route` are the snapshot, `faults` names what is wrong with a configuration.
+//! `book` and `route` are the snapshot, `faults` says how what is wrong with it is told.
 
 mod book;
 mod faults;
@@ -11,6 +11,6 @@
 mod values;
 
 pub use book::{Book, Limits, Service};
-pub use faults::{Fault, Faults};
 pub use json::{BYTES_MOST, DEPTH_MOST, VALUES_MOST};
+pub use rookpulley_returns::{Fault, Faults};
 pub use route::{Route, RouteKind};
--- a/crates/rookpulley-addressbook/src/read.rs
+++ b/crates/rookpulley-addressbook/src/read.rs
@@ -1,10 +1,11 @@
 //! From the operator's bytes to the snapshot, or to all that is wrong with them.
 
 use crate::book::{Book, Limits, Service};
-use crate::faults::Faults;
+use crate::faults::CONFIGURATION;
 use crate::json::parse;
 use crate::route::{Route, RouteKind};
 use crate::values::Value;
+use rookpulley_returns::Faults;
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::collections::hash_map::Entry;
@@ -17,7 +18,7 @@
 impl Book {
     /// The operator's configuration as it was sent. Nothing of the bytes is kept.
     pub fn read(bytes: &[u8]) -> Result<Self, Faults> {
-        let (json, faults) = (parse(bytes)?, RefCell::default());
+        let (json, faults) = (parse(bytes)?, RefCell::new(Faults::none(&CONFIGURATION)));
         let book = book(Value::top(&json, &faults));
         let faults = faults.into_inner();
         match book {
--- a/crates/rookpulley-addressbook/src/values.rs
+++ b/crates/rookpulley-addressbook/src/values.rs
@@ -1,6 +1,7 @@
 //! Takes fields out of a JSON value by name, and notes each that can't be used, with the way to it.
 
-use crate::faults::Faults;
+use crate::faults::CONFIGURATION;
+use rookpulley_returns::{Faults, said};
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::fmt::{self, Display, Formatter};
@@ -77,7 +78,7 @@
         let json = self.json?;
         let taken = form(json);
         if taken.is_none() {
-            self.note(said(json), instead);
+            self.note(said(json, "an object", CONFIGURATION.shown), instead);
         }
         taken
     }
@@ -128,15 +129,3 @@
 fn whole(number: f64, least: u32) -> bool {
     number.fract() == 0.0 && (f64::from(least)..=EXACT).contains(&number)
 }
-
-/// A value as a fault shows it.
-fn said(json: &JsonValue) -> String {
-    match json {
-        JsonValue::Null => "null".into(),
-        JsonValue::Boolean(flag) => flag.to_string(),
-        JsonValue::Number(number) => number.to_string(),
-        JsonValue::String(text) => format!("{:?}", text.chars().take(100).collect::<String>()),
-        JsonValue::Array(items) => format!("a list of {}", items.len()),
-        JsonValue::Object(fields) => format!("an object of {}", fields.len()),
-    }
-}
--- a/crates/rookpulley-cli/src/gateway/check.rs
+++ b/crates/rookpulley-cli/src/gateway/check.rs
@@ -1,64 +1,44 @@
 //! What is wrong with a file: the place, what was found there, what to write instead.
 
 use rookpulley_addressbook::{BYTES_MOST, Book};
+use rookpulley_returns::{Fault, Faults, Manner, Place, counted};
 use rookpulley_settings::{Deploy, Node, SettingsError};
 use serde_json::{Value, json};
+use std::fmt::Display;
 use std::fs::File;
 use std::io::Read;
 use std::path::{Path, PathBuf};
 
-pub struct Fault {
-    place: String,
-    found: String,
-    instead: String,
-}
+/// How the faults of a file that can't be read are told: whole, as there is one.
+static FILE: Manner = Manner {
+    told: 1,
+    shown: usize::MAX,
+    heading: |_| "the file can't be read".into(),
+    help: "name a file of this kind",
+};
 
-impl Fault {
-    fn new(place: impl ToString, found: impl ToString, instead: impl ToString) -> Self {
-        Self { place: place.to_string(), found: found.to_string(), instead: instead.to_string() }
-    }
+fn one(place: impl Display, found: impl Display, instead: impl Display) -> Faults {
+    Faults::one(&FILE, place, found, instead)
 }
 
-#[derive(Default)]
-pub struct Faults {
-    faults: Vec<Fault>,
-    /// How many more there are.
-    more: usize,
+fn unreadable(why: &std::io::Error) -> Faults {
+    one("the file", format!("unreadable ({why})"), "the path of a file that you may read")
 }
 
-impl Faults {
-    fn one(fault: Fault) -> Self {
-        Self { faults: vec![fault], more: 0 }
-    }
-
-    fn unreadable(why: &std::io::Error) -> Self {
-        Self::one(Fault::new(
-            "the file",
-            format!("unreadable ({why})"),
-            "the path of a file that you may read",
-        ))
-    }
-}
-
-impl From<SettingsError> for Faults {
-    fn from(error: SettingsError) -> Self {
-        match error {
-            SettingsError::Faulty(told) => {
-                let each = told.faults.into_iter().map(|f| Fault::new(f.field, f.found, f.instead));
-                Self { faults: each.collect(), more: told.untold }
-            }
-            SettingsError::Unreadable { cause, .. } => Self::unreadable(&cause),
-            SettingsError::TooLong { bytes, most } => {
-                let instead = format!("at most {most}; it takes a few kilobytes");
-                Self::one(Fault::new("the file", format!("over {} bytes long", bytes.min(most)), instead))
-            }
-            SettingsError::NotToml { line, column, cause } => Self::one(Fault::new(
-                format!("line {line}, column {column}"),
-                format!("no TOML ({})", cause.lines().collect::<Vec<_>>().join(", ")),
-                "one `field = value` a line, texts in quotes, tables under [name]",
-            )),
-            SettingsError::NotTold => Self::one(Fault::new("the file", "not named", "its path")),
+fn untaken(error: SettingsError) -> Faults {
+    match error {
+        SettingsError::Faulty(told) => told,
+        SettingsError::Unreadable { cause, .. } => unreadable(&cause),
+        SettingsError::TooLong { bytes, most } => {
+            let instead = format!("at most {most}; it takes a few kilobytes");
+            one("the file", format!("over {} bytes long", bytes.min(most)), instead)
         }
+        SettingsError::NotToml { line, column, cause } => one(
+            Place { line, column },
+            format!("no TOML ({})", cause.lines().collect::<Vec<_>>().join(", ")),
+            "one `field = value` a line, texts in quotes, tables under [name]",
+        ),
+        SettingsError::NotTold => one("the file", "not named", "its path"),
     }
 }
 
@@ -78,7 +58,7 @@
                 Err(told) => {
                     let each = |f: &Fault| json!({"place": f.place, "found": f.found, "instead": f.instead});
                     let faults: Vec<Value> = told.faults.iter().map(each).collect();
-                    json!({"file": self.file, "ok": false, "faults": faults, "more": told.more})
+                    json!({"file": self.file, "ok": false, "faults": faults, "more": told.untold})
                 }
             };
             return (said.to_string() + "\n", well);
@@ -88,8 +68,11 @@
             Ok(what) => format!("{file}: {what}\n"),
             Err(told) => {
                 let line = |f: &Fault| format!("{file}: {} is {}; write {}\n", f.place, f.found, f.instead);
-                let more =
-                    if told.more > 0 { format!("{file}: and {} more\n", told.more) } else { String::new() };
+                let more = if told.untold > 0 {
+                    format!("{file}: and {} more\n", told.untold)
+                } else {
+                    String::new()
+                };
                 told.faults.iter().map(line).collect::<String>() + &more
             }
         };
@@ -97,12 +80,8 @@
     }
 }
 
-pub fn counted(count: usize, what: &str) -> String {
-    if count == 1 { format!("1 {what}") } else { format!("{count} {what}s") }
-}
-
 pub fn settings(file: &Path) -> Checked {
-    let verdict = Node::read(file).map_err(Faults::from).map(|node| {
+    let verdict = Node::read(file).map_err(untaken).map(|node| {
         let serves = if node.serves.is_empty() { "nobody".into() } else { node.serves.join(" and ") };
         let disk = if node.data.is_some() { "a disk" } else { "no disk" };
         format!(
@@ -116,7 +95,7 @@
 }
 
 pub fn deploy(file: &Path) -> Checked {
-    let verdict = Deploy::read(file).map_err(Faults::from).map(|deploy| {
+    let verdict = Deploy::read(file).map_err(untaken).map(|deploy| {
         let names: Vec<&str> = deploy.roles.keys().map(String::as_str).collect();
         format!("{} ({}); can be used", counted(names.len(), "role"), names.join(", "))
     });
@@ -145,11 +124,8 @@
 
 pub fn read(file: &Path) -> Result<Book, Faults> {
     let mut bytes = Vec::new();
-    let opened = File::open(file).map_err(|why| Faults::unreadable(&why))?;
+    let opened = File::open(file).map_err(|why| unreadable(&why))?;
     let most = BYTES_MOST as u64 + 1;
-    opened.take(most).read_to_end(&mut bytes).map_err(|why| Faults::unreadable(&why))?;
-    Book::read(&bytes).map_err(|told| {
-        let each = told.faults.into_iter().map(|f| Fault::new(f.place, f.found, f.instead));
-        Faults { faults: each.collect(), more: told.untold }
-    })
+    opened.take(most).read_to_end(&mut bytes).map_err(|why| unreadable(&why))?;
+    Book::read(&bytes)
 }
--- a/crates/rookpulley-cli/src/gateway/explain.rs
+++ b/crates/rookpulley-cli/src/gateway/explain.rs
@@ -1,8 +1,9 @@
 //! Where a configuration sends a request, and why there.
 
-use super::check::{counted, read, refused};
+use super::check::{read, refused};
 use crate::show::table;
 use rookpulley_addressbook::{Book, Route, RouteKind};
+use rookpulley_returns::counted;
 use serde_json::{Value, json};
 use std::path::Path;
 
--- a/crates/rookpulley-cli/src/gateway/store.rs
+++ b/crates/rookpulley-cli/src/gateway/store.rs
@@ -1,10 +1,10 @@
 //! What an office's disk holds, read in place while no process uses it.
 
-use super::check::counted;
 use crate::call::CannotAsk;
 use crate::show::table;
 use rookpulley_chain::{Kept, View};
 use rookpulley_ledger::{Ledger, Update};
+use rookpulley_returns::counted;
 use rookpulley_sorting::News;
 use rookpulley_strongroom::{Contents, look};
 use serde_json::{Value, json};
--- /dev/null
+++ b/crates/rookpulley-returns/src/lib.rs
@@ -0,0 +1,9 @@
+//! What is sent back to who wrote it: each fault with its place, what was found there and what to write instead.
+//!
+//! `faults` gathers them within bounds, in the manner of the text that they are of; `shown` names places and values.
+
+mod faults;
+mod shown;
+
+pub use faults::{Fault, Faults, Manner};
+pub use shown::{Place, counted, said};
--- a/crates/rookpulley-settings/src/deploy.rs
+++ b/crates/rookpulley-settings/src/deploy.rs
@@ -1,8 +1,9 @@
 //! The deploy file: how the system is built, and which program runs on which machines.
 
-use crate::faults::SettingsError;
+use crate::faults::{SETTINGS, SettingsError};
 use crate::fields::Table;
 use crate::read::{CLIENTS, CONTROL, text, values};
+use rookpulley_returns::Faults;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::path::Path;
@@ -62,7 +63,7 @@
     }
 
     pub fn parse(text: &str) -> Result<Self, SettingsError> {
-        let (file, faults) = (values(text)?, RefCell::default());
+        let (file, faults) = (values(text)?, RefCell::new(Faults::none(&SETTINGS)));
         let deploy = deploy(&Table::top(&file, &faults));
         let faults = faults.into_inner();
         if faults.is_empty() { Ok(deploy) } else { Err(faults.into()) }
--- a/crates/rookpulley-settings/src/fields.rs
+++ b/crates/rookpulley-settings/src/fields.rs
@@ -1,6 +1,7 @@
 //! One table of the file: takes fields out by name, and notes each that can't be used and what to write instead.
 
-use crate::faults::Faults;
+use crate::faults::SETTINGS;
+use rookpulley_returns::{Faults, said};
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::net::{Ipv4Addr, SocketAddrV4};
@@ -69,7 +70,7 @@
         let value = self.value(field)?;
         let taken = form(value);
         if taken.is_none() {
-            self.note(field, &said(value), instead);
+            self.note(field, &said(value, "a table", SETTINGS.shown), instead);
         }
         taken
     }
@@ -155,7 +156,7 @@
         let each = items.iter().enumerate().filter_map(|(at, item)| {
             let taken = form(item);
             if taken.is_none() {
-                self.note(&format!("{field}[{at}]"), &said(item), instead);
+                self.note(&format!("{field}[{at}]"), &said(item, "a table", SETTINGS.shown), instead);
             }
             taken
         });
@@ -199,15 +200,3 @@
 fn port(number: f64) -> Option<u16> {
     (number.fract() == 0.0 && (1.0..=65_535.0).contains(&number)).then_some(number as u16)
 }
-
-/// A value as a fault shows it.
-fn said(value: &JsonValue) -> String {
-    match value {
-        JsonValue::Null => "nothing".into(),
-        JsonValue::Boolean(flag) => flag.to_string(),
-        JsonValue::Number(number) => number.to_string(),
-        JsonValue::String(text) => format!("{text:?}"),
-        JsonValue::Array(items) => format!("a list of {}", items.len()),
-        JsonValue::Object(fields) => format!("a table of {}", fields.len()),
-    }
-}
--- a/crates/rookpulley-settings/src/lib.rs
+++ b/crates/rookpulley-settings/src/lib.rs
@@ -11,6 +11,7 @@
 mod read;
 
 pub use deploy::{Amount, Deploy, Role};
-pub use faults::{Fault, Faults, SettingsError};
+pub use faults::SettingsError;
 pub use node::{Bounds, Limits, Listen, Node, Tolerance};
 pub use read::{BOOT, boot_path};
+pub use rookpulley_returns::{Fault, Faults};
--- a/crates/rookpulley-settings/src/read.rs
+++ b/crates/rookpulley-settings/src/read.rs
@@ -1,8 +1,9 @@
 //! From the file's text to its values.
 
-use crate::faults::SettingsError;
+use crate::faults::{SETTINGS, SettingsError};
 use crate::fields::Table;
 use crate::node::{Bounds, Limits, Listen, Node, Tolerance};
+use rookpulley_returns::{Faults, Place};
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::fs::File;
@@ -28,7 +29,7 @@
     }
 
     pub fn parse(text: &str) -> Result<Self, SettingsError> {
-        let (file, faults) = (values(text)?, RefCell::default());
+        let (file, faults) = (values(text)?, RefCell::new(Faults::none(&SETTINGS)));
         let node = node(&Table::top(&file, &faults));
         let faults = faults.into_inner();
         if faults.is_empty() { Ok(node) } else { Err(faults.into()) }
@@ -56,8 +57,7 @@
 fn not_toml(text: &str, error: &toml::de::Error) -> SettingsError {
     let start = error.span().map_or(0, |span| span.start);
     let before = text.get(..start).unwrap_or(text);
-    let line = before.matches('\n').count() + 1;
-    let column = before.rsplit('\n').next().unwrap_or_default().chars().count() + 1;
+    let Place { line, column } = Place::after(before.as_bytes());
     SettingsError::NotToml { line, column, cause: error.message().into() }
 }
 
--- a/crates/rookpulley-settings/tests/node.rs
+++ b/crates/rookpulley-settings/tests/node.rs
@@ -78,7 +78,7 @@
 fn faults(text: &str) -> Vec<(String, String)> {
     match Node::parse(text) {
         Err(SettingsError::Faulty(faults)) => {
-            faults.faults.into_iter().map(|fault| (fault.field, fault.instead)).collect()
+            faults.faults.into_iter().map(|fault| (fault.place, fault.instead)).collect()
         }
         other => panic!("no faults: {other:?}"),
     }
