One guard weighs JSON before the parser goes down into it, with each reader's own bounds

The parser calls itself for each value within a value, so every reader of JSON from outside counted brackets first: the configuration by levels and values, the counter by levels, a beat by opening brackets in all. The same walk through quotes and escapes stood in two places, and a new reader would have needed a further one.

`rookpulley_returns::read` takes bytes and bounds: bytes, nesting (levels, or opening brackets in all) and values; the type has no nesting without a bound. Readers keep their limits (a beat 16 KiB and 64 brackets) and their words.

Ruled out: levels for beats as well, which would let through what is refused today; a guard apart from the parsing, which a reader could forget to call.

--- a/crates/rookpulley-counter/src/call.rs
+++ b/crates/rookpulley-counter/src/call.rs
@@ -1,9 +1,10 @@
 //! What a handler is given and what it gives back.
 
+use rookpulley_returns::{Bounds, Nesting, Unread, read};
 use tinyjson::JsonValue;
 
-/// Deeper values are refused: the reader of JSON goes down one call a level, and the stack is bounded.
-const DEEPEST: usize = 64;
+/// Deeper values are refused. How long a body may be is seen to before there is a call.
+const BOUNDS: Bounds = Bounds { bytes: usize::MAX, nesting: Nesting::Levels(64), values: usize::MAX };
 
 /// One call, whole. Path and query are raw, as they were sent; header names are in small letters.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -23,31 +24,11 @@
 
     /// The body as a value, or the reply to a caller whose body is none.
     pub fn json(&self) -> Result<JsonValue, Reply> {
-        if depth(&self.body) > DEEPEST {
-            return Err(Reply::error(400, "the body nests too deeply: send a flatter value"));
-        }
-        let text = std::str::from_utf8(&self.body).ok();
-        let value = text.and_then(|text| text.parse::<JsonValue>().ok());
-        value.ok_or_else(|| Reply::error(400, "the body can't be read: send one whole JSON value in UTF-8"))
-    }
-}
-
-fn depth(text: &[u8]) -> usize {
-    let (mut deep, mut deepest, mut quoted, mut escaped) = (0_usize, 0, false, false);
-    for byte in text {
-        match byte {
-            _ if escaped => escaped = false,
-            b'\\' if quoted => escaped = true,
-            b'"' => quoted = !quoted,
-            b'[' | b'{' if !quoted => {
-                deep += 1;
-                deepest = deepest.max(deep);
-            }
-            b']' | b'}' if !quoted => deep = deep.saturating_sub(1),
-            _ => {}
-        }
+        read(&self.body, BOUNDS).map_err(|why| match why {
+            Unread::Deep { .. } => Reply::error(400, "the body nests too deeply: send a flatter value"),
+            _ => Reply::error(400, "the body can't be read: send one whole JSON value in UTF-8"),
+        })
     }
-    deepest
 }
 
 /// What goes back. Length, date and connection are seen to elsewhere; `Connection: close` set here is kept.
--- a/crates/rookpulley-sorting/src/beat.rs
+++ b/crates/rookpulley-sorting/src/beat.rs
@@ -1,5 +1,6 @@
 //! A task's beat, read from the body of its call.
 
+use rookpulley_returns::{Bounds, Nesting, Unread, read};
 use rookpulley_waybill::Life;
 use serde::{Deserialize, Serialize};
 use std::collections::HashMap;
@@ -8,8 +9,8 @@
 
 /// A beat is some hundred bytes.
 const LONGEST: usize = 16 << 10;
-/// The reader goes down a level for each bracket, on our stack: a beat needs three.
-const BRACKETS_MOST: usize = 64;
+/// A beat needs three brackets.
+const BOUNDS: Bounds = Bounds { bytes: LONGEST, nesting: Nesting::Brackets(64), values: usize::MAX };
 const NAME_LONGEST: usize = 128;
 
 /// What a task says of itself.
@@ -102,16 +103,10 @@
         if !names_a_life(life) {
             return Err(BeatFault::Life);
         }
-        if body.len() > LONGEST {
-            return Err(BeatFault::Long(body.len()));
-        }
-        if body.iter().filter(|b| matches!(b, b'{' | b'[')).count() > BRACKETS_MOST {
-            return Err(BeatFault::Json("too many brackets".into()));
-        }
-        let text = std::str::from_utf8(body).map_err(|e| BeatFault::Json(e.to_string()))?;
-        let value: JsonValue = text.parse().map_err(|e: tinyjson::JsonParseError| {
-            // The reader's own words show the input around the place.
-            BeatFault::Json(e.to_string())
+        let value = read(body, BOUNDS).map_err(|why| match why {
+            Unread::Long => BeatFault::Long(body.len()),
+            Unread::Deep { .. } => BeatFault::Json("too many brackets".into()),
+            why => BeatFault::Json(why.to_string()),
         })?;
         let top = value.get::<Object>().ok_or_else(|| BeatFault::Json("it is no JSON object".into()))?;
         let (node, status) = (Parts::of(top, "nodeInfo"), Parts::of(top, "currentStatus"));
