--- a/crates/rookpulley-courier/src/state.rs
+++ b/crates/rookpulley-courier/src/state.rs
@@ -6,7 +6,7 @@
 use crate::wires::Wires;
 use bytes::Bytes;
 use rookpulley_addressbook::Book;
-use rookpulley_round::{Budget, Post};
+use rookpulley_round::{Budget, Fleet, Post};
 use rookpulley_settings::Node;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -16,20 +16,16 @@
 use std::sync::atomic::{AtomicUsize, Ordering::Relaxed};
 use tokio::time::Instant;
 
-/// A number of couriers that was heard holds so long against smaller ones: a cut must not make shares larger.
-const COURIERS_MS: f64 = 60_000.0;
 /// Descriptors for offices, listeners, the runtime, and those kept for files.
 const KEPT_FILES: u64 = 400;
 
 pub struct Courier {
     pub node: Node,
-    /// Minted by each start.
-    pub life: u64,
     begun: Instant,
     book: RefCell<Option<Rc<Book>>>,
     pub post: RefCell<Post>,
     budgets: RefCell<HashMap<String, Budget>>,
-    couriers: Cell<(u32, f64)>,
+    fleet: Cell<Fleet>,
     pub tally: RefCell<Tally>,
     pub links: Links,
     pub wires: Wires,
@@ -46,17 +42,16 @@
 
 impl Courier {
     pub fn new(node: Node) -> Rc<Courier> {
-        let life = RandomState::new().hash_one(&node.name);
+        let seed = RandomState::new().hash_one(&node.name);
         let files = node.limits.open_files.saturating_sub(KEPT_FILES).max(100) as usize;
         let to_tasks = (files / 3).min(800);
         let hold_bytes = if node.limits.link_mbps >= 100.0 { 1 << 20 } else { 16 << 10 };
         Rc::new(Courier {
-            life,
             begun: Instant::now(),
             book: RefCell::default(),
-            post: RefCell::new(Post::new(&node.zone, life)),
+            post: RefCell::new(Post::new(&node.zone, seed)),
             budgets: RefCell::default(),
-            couriers: Cell::new((0, 0.0)),
+            fleet: Cell::default(),
             tally: RefCell::default(),
             links: Links::new(&node),
             wires: Wires::new(&node.zone, to_tasks),
@@ -98,19 +93,16 @@
         !self.ending.get() && self.book.borrow().is_some() && self.post.borrow().any()
     }
 
-    /// How many couriers there are, as far as heard lately; 0: not heard yet.
-    pub fn couriers(&self) -> u32 {
-        self.couriers.get().0
+    pub fn fleet(&self) -> Fleet {
+        self.fleet.get()
     }
 
     pub fn take_couriers(&self, heard: u32) {
-        let (before, now_ms) = (self.couriers(), self.now_ms());
-        if heard >= before || now_ms - self.couriers.get().1 > COURIERS_MS {
-            self.couriers.set((heard, now_ms));
-        }
-        if heard != before && self.couriers() == heard {
-            self.budgets.borrow_mut().values_mut().for_each(|budget| budget.shared_by(heard));
+        let mut fleet = self.fleet.get();
+        if fleet.heard(self.now_ms(), heard) {
+            self.budgets.borrow_mut().values_mut().for_each(|budget| budget.shared_by(fleet.couriers()));
         }
+        self.fleet.set(fleet);
     }
 
     pub fn budget<T>(&self, service: &str, with: impl FnOnce(&mut Budget) -> T) -> T {
@@ -122,8 +114,9 @@
         let budget = budgets
             .entry(service.to_owned())
             .or_insert_with(|| Budget::new(bounds.retry_budget_ratio, bounds.retry_budget_slack));
-        if self.couriers() > 0 {
-            budget.shared_by(self.couriers());
+        let couriers = self.fleet().couriers();
+        if couriers > 0 {
+            budget.shared_by(couriers);
         }
         with(budget)
     }
--- a/crates/rookpulley-office/src/hub.rs
+++ b/crates/rookpulley-office/src/hub.rs
@@ -6,14 +6,16 @@
 use crate::state::Kept;
 use crate::store::{Part, Said, Store};
 use rookpulley_addressbook::Book;
-use rookpulley_chain::{Boot, CallKind, Chain, Effect, Input, Member, Outcome, Record};
+use rookpulley_chain::{Boot, CallKind, Chain, Disk, Effect, Input, Member, Outcome, Record};
 use rookpulley_ledger::{Answer, Ask, Update};
+use rookpulley_mailroom::line::Outbox;
 use rookpulley_settings::Node;
-use rookpulley_sorting::{Beat, Desk, News, Out, Outcome as Sorted, Registry, Service, Word as Spread};
-use rookpulley_waybill::line::Outbox;
+use rookpulley_sorting::{
+    Beat, Desk, Drains, News, Out, Outcome as Sorted, Registry, Roll, Service, Word as Spread,
+};
 use rookpulley_waybill::{Down, Up, frame};
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -21,21 +23,10 @@
 
 /// An office that nobody has reached for so long, and that no view names, is forgotten.
 const FORGOTTEN_MS: f64 = 20_000.0;
-/// A courier that was here so lately still counts, so that a budget is never dealt out twice.
-const COUNTED_MS: f64 = 12_000.0;
-/// How long a drain waits to be known elsewhere, and an office out of touch still takes beats.
+/// How long a drain waits to be known elsewhere.
 const CONFIRM_WITHIN: Duration = Duration::from_millis(700);
-const BEATS_UNTOUCHED_MS: f64 = 1_500.0;
-/// A confirmed drain is remembered so long.
-const DRAINED_MS: f64 = 60_000.0;
 /// What was noted before a start and hasn't been heard of since is dropped after so long.
 const NOTES_KEPT_MS: f64 = 90_000.0;
-/// A write that takes so long tells of a slow disk; so many quick ones in a row, of one that is well again.
-const SLOW_WRITE: Duration = Duration::from_millis(60);
-/// A process that didn't look for so long was held up itself: that tells nothing of its disk.
-const HELD_UP: Duration = Duration::from_millis(100);
-const QUICK_WRITES: u32 = 24;
-
 struct Peer {
     /// It has spoken: no reason to wait with dialing it.
     wake: Rc<Notify>,
@@ -59,10 +50,35 @@
     Done(oneshot::Sender<()>),
 }
 
-struct Confirm {
-    from: BTreeSet<u64>,
-    wanted: usize,
-    done: Option<oneshot::Sender<()>>,
+/// What the chain has for a call.
+#[derive(Debug)]
+pub enum Told {
+    Answer(Answer),
+    /// It did not take effect and never will.
+    Refused,
+    /// Nobody knows whether it took effect.
+    Unknown,
+}
+
+impl From<Outcome> for Told {
+    fn from(outcome: Outcome) -> Told {
+        match outcome {
+            Outcome::Done(bytes) => Answer::decode(&bytes).map_or(Told::Unknown, Told::Answer),
+            Outcome::Refused => Told::Refused,
+            Outcome::Unknown => Told::Unknown,
+        }
+    }
+}
+
+/// What became of a task's word.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Taken {
+    /// It holds, whatever becomes of this office.
+    Known,
+    /// This office and its couriers go by it; whether others do isn't known.
+    HereAlone,
+    /// Nothing was done.
+    Not,
 }
 
 pub struct Inner {
@@ -73,21 +89,16 @@
     peers: BTreeMap<Ipv4Addr, Peer>,
     to_dial: Vec<Ipv4Addr>,
     pub couriers: BTreeMap<String, Courier>,
-    counted: BTreeMap<String, f64>,
+    roll: Roll,
     calls: BTreeMap<u64, oneshot::Sender<Outcome>>,
-    confirms: BTreeMap<u64, Confirm>,
-    /// Lives that others know to be draining, and since when.
-    drained: BTreeMap<String, f64>,
+    drains: Drains,
+    /// Who waits for a drain to be known elsewhere, by the number that others were asked under.
+    confirms: BTreeMap<u64, oneshot::Sender<()>>,
     notes: u64,
     noting: Vec<(u64, Noted)>,
-    tidied: bool,
     next: u64,
     told_version: u64,
-    touched_ms: f64,
-    writing: Option<(u64, Instant)>,
-    watched: Instant,
-    quick: u32,
-    pub slow: bool,
+    pub disk: Disk,
 }
 
 /// A life and the last that matters of it, as it stands on the disk.
@@ -132,20 +143,15 @@
             peers: BTreeMap::new(),
             to_dial: Vec::new(),
             couriers: BTreeMap::new(),
-            counted: BTreeMap::new(),
+            roll: Roll::default(),
             calls: BTreeMap::new(),
+            drains: Drains::new(node.tolerance.machines as usize),
             confirms: BTreeMap::new(),
-            drained: BTreeMap::new(),
             notes: 0,
             noting: Vec::new(),
-            tidied: false,
             next: 0,
             told_version: 0,
-            touched_ms: 0.0,
-            writing: None,
-            watched: Instant::now(),
-            quick: 0,
-            slow: false,
+            disk: Disk::default(),
         };
         let hub = Rc::new(Self {
             node,
@@ -302,13 +308,10 @@
             }
             Word::Took { ask } => {
                 let mut inner = self.inner.borrow_mut();
-                if let (Some(from), Some(confirm)) = (*who, inner.confirms.get_mut(&ask)) {
-                    confirm.from.insert(from);
-                    if confirm.from.len() >= confirm.wanted
-                        && let Some(done) = confirm.done.take()
-                    {
-                        _ = done.send(());
-                    }
+                if who.is_some_and(|from| inner.drains.took(ask, from))
+                    && let Some(done) = inner.confirms.remove(&ask)
+                {
+                    _ = done.send(());
                 }
             }
         }
@@ -347,7 +350,7 @@
                 Effect::Send { to, message } => self.send_to(to, &Word::Chain(message)),
                 Effect::Write { ticket, records } => {
                     let mut inner = self.inner.borrow_mut();
-                    inner.writing.get_or_insert((ticket, Instant::now()));
+                    inner.disk.begins(self.now_ms(), ticket);
                     inner.store.write(Part::Chain, ticket, records);
                 }
                 Effect::Answer { token, outcome } => {
@@ -369,13 +372,7 @@
         match said {
             Said::Synced { chain, lives, took } => {
                 self.counts.sync(took);
-                {
-                    let mut inner = self.inner.borrow_mut();
-                    if let Some(ticket) = chain {
-                        inner.writing = inner.writing.filter(|(from, _)| *from > ticket);
-                    }
-                    inner.quick = if took < SLOW_WRITE / 2 { inner.quick + 1 } else { 0 };
-                }
+                self.inner.borrow_mut().disk.synced(chain, took.as_secs_f64() * 1e3);
                 if let Some(ticket) = chain {
                     self.step(Input::Synced { ticket });
                 }
@@ -396,23 +393,13 @@
         if self.ending.get() {
             return;
         }
-        let mut inner = self.inner.borrow_mut();
-        if std::mem::replace(&mut inner.watched, Instant::now()).elapsed() > HELD_UP {
-            inner.writing = inner.writing.map(|(ticket, _)| (ticket, Instant::now()));
-        }
-        let waits = inner.writing.is_some_and(|(_, since)| since.elapsed() > SLOW_WRITE);
-        if waits {
-            inner.quick = 0;
-        }
-        if inner.slow && !waits && inner.writing.is_none() {
-            // Nothing else is written by one that has left the chain: a probe tells when the disk is well.
-            inner.writing = Some((0, Instant::now()));
-            inner.store.write(Part::Chain, 0, Vec::new());
-        }
-        let slow = if inner.slow { inner.quick < QUICK_WRITES } else { waits };
-        if slow != inner.slow {
-            inner.slow = slow;
-            drop(inner);
+        let look = {
+            let mut inner = self.inner.borrow_mut();
+            let look = inner.disk.look(self.now_ms());
+            look.probe.into_iter().for_each(|ticket| _ = inner.store.write(Part::Chain, ticket, Vec::new()));
+            look
+        };
+        if let Some(slow) = look.turned {
             tracing::info!("store: the disk is {}", if slow { "slow" } else { "quick again" });
             self.step(Input::Disk { slow });
         }
@@ -434,21 +421,12 @@
         answer.await.unwrap_or(Outcome::Unknown)
     }
 
-    /// None: nobody knows whether it took effect; Some(None): it did not and never will.
-    pub async fn update(&self, update: &Update) -> Option<Option<Answer>> {
-        Self::answer(self.call(CallKind::Update, update.encode()).await)
+    pub async fn update(&self, update: &Update) -> Told {
+        self.call(CallKind::Update, update.encode()).await.into()
     }
 
-    pub async fn ask(&self, ask: &Ask) -> Option<Option<Answer>> {
-        Self::answer(self.call(CallKind::Read, ask.encode()).await)
-    }
-
-    fn answer(outcome: Outcome) -> Option<Option<Answer>> {
-        match outcome {
-            Outcome::Done(bytes) => Answer::decode(&bytes).ok().map(Some),
-            Outcome::Refused => Some(None),
-            Outcome::Unknown => None,
-        }
+    pub async fn ask(&self, ask: &Ask) -> Told {
+        self.call(CallKind::Read, ask.encode()).await.into()
     }
 
     pub fn with_ledger<T>(&self, look: impl FnOnce(&rookpulley_ledger::Ledger) -> T) -> T {
@@ -468,18 +446,13 @@
         };
         match Book::read(&body) {
             Ok(book) => {
-                let least = |index| {
-                    let routes =
-                        book.routes().iter().filter(|r| r.targets.iter().any(|(at, _)| *at == index));
-                    routes.map(|r| r.aim_ms).fold(f64::INFINITY, f64::min)
-                };
-                let services = book.services.iter().enumerate().map(|(index, s)| {
-                    let aim_ms = Some(least(index)).filter(|aim| aim.is_finite()).unwrap_or(0.0);
-                    Service { name: s.name.clone(), max_connections: s.max_connections, aim_ms }
+                let services = book.services.iter().enumerate().map(|(at, s)| Service {
+                    name: s.name.clone(),
+                    max_connections: s.max_connections,
+                    aim_ms: book.least_aim_ms(at).unwrap_or(0.0),
                 });
                 let services: Vec<Service> = services.collect();
-                let now = self.now_ms();
-                self.inner.borrow_mut().desk.set_services(now, &services);
+                self.inner.borrow_mut().desk.set_services(&services);
             }
             Err(why) => tracing::error!("ledger: the configuration held can't be read: {why}"),
         }
@@ -506,7 +479,7 @@
         Down::Pulse {
             in_touch,
             config: if serving { inner.told_version } else { 0 },
-            couriers: inner.counted.len() as u32,
+            couriers: inner.roll.count(),
             offices,
         }
     }
@@ -526,7 +499,7 @@
         let line = {
             let mut inner = self.inner.borrow_mut();
             inner.next += 1;
-            inner.counted.insert(node.into(), now);
+            inner.roll.came(node);
             let line = inner.next;
             inner.couriers.insert(
                 node.into(),
@@ -595,8 +568,8 @@
                     courier.outbox.send(&Down::Config { version, body: body.to_vec() });
                 }
             }
-            Up::Report(report) => inner.desk.report(now, node, &report),
-            Up::Took { mark } => inner.desk.took(now, node, mark),
+            Up::Report(report) => inner.desk.report(node, &report),
+            Up::Took { mark } => inner.desk.took(node, mark),
             Up::Hello { .. } | Up::WantConfig { .. } => {}
         }
     }
@@ -607,7 +580,7 @@
         if inner.couriers.get(node).is_some_and(|c| c.line == line) {
             inner.couriers.remove(node);
             inner.desk.courier_out(now, node);
-            inner.counted.insert(node.into(), now);
+            inner.roll.went(now, node);
         }
     }
 
@@ -643,11 +616,11 @@
 
     // ---- tasks ------------------------------------------------------------------------------
 
-    /// Takes a beat; false: it can't be acknowledged here now.
-    pub async fn beat(&self, beat: Beat) -> bool {
+    /// Takes a beat.
+    pub async fn beat(&self, beat: Beat) -> Taken {
         let now = self.now_ms();
-        if now - self.inner.borrow().touched_ms > BEATS_UNTOUCHED_MS {
-            return false;
+        if !self.inner.borrow().registry.takes_beats(now) {
+            return Taken::Not;
         }
         let draining = beat.draining;
         self.counts.beat(draining);
@@ -655,10 +628,10 @@
         let sorted = self.inner.borrow_mut().registry.beat(now, beat);
         self.sorted(sorted);
         // A drain is acknowledged only once it is known elsewhere, also when it is told again.
-        !draining || self.drain_known(life).await
+        if draining { self.drain_known(life).await } else { Taken::Known }
     }
 
-    pub async fn leave(&self, life: &str) -> bool {
+    pub async fn leave(&self, life: &str) -> Taken {
         let now = self.now_ms();
         let sorted = self.inner.borrow_mut().registry.leave(now, life);
         self.sorted(sorted);
@@ -666,18 +639,16 @@
     }
 
     /// A life that drains or ends: once that is known elsewhere it need not be asked about again.
-    async fn drain_known(&self, life: String) -> bool {
-        if self.inner.borrow().drained.contains_key(&life) {
-            return true;
+    async fn drain_known(&self, life: String) -> Taken {
+        if self.inner.borrow().drains.is_known(&life) {
+            return Taken::Known;
         }
-        let known = self.known_elsewhere(life.clone()).await;
-        if known {
-            let now = self.now_ms();
-            let mut inner = self.inner.borrow_mut();
-            inner.drained.retain(|_, at| now - *at < DRAINED_MS);
-            inner.drained.insert(life, now);
+        if !self.known_elsewhere(life.clone()).await {
+            return Taken::HereAlone;
         }
-        known
+        let now = self.now_ms();
+        self.inner.borrow_mut().drains.known(now, life);
+        Taken::Known
     }
 
     /// Carries out what came of a beat or of news.
@@ -732,16 +703,14 @@
             if !inner.chain.in_touch(self.now_ms() as u64) {
                 return false;
             }
-            let wanted = others.min(self.node.tolerance.machines.max(1) as usize);
             inner.next += 1;
             let ask = inner.next;
-            if wanted == 0 {
-                (ask, None)
-            } else {
+            let done = inner.drains.ask(ask, others).then(|| {
                 let (sender, done) = oneshot::channel();
-                inner.confirms.insert(ask, Confirm { from: BTreeSet::new(), wanted, done: Some(sender) });
-                (ask, Some(done))
-            }
+                inner.confirms.insert(ask, sender);
+                done
+            });
+            (ask, done)
         };
         self.send_all(&Word::News { ask, news: vec![News::Gone { life, age_ms: 0.0 }] });
         let (sender, here) = oneshot::channel();
@@ -754,7 +723,10 @@
                 }
         };
         let known = tokio::time::timeout(CONFIRM_WITHIN, both).await.is_ok_and(|known| known);
-        self.inner.borrow_mut().confirms.remove(&ask);
+        let mut inner = self.inner.borrow_mut();
+        inner.drains.over(ask);
+        inner.confirms.remove(&ask);
+        drop(inner);
         known && self.in_touch()
     }
 
@@ -778,9 +750,8 @@
                 .chain
                 .view()
                 .map_or(Vec::new(), |view| view.members.iter().map(|m| *m.address.ip()).collect());
-            if inner.chain.in_touch(now as u64) || inner.registry.settling(now) {
-                inner.touched_ms = now;
-            }
+            let in_touch = inner.chain.in_touch(now as u64);
+            inner.registry.touch(now, in_touch);
             drop(inner);
             addresses.into_iter().for_each(|ip| self.meet(ip));
         }
@@ -798,12 +769,10 @@
             }
         }
         if round.is_multiple_of(8) {
-            {
-                let mut inner = self.inner.borrow_mut();
-                let inner = &mut *inner;
-                inner.counted.retain(|node, at| inner.couriers.contains_key(node) || now - *at < COUNTED_MS);
-                inner.desk.set_couriers(now, inner.counted.len() as u32);
-            }
+            let mut inner = self.inner.borrow_mut();
+            inner.roll.forget_old(now);
+            let couriers = inner.roll.count();
+            inner.desk.set_couriers(couriers);
         }
         let in_touch = self.in_touch();
         if round.is_multiple_of(8) || self.told_touch.replace(in_touch) != in_touch {
@@ -814,7 +783,7 @@
         if round.is_multiple_of(40) {
             self.send_all(&self.hello());
         }
-        if now > NOTES_KEPT_MS && !std::mem::replace(&mut self.inner.borrow_mut().tidied, true) {
+        if now > NOTES_KEPT_MS {
             self.tidy_notes();
         }
     }
--- a/crates/rookpulley-office/src/peers.rs
+++ b/crates/rookpulley-office/src/peers.rs
@@ -2,8 +2,8 @@
 
 use crate::hub::Hub;
 use rookpulley_chain::{Member, Message};
+use rookpulley_mailroom::line;
 use rookpulley_sorting::News;
-use rookpulley_waybill::line;
 use serde::{Deserialize, Serialize};
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
 use std::rc::Rc;
@@ -12,7 +12,7 @@
 /// What offices say to each other.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum Word {
-    /// The first on a line, and again whenever the known offices change.
+    /// The first on a line, and again every two seconds: the known offices may have changed.
     Hello {
         from: Member,
         offices: Vec<SocketAddrV4>,
--- a/crates/rookpulley-office/src/show/tests.rs
+++ b/crates/rookpulley-office/src/show/tests.rs
@@ -2,9 +2,10 @@
 use crate::couriers;
 use crate::hub::Hub;
 use rookpulley_counter::{Bounds, Call, Reply};
+use rookpulley_mailroom::line;
 use rookpulley_settings::Node;
 use rookpulley_strongroom::Store;
-use rookpulley_waybill::{Up, line};
+use rookpulley_waybill::Up;
 use std::cell::RefCell;
 use std::collections::BTreeSet;
 use std::rc::Rc;
@@ -77,7 +78,6 @@
         let hello = Up::Hello {
             node: "edge-quay-2".into(),
             zone: "quay".into(),
-            life: 1,
             home: true,
             config: 5,
             tables: false,
