--- a/crates/rookpulley-office/src/calls.rs
+++ b/crates/rookpulley-office/src/calls.rs
@@ -3,13 +3,16 @@
 use crate::hub::{Hub, Taken, Told};
 use crate::show::{self, Part};
 use rookpulley_addressbook::Book;
-use rookpulley_counter::{Call, Match, Reply, Tree, query};
+use rookpulley_counter::{Bounds, Call, Match, Reply, Tree, query};
 use rookpulley_ledger::{Answer, Ask, Update, Watched};
 use rookpulley_sorting::Beat;
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
 use tinyjson::JsonValue;
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
 
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Path {
@@ -28,7 +31,7 @@
     Show(Part),
 }
 
-pub fn tree() -> Result<Tree<Path>, rookpulley_counter::TreeError> {
+fn tree() -> Result<Tree<Path>, rookpulley_counter::TreeError> {
     Tree::new(&[
         ("PUT /rookpulley/instances/{}", Path::Beat),
         ("DELETE /rookpulley/instances/{}", Path::Leave),
@@ -57,8 +60,8 @@
 const WATCH_EVENTS: usize = 1_000;
 
 pub struct Calls {
-    pub hub: Rc<Hub>,
-    pub tree: Tree<Path>,
+    hub: Rc<Hub>,
+    tree: Tree<Path>,
 }
 
 type Fields = HashMap<String, JsonValue>;
@@ -107,6 +110,20 @@
 }
 
 impl Calls {
+    pub fn new(hub: Rc<Hub>) -> Result<Rc<Calls>, rookpulley_counter::TreeError> {
+        Ok(Rc::new(Calls { hub, tree: tree()? }))
+    }
+
+    /// Takes calls until it is told to stop.
+    pub fn serve(self: &Rc<Calls>, listener: TcpListener, stopped: watch::Receiver<bool>) -> JoinHandle<()> {
+        let calls = self.clone();
+        let handler = Rc::new(move |call| {
+            let calls = calls.clone();
+            async move { calls.answer(call).await }
+        });
+        tokio::task::spawn_local(rookpulley_counter::serve(listener, Bounds::default(), stopped, handler))
+    }
+
     pub async fn answer(&self, call: Call) -> Reply {
         let (path, reply) = match self.tree.lookup(&call.method, &call.path) {
             Match::Nothing => (None, Reply::error(404, "there is no such call")),
--- a/crates/rookpulley-office/src/hub.rs
+++ b/crates/rookpulley-office/src/hub.rs
@@ -19,7 +19,7 @@
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
-use tokio::sync::{Notify, oneshot};
+use tokio::sync::{Notify, mpsc, oneshot};
 
 /// An office that nobody has reached for so long, and that no view names, is forgotten.
 const FORGOTTEN_MS: f64 = 20_000.0;
@@ -368,7 +368,17 @@
         }
     }
 
-    pub fn stored(&self, said: Said) {
+    /// Takes what the store says, for as long as it says anything.
+    pub fn hear_store(self: &Rc<Self>, mut heard: mpsc::UnboundedReceiver<Said>) {
+        let hub = self.clone();
+        tokio::task::spawn_local(async move {
+            while let Some(said) = heard.recv().await {
+                hub.stored(said);
+            }
+        });
+    }
+
+    fn stored(&self, said: Said) {
         match said {
             Said::Synced { chain, lives, took } => {
                 self.counts.sync(took);
--- a/crates/rookpulley-office/src/main.rs
+++ b/crates/rookpulley-office/src/main.rs
@@ -56,7 +56,7 @@
     let for_couriers = listen(SocketAddr::from((node.ip, node.inner_ports.0)))?;
     let for_peers = listen(SocketAddr::from((node.ip, node.inner_ports.0 + 1)))?;
     let seed = rand::random::<u64>();
-    let (said, mut heard) = tokio::sync::mpsc::unbounded_channel();
+    let (said, heard) = tokio::sync::mpsc::unbounded_channel();
     let mut store = store::Store::open(&folder, rand::random::<u64>(), said)?;
     let kept = std::mem::take(&mut store.held);
     let fresh = store.new;
@@ -64,21 +64,10 @@
     tracing::info!("office: {} begins{}", hub.node.name, if fresh { " with an empty disk" } else { "" });
 
     let (stop, stopped) = tokio::sync::watch::channel(false);
-    let calls = Rc::new(calls::Calls { hub: hub.clone(), tree: calls::tree()? });
-    let handler = Rc::new(move |call| {
-        let calls = calls.clone();
-        async move { calls.answer(call).await }
-    });
-    let bounds = rookpulley_counter::Bounds::default();
-    let counter = tokio::task::spawn_local(rookpulley_counter::serve(counter, bounds, stopped, handler));
+    let counter = calls::Calls::new(hub.clone())?.serve(counter, stopped);
     tokio::task::spawn_local(couriers::listen(hub.clone(), for_couriers));
     tokio::task::spawn_local(peers::listen(hub.clone(), for_peers));
-    let to = hub.clone();
-    tokio::task::spawn_local(async move {
-        while let Some(word) = heard.recv().await {
-            to.stored(word);
-        }
-    });
+    hub.hear_store(heard);
     let to = hub.clone();
     tokio::task::spawn_local(async move {
         loop {
--- a/crates/rookpulley-office/src/show/tests.rs
+++ b/crates/rookpulley-office/src/show/tests.rs
@@ -1,4 +1,4 @@
-use crate::calls::{Calls, tree};
+use crate::calls::Calls;
 use crate::couriers;
 use crate::hub::Hub;
 use rookpulley_counter::{Bounds, Call, Reply};
@@ -52,15 +52,10 @@
     let folder = tempfile::tempdir().unwrap();
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
     tokio::task::LocalSet::new().block_on(&runtime, async {
-        let (said, mut heard) = tokio::sync::mpsc::unbounded_channel();
+        let (said, heard) = tokio::sync::mpsc::unbounded_channel();
         let store = Store::open(folder.path(), 7, said).unwrap();
         let hub = Hub::new(Node::parse(SETTINGS).unwrap(), store, Vec::new(), 11);
-        let to = hub.clone();
-        tokio::task::spawn_local(async move {
-            while let Some(word) = heard.recv().await {
-                to.stored(word);
-            }
-        });
+        hub.hear_store(heard);
         let to = hub.clone();
         tokio::task::spawn_local(async move {
             let mut beat = tokio::time::interval(std::time::Duration::from_millis(10));
@@ -69,7 +64,7 @@
                 to.tick(round);
             }
         });
-        let calls = Rc::new(Calls { hub: hub.clone(), tree: tree().unwrap() });
+        let calls = Calls::new(hub.clone()).unwrap();
         assert_eq!(call(&calls, "PUT", "configuration", CONFIGURATION).await.status, 200);
         assert_eq!(call(&calls, "PUT", "instances/i-41c0", BEAT).await.status, 200);
         let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
