--- a/crates/rookpulley-office/src/main.rs
+++ b/crates/rookpulley-office/src/main.rs
@@ -13,7 +13,6 @@
 use rookpulley_settings::Node;
 use rookpulley_strongroom as store;
 use std::net::SocketAddr;
-use std::rc::Rc;
 use std::time::Duration;
 
 xflags::xflags! {
