What counts as refused in a trial is said once, not in three places

The judge, its check of routes and the clients each listed the statuses that promise that nothing ran. They ask the answer seen now.

--- a/crates/rookpulley-depot/src/clients.rs
+++ b/crates/rookpulley-depot/src/clients.rs
@@ -31,6 +31,13 @@
     Nothing,
 }
 
+impl Seen {
+    /// A word that nothing was run, whatever the request was.
+    pub fn refused(&self) -> bool {
+        matches!(self, Self::Answer { status: 408 | 421 | 429 | 503, .. })
+    }
+}
+
 #[derive(Clone, Debug)]
 pub struct Try {
     pub id: String,
@@ -97,13 +104,12 @@
         let until = Instant::now() + PATIENCE;
         for again in 0..TRIES {
             let (seen, wait) = self.one_try(number, again, route, until).await;
-            let refused = matches!(seen, Seen::Answer { status: 408 | 421 | 429 | 503, .. });
             let failed = match seen {
                 Seen::Answer { status, .. } => status >= 500,
                 Seen::CutOff(_) | Seen::Nothing => true,
             };
             let left = until.saturating_duration_since(Instant::now());
-            if !(refused || failed && route.kind.repeatable()) || left < Duration::from_millis(50) {
+            if !(seen.refused() || failed && route.kind.repeatable()) || left < Duration::from_millis(50) {
                 return;
             }
             // As long as the answer asks for, up to a third of what is left.
--- a/crates/rookpulley-depot/src/judge.rs
+++ b/crates/rookpulley-depot/src/judge.rs
@@ -109,8 +109,7 @@
         let mut check = Check::new("what may run once and was refused never ran");
         let ran: HashSet<&str> = self.runs().map(|(arrival, _)| arrival.id.as_str()).collect();
         for one in self.tries.iter().filter(|one| !one.route.kind.repeatable()) {
-            let refused = matches!(one.seen, Seen::Answer { status: 408 | 421 | 429 | 503, .. });
-            check.look(!(refused && ran.contains(one.id.as_str())), || described(one));
+            check.look(!(one.seen.refused() && ran.contains(one.id.as_str())), || described(one));
         }
         check
     }
@@ -166,8 +165,7 @@
         }
         for one in self.tries {
             let holds = one.route.since < SECOND || self.second_holds.is_some_and(|at| one.sent > at);
-            let denied = matches!(one.seen, Seen::Answer { status: 300..=499, .. })
-                && !matches!(one.seen, Seen::Answer { status: 408 | 421 | 429, .. });
+            let denied = matches!(one.seen, Seen::Answer { status: 300..=499, .. }) && !one.seen.refused();
             if holds && denied {
                 check.fault(described(one));
             }
