No row of a store is long: sled puts long pages into files that nobody syncs

Cause: a page of sled 0.34 holds up to seventeen rows, and one over 128 KiB goes to a file under blobs/, of which only the name is in the file that we sync.

A panic while a store is read counts as a store that can't be read, as one while it is opened does.

A new disk also remembers that it was to found the first view, in the same write as its identity, and a store can be given up, to be begun anew at the next start.

--- a/crates/rookpulley-cli/tests/gateway.rs
+++ b/crates/rookpulley-cli/tests/gateway.rs
@@ -282,7 +282,7 @@
     );
 
     let (said, mut heard) = tokio::sync::mpsc::unbounded_channel();
-    let store = Store::open(folder.path(), 0x5f0c_1be2_a9d4_7731, said).unwrap();
+    let store = Store::open(folder.path(), 0x5f0c_1be2_a9d4_7731, false, said).unwrap();
     let me = Member { id: store.identity, life: 3, address: "10.4.0.10:7731".parse().unwrap() };
     let boot = Boot { me, founder: true, losses: 0, seed: 5, kept: None };
     let mut chain = Chain::start(0, boot, Kept::default());
--- a/crates/rookpulley-office/src/hub.rs
+++ b/crates/rookpulley-office/src/hub.rs
@@ -131,10 +131,8 @@
             life: seed,
             address: SocketAddrV4::new(node.ip, node.inner_ports.0 + 1),
         };
-        let first_seed = node.seeds.first().map(|s| *s.ip());
-        let founder = node.first_start && store.new && first_seed == Some(node.ip);
         let kept = (!store.new).then(|| rookpulley_chain::Kept::read(kept));
-        let boot = Boot { me, founder, losses: node.tolerance.machines as usize, seed, kept };
+        let boot = Boot { me, founder: store.founder, losses: node.tolerance.machines as usize, seed, kept };
         let inner = Inner {
             chain: Chain::start(0, boot, Kept::default()),
             registry: Registry::new(0.0, node.heartbeat_ms as f64, node.bounds.drain_ms as f64),
--- a/crates/rookpulley-office/src/main.rs
+++ b/crates/rookpulley-office/src/main.rs
@@ -56,7 +56,8 @@
     let for_peers = listen(SocketAddr::from((node.ip, node.inner_ports.0 + 1)))?;
     let seed = rand::random::<u64>();
     let (said, heard) = tokio::sync::mpsc::unbounded_channel();
-    let mut store = store::Store::open(&folder, rand::random::<u64>(), said)?;
+    let founder = node.first_start && node.seeds.first().is_some_and(|seed| *seed.ip() == node.ip);
+    let mut store = store::Store::open(&folder, rand::random::<u64>(), founder, said)?;
     let kept = std::mem::take(&mut store.held);
     let fresh = store.new;
     let hub = hub::Hub::new(node, store, kept, seed);
--- a/crates/rookpulley-strongroom/src/look.rs
+++ b/crates/rookpulley-strongroom/src/look.rs
@@ -1,6 +1,7 @@
 //! What is in a store that no process uses, read in place.
 
-use crate::store::{CHAIN, FOLDER, IDENTITY, LIVES, Rows, in_use, open_at, sync_all};
+use crate::rows::{Long, Rows};
+use crate::store::{CHAIN, FOLDER, IDENTITY, LIVES, caught, in_use, open_at, sync_all};
 use std::fs::{File, TryLockError};
 use std::path::{Path, PathBuf};
 
@@ -51,7 +52,7 @@
         sled::Error::Io(why) if why.raw_os_error().is_some() => refused(why),
         why => LookError::Spoilt(at.clone(), why),
     })?;
-    let contents = contents(&db).map_err(|why| LookError::Spoilt(at.clone(), why))?;
+    let contents = caught(|| contents(&db)).map_err(|why| LookError::Spoilt(at.clone(), why))?;
     drop(db);
     sync_all(&at).map_err(refused)?;
     Ok(contents)
@@ -63,7 +64,7 @@
         if !names.iter().any(|held| held == name.as_bytes()) {
             return Ok(Rows::new());
         }
-        db.open_tree(name)?.iter().map(|row| row.map(|(key, value)| (key.to_vec(), value.to_vec()))).collect()
+        Ok(Long::read(&db.open_tree(name)?)?.0)
     };
     let identity = db.get(IDENTITY)?.and_then(|value| value.as_ref().try_into().ok());
     Ok(Contents {
@@ -96,7 +97,7 @@
         assert!(matches!(look(folder.path()), Err(LookError::Nothing(_))));
         assert_eq!(std::fs::read_dir(folder.path()).unwrap().count(), 0);
         let (said, mut heard) = tokio::sync::mpsc::unbounded_channel();
-        let store = Store::open(folder.path(), 7, said).unwrap();
+        let store = Store::open(folder.path(), 7, false, said).unwrap();
         let put = |key: &str| Record::Put { key: key.into(), value: vec![1; 9] };
         assert!(store.write(Part::Chain, 1, vec![put("a"), put("b")]));
         assert!(store.write(Part::Lives, 1, vec![put("i-1")]));
@@ -106,7 +107,7 @@
         assert_eq!((seen.identity, seen.chain.len(), seen.lives.len()), (Some(7), 2, 1));
         assert_eq!(looked(folder.path()), seen);
         let (said, _heard) = tokio::sync::mpsc::unbounded_channel();
-        let again = Store::open(folder.path(), 8, said).unwrap();
+        let again = Store::open(folder.path(), 8, false, said).unwrap();
         assert_eq!((again.identity, again.new, &again.held), (7, false, &seen.chain));
     }
 
--- a/crates/rookpulley-strongroom/src/store.rs
+++ b/crates/rookpulley-strongroom/src/store.rs
@@ -3,6 +3,7 @@
 //! `flush` of sled 0.34 does not sync (measured: the last puts are lost with the power), so its file `db` is synced
 //! after each flush, and the folder and all its files once after opening.
 
+use crate::rows::{Long, Rows};
 use rookpulley_chain::Record;
 use std::fs::File;
 use std::path::{Path, PathBuf};
@@ -44,13 +45,14 @@
 }
 
 type Job = (Part, u64, Vec<Record>);
-pub(crate) type Rows = Vec<(Vec<u8>, Vec<u8>)>;
 
 pub struct Store {
     jobs: mpsc::Sender<Job>,
     /// The identity that was minted with the disk, and whether that was just now.
     pub identity: u64,
     pub new: bool,
+    /// It was minted to found the first view.
+    pub founder: bool,
     pub held: Rows,
     pub lives: Rows,
 }
@@ -59,6 +61,9 @@
 const PATIENCE: u32 = 100;
 const AGAIN: Duration = Duration::from_millis(100);
 pub(crate) const IDENTITY: &[u8] = b"identity";
+const FOUNDER: &[u8] = b"founder";
+/// A file beside the store that says that it holds what it shouldn't: it is begun anew.
+const SPOILT: &str = "spoilt";
 
 /// Where in its data folder an office has its store.
 pub(crate) const FOLDER: &str = "store";
@@ -83,7 +88,12 @@
     File::open(folder)?.sync_all()
 }
 
-/// What spoils `sled` may make it panic: that is an error as well.
+/// What spoils `sled` may make it panic, when it is opened and also when it is read: that is an error as well.
+pub(crate) fn caught<T>(work: impl FnOnce() -> Result<T, sled::Error>) -> Result<T, sled::Error> {
+    let work = std::panic::AssertUnwindSafe(work);
+    std::panic::catch_unwind(work).unwrap_or(Err(sled::Error::ReportableBug("it can't be read".into())))
+}
+
 pub(crate) fn open_at(folder: &Path) -> Result<sled::Db, sled::Error> {
     let open = || {
         sled::Config::new()
@@ -93,24 +103,43 @@
             .mode(sled::Mode::LowSpace)
             .open()
     };
-    std::panic::catch_unwind(open).unwrap_or(Err(sled::Error::ReportableBug(String::new())))
+    caught(open)
 }
 
 impl Store {
-    /// Opens the store in a folder. One that can't be opened is an empty disk: it is set aside and begun anew.
-    pub fn open(folder: &Path, mint: u64, said: UnboundedSender<Said>) -> Result<Self, StoreError> {
-        Self::open_with(folder, mint, said, PATIENCE)
+    /// Opens the store in a folder. One that can't be opened is an empty disk: it is begun anew. `founder`: a new one
+    /// is to found the first view.
+    pub fn open(
+        folder: &Path,
+        mint: u64,
+        founder: bool,
+        said: UnboundedSender<Said>,
+    ) -> Result<Self, StoreError> {
+        Self::open_with(folder, mint, founder, said, PATIENCE)
+    }
+
+    /// Has the store in a folder begun anew at the next opening, whatever happens till then.
+    pub fn give_up(folder: &Path) -> std::io::Result<()> {
+        File::create(folder.join(SPOILT))?.sync_all()?;
+        File::open(folder)?.sync_all()
     }
 
     fn open_with(
         folder: &Path,
         mint: u64,
+        founder: bool,
         said: UnboundedSender<Said>,
         patience: u32,
     ) -> Result<Self, StoreError> {
         let at = folder.join(FOLDER);
         let troubled = |e| StoreError::Folder(folder.to_path_buf(), e);
         std::fs::create_dir_all(&at).map_err(troubled)?;
+        let spoilt = folder.join(SPOILT);
+        if spoilt.exists() {
+            tracing::error!("store: was given up; begun anew as an empty disk");
+            std::fs::remove_dir_all(&at).map_err(troubled)?;
+            std::fs::create_dir_all(&at).map_err(troubled)?;
+        }
         let mut opened = open_at(&at);
         // What the system refuses now it may grant soon; only a store that is spoilt itself is given up.
         for _ in 0..patience {
@@ -122,17 +151,17 @@
             std::thread::sleep(AGAIN);
             opened = open_at(&at);
         }
-        let read = |db: &sled::Db, name| -> Result<Rows, sled::Error> {
-            let tree = db.open_tree(name)?;
-            tree.iter().map(|row| row.map(|(k, v)| (k.to_vec(), v.to_vec()))).collect()
+        // What was written before must be found again whole, the identity too.
+        let read = |db: sled::Db| {
+            let identity = db.get(IDENTITY)?.and_then(|v| v.as_ref().try_into().ok().map(u64::from_le_bytes));
+            let (held, lives) = (Long::read(&db.open_tree(CHAIN)?)?, Long::read(&db.open_tree(LIVES)?)?);
+            match rookpulley_chain::Kept::read(held.0.iter().cloned()).sound() {
+                true => Ok((identity, held, lives, db)),
+                false => Err(sled::Error::ReportableBug("the chain's rows are torn".into())),
+            }
         };
-        let opened = opened.and_then(|db| Ok((read(&db, CHAIN)?, read(&db, LIVES)?, db)));
-        let whole = |rows: &Rows| rookpulley_chain::Kept::read(rows.iter().cloned()).sound();
-        let opened = opened.and_then(|(held, lives, db)| match whole(&held) {
-            true => Ok((held, lives, db)),
-            false => Err(sled::Error::ReportableBug("the chain's rows are torn".into())),
-        });
-        let (held, lives, db) = match opened {
+        let opened = opened.and_then(|db| caught(|| read(db)));
+        let (kept, (held, mut long), (lives, mut long_lives), db) = match opened {
             Ok(opened) => opened,
             Err(sled::Error::Io(why)) if why.raw_os_error().is_some() => return Err(troubled(why)),
             // Not spoilt: who has it must not lose it.
@@ -141,16 +170,24 @@
                 tracing::error!("store: can't be opened ({why}); begun anew as an empty disk");
                 std::fs::remove_dir_all(&at).map_err(troubled)?;
                 std::fs::create_dir_all(&at).map_err(troubled)?;
-                (Vec::new(), Vec::new(), open_at(&at)?)
+                (None, Default::default(), Default::default(), open_at(&at)?)
             }
         };
-        let kept = db.get(IDENTITY)?.and_then(|v| v.as_ref().try_into().ok().map(u64::from_le_bytes));
         let (held, lives) = if kept.is_some() { (held, lives) } else { (Vec::new(), Vec::new()) };
         if kept.is_none() {
-            db.insert(IDENTITY, &mint.to_le_bytes())?;
+            let mut batch = sled::Batch::default();
+            batch.insert(IDENTITY, &mint.to_le_bytes());
+            if founder {
+                batch.insert(FOUNDER, &[]);
+            }
+            db.apply_batch(batch)?;
         }
+        let founder = db.contains_key(FOUNDER)?;
         db.flush()?;
         sync_all(&at).map_err(troubled)?;
+        if spoilt.exists() {
+            std::fs::remove_file(&spoilt).map_err(troubled)?;
+        }
         File::open(folder).and_then(|f| f.sync_all()).map_err(troubled)?;
         let file = File::open(at.join("db")).map_err(troubled)?;
         let (chain_tree, lives_tree) = (db.open_tree(CHAIN)?, db.open_tree(LIVES)?);
@@ -163,15 +200,13 @@
                     std::iter::once(first).chain(std::iter::from_fn(|| queue.try_recv().ok()))
                 {
                     let [chain, lives] = &mut batches;
-                    let (batch, at) = if part == Part::Chain { (chain, 0) } else { (lives, 1) };
+                    let (batch, long, at) = match part {
+                        Part::Chain => (chain, &mut long, 0),
+                        Part::Lives => (lives, &mut long_lives, 1),
+                    };
                     // A probe of the disk has ticket 0, and may come behind others.
                     tickets[at] = tickets[at].max(Some(ticket));
-                    for record in records {
-                        match record {
-                            Record::Put { key, value } => batch.insert(key, value),
-                            Record::Delete { key } => batch.remove(key),
-                        }
-                    }
+                    records.into_iter().for_each(|record| long.write(record, batch));
                 }
                 let from = Instant::now();
                 let [of_chain, of_lives] = batches;
@@ -191,7 +226,7 @@
             }
         };
         std::thread::Builder::new().name("store".into()).spawn(work).map_err(StoreError::Thread)?;
-        Ok(Self { jobs, identity: kept.unwrap_or(mint), new: kept.is_none(), held, lives })
+        Ok(Self { jobs, identity: kept.unwrap_or(mint), new: kept.is_none(), founder, held, lives })
     }
 
     pub fn write(&self, part: Part, ticket: u64, records: Vec<Record>) -> bool {
@@ -205,7 +240,7 @@
 
     fn opened(folder: &Path, mint: u64) -> (Store, tokio::sync::mpsc::UnboundedReceiver<Said>) {
         let (said, heard) = tokio::sync::mpsc::unbounded_channel();
-        (Store::open(folder, mint, said).unwrap(), heard)
+        (Store::open(folder, mint, false, said).unwrap(), heard)
     }
 
     #[test]
@@ -231,12 +266,47 @@
         assert_eq!(again.held.len(), 19);
     }
 
+    #[test]
+    fn nothing_goes_to_a_file_of_its_own_that_nobody_syncs() {
+        let folder = tempfile::tempdir().unwrap();
+        let (store, mut heard) = opened(folder.path(), 7);
+        // Configurations of many routes as they come, and the state with them in pieces, again and again.
+        for n in 0..60u64 {
+            let mut records: Vec<Record> = (0..4u64)
+                .map(|at| Record::Put {
+                    key: (10 * n + at).to_be_bytes().to_vec(),
+                    value: vec![n as u8; 90 << 10],
+                })
+                .collect();
+            records.extend(
+                (0..20u8).map(|at| Record::Put { key: vec![b's', at], value: vec![n as u8; 32 << 10] }),
+            );
+            if n % 8 == 7 {
+                let old = 10 * (n - 7)..10 * (n + 1);
+                records.extend(old.map(|at| Record::Delete { key: at.to_be_bytes().to_vec() }));
+            }
+            assert!(store.write(Part::Chain, n, records));
+        }
+        while let Some(Said::Synced { chain, .. }) = heard.blocking_recv() {
+            if chain == Some(59) {
+                break;
+            }
+        }
+        drop(store);
+        while heard.blocking_recv().is_some() {}
+        let blobs = std::fs::read_dir(folder.path().join("store/blobs")).map_or(0, |files| files.count());
+        assert_eq!(blobs, 0);
+        let (again, _heard) = opened(folder.path(), 8);
+        let (of, length) = (again.held.len(), again.held.iter().map(|(_, v)| v.len()).sum::<usize>());
+        assert_eq!((again.identity, of, length), (7, 20 + 16, 20 * (32 << 10) + 16 * (90 << 10)));
+    }
+
     #[test]
     fn a_store_that_another_process_has_is_left_alone() {
         let folder = tempfile::tempdir().unwrap();
         let (store, mut heard) = opened(folder.path(), 7);
         let (said, _) = tokio::sync::mpsc::unbounded_channel();
-        assert!(matches!(Store::open_with(folder.path(), 8, said, 0), Err(StoreError::InUse(_))));
+        assert!(matches!(Store::open_with(folder.path(), 8, false, said, 0), Err(StoreError::InUse(_))));
         assert!(matches!(crate::look(folder.path()), Err(crate::LookError::InUse(_))));
         drop(store);
         while heard.blocking_recv().is_some() {}
@@ -254,4 +324,20 @@
         assert_eq!(store.identity, 9);
         assert!(store.held.is_empty());
     }
+    #[test]
+    fn a_store_that_was_given_up_is_an_empty_disk_with_a_new_identity_once() {
+        let folder = tempfile::tempdir().unwrap();
+        let (said, mut heard) = tokio::sync::mpsc::unbounded_channel();
+        let store = Store::open(folder.path(), 7, true, said).unwrap();
+        assert!(store.founder);
+        Store::give_up(folder.path()).unwrap();
+        drop(store);
+        while heard.blocking_recv().is_some() {}
+        let (store, mut heard) = opened(folder.path(), 8);
+        assert_eq!((store.identity, store.new, store.founder), (8, true, false));
+        drop(store);
+        while heard.blocking_recv().is_some() {}
+        let (store, _heard) = opened(folder.path(), 9);
+        assert_eq!((store.identity, store.new), (8, false));
+    }
 }
