What an office lacks comes in parts beside the chain; copies are compared

The whole state went along with every view: the chain stood still for it, and a state longer than a frame could not be passed on at all.

Whatever is applied anywhere is the beginning of one order, so one that lacks the rest takes it from any office that has it: updates while they are at hand, else the state in pieces, one part at a time and each on its disk before the next. It is taken into the chain once it lacks 256 updates at most, unless the chain is too short without it. With a view goes only what the next may lack by what it last said. The disk also says how far its log is agreed on, so that a start goes on from there and a view no longer writes the state anew.

An answer that shows a copy to be old has it mended at once, and after every 1,024 updates all copies are compared by digest: one that differs where two others are alike is begun anew, if the chain can spare it.

The founder tells nobody of the first view before it is on its disk, and founds again if it lost power before that.

An empty machine is filled with 480 KB in pieces while updates pause for less than 150 ms; members that were killed and came back took no piece.

--- a/crates/rookpulley-chain/src/chain.rs
+++ b/crates/rookpulley-chain/src/chain.rs
@@ -1,7 +1,9 @@
 //! One office's part in the chain: its state, and what comes in handed to where it belongs.
 
 use crate::entry::Calls;
+use crate::fill::{Filling, Stock};
 use crate::flow::Flow;
+use crate::install::Awaited;
 use crate::kept::{self, Kept, VIEWS, Vote};
 use crate::mend::{Mending, Opinion};
 use crate::message::{Message, Standing};
@@ -24,6 +26,8 @@
     Installed { number: u64 },
     Entries { view: u64, to: u64 },
     Buried { to: u64, ask: u64, number: u64 },
+    Founded,
+    Filled,
     Proven,
     Nothing,
 }
@@ -58,6 +62,8 @@
     pub(crate) known: BTreeMap<u64, Known>,
     pub(crate) mending: Mending,
     pub(crate) calls: Calls,
+    pub(crate) filling: Filling,
+    pub(crate) stock: Stock,
     pub(crate) slow: bool,
     /// This life has written to its disk. One that can't is not taken into a chain.
     pub(crate) proven: bool,
@@ -72,7 +78,7 @@
 impl<S: State> Chain<S> {
     pub fn start(now: u64, boot: Boot, mut state: S) -> Self {
         let kept = boot.kept.unwrap_or_default();
-        let Kept { mut installed, never, vote, views, snapshot, log, places, mut spoilt } = kept;
+        let Kept { mut installed, never, vote, views, snapshot, log, agreed, places, mut spoilt } = kept;
         let (mut flow, mut recent, mut pieces) = (Flow::default(), Recent::default(), 0);
         if let Some((head, bytes)) = snapshot {
             let parsed = Recent::parse(&bytes).filter(|(_, rest)| state.restore(rest));
@@ -80,7 +86,7 @@
             if let Some((known, _)) = parsed {
                 (recent, pieces) = (known, head.pieces);
                 flow.begin(head.seq, head.at_ms, now);
-                flow.hold(log);
+                flow.go_on(head.at_ms.max(agreed.1), now, log);
             }
         }
         places.into_iter().for_each(|places| flow.found(places));
@@ -106,6 +112,8 @@
             known: BTreeMap::new(),
             mending: Mending::default(),
             calls: Calls::default(),
+            filling: Filling::default(),
+            stock: Stock::default(),
             slow: false,
             proven: false,
             ticked_ms: now,
@@ -115,10 +123,15 @@
             then: VecDeque::new(),
             out: Vec::new(),
         };
+        new.apply_to(agreed.0);
         new.write(vec![kept::put_begun(new.me.life)], Then::Proven);
         if boot.founder && new.views.is_empty() {
             new.log("founds the first view".into());
-            new.learn(now, vec![View { number: 1, members: vec![new.me], voters: Vec::new() }]);
+            let view = new.first_view();
+            let mut records = new.first_state();
+            records.extend([new.put_agreed(), kept::put_view(&view), kept::put_installed(view.number)]);
+            // Nobody hears of it before it is there whole: one that lost its power before founds once more.
+            new.write(records, Then::Founded);
         }
         new
     }
@@ -137,6 +150,7 @@
                 self.mend(now);
                 self.tend_flow(now);
                 self.tend_calls(now);
+                self.tend_fill(now);
             }
             Input::Met { member } => self.met(now, member),
             Input::Heard { from, message } => self.heard(now, from, message),
@@ -184,9 +198,11 @@
             Message::Accepted { number, ballot } => self.take_accepted(now, from, number, ballot),
             Message::Outbid { number, ballot } => self.outbid(now, number, ballot),
             Message::Learn { views } => self.learn(now, views),
-            Message::Install { view, seq, at_ms, snapshot, log } => {
-                self.take_install(now, from, (view, seq, at_ms), snapshot, log)
+            Message::Install { view, committed, at_ms, log } => {
+                self.take_install(now, Awaited { from, view, committed, at_ms, log })
             }
+            Message::Fetch { ask, held, piece } => self.fetched(now, from, ask, held, piece),
+            Message::Filled { ask, fill } => self.take_fill(now, from, ask, fill),
             Message::AtWork { number } => self.works(now, number),
             Message::Forward { view, echo, age_ms, from, kind, body } => {
                 self.forwarded(now, view, (echo, age_ms), from, (kind, body))
@@ -195,7 +211,9 @@
             Message::Pass { view, entries, questions, synced_to } => {
                 self.passed(now, from, view, entries, questions, synced_to);
             }
-            Message::Answer { from, body } => self.answered(from, body),
+            Message::Answer { from, view, committed, body } => {
+                self.answered(now, from, (view, committed), body)
+            }
             Message::Commit { view, seq } => self.take_commit(view, seq),
         }
     }
@@ -209,6 +227,13 @@
                 let installed = self.installed;
                 self.send(now, to, Message::Buried { ask, number, installed });
             }
+            Then::Founded => {
+                let view = self.first_view();
+                self.flow.installing = view.number;
+                self.learn(now, vec![view.clone()]);
+                self.has_installed(now, view.number);
+            }
+            Then::Filled => self.filled(now),
             Then::Proven => {
                 self.proven = true;
                 self.ping(now);
@@ -218,6 +243,10 @@
         }
     }
 
+    fn first_view(&self) -> View {
+        View { number: 1, members: vec![self.me], voters: Vec::new() }
+    }
+
     // ---- what all parts use -----------------------------------------------------------------
 
     /// Sends, or takes at once what is meant for ourselves.
@@ -301,6 +330,7 @@
             last: self.flow.last,
             committed: self.flow.committed,
             slow: self.slow || !self.proven,
+            swept: self.stock.swept,
         }
     }
 
@@ -328,6 +358,7 @@
         self.log(format!("view {} is decided: {}", self.decided(), names.join(" ")));
         self.learned_ms = now;
         self.mending.calm(now);
+        self.filling.give_up();
         self.flow.questions.clear();
         self.install_as_source(now);
     }
@@ -354,8 +385,7 @@
         if member.id == self.me.id {
             return;
         }
-        let standing =
-            Standing { me: member, decided: 0, installed: 0, at_work: 0, last: 0, committed: 0, slow: false };
+        let standing = Standing::of(member);
         let fresh = Known { standing, heard_ms: now, sent: None, contact_ms: None, echoed: None };
         let known = self.known.entry(member.id).or_insert(fresh);
         if known.standing.me.life != member.life {
@@ -378,7 +408,7 @@
         self.out.push(Effect::Send { to, message: Message::Ping { standing, sent, echo, ledger } });
     }
 
-    fn ping(&mut self, now: u64) {
+    pub(crate) fn ping(&mut self, now: u64) {
         let old = |k: &Known| now > k.heard_ms + 30_000;
         let view = self.views.last();
         self.known.retain(|id, k| !old(k) || view.is_some_and(|v| v.votes(*id)));
@@ -433,6 +463,8 @@
             self.send(now, from, Message::Learn { views });
         }
         self.look_after_successor(now, from, &standing);
+        self.fetch(now);
+        self.compare_stock(standing.swept);
         if news {
             self.mend(now);
         }
--- a/crates/rookpulley-chain/src/entry.rs
+++ b/crates/rookpulley-chain/src/entry.rs
@@ -81,7 +81,12 @@
         }
     }
 
-    pub(crate) fn answered(&mut self, from: Asked, body: Vec<u8>) {
+    pub(crate) fn answered(&mut self, now: u64, from: Asked, (view, committed): (u64, u64), body: Vec<u8>) {
+        // Where the copy here is older than the answer, that is mended at once.
+        if committed > self.flow.committed {
+            self.take_commit(view, committed);
+            self.fetch_up_to(now, committed);
+        }
         if from.life == self.me.life && self.calls.pending.remove(&from.token).is_some() {
             self.out.push(Effect::Answer { token: from.token, outcome: Outcome::Done(body) });
         }
--- a/crates/rookpulley-chain/src/flow.rs
+++ b/crates/rookpulley-chain/src/flow.rs
@@ -5,9 +5,10 @@
 //! that no later view was at work yet: the tail's word is as new as the asking, without any clock.
 
 use crate::chain::{Chain, Then};
+use crate::fill::SWEEP_ENTRIES;
 use crate::kept;
 use crate::message::{Asked, Entry, Message, Question};
-use crate::{CallKind, Effect, State};
+use crate::{CallKind, Effect, Record, State};
 use std::collections::VecDeque;
 
 /// A call may be so old, by the head's own clock and that of the office that was asked: it doesn't begin anew with
@@ -21,11 +22,17 @@
 const WAITING_BYTES: usize = 3 << 20;
 /// A message carries so much; a large entry goes alone.
 const PASS_BYTES: usize = 1 << 20;
+/// What was applied stays at hand up to this, for those that lack it.
+const PAST_ENTRIES: usize = 4_096;
+const PAST_BYTES: usize = 2 << 20;
 
 #[derive(Default)]
 pub struct Flow {
     /// Entries that are held and not applied, in order.
     pub log: VecDeque<Entry>,
+    /// What was applied last, in order, up to `committed`.
+    past: VecDeque<Entry>,
+    past_bytes: usize,
     pub last: u64,
     pub last_at: u64,
     pub committed: u64,
@@ -47,21 +54,31 @@
 }
 
 impl Flow {
-    /// Goes on from a state that holds all up to `seq`.
+    /// Goes on from a state that holds all up to `seq` and stands on the disk.
     pub fn begin(&mut self, seq: u64, at_ms: u64, now: u64) {
-        *self = Self {
-            last: seq,
-            last_at: at_ms,
-            committed: seq,
-            own: seq,
-            upstream: seq,
-            sent_to: seq,
-            sent_synced: seq,
-            time: (at_ms, now),
-            disk: self.disk,
-            installing: self.installing,
-            ..Self::default()
-        };
+        let disk = (seq + 1, self.disk.1.max(seq));
+        *self = Self { disk, installing: self.installing, ..Self::default() };
+        (self.last, self.committed) = (seq, seq);
+        self.go_on(at_ms, now, Vec::new());
+    }
+
+    /// Goes on from what is applied, with this log in the place of the one before. It stands on the disk.
+    pub fn go_on(&mut self, at_ms: u64, now: u64, log: Vec<Entry>) {
+        self.drop_log();
+        (self.last_at, self.time, self.told_last) = (at_ms, (at_ms, now), None);
+        self.questions.clear();
+        for entry in log {
+            self.add(entry);
+        }
+        self.last_at = self.last_at.max(at_ms);
+        (self.own, self.upstream, self.sent_to, self.sent_synced) =
+            (self.last, self.last, self.last, self.last);
+    }
+
+    /// What isn't applied is given up.
+    pub fn drop_log(&mut self) {
+        self.log.clear();
+        (self.last, self.waiting_bytes) = (self.committed, 0);
     }
 
     pub fn take_time(&mut self, now: u64) {
@@ -74,18 +91,6 @@
         (at + now.saturating_sub(from)).max(self.last_at)
     }
 
-    /// Entries that are on the disk together with the state before them.
-    pub fn hold(&mut self, log: Vec<Entry>) {
-        for entry in log {
-            (self.last, self.last_at) = (entry.seq, entry.at_ms.max(self.last_at));
-            self.waiting_bytes += entry.body.len();
-            self.log.push_back(entry);
-        }
-        (self.own, self.upstream, self.sent_to, self.sent_synced) =
-            (self.last, self.last, self.last, self.last);
-        self.disk = (self.committed + 1, self.last);
-    }
-
     pub fn on_disk(&self) -> std::ops::RangeInclusive<u64> {
         self.disk.0..=self.disk.1
     }
@@ -95,13 +100,43 @@
         self.disk = (self.disk.0.min(from), self.disk.1.max(to));
     }
 
-    fn add(&mut self, entry: Entry) {
+    pub fn add(&mut self, entry: Entry) {
         (self.last, self.last_at) = (entry.seq, entry.at_ms);
         self.disk.1 = self.disk.1.max(entry.seq);
         self.disk_bytes += entry.body.len() + 64;
         self.waiting_bytes += entry.body.len();
         self.log.push_back(entry);
     }
+
+    /// The next of the log has been applied.
+    fn applied(&mut self) {
+        let Some(entry) = self.log.pop_front() else { return };
+        self.waiting_bytes = self.waiting_bytes.saturating_sub(entry.body.len());
+        self.committed = entry.seq;
+        self.past_bytes += entry.body.len() + 64;
+        self.past.push_back(entry);
+        while self.past.len() > PAST_ENTRIES || self.past_bytes > PAST_BYTES {
+            let Some(old) = self.past.pop_front() else { break };
+            self.past_bytes -= old.body.len() + 64;
+        }
+    }
+
+    /// Whether all that was applied behind this is at hand.
+    pub fn joins(&self, held: u64) -> bool {
+        held >= self.committed || self.past.front().is_some_and(|first| first.seq <= held + 1)
+    }
+
+    /// What was applied behind this, up to so many bytes and at least one.
+    pub fn applied_behind(&self, held: u64, most: usize) -> Vec<Entry> {
+        let mut bytes = 0;
+        let fits = |entry: &&Entry| {
+            let first = bytes == 0;
+            bytes += entry.body.len() + 64;
+            first || bytes <= most
+        };
+        let behind = self.past.partition_point(|entry| entry.seq <= held);
+        self.past.range(behind..).take_while(fits).cloned().collect()
+    }
 }
 
 impl<S: State> Chain<S> {
@@ -137,7 +172,8 @@
             CallKind::Update => {
                 let entry = Entry { seq: self.flow.last + 1, at_ms, body, from };
                 self.flow.add(entry.clone());
-                self.write(vec![kept::put_entry(view, &entry)], Then::Entries { view, to: entry.seq });
+                let records = vec![kept::put_entry(view, &entry), self.put_agreed()];
+                self.write(records, Then::Entries { view, to: entry.seq });
             }
         }
         self.push(now);
@@ -164,6 +200,7 @@
             }
         }
         if !records.is_empty() {
+            records.push(self.put_agreed());
             self.write(records, Then::Entries { view, to: self.flow.last });
         }
         self.flow.upstream = self.flow.upstream.max(synced_to);
@@ -173,6 +210,11 @@
         self.push(now);
     }
 
+    /// For the disk: the applied part of the log needs no other office's word at the next start.
+    pub(crate) fn put_agreed(&self) -> Record {
+        kept::put_agreed(self.flow.committed, self.flow.last_at)
+    }
+
     pub(crate) fn entries_synced(&mut self, now: u64, view: u64, to: u64) {
         if self.acting().is_some_and(|v| v.number == view) {
             self.flow.own = self.flow.own.max(to);
@@ -218,7 +260,7 @@
         if to > self.flow.committed {
             let answers = self.apply_to(to);
             for (from, body) in answers {
-                self.send(now, from.office, Message::Answer { from, body });
+                self.send(now, from.office, Message::Answer { from, view, committed: to, body });
             }
             let members = self.acting().map_or(Vec::new(), |v| v.members.clone());
             for member in members.iter().filter(|m| m.id != self.me.id) {
@@ -227,7 +269,8 @@
         }
         for question in std::mem::take(&mut self.flow.questions) {
             let body = self.state.read(&question.body);
-            self.send(now, question.from.office, Message::Answer { from: question.from, body });
+            let (from, committed) = (question.from, self.flow.committed);
+            self.send(now, from.office, Message::Answer { from, view, committed, body });
         }
     }
 
@@ -240,17 +283,17 @@
     /// Applies what is held up to here, with the answers to those who asked.
     pub(crate) fn apply_to(&mut self, to: u64) -> Vec<(Asked, Vec<u8>)> {
         let mut answers = Vec::new();
-        while self.flow.log.front().is_some_and(|e| e.seq <= to) {
-            if let Some(entry) = self.flow.log.pop_front() {
-                self.flow.waiting_bytes = self.flow.waiting_bytes.saturating_sub(entry.body.len());
-                self.flow.committed = entry.seq;
-                let before = self.recent.answer(&entry.from);
-                let answer = before.unwrap_or_else(|| {
-                    let answer = self.state.apply(entry.at_ms, &entry.body);
-                    self.recent.note(&entry, &answer);
-                    answer
-                });
-                answers.push((entry.from, answer));
+        while let Some(entry) = self.flow.log.front().filter(|e| e.seq <= to) {
+            let (seq, from) = (entry.seq, entry.from);
+            let answer = self.recent.answer(&from).unwrap_or_else(|| {
+                let answer = self.state.apply(entry.at_ms, &entry.body);
+                self.recent.note(entry, &answer);
+                answer
+            });
+            answers.push((from, answer));
+            self.flow.applied();
+            if seq.is_multiple_of(SWEEP_ENTRIES) {
+                self.take_stock(seq);
             }
         }
         if !answers.is_empty() {
@@ -266,16 +309,26 @@
         if !self.is_at_work() && self.successor().is_none() {
             self.say_at_work(now);
         }
+    }
+
+    /// Writes the state anew where much stands behind it on the disk.
+    pub(crate) fn compact(&mut self) {
         let Flow { committed, disk: (from, _), disk_bytes, .. } = self.flow;
         if committed < from || (committed - from < COMPACT_ENTRIES && disk_bytes < COMPACT_BYTES) {
             return;
         }
+        let records = self.put_state();
+        self.write(records, Then::Nothing);
+    }
+
+    /// The state in the place of the one on the disk and of what stands there behind it up to here.
+    pub(crate) fn put_state(&mut self) -> Vec<Record> {
+        let Flow { committed, last_at, disk: (from, _), .. } = self.flow;
         // The stamp of the last entry applied isn't kept apart: that of the last held is later, and no later than
         // now, so time still never runs fast.
-        let (mut records, pieces) =
-            kept::put_snapshot(committed, self.flow.last_at, &self.snapshot(), self.pieces);
+        let (mut records, pieces) = kept::put_snapshot(committed, last_at, &self.snapshot(), self.pieces);
         records.extend((from..=committed).map(kept::drop_entry));
         (self.pieces, self.flow.disk.0, self.flow.disk_bytes) = (pieces, committed + 1, 0);
-        self.write(records, Then::Nothing);
+        records
     }
 }
--- a/crates/rookpulley-chain/src/install.rs
+++ b/crates/rookpulley-chain/src/install.rs
@@ -1,4 +1,5 @@
-//! How a decided view is set to work: its source leaves the one before and passes all that it holds down the chain.
+//! How a decided view is set to work: its source leaves the one before, and all that it holds goes down the chain. What
+//! the next one holds already doesn't go again: whatever is applied anywhere is the beginning of one order.
 //!
 //! Nothing that was acknowledged is lost: it was on every member of the view at work, the source was one of them, and
 //! from the moment it takes stock it refuses all that belongs to earlier views. What it holds beyond that is decided
@@ -7,12 +8,22 @@
 use crate::chain::{Chain, Then};
 use crate::kept;
 use crate::message::{Entry, Message, Standing};
-use crate::recent::Recent;
 use crate::view::{Member, View};
-use crate::{Effect, State};
+use crate::{Effect, Record, State};
 
 /// An install that wasn't confirmed is sent again after so long.
 const AGAIN_MS: u64 = 300;
+/// So much of what is agreed on already goes along with it at most.
+const PASS_BYTES: usize = 256 << 10;
+
+/// A view that can't be set to work here before what it begins with has come.
+pub struct Awaited {
+    pub from: u64,
+    pub view: View,
+    pub committed: u64,
+    pub at_ms: u64,
+    pub log: Vec<Entry>,
+}
 
 impl<S: State> Chain<S> {
     pub(crate) fn successor(&self) -> Option<Member> {
@@ -48,52 +59,59 @@
         time.max(self.flow.last_at)
     }
 
-    pub(crate) fn take_install(
-        &mut self,
-        now: u64,
-        from: u64,
-        (view, seq, at_ms): (View, u64, u64),
-        snapshot: Vec<u8>,
-        mut log: Vec<Entry>,
-    ) {
-        let number = view.number;
-        self.learn(now, vec![view.clone()]);
+    pub(crate) fn take_install(&mut self, now: u64, awaited: Awaited) {
+        let number = awaited.view.number;
+        self.learn(now, vec![awaited.view.clone()]);
         let ours = self.view().is_some_and(|v| v.number == number && v.names(self.me.id, self.me.life));
-        let before = self.predecessor().is_some_and(|m| m.id == from);
+        let before = self.predecessor().is_some_and(|m| m.id == awaited.from);
         if !ours || !before || number <= self.never || number <= self.flow.installing {
             return;
         }
+        self.filling.awaited = Some(awaited);
+        self.install(now);
+    }
+
+    /// Sets the view to work here as soon as all that it begins with is here.
+    pub(crate) fn install(&mut self, now: u64) {
+        let Some(awaited) = self.filling.awaited.take() else { return };
+        if awaited.view.number <= self.never {
+            return;
+        }
         // What is applied here was committed, so it is part of what comes; watches are never taken back behind it.
-        if self.flow.committed < seq {
-            let whole = Recent::parse(&snapshot);
-            let Some((recent, _)) = whole.filter(|(_, state)| self.state.restore(state)) else {
-                return self.log(format!("what came with view {number} can't be read"));
-            };
-            self.recent = recent;
-            self.flow.begin(seq, at_ms, now);
+        let to = awaited.committed;
+        let (agreed, log): (Vec<Entry>, Vec<Entry>) = awaited.log.iter().cloned().partition(|e| e.seq <= to);
+        let records = self.absorb(agreed);
+        if !records.is_empty() {
+            self.out.push(Effect::Applied);
+            self.write(records, Then::Nothing);
+        }
+        if self.flow.committed < to {
+            self.filling.awaited = Some(awaited);
+            return self.fetch(now);
         }
-        log.retain(|e| e.seq > self.flow.committed);
-        self.keep_state(now, &view, at_ms, log);
-        self.out.push(Effect::Applied);
+        let log = log.into_iter().filter(|e| e.seq > self.flow.committed).collect();
+        self.keep_state(now, &awaited.view, awaited.at_ms, log);
     }
 
-    /// Goes on from what is applied here and this log behind it, in the place of all that the disk holds.
+    /// Goes on from what is applied here and this log behind it. What the disk holds behind it goes.
     fn keep_state(&mut self, now: u64, view: &View, at_ms: u64, log: Vec<Entry>) {
         let (seq, number) = (self.flow.committed, view.number);
-        let (mut records, pieces) = kept::put_snapshot(seq, at_ms, &self.snapshot(), self.pieces);
+        let mut records = self.first_state();
         let last = log.last().map_or(seq, |e| e.seq);
-        let gone = self.flow.on_disk().filter(|at| *at <= seq || *at > last);
-        records.extend(gone.map(kept::drop_entry));
+        records.extend(self.flow.on_disk().filter(|at| *at > last).map(kept::drop_entry));
         records.extend(log.iter().map(|entry| kept::put_entry(number, entry)));
         // With the view in one batch: who has installed it knows of it.
-        records.extend([kept::put_view(view), kept::put_installed(number)]);
-        self.pieces = pieces;
-        self.flow.begin(seq, at_ms, now);
-        self.flow.hold(log);
+        records.extend([kept::put_agreed(seq, at_ms), kept::put_view(view), kept::put_installed(number)]);
+        self.flow.go_on(at_ms, now, log);
         self.flow.installing = number;
         self.write(records, Then::Installed { number });
     }
 
+    /// A disk that holds no state yet gets it with the first that is written behind it.
+    pub(crate) fn first_state(&mut self) -> Vec<Record> {
+        if self.pieces == 0 { self.put_state() } else { Vec::new() }
+    }
+
     pub(crate) fn snapshot(&self) -> Vec<u8> {
         self.recent.before(&self.state.snapshot())
     }
@@ -113,12 +131,15 @@
         }
     }
 
+    /// What the next may lack by what it last said goes along, if that isn't much.
     fn pass_state(&mut self, now: u64, to: u64) {
         let Some(view) = self.acting().cloned() else { return };
         self.flow.state_passed_ms = now;
-        let (seq, at_ms, snapshot) = (self.flow.committed, self.flow.last_at, self.snapshot());
-        let log = self.flow.log.iter().cloned().collect();
-        self.send(now, to, Message::Install { view, seq, at_ms, snapshot, log });
+        let (committed, at_ms) = (self.flow.committed, self.flow.last_at);
+        let held = self.known.get(&to).map_or(0, |k| k.standing.committed);
+        let behind = self.flow.joins(held).then(|| self.flow.applied_behind(held, PASS_BYTES));
+        let log = behind.into_iter().flatten().chain(self.flow.log.iter().cloned()).collect();
+        self.send(now, to, Message::Install { view, committed, at_ms, log });
     }
 
     pub(crate) fn say_at_work(&mut self, now: u64) {
--- a/crates/rookpulley-chain/src/kept.rs
+++ b/crates/rookpulley-chain/src/kept.rs
@@ -44,6 +44,8 @@
     pub(crate) views: Vec<View>,
     pub(crate) snapshot: Option<(Head, Vec<u8>)>,
     pub(crate) log: Vec<Entry>,
+    /// Up to here the log is agreed on, and the ledger's time was at least that.
+    pub(crate) agreed: (u64, u64),
     /// The places of all entries on the disk, of whichever view: they are dropped together.
     pub(crate) places: Option<(u64, u64)>,
     pub(crate) spoilt: bool,
@@ -91,6 +93,11 @@
     Record::Put { key: keyed(b'e', entry.seq), value: bytes(&(view, entry)) }
 }
 
+/// All entries up to here are agreed on, whichever view they came in.
+pub fn put_agreed(seq: u64, at_ms: u64) -> Record {
+    Record::Put { key: vec![b'c'], value: bytes(&(seq, at_ms)) }
+}
+
 pub fn drop_entry(seq: u64) -> Record {
     Record::Delete { key: keyed(b'e', seq) }
 }
@@ -121,6 +128,7 @@
         let bad = &mut false;
         for (key, row) in rows {
             match key.first() {
+                Some(b'c') => kept.agreed = value(&row, bad).unwrap_or_default(),
                 Some(b'i') => kept.installed = value(&row, bad).unwrap_or(0),
                 Some(b'n') => kept.never = value(&row, bad).unwrap_or(0),
                 Some(b'p') => kept.vote = value(&row, bad).unwrap_or_default(),
@@ -133,7 +141,9 @@
         }
         kept.views.sort_by_key(|v| v.number);
         kept.places = log.iter().map(|(_, e)| e.seq).min().zip(log.iter().map(|(_, e)| e.seq).max());
-        kept.log = log.into_iter().filter(|(view, _)| *view == kept.installed).map(|(_, e)| e).collect();
+        let counts = |view: u64, seq: u64| view == kept.installed || seq <= kept.agreed.0;
+        let log = log.into_iter().filter(|(view, e)| counts(*view, e.seq)).map(|(_, e)| e);
+        kept.log = log.collect();
         kept.log.sort_by_key(|e| e.seq);
         if let Some(head) = head {
             let whole: Vec<u8> = pieces.into_values().take(head.pieces as usize).flatten().collect();
@@ -144,6 +154,10 @@
                     next += u64::from(follows);
                     follows
                 });
+                if next <= kept.agreed.0 {
+                    // A write before the last one is missing: none of them was synced, and nobody was told of them.
+                    (kept.installed, kept.agreed.0) = (0, next - 1);
+                }
                 kept.snapshot = Some((head, whole));
             }
         }
--- a/crates/rookpulley-chain/src/lib.rs
+++ b/crates/rookpulley-chain/src/lib.rs
@@ -1,12 +1,14 @@
 //! Ordered updates through the machines with a disk, and the agreed view that mends the chain. Free of I/O.
 //!
 //! `view` and `message` hold the values, `kept` what stands on the disk, `votes` the acceptor, `mend` how a new view
-//! comes about, `install` how it is set to work, `flow` updates and reads through a chain at work, `recent` what was
-//! answered lately, `entry` the calls that were asked of this office. `docs/design/chain.md` says why it is right.
+//! comes about, `install` how it is set to work, `fill` how one that lacks much gets it and how copies are compared,
+//! `flow` updates and reads through a chain at work, `recent` what was answered lately, `entry` the calls that were
+//! asked of this office. `docs/design/chain.md` says why it is right.
 
 mod chain;
 mod disk;
 mod entry;
+mod fill;
 mod flow;
 mod install;
 mod kept;
@@ -20,7 +22,7 @@
 pub use chain::Chain;
 pub use disk::Disk;
 pub use kept::{Kept, Record};
-pub use message::{Message, Standing};
+pub use message::{Fill, Message, Standing};
 pub use shown::{Heard, Shown, ShownKept, ShownMember};
 pub use view::{Ballot, Member, View};
 
@@ -36,7 +38,7 @@
 /// What a start brings.
 pub struct Boot {
     pub me: Member,
-    /// At the first seed, at the first start, with an empty disk: this one makes the first view.
+    /// Its disk was empty at the first start of all, at the first seed: this one makes the first view, if it hasn't yet.
     pub founder: bool,
     /// So many machines may be lost at once with their disks.
     pub losses: usize,
@@ -106,5 +108,7 @@
     },
     /// The state here has moved.
     Applied,
+    /// What is kept here is not what the others keep: to be begun anew, as an empty disk.
+    Spoilt,
     Log(String),
 }
--- a/crates/rookpulley-chain/src/mend.rs
+++ b/crates/rookpulley-chain/src/mend.rs
@@ -4,6 +4,7 @@
 //! present members has answered, so one that can speak but not hear disturbs nobody.
 
 use crate::chain::{Chain, SILENT_MS};
+use crate::fill::NEAR;
 use crate::message::{Message, Standing};
 use crate::view::{Ballot, Member, View};
 use crate::{Effect, State};
@@ -145,7 +146,12 @@
         if slow > 0 && view.members.len() - slow > self.losses {
             return Some(PAUSE_MS);
         }
-        let comes = |id: &u64| view.place(*id).is_none() && self.in_contact(now, *id) && !self.slow_one(*id);
+        let comes = |id: &u64| {
+            view.place(*id).is_none()
+                && self.in_contact(now, *id)
+                && !self.slow_one(*id)
+                && self.known.get(id).is_some_and(|k| k.standing.committed + NEAR >= self.flow.committed)
+        };
         if self.is_at_work() && self.known.keys().any(comes) {
             return Some(if view.number == 1 { GATHER_MS } else { 2 * PAUSE_MS });
         }
@@ -249,6 +255,18 @@
         if chosen.iter().filter(|id| !slow(id)).count() > self.losses {
             chosen.retain(|id| !slow(id));
         }
+        // Who lacks much is filled first, beside the chain, as far as the chain is long enough without it.
+        let newest = opinions.values().map(|o| o.standing.committed).max().unwrap_or(0);
+        let near = |id: &u64| {
+            let holds = |o: &Opinion| match o.standing.installed == view.number {
+                true => o.standing.last,
+                false => o.standing.committed,
+            };
+            opinions.get(id).is_some_and(|o| holds(o) + NEAR >= newest)
+        };
+        if chosen.iter().filter(|id| near(id)).count() > self.losses {
+            chosen.retain(near);
+        }
         if !opinions.contains_key(&self.me.id) || (!chosen.contains(&self.me.id) && !self.slow) {
             return self.rest(now, AGAIN_MS);
         }
--- a/crates/rookpulley-chain/src/message.rs
+++ b/crates/rookpulley-chain/src/message.rs
@@ -40,6 +40,25 @@
     pub last: u64,
     pub committed: u64,
     pub slow: bool,
+    /// The last update that the sweep stopped at, and the digest of all that was applied then.
+    pub swept: (u64, u64),
+}
+
+impl Standing {
+    /// Of one that has said nothing yet.
+    pub fn of(me: Member) -> Self {
+        let (decided, installed, at_work, last, committed) = (0, 0, 0, 0, 0);
+        Self { me, decided, installed, at_work, last, committed, slow: false, swept: (0, 0) }
+    }
+}
+
+/// A part of what an office has applied, for one that has less.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Fill {
+    /// What follows the asker's last; the sender has applied all up to `committed`.
+    Updates { committed: u64, entries: Vec<Entry> },
+    /// The state itself, up to `seq`, where the updates to it are no longer at hand.
+    Piece { seq: u64, at_ms: u64, piece: u32, pieces: u32, sum: u64, bytes: Vec<u8> },
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -101,14 +120,24 @@
     Learn {
         views: Vec<View>,
     },
-    /// What was committed up to `seq`, and behind it what the source holds beyond.
+    /// The view begins with what is agreed on up to `committed`. The log has what the receiver may lack of it, as far
+    /// as it is at hand, and what the source holds beyond; what is missing before it is to be fetched.
     Install {
         view: View,
-        seq: u64,
+        committed: u64,
         at_ms: u64,
-        snapshot: Vec<u8>,
         log: Vec<Entry>,
     },
+    /// Asks for what was applied behind `held`, or for a piece of the state up to an update.
+    Fetch {
+        ask: u64,
+        held: u64,
+        piece: Option<(u64, u32)>,
+    },
+    Filled {
+        ask: u64,
+        fill: Fill,
+    },
     AtWork {
         number: u64,
     },
@@ -131,8 +160,11 @@
         questions: Vec<Question>,
         synced_to: u64,
     },
+    /// `committed`: how far the tail was.
     Answer {
         from: Asked,
+        view: u64,
+        committed: u64,
         body: Vec<u8>,
     },
     Commit {
--- a/crates/rookpulley-chain/src/shown.rs
+++ b/crates/rookpulley-chain/src/shown.rs
@@ -20,6 +20,8 @@
     pub last: u64,
     pub applied: u64,
     pub slow: bool,
+    /// After which update copies were compared last, and the digest of the one here.
+    pub swept: (u64, u64),
     /// So many machines may be lost at once with their disks: with no more members nothing is acknowledged.
     pub losses: usize,
     /// Head first, tail last.
@@ -68,6 +70,7 @@
             last: self.flow.last,
             applied: self.flow.committed,
             slow: self.slow,
+            swept: self.stock.swept,
             losses: self.losses,
             members: members.collect(),
         }
--- a/crates/rookpulley-chain/tests/doubts.rs
+++ b/crates/rookpulley-chain/tests/doubts.rs
@@ -98,15 +98,7 @@
                     Message::Opinion { ask } => {
                         let me = self.chain.me();
                         let contacts = others.iter().chain([&me]).map(|m| (m.id, m.life)).collect();
-                        let standing = as_its(Standing {
-                            me,
-                            decided: 1,
-                            installed: 1,
-                            at_work: 0,
-                            last: 0,
-                            committed: 0,
-                            slow: false,
-                        });
+                        let standing = as_its(Standing { decided: 1, installed: 1, ..Standing::of(me) });
                         self.hear(to, Message::Seen { ask, standing, contacts, never: 0, views: Vec::new() });
                     }
                     other => self.said.push((to, other)),
@@ -119,13 +111,13 @@
 /// The disk of an office that has installed view 1 with these members, as its life 1.
 fn disk_with_view(id: u64, ids: &[(u64, u64)]) -> Rows {
     let mut office = Office::begin(id, 1, Rows::new());
-    let (first, snapshot) = (ids[0].0, Vec::new());
+    let first = ids[0].0;
     let source = first == id;
     office.hear(first, Message::Learn { views: vec![view(1, ids)] });
     if !source {
         let before = ids[ids.iter().position(|m| m.0 == id).unwrap() - 1].0;
         let (view, log) = (view(1, ids), Vec::new());
-        office.hear(before, Message::Install { view, seq: 0, at_ms: 0, snapshot, log });
+        office.hear(before, Message::Install { view, committed: 0, at_ms: 0, log });
     }
     office.sync();
     office.rows
@@ -205,8 +197,8 @@
     let ids = [(1, 1), (2, 1), (3, 1)];
     let mut office = Office::begin(2, 1, Rows::new());
     office.sync();
-    let (view, log, snapshot) = (view(1, &ids), Vec::new(), Vec::new());
-    office.hear(1, Message::Install { view, seq: 0, at_ms: 0, snapshot, log });
+    let (view, log) = (view(1, &ids), Vec::new());
+    office.hear(1, Message::Install { view, committed: 0, at_ms: 0, log });
     office.hear(3, Message::Bury { ask: 1, number: 1 });
     office.hear(3, Message::Opinion { ask: 2 });
     let never = office.said.iter().find_map(|(_, m)| match m {
--- /dev/null
+++ b/crates/rookpulley-chain/tests/filling.rs
@@ -0,0 +1,143 @@
+//! How one that lacks much gets it while the chain goes on, and how copies that differ are found.
+
+mod world;
+
+use world::{Trouble, World};
+
+/// Some 480 KB: four pieces.
+const BULK: usize = 60_000;
+
+#[test]
+fn an_empty_machine_is_filled_while_updates_go_on() {
+    for seed in 0..2 {
+        let mut world = World::bulky(seed, 3, BULK);
+        // More updates than are kept at hand.
+        world.pace_ms = 1;
+        world.play(8_000);
+        (world.pace_ms, world.far_ms) = (3, 26);
+        world.strike(Trouble::Wipe { at: (seed % 3) as usize });
+        world.play(1_500);
+        let (since, before) = (world.now, world.pieces);
+        world.heal();
+        world.play(3_000);
+        assert_eq!(world.members(), 3);
+        assert!(world.pieces >= before + 4, "the state went in {} pieces", world.pieces - before);
+        let pause = world.longest_pause(since);
+        assert!(pause < 150, "updates paused for {pause} ms");
+        world.must_answer();
+    }
+}
+
+/// The filling falls behind what is at hand, is cut off, and loses whom it asks: it begins again and comes to an end.
+#[test]
+fn a_filling_that_is_cut_off_begins_again() {
+    for seed in 0..2 {
+        let mut world = World::bulky(seed, 4, BULK);
+        world.pace_ms = 1;
+        world.play(8_000);
+        (world.pace_ms, world.far_ms) = (2, 60);
+        let tail = world.tail();
+        let wiped = world.others(tail)[(seed % 3) as usize];
+        world.strike(Trouble::Wipe { at: wiped });
+        world.play(700);
+        world.heal();
+        world.play(60 + 40 * seed);
+        world.strike(if seed % 2 == 0 {
+            Trouble::Kill { at: tail, power: true }
+        } else {
+            Trouble::Freeze { at: tail }
+        });
+        world.play(3_000);
+        world.heal();
+        world.play(3_000);
+        assert_eq!(world.members(), 4);
+        world.must_answer();
+    }
+}
+
+#[test]
+fn one_that_was_away_for_a_while_gets_what_it_lacks_and_not_the_whole_state() {
+    for seed in 0..4 {
+        let mut world = World::bulky(seed, 3, BULK);
+        world.play(3_000);
+        let before = world.pieces;
+        for at in [world.head(), world.tail()] {
+            world.strike(Trouble::Kill { at, power: seed % 2 == 0 });
+            world.play(4_000);
+            world.heal();
+            world.play(2_000);
+            assert_eq!(world.members(), 3);
+        }
+        world.strike(Trouble::KillAll { power: true });
+        world.play(300);
+        world.heal();
+        world.play(2_000);
+        assert_eq!(world.pieces, before);
+        world.must_answer();
+    }
+}
+
+#[test]
+fn one_that_has_been_away_for_very_long_is_filled_before_it_is_taken_in() {
+    for seed in 0..2 {
+        let mut world = World::bulky(seed, 4, 20_000);
+        world.pace_ms = 2;
+        world.play(2_000);
+        world.strike(Trouble::Kill { at: world.tail(), power: false });
+        world.play(16_000);
+        let (since, before) = (world.now, world.pieces);
+        world.heal();
+        world.play(2_000);
+        assert_eq!(world.members(), 4);
+        assert!(world.pieces > before);
+        assert!(world.longest_pause(since) < 100, "updates paused for {} ms", world.longest_pause(since));
+        world.must_answer();
+    }
+}
+
+#[test]
+fn a_founder_that_loses_power_at_any_moment_founds_once() {
+    for moment in 1..40 {
+        let mut world = World::new(moment, 3, 1);
+        world.play(moment);
+        world.strike(Trouble::Kill { at: 0, power: true });
+        world.play(200);
+        world.heal();
+        world.play(2_500);
+        assert_eq!(world.members(), 3, "after {moment} ms");
+        world.must_answer();
+    }
+}
+
+#[test]
+fn a_copy_that_differs_from_all_others_is_begun_anew() {
+    for seed in 0..3 {
+        let mut world = World::bulky(seed, 3, 10);
+        world.pace_ms = 2;
+        world.play(2_000);
+        let at = seed as usize;
+        let before = world.identity(at);
+        world.rots(at);
+        world.play(6_000);
+        assert_eq!(world.spoilt, 1);
+        assert_ne!(world.identity(at), before);
+        assert_eq!(world.members(), 3);
+        world.must_answer();
+        let digests: Vec<_> =
+            world.places().into_iter().filter_map(|at| world.shown(at)).map(|s| s.swept).collect();
+        assert!(digests[0].0 > 0 && digests.iter().all(|d| *d == digests[0]), "{digests:?}");
+    }
+}
+
+/// Which of two copies is the right one nobody can say, and one that can't be spared is not given up.
+#[test]
+fn copies_that_differ_where_none_can_be_spared_are_told_of() {
+    let mut world = World::bulky(1, 2, 10);
+    world.pace_ms = 2;
+    world.play(2_000);
+    world.rots(1);
+    world.play(6_000);
+    assert_eq!(world.spoilt, 0);
+    assert!(world.log.iter().any(|line| line.contains("copies differ")));
+    world.must_answer();
+}
--- a/crates/rookpulley-chain/tests/world/mod.rs
+++ b/crates/rookpulley-chain/tests/world/mod.rs
@@ -11,9 +11,11 @@
 use names::{Ask, Given, Names, Reply, body};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use rookpulley_chain::{Boot, CallKind, Chain, Effect, Input, Kept, Member, Message, Outcome, State};
+use rookpulley_chain::{Boot, CallKind, Chain, Effect, Fill, Input, Kept, Member, Message, Outcome, State};
+use std::cell::Cell;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::{Ipv4Addr, SocketAddrV4};
+use std::rc::Rc;
 
 #[derive(Clone, Debug)]
 pub enum Trouble {
@@ -85,6 +87,8 @@
     /// It ended by itself and is started again then.
     again_at: Option<u64>,
     lost_for_good: bool,
+    /// What changes the copy here.
+    rot: Rc<Cell<u64>>,
     /// Of what it has applied, this much was compared.
     compared: usize,
 }
@@ -96,6 +100,9 @@
     mutation: Option<Mutation>,
     /// Processes are held up for 50 to 250 ms now and then, as on a shared core.
     pub held_up: bool,
+    bulk: usize,
+    /// So many pieces of whole states were handed out.
+    pub pieces: u64,
     /// A message takes up to so long.
     pub far_ms: u64,
     /// This office loses power when it begins its nth write from here: it alone, or all with it.
@@ -132,6 +139,8 @@
     least_ahead: i64,
     pub took: VecDeque<(u64, u64)>,
     pub steps: u64,
+    /// So many copies were found to be spoilt.
+    pub spoilt: u64,
     pub unknown: u64,
     pub log: Vec<String>,
 }
@@ -157,6 +166,8 @@
             losses,
             mutation,
             held_up: false,
+            bulk: 0,
+            pieces: 0,
             far_ms: 6,
             power_at_write: None,
             pace_ms: 9,
@@ -182,14 +193,27 @@
             least_ahead: i64::MAX,
             took: VecDeque::new(),
             steps: 0,
+            spoilt: 0,
             unknown: 0,
             log: Vec::new(),
         };
+        world.begin(offices);
+        world
+    }
+
+    /// With a state that is so many words long from the beginning.
+    pub fn bulky(seed: u64, offices: usize, bulk: usize) -> Self {
+        let mut world = Self::with(seed, 0, 1, None);
+        world.bulk = bulk;
+        world.begin(offices);
+        world
+    }
+
+    fn begin(&mut self, offices: usize) {
         for at in 0..offices {
-            world.add();
-            world.start(at, at == 0);
+            self.add();
+            self.start(at, at == 0);
         }
-        world
     }
 
     fn add(&mut self) {
@@ -209,6 +233,7 @@
             back: None,
             again_at: None,
             lost_for_good: false,
+            rot: Rc::default(),
             compared: 0,
         });
     }
@@ -221,7 +246,11 @@
         if fresh {
             let id: u64 = self.rng.random();
             place.disk.rows.insert(b"0id".to_vec(), id.to_le_bytes().to_vec());
+            if founder {
+                place.disk.rows.insert(b"0founder".to_vec(), Vec::new());
+            }
         }
+        let founder = place.disk.rows.contains_key(&b"0founder"[..]);
         place.id = u64::from_le_bytes(place.disk.rows[&b"0id"[..]].clone().try_into().unwrap());
         if self.mutation == Some(Mutation::VotesForgotten) {
             place.disk.rows.remove(&b"p"[..]);
@@ -229,10 +258,11 @@
         let kept = (!fresh).then(|| Kept::read(place.disk.rows.clone()));
         assert!(kept.as_ref().is_none_or(Kept::sound), "office {at} finds its disk spoilt");
         let me = Member { id: place.id, life, address: place.address };
-        let boot = Boot { me, founder: founder && fresh, losses: self.losses, seed, kept };
+        let boot = Boot { me, founder, losses: self.losses, seed, kept };
         place.disk.open();
-        (place.chain, place.born, place.clock) =
-            (Some(Chain::start(clock, boot, Names::default())), self.now, clock);
+        let names = Names::long(self.bulk);
+        place.rot = names.rot.clone();
+        (place.chain, place.born, place.clock) = (Some(Chain::start(clock, boot, names)), self.now, clock);
         (place.asleep_until, place.ticked, place.compared, place.again_at) = (0, false, 0, None);
         place.inbox.clear();
         // Everybody hears of it, and it of them, over lines that are new.
@@ -283,7 +313,7 @@
             let known = self.views.entry(view.number).or_insert_with(|| view.clone());
             assert_eq!(known, view, "two views have one number");
         }
-        let mut ends = false;
+        let (mut ends, mut spoilt) = (false, false);
         for effect in effects {
             match effect {
                 Effect::Send { to, message } => {
@@ -306,6 +336,7 @@
                 Effect::Answer { token, outcome } => self.answered(token, outcome),
                 Effect::Log(line) => self.say(format!("office {at}: {line}")),
                 Effect::Applied => self.compare(at),
+                Effect::Spoilt => spoilt = true,
             }
         }
         if let Some((_, 0, all)) = self.power_at_write {
@@ -316,6 +347,12 @@
                 Trouble::Kill { at, power: true }
             });
         }
+        if spoilt {
+            self.spoilt += 1;
+            self.stop(at, false);
+            self.places[at].disk.rows.clear();
+            self.places[at].again_at = Some(self.now + 400);
+        }
         if ends {
             self.say(format!("office {at} ends: its disk refuses"));
             self.stop(at, false);
@@ -331,6 +368,7 @@
             // Under another name to the chain, under its own to who asked.
             from.life ^= 1 << 63;
         }
+        self.pieces += u64::from(matches!(message, Message::Filled { fill: Fill::Piece { .. }, .. }));
         if self.down.contains_key(&(from, to)) {
             return;
         }
@@ -628,6 +666,12 @@
         }
     }
 
+    /// The copy of an office is no longer what it should be.
+    pub fn rots(&mut self, at: usize) {
+        self.say(format!("the copy of office {at} rots"));
+        self.places[at].rot.set(1);
+    }
+
     pub fn running(&self) -> Vec<usize> {
         (0..self.places.len()).filter(|a| self.places[*a].chain.is_some()).collect()
     }
@@ -742,6 +786,10 @@
         self.places().into_iter().filter(|o| *o != at).collect()
     }
 
+    pub fn identity(&self, at: usize) -> u64 {
+        self.places[at].id
+    }
+
     pub fn view_number(&self) -> u64 {
         self.newest().number
     }
--- a/crates/rookpulley-chain/tests/world/names.rs
+++ b/crates/rookpulley-chain/tests/world/names.rs
@@ -1,7 +1,9 @@
 //! The state that the simulated chain keeps: names with a value and a revision, put or compared and put.
 
 use rookpulley_chain::State;
+use std::cell::Cell;
 use std::collections::BTreeMap;
+use std::rc::Rc;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Ask {
@@ -65,9 +67,17 @@
     pub given: Vec<Given>,
     present: BTreeMap<u8, (u64, u64)>,
     stamp: u64,
+    /// So many words beside all that, to make the state long.
+    pub bulk: usize,
+    /// What has changed here and nowhere else, without anybody's doing.
+    pub rot: Rc<Cell<u64>>,
 }
 
 impl Names {
+    pub fn long(bulk: usize) -> Self {
+        Self { bulk, ..Self::default() }
+    }
+
     fn give(&mut self, name: u8, value: u64, stamp: u64) -> u64 {
         self.given.push(Given { name, value, stamp });
         let present = self.present.entry(name).or_default();
@@ -100,12 +110,18 @@
 
     fn snapshot(&self) -> Vec<u8> {
         let rows = self.given.iter().flat_map(|g| [u64::from(g.name), g.value, g.stamp]);
-        [self.stamp].into_iter().chain(rows).flat_map(u64::to_le_bytes).collect()
+        let bulk = (0..self.bulk as u64).map(|n| n ^ self.rot.get());
+        let head = [self.stamp, self.bulk as u64 ^ self.rot.get()];
+        head.into_iter().chain(bulk).chain(rows).flat_map(u64::to_le_bytes).collect()
     }
 
     fn restore(&mut self, bytes: &[u8]) -> bool {
         let mut words = bytes.chunks_exact(8).map(|c| u64::from_le_bytes(c.try_into().unwrap()));
-        *self = Self { stamp: words.next().unwrap_or(0), ..Self::default() };
+        let (stamp, bulk) = (words.next().unwrap_or(0), words.next().unwrap_or(0) as usize);
+        *self = Self { stamp, bulk, rot: self.rot.clone(), ..Self::default() };
+        if bulk > 0 && words.nth(bulk - 1) != Some(bulk as u64 - 1) {
+            return false;
+        }
         while let (Some(name), Some(value), Some(stamp)) = (words.next(), words.next(), words.next()) {
             self.give(name as u8, value, stamp);
         }
--- a/crates/rookpulley-office/src/hub.rs
+++ b/crates/rookpulley-office/src/hub.rs
@@ -357,6 +357,7 @@
                 }
                 Effect::Log(line) => tracing::info!("{line}"),
                 Effect::Applied => moved = true,
+                Effect::Spoilt => self.begin_anew(),
             }
         }
         self.counts.view(self.inner.borrow().chain.view().map_or(0, |v| v.number));
@@ -366,6 +367,13 @@
         }
     }
 
+    /// The others keep something else: what is kept here is given up, and the next start is filled by them.
+    fn begin_anew(&self) {
+        let given_up = self.node.data.as_deref().map(Store::give_up);
+        tracing::error!("store: differs from all others; given up {given_up:?}, this process ends");
+        std::process::exit(1);
+    }
+
     /// Takes what the store says, for as long as it says anything.
     pub fn hear_store(self: &Rc<Self>, mut heard: mpsc::UnboundedReceiver<Said>) {
         let hub = self.clone();
