A disk that is left over can found a chain anew, and older members give way to it

When most of a view is gone for good nobody may decide the next one. The store of one that is left can now be turned into one that founds anew: another identity, a view whose number is 1,000,000 to 1,000,000,000 above the newest known, its state and its whole log kept.

Who comes back holding more updates than the founder kept its own state when it was taken in; the number of the view now tells that they are apart.

The rows of a disk can be checked one by one as well.

--- a/crates/rookpulley-chain/src/install.rs
+++ b/crates/rookpulley-chain/src/install.rs
@@ -8,6 +8,7 @@
 use crate::kept;
 use crate::message::{Entry, Message, Standing};
 use crate::recent::Recent;
+use crate::refound::apart;
 use crate::view::{Member, View};
 use crate::{Effect, State};
 
@@ -63,8 +64,9 @@
         if !ours || !before || number <= self.never || number <= self.flow.installing {
             return;
         }
-        // What is applied here was committed, so it is part of what comes; watches are never taken back behind it.
-        if self.flow.committed < seq {
+        // What is applied here was committed, so it is part of what comes; watches are never taken back behind it. Not so
+        // where the chain was founded anew since: what it lacks is gone.
+        if self.flow.committed < seq || apart(self.installed.max(self.flow.installing), number) {
             let whole = Recent::parse(&snapshot);
             let Some((recent, _)) = whole.filter(|(_, state)| self.state.restore(state)) else {
                 return self.log(format!("what came with view {number} can't be read"));
--- a/crates/rookpulley-chain/src/lib.rs
+++ b/crates/rookpulley-chain/src/lib.rs
@@ -2,23 +2,27 @@
 //!
 //! `view` and `message` hold the values, `kept` what stands on the disk, `votes` the acceptor, `mend` how a new view
 //! comes about, `install` how it is set to work, `flow` updates and reads through a chain at work, `recent` what was
-//! answered lately, `entry` the calls that were asked of this office. `docs/design/chain.md` says why it is right.
+//! answered lately, `entry` the calls that were asked of this office, `refound` the way out when a majority is gone,
+//! `flaws` what is wrong with a disk. `docs/design/chain.md` says why it is right.
 
 mod chain;
 mod disk;
 mod entry;
+mod flaws;
 mod flow;
 mod install;
 mod kept;
 mod mend;
 mod message;
 mod recent;
+mod refound;
 mod shown;
 mod view;
 mod votes;
 
 pub use chain::Chain;
 pub use disk::Disk;
+pub use flaws::{Flaw, flaws};
 pub use kept::{Kept, Record};
 pub use message::{Message, Standing};
 pub use shown::{Heard, Shown, ShownKept, ShownMember};
--- a/crates/rookpulley-chain/tests/world/names.rs
+++ b/crates/rookpulley-chain/tests/world/names.rs
@@ -51,6 +51,11 @@
     [&[name, kind][..], &u64::to_le_bytes(expected), &u64::to_le_bytes(value)].concat()
 }
 
+/// The value that an update puts.
+pub fn value(body: &[u8]) -> u64 {
+    u64::from_le_bytes(body[10..18].try_into().unwrap())
+}
+
 /// An update that went through, with the ledger's time.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Given {
