Commands check an office's store, and found the chain anew with it

`gateway store` becomes a group: show as before, check with all faults told by place, found and instead, and refound, the way out when most offices are gone for good. `gateway chain show` is what `show view` shows.

The new store is written aside, synced, and put in its place by one step; the old one is kept beside.

--- a/crates/rookpulley-cli/src/gateway.rs
+++ b/crates/rookpulley-cli/src/gateway.rs
@@ -1,4 +1,5 @@
-//! Commands on the gateway: what its offices show, checks of its files, where a request would go, what a disk holds.
+//! Commands on the gateway: what its offices show, checks of its files, where a request would go, what a disk holds
+//! and how a chain is founded anew with it.
 
 mod check;
 mod explain;
@@ -27,12 +28,52 @@
     ///
     /// Example: rookpulley gateway explain configuration.json post.example /stamps/list
     Explain { file: PathBuf, host: String, path: String },
-    /// Shows what an office's store on disk holds, in place; only while no process uses it
+    /// The chain of the offices
+    #[command(subcommand)]
+    Chain(Chain),
+    /// An office's store on disk, in place; only while no process uses it
+    #[command(subcommand)]
+    Store(Store),
+}
+
+#[derive(Subcommand)]
+pub enum Chain {
+    /// Shows the chain as one office sees it, as `show view` does; --at is its controlPlane address
+    ///
+    /// Example: rookpulley gateway chain show --at 10.4.0.10:8166
+    Show,
+}
+
+#[derive(Subcommand)]
+pub enum Store {
+    /// Shows what it holds
+    ///
+    /// Example: rookpulley gateway store show /data/office
+    Show {
+        /// The dataDirectory of the office's settings
+        folder: PathBuf,
+    },
+    /// Says how far it reaches and all that is wrong with it; ends with 1 where something is
+    ///
+    /// Example: rookpulley gateway store check /data/office
+    Check {
+        /// The dataDirectory of the office's settings
+        folder: PathBuf,
+    },
+    /// Lets it found the chain anew, where most offices are gone for good; ends with 1 where it can't
     ///
-    /// Example: rookpulley gateway store /data/office
-    Store {
+    /// Without --yes it only says what it would do. The office gets another identity and a view of its own and keeps
+    /// its state and its whole log; the store as it was is kept beside. Only on one office that is left, the one whose
+    /// check shows the highest installed view and then the highest update: what the others acknowledged without it is
+    /// gone.
+    ///
+    /// Example: rookpulley gateway store refound /data/office --yes
+    Refound {
         /// The dataDirectory of the office's settings
         folder: PathBuf,
+        /// Do it
+        #[arg(long)]
+        yes: bool,
     },
 }
 
@@ -82,6 +123,9 @@
         Gateway::Check(Check::Configuration { file }) => check::configuration(file).told(json),
         Gateway::Check(Check::Deploy { file }) => check::deploy(file).told(json),
         Gateway::Explain { file, host, path } => explain::explained(json, file, host, path),
-        Gateway::Store { folder } => (store::shown(json, folder)?, true),
+        Gateway::Chain(Chain::Show) => (show::shown(json, &place()?, Part::View, "")?, true),
+        Gateway::Store(Store::Show { folder }) => (store::shown(json, folder)?, true),
+        Gateway::Store(Store::Check { folder }) => store::check::checked(json, folder)?,
+        Gateway::Store(Store::Refound { folder, yes }) => store::refound::refounded(json, folder, *yes)?,
     })
 }
--- a/crates/rookpulley-cli/src/gateway/check.rs
+++ b/crates/rookpulley-cli/src/gateway/check.rs
@@ -44,30 +44,36 @@
 
 /// What came of a check: a sentence on a good file, or all that is wrong with it.
 pub struct Checked {
-    file: PathBuf,
-    verdict: Result<String, Faults>,
+    pub file: PathBuf,
+    pub verdict: Result<String, Faults>,
 }
 
 impl Checked {
     /// What is printed, and whether the file can be used.
     pub fn told(&self, json: bool) -> (String, bool) {
         let well = self.verdict.is_ok();
-        if json {
-            let said = match &self.verdict {
-                Ok(what) => json!({"file": self.file, "ok": true, "what": what, "faults": [], "more": 0}),
-                Err(told) => {
-                    let each = |f: &Fault| json!({"place": f.place, "found": f.found, "instead": f.instead});
-                    let faults: Vec<Value> = told.faults.iter().map(each).collect();
-                    json!({"file": self.file, "ok": false, "faults": faults, "more": told.untold})
-                }
-            };
-            return (said.to_string() + "\n", well);
+        let said = if json { self.said().to_string() + "\n" } else { self.lines("write") };
+        (said, well)
+    }
+
+    pub fn said(&self) -> Value {
+        match &self.verdict {
+            Ok(what) => json!({"file": self.file, "ok": true, "what": what, "faults": [], "more": 0}),
+            Err(told) => {
+                let each = |f: &Fault| json!({"place": f.place, "found": f.found, "instead": f.instead});
+                let faults: Vec<Value> = told.faults.iter().map(each).collect();
+                json!({"file": self.file, "ok": false, "faults": faults, "more": told.untold})
+            }
         }
+    }
+
+    /// `mend` stands before what should be there.
+    pub fn lines(&self, mend: &str) -> String {
         let file = self.file.display();
-        let said = match &self.verdict {
+        match &self.verdict {
             Ok(what) => format!("{file}: {what}\n"),
             Err(told) => {
-                let line = |f: &Fault| format!("{file}: {} is {}; write {}\n", f.place, f.found, f.instead);
+                let line = |f: &Fault| format!("{file}: {} is {}; {mend} {}\n", f.place, f.found, f.instead);
                 let more = if told.untold > 0 {
                     format!("{file}: and {} more\n", told.untold)
                 } else {
@@ -75,8 +81,7 @@
                 };
                 told.faults.iter().map(line).collect::<String>() + &more
             }
-        };
-        (said, well)
+        }
     }
 }
 
--- a/crates/rookpulley-cli/src/gateway/store.rs
+++ b/crates/rookpulley-cli/src/gateway/store.rs
@@ -1,5 +1,8 @@
 //! What an office's disk holds, read in place while no process uses it.
 
+pub mod check;
+pub mod refound;
+
 use crate::call::CannotAsk;
 use crate::show::table;
 use rookpulley_chain::{Kept, View};
--- /dev/null
+++ b/crates/rookpulley-cli/src/gateway/store/check.rs
@@ -0,0 +1,164 @@
+//! Whether a store is as an office left it: how far it reaches, and all that is wrong with it.
+
+use crate::call::CannotAsk;
+use crate::gateway::check::Checked;
+use rookpulley_addressbook::Book;
+use rookpulley_chain::{Kept, flaws};
+use rookpulley_ledger::{Ledger, Update};
+use rookpulley_returns::{Faults, Manner, counted};
+use rookpulley_sorting::News;
+use rookpulley_strongroom::{Contents, LookError, look};
+use serde_json::{Value, json};
+use std::path::Path;
+
+static STORE: Manner = Manner {
+    told: 64,
+    shown: 160,
+    heading: |faults| format!("{} in the store", counted(faults, "fault")),
+    help: "let the office start and be filled by the others, or found the chain anew from a better store",
+};
+
+/// A store that could be opened, with all that is wrong with it.
+pub struct Examined {
+    pub contents: Contents,
+    pub kept: Kept,
+    pub faults: Faults,
+    /// Its state is whole and this build reads it: an office that starts with it is a possible source.
+    pub usable: bool,
+    /// The newest configuration that it holds, also one in the log.
+    configuration: u64,
+}
+
+/// Examines a store. One that can't be opened is at fault itself.
+pub fn examined(folder: &Path) -> Result<Result<Examined, Faults>, CannotAsk> {
+    match look(folder) {
+        Ok(contents) => Ok(Ok(Examined::of(contents))),
+        Err(LookError::Spoilt(_, why)) => {
+            let found = format!("spoilt ({why})");
+            Ok(Err(Faults::one(&STORE, "the store", found, "one that can be opened")))
+        }
+        Err(why) => Err(CannotAsk::Store(why)),
+    }
+}
+
+impl Examined {
+    fn of(contents: Contents) -> Self {
+        let kept = Kept::read(contents.chain.iter().cloned());
+        let mut faults = Faults::none(&STORE);
+        if contents.identity.is_none() {
+            faults.add("the identity", "missing", "there since the office's first start");
+        }
+        for flaw in flaws(&contents.chain, contents.identity) {
+            faults.add(flaw.place, flaw.found, flaw.instead);
+        }
+        let chain = kept.shown();
+        let (mut ledger, mut usable) = (Ledger::default(), kept.sound() && contents.identity.is_some());
+        if let Some((update, _, bytes)) = chain.snapshot {
+            if let Err(why) = ledger.restore(bytes) {
+                let found = format!("up to update {update} and unreadable ({why})");
+                faults.add("snapshot", found, "one that this build wrote");
+                usable = false;
+            }
+            if let Some((version, body)) = ledger.configuration() {
+                of_configuration(&mut faults, format!("configuration {version}"), body);
+            }
+        }
+        let mut configuration = ledger.version();
+        for (seq, _, body) in &chain.log {
+            match Update::decode(body) {
+                Ok(Update::PutConfiguration { version, body }) => {
+                    configuration = configuration.max(version);
+                    let place = format!("configuration {version} in update {seq}");
+                    of_configuration(&mut faults, place, &body);
+                }
+                Ok(_) => {}
+                Err(why) => {
+                    let found = format!("unreadable ({why})");
+                    faults.add(format!("update {seq}"), found, "one that this build knows");
+                }
+            }
+        }
+        for (life, value) in &contents.lives {
+            if postcard::from_bytes::<News>(value).is_err() {
+                let place = format!("the note on task {}", life.escape_ascii());
+                faults.add(place, format!("unreadable ({} bytes)", value.len()), "what was heard of it");
+            }
+        }
+        Self { usable, faults, configuration, kept, contents }
+    }
+
+    /// The last update that it holds.
+    pub fn update(&self) -> u64 {
+        let chain = self.kept.shown();
+        let snapshot = chain.snapshot.map_or(0, |(update, ..)| update);
+        chain.log.last().map_or(snapshot, |(update, ..)| *update)
+    }
+
+    fn newest(&self) -> u64 {
+        self.kept.shown().views.last().map_or(0, |view| view.number)
+    }
+
+    fn reaches(&self) -> String {
+        let goes_on = match (self.usable, self.kept.sound()) {
+            (true, _) => "an office goes on with it",
+            (_, true) => "an office starts with it, and its state is no source",
+            _ => "unsound, an office begins it anew as an empty disk",
+        };
+        format!(
+            "installed view {} (newest known {}), update {}, configuration {}; {goes_on}",
+            self.kept.shown().installed,
+            self.newest(),
+            self.update(),
+            self.configuration
+        )
+    }
+
+    fn as_json(&self) -> Value {
+        json!({"installed": self.kept.shown().installed, "view": self.newest(), "update": self.update(),
+            "configVersion": self.configuration, "sound": self.kept.sound(), "usable": self.usable})
+    }
+}
+
+fn of_configuration(faults: &mut Faults, place: String, body: &[u8]) {
+    let Err(told) = Book::read(body) else { return };
+    for fault in told.faults {
+        faults.add(format!("{place}, {}", fault.place), fault.found, fault.instead);
+    }
+    faults.untold += told.untold;
+}
+
+/// What is printed of an examined store, and whether nothing is wrong with it. `refused`: why something else that was
+/// asked of it isn't done.
+pub fn told(
+    json: bool,
+    folder: &Path,
+    examined: &Result<Examined, Faults>,
+    refused: Option<&str>,
+) -> (String, bool) {
+    let (faults, reaches) = match examined {
+        Ok(store) => (&store.faults, Some((store.reaches(), store.as_json()))),
+        Err(faults) => (faults, None),
+    };
+    let what = reaches.as_ref().map_or(String::new(), |(what, _)| what.clone());
+    let verdict = if faults.is_empty() { Ok(what.clone()) } else { Err(faults.clone()) };
+    let checked = Checked { file: folder.into(), verdict };
+    let well = checked.verdict.is_ok();
+    if json {
+        let mut said = checked.said();
+        said["reaches"] = reaches.map_or(Value::Null, |(_, reaches)| reaches);
+        if let Some(why) = refused {
+            (said["done"], said["refused"]) = (false.into(), why.into());
+        }
+        return (said.to_string() + "\n", well);
+    }
+    let mut lines = checked.lines("it should be");
+    if !well && !what.is_empty() {
+        lines += &format!("{}: {what}\n", folder.display());
+    }
+    lines += &refused.map_or(String::new(), |why| format!("{}: {why}\n", folder.display()));
+    (lines, well)
+}
+
+pub fn checked(json: bool, folder: &Path) -> Result<(String, bool), CannotAsk> {
+    Ok(told(json, folder, &examined(folder)?, None))
+}
--- a/crates/rookpulley-cli/tests/gateway.rs
+++ b/crates/rookpulley-cli/tests/gateway.rs
@@ -1,11 +1,12 @@
 //! The commands on the gateway, against an office that answers by script, files, and a store on disk.
 
 use assert_cmd::Command;
-use rookpulley_chain::{Boot, CallKind, Chain, Effect, Input, Member, State};
+use rookpulley_chain::{Boot, CallKind, Chain, Effect, Input, Kept, Member, Outcome, Record, State};
 use rookpulley_ledger::{Ledger, Update};
 use rookpulley_sorting::News;
 use rookpulley_strongroom::{Part, Said, Store};
 use serde_json::Value;
+use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpListener};
 use std::path::Path;
@@ -99,6 +100,7 @@
         let (code, out, err) = run(&[&["show", "--at", at], args].concat());
         assert!(code == 0 && in_order(&out, wanted), "{args:?} {code}: {out}{err}");
     }
+    assert_eq!(run(&["chain", "show", "--at", at]), run(&["show", "view", "--at", at]));
     for part in ["view", "tasks", "tables", "couriers", "ledger", "counters"] {
         let (code, out, _) = run(&["show", part, "--at", at, "--json"]);
         let said: Value = serde_json::from_str(&out).expect(&out);
@@ -254,9 +256,9 @@
 }
 
 #[derive(Default)]
-struct Kept(Ledger);
+struct Held(Ledger);
 
-impl State for Kept {
+impl State for Held {
     fn apply(&mut self, at_ms: u64, entry: &[u8]) -> Vec<u8> {
         self.0.apply_bytes(at_ms, entry)
     }
@@ -271,93 +273,353 @@
     }
 }
 
-#[test]
-fn a_store_that_nobody_uses_shows_what_it_holds_and_one_in_use_is_left_alone() {
-    let folder = tempfile::tempdir().unwrap();
-    let path = folder.path().to_str().unwrap();
-    let (code, _, err) = run(&["store", path]);
-    assert!(
-        code == 3 && err.contains("there is no office's store") && err.contains("dataDirectory"),
-        "{err}"
-    );
+/// An office alone on its store.
+struct Alone {
+    store: Store,
+    heard: tokio::sync::mpsc::UnboundedReceiver<Said>,
+    rows: BTreeMap<Vec<u8>, Vec<u8>>,
+    chain: Chain<Held>,
+    now: u64,
+    done: usize,
+}
+
+impl Alone {
+    fn open(folder: &Path, life: u64) -> Self {
+        let (said, heard) = tokio::sync::mpsc::unbounded_channel();
+        let mut store = Store::open(folder, 0x5f0c_1be2_a9d4_7731, said).unwrap();
+        let rows = BTreeMap::from_iter(std::mem::take(&mut store.held));
+        let chain = Self::begin(&store, &rows, life);
+        Self { store, heard, rows, chain, now: 0, done: 0 }
+    }
 
-    let (said, mut heard) = tokio::sync::mpsc::unbounded_channel();
-    let store = Store::open(folder.path(), 0x5f0c_1be2_a9d4_7731, said).unwrap();
-    let me = Member { id: store.identity, life: 3, address: "10.4.0.10:7731".parse().unwrap() };
-    let boot = Boot { me, founder: true, losses: 0, seed: 5, kept: None };
-    let mut chain = Chain::start(0, boot, Kept::default());
-    let put = |version| Update::PutConfiguration { version, body: b"{}".to_vec() }.encode();
-    let (mut now, mut done) = (0, 0);
-    while done < 2 {
-        now += 50;
-        let mut effects = chain.handle(now, Input::Tick);
-        if chain.serving(now) {
-            let call = Input::Call { token: now, kind: CallKind::Update, body: put(7 + now) };
-            effects.extend(chain.handle(now, call));
+    fn begin(store: &Store, rows: &BTreeMap<Vec<u8>, Vec<u8>>, life: u64) -> Chain<Held> {
+        let me = Member { id: store.identity, life, address: "10.4.0.10:7731".parse().unwrap() };
+        let kept = (!rows.is_empty()).then(|| Kept::read(rows.clone()));
+        let boot = Boot { me, founder: kept.is_none(), losses: 0, seed: 5, kept };
+        Chain::start(0, boot, Held::default())
+    }
+
+    /// Another life on the same store: with its view goes a snapshot of all before.
+    fn again(&mut self, life: u64) {
+        self.chain = Self::begin(&self.store, &self.rows, life);
+        self.now = 0;
+    }
+
+    /// To the rows; all of them go to the disk at the end.
+    fn write(&mut self, records: Vec<Record>) {
+        for record in records {
+            match record {
+                Record::Put { key, value } => _ = self.rows.insert(key, value),
+                Record::Delete { key } => _ = self.rows.remove(&key),
+            }
         }
-        while !effects.is_empty() {
-            let mut next = Vec::new();
-            for effect in effects {
-                match effect {
-                    Effect::Write { ticket, records } => {
-                        assert!(store.write(Part::Chain, ticket, records));
-                        while !matches!(heard.blocking_recv(), Some(Said::Synced { chain: Some(t), .. }) if t == ticket)
-                        {
+    }
+
+    /// Plays on until these updates are answered.
+    fn answers(&mut self, bodies: impl IntoIterator<Item = Vec<u8>>) {
+        let mut bodies = bodies.into_iter();
+        let (mut due, mut asked) = (bodies.next(), self.done);
+        while due.is_some() || self.done < asked {
+            self.now += 50;
+            assert!(self.now < 60_000, "nothing is answered");
+            let mut effects = self.chain.handle(self.now, Input::Tick);
+            if self.chain.serving(self.now)
+                && self.done == asked
+                && let Some(body) = due
+            {
+                asked += 1;
+                due = bodies.next();
+                let call = Input::Call { token: self.now, kind: CallKind::Update, body };
+                effects.extend(self.chain.handle(self.now, call));
+            }
+            while !effects.is_empty() {
+                let mut next = Vec::new();
+                for effect in effects {
+                    match effect {
+                        Effect::Write { ticket, records } => {
+                            self.write(records);
+                            next.extend(self.chain.handle(self.now, Input::Synced { ticket }));
                         }
-                        next.extend(chain.handle(now, Input::Synced { ticket }));
+                        Effect::Answer { outcome: Outcome::Done(_), .. } => self.done += 1,
+                        _ => {}
                     }
-                    Effect::Answer { outcome: rookpulley_chain::Outcome::Done(_), .. } => done += 1,
-                    _ => {}
                 }
+                effects = next;
             }
-            effects = next;
         }
     }
-    let gone = postcard::to_allocvec(&News::Gone { life: "i-9be7".into(), age_ms: 0.0 }).unwrap();
-    let record = rookpulley_chain::Record::Put { key: b"i-9be7".to_vec(), value: gone };
-    assert!(store.write(Part::Lives, 1, vec![record]));
-
-    let (code, _, err) = run(&["store", path]);
-    assert!(code == 3 && err.contains("is in use by a process") && err.contains("end it first"), "{err}");
-    drop(store);
-    while heard.blocking_recv().is_some() {}
-    let (code, out, err) = loop {
-        match run(&["store", path]) {
-            (3, ..) => std::thread::yield_now(),
-            told => break told,
+
+    fn note(&self, life: &str, value: Vec<u8>) {
+        let record = Record::Put { key: life.into(), value };
+        assert!(self.store.write(Part::Lives, 1, vec![record]));
+    }
+
+    fn close(self) {
+        let Self { store, mut heard, rows, .. } = self;
+        let all = rows.into_iter().map(|(key, value)| Record::Put { key, value }).collect();
+        assert!(store.write(Part::Chain, 1, all));
+        drop(store);
+        while heard.blocking_recv().is_some() {}
+    }
+}
+
+fn configured(version: u64, body: &str) -> Vec<u8> {
+    let body = body.replace("\"configVersion\":7", &format!("\"configVersion\":{version}"));
+    Update::PutConfiguration { version, body: body.into_bytes() }.encode()
+}
+
+/// With configuration 7 in its snapshot, 8 in its log, a note on a task, and whatever is done to it.
+fn a_store(folder: &Path, then: impl FnOnce(&mut Alone)) {
+    let mut office = Alone::open(folder, 3);
+    let cell =
+        |n: u64| Update::PutCell { name: format!("g/{}", n % 9), value: "5".into(), active: None }.encode();
+    office.answers(std::iter::once(configured(7, CONFIGURATION)).chain((1..600).map(cell)));
+    office.again(4);
+    office.answers([configured(8, CONFIGURATION), cell(7), cell(8), cell(9)]);
+    let gone = News::Gone { life: "i-9be7".into(), age_ms: 0.0 };
+    office.note("i-9be7", postcard::to_allocvec(&gone).unwrap());
+    then(&mut office);
+    office.close();
+}
+
+/// What a command says of a store, once nobody has it any more.
+fn of_store(args: &[&str]) -> (i32, String, String) {
+    loop {
+        match run(&[&["store"], args].concat()) {
+            (3, _, err) if err.contains("is in use by a process") => std::thread::yield_now(),
+            told => return told,
         }
-    };
+    }
+}
+
+#[test]
+fn a_store_that_nobody_uses_shows_what_it_holds_and_one_in_use_is_left_alone() {
+    let folder = tempfile::tempdir().unwrap();
+    let path = folder.path().to_str().unwrap();
+    for what in ["show", "check", "refound"] {
+        // Nothing is there, then something that is no store.
+        for _ in 0..2 {
+            let (code, _, err) = run(&["store", what, path]);
+            let wanted = ["there is no office's store", "dataDirectory"];
+            assert!(code == 3 && in_order(&err, &wanted), "{err}");
+            written(folder.path(), "letter", "none of ours");
+        }
+    }
+    a_store(folder.path(), |_| {
+        for what in ["show", "check", "refound"] {
+            let (code, _, err) = run(&["store", what, path]);
+            assert!(code == 3 && in_order(&err, &["is in use by a process", "end it first"]), "{err}");
+        }
+    });
+    let (code, out, err) = of_store(&["show", path]);
     let wanted = [
         "identity",
         "5f0c1be2a9d47731\n",
         "sound",
         "yes\n",
         "view",
-        "1 of 10.4.0.10:7731\n",
+        "2 of 10.4.0.10:7731\n",
         "installed view",
-        "1\n",
+        "2\n",
         "snapshot",
-        "up to update 0,",
+        "up to update ",
         "log",
-        "entries, 1 to ",
+        " entries, ",
+        " to 604\n",
         "configuration",
-        "none; in the log: ",
+        "7; in the log: 8\n",
+        "keeps",
+        "9 cells\n",
         "lives noted",
         "0 and 1 gone\n",
     ];
     assert!(code == 0 && in_order(&out, &wanted), "{out}{err}");
-    let (_, out, _) = run(&["store", path, "--json"]);
+    let (_, out, _) = of_store(&["show", path, "--json"]);
     let said: Value = serde_json::from_str(&out).unwrap();
     assert_eq!(
-        (&said["view"]["members"][0]["address"], &said["lives"]["gone"]),
-        (&"10.4.0.10:7731".into(), &1.into())
+        (&said["view"]["members"][0]["address"], &said["lives"]["gone"], &said["log"]["last"]),
+        (&"10.4.0.10:7731".into(), &1.into(), &604.into())
     );
-    assert!(said["log"]["entries"].as_u64() >= Some(2) && said["vote"]["accepted"].is_null(), "{out}");
+}
+
+fn put(key: &[u8], value: impl Into<Vec<u8>>) -> Record {
+    Record::Put { key: key.into(), value: value.into() }
+}
+
+fn keyed(kind: u8, number: u64) -> Vec<u8> {
+    [&[kind][..], &number.to_be_bytes()].concat()
+}
+
+#[test]
+fn a_store_is_checked_with_how_far_it_reaches_and_all_that_is_wrong_with_it() {
+    type Spoil = fn(&mut Alone);
+    let whole = "installed view 2 (newest known 2), update 604, configuration 8; an office goes on with it\n";
+    let unsound = "; unsound, an office begins it anew as an empty disk\n";
+    let cases: [(Spoil, i32, &[&str]); 8] = [
+        (|_| {}, 0, &[whole]),
+        (
+            |office| {
+                let mut piece = office.rows[&keyed(b's', 0)].clone();
+                piece[40] ^= 1;
+                office.write(vec![put(&keyed(b's', 0), piece)]);
+            },
+            1,
+            &[
+                "snapshot is spoilt (its sum is another); it should be as it was written\n",
+                "installed view 2",
+                unsound,
+            ],
+        ),
+        (
+            |office| office.write(vec![Record::Delete { key: keyed(b'e', 602) }]),
+            1,
+            &[
+                "log is without update 602, and 2 behind it are there; it should be whole from update ",
+                "update 601, configuration 8; an office goes on with it\n",
+            ],
+        ),
+        (
+            |office| office.write(vec![put(&keyed(b'v', 2), [255]), put(b"n", [])]),
+            1,
+            &[
+                "row n is unreadable (0 bytes); it should be a whole number\n",
+                "row v 2 is unreadable (1 bytes); it should be a view\n",
+                "installed view is 2, which is not known; it should be a known one\n",
+                unsound,
+            ],
+        ),
+        (
+            |office| {
+                let vote = postcard::to_allocvec(&(9u64, (1u64, 1u64), None::<u8>)).unwrap();
+                office.write(vec![put(b"p", vote)]);
+            },
+            1,
+            &["vote is for view 9; it should be for view 3 at most", whole],
+        ),
+        (
+            |office| office.write(vec![Record::Delete { key: b"S".to_vec() }]),
+            1,
+            &["snapshot is missing; it should be there, as view 2 is installed\n", unsound],
+        ),
+        (
+            |office| office.answers([configured(9, &CONFIGURATION.replace("\"stamps\"}", "\"\"}"))]),
+            1,
+            &["configuration 9 in update 605, services[0].name is \"\"; it should be", "configuration 9; an"],
+        ),
+        (
+            |office| office.note("i-41c0", vec![9, 9]),
+            1,
+            &["the note on task i-41c0 is unreadable (2 bytes); it should be what was heard of it\n", whole],
+        ),
+    ];
+    for (spoil, code, wanted) in cases {
+        let folder = tempfile::tempdir().unwrap();
+        let path = folder.path().to_str().unwrap();
+        a_store(folder.path(), spoil);
+        let (ended, out, err) = of_store(&["check", path]);
+        assert!(ended == code && in_order(&out, wanted) && err.is_empty(), "{wanted:?}: {out}{err}");
+        assert!(out.lines().all(|line| line.starts_with(path)), "{out}");
+        let (ended, out, _) = of_store(&["check", path, "--json"]);
+        let said: Value = serde_json::from_str(&out).unwrap();
+        assert_eq!((ended, said["ok"] == true, &said["reaches"]["installed"]), (code, code == 0, &2.into()));
+        assert_eq!(said["faults"][0]["place"].is_string(), code == 1, "{out}");
+    }
+    let folder = tempfile::tempdir().unwrap();
+    std::fs::create_dir(folder.path().join("store")).unwrap();
+    written(folder.path(), "store/db", "neither this");
+    written(folder.path(), "store/conf", "nor this is of a store");
+    let (code, out, _) = of_store(&["check", folder.path().to_str().unwrap()]);
+    assert!(code == 1 && out.contains(": the store is spoilt ("), "{out}");
+}
+
+#[test]
+fn a_store_founds_the_chain_anew_with_all_that_it_holds_and_only_where_it_is_told_to() {
+    let folder = tempfile::tempdir().unwrap();
+    let path = folder.path().to_str().unwrap();
+    a_store(folder.path(), |office| office.write(vec![put(b"n", [1])]));
+    let (_, before, _) = of_store(&["show", path, "--json"]);
+    let (code, out, _) = of_store(&["refound", path]);
+    let wanted = [
+        "is                   would be\n",
+        "5f0c1be2a9d47731     another\n",
+        "2 of 10.4.0.10:7731  far above 2, of 10.4.0.10:7731 alone\n",
+        "up to 604            up to 604\n",
+        " to 604 are its log: the last may not have been acknowledged, and are kept\n",
+        "what the others acknowledged without this office is gone; do this on one office alone\n",
+        "nothing was written; with --yes it is done\n",
+    ];
+    assert!(code == 0 && in_order(&out, &wanted), "{out}");
+    let (_, out, _) = of_store(&["refound", path, "--json"]);
+    let said: Value = serde_json::from_str(&out).unwrap();
+    assert!(said["done"] == false && said["view"]["is"].is_null() && said["update"] == 604, "{out}");
+    assert_eq!(of_store(&["show", path, "--json"]).1, before);
+
+    let (code, out, _) = of_store(&["refound", path, "--yes", "--json"]);
+    let said: Value = serde_json::from_str(&out).unwrap();
+    let number = said["view"]["is"]["number"].as_u64().unwrap();
+    assert!(code == 0 && said["done"] == true && number % 1_000_000 == 2 && number > 2, "{out}");
+    assert!(folder.path().join("store.before/db").is_file());
+    let (code, out, _) = of_store(&["check", path]);
+    let reaches = format!("installed view {number} (newest known {number}), update 604, configuration 8; an");
+    assert!(code == 0 && out.contains(&reaches), "{out}");
+    let (_, out, _) = of_store(&["show", path, "--json"]);
+    let (was, is): (Value, Value) =
+        (serde_json::from_str(&before).unwrap(), serde_json::from_str(&out).unwrap());
+    assert_eq!((&is["identity"], &is["view"]), (&said["identity"]["is"], &said["view"]["is"]));
+    assert_ne!(is["identity"], was["identity"]);
+    for kept in ["snapshot", "log", "lives"] {
+        assert_eq!(is[kept], was[kept], "{kept}");
+    }
+    assert_eq!((&was["neverUpTo"], &is["neverUpTo"]), (&1.into(), &0.into()));
+    // What it took the place of is not overwritten by another one.
+    let (code, _, err) = of_store(&["refound", path, "--yes"]);
+    assert!(code == 3 && in_order(&err, &["store.before is there", "move it elsewhere"]), "{err}");
+
+    // It goes to work by itself, under another identity, with all that was there.
+    let mut office = Alone::open(folder.path(), 5);
+    office.answers([configured(9, CONFIGURATION)]);
+    let held = &office.chain.state().0;
+    assert_eq!((held.version(), held.sizes().cells), (9, 9));
+    assert_eq!(office.chain.view().unwrap().number, number + 1);
+    office.close();
+}
+
+#[test]
+fn a_store_without_a_whole_state_founds_nothing() {
+    let unsound = |office: &mut Alone| office.write(vec![Record::Delete { key: keyed(b's', 0) }]);
+    let empty = |office: &mut Alone| {
+        let gone: Vec<Record> = office.rows.keys().map(|key| Record::Delete { key: key.clone() }).collect();
+        office.write(gone);
+    };
+    for (spoil, why) in [(unsound as fn(&mut Alone), "snapshot is 0 bytes long"), (empty, "installed view 0")]
+    {
+        let folder = tempfile::tempdir().unwrap();
+        let path = folder.path().to_str().unwrap();
+        a_store(folder.path(), spoil);
+        let (code, out, _) = of_store(&["refound", path, "--yes"]);
+        let wanted = [why, "no state that a chain could be founded with; nothing was written\n"];
+        assert!(code == 1 && in_order(&out, &wanted), "{out}");
+        let (_, out, _) = of_store(&["refound", path, "--yes", "--json"]);
+        let said: Value = serde_json::from_str(&out).unwrap();
+        assert!(said["done"] == false && said["refused"].is_string(), "{out}");
+        assert!(!folder.path().join("store.before").exists());
+    }
 }
 
 #[test]
 fn every_command_on_the_gateway_shows_an_example_in_its_help() {
-    for what in ["show", "explain", "store", "check settings", "check configuration", "check deploy"] {
+    let all = [
+        "show",
+        "explain",
+        "chain show",
+        "store show",
+        "store check",
+        "store refound",
+        "check settings",
+        "check configuration",
+        "check deploy",
+    ];
+    for what in all {
         let words: Vec<&str> = what.split(' ').chain(["--help"]).collect();
         let (code, out, _) = run(&words);
         assert!(code == 0 && out.contains(&format!("Example: rookpulley gateway {what}")), "{out}");
--- a/crates/rookpulley-strongroom/src/look.rs
+++ b/crates/rookpulley-strongroom/src/look.rs
@@ -1,5 +1,6 @@
 //! What is in a store that no process uses, read in place.
 
+use crate::replace::settle;
 use crate::store::{CHAIN, FOLDER, IDENTITY, LIVES, Rows, in_use, open_at, sync_all};
 use std::fs::{File, TryLockError};
 use std::path::{Path, PathBuf};
@@ -18,6 +19,14 @@
     #[error("the store in {0} is spoilt: {1}")]
     #[diagnostic(help("let the office start: it begins such a store anew and is filled by the others"))]
     Spoilt(PathBuf, sled::Error),
+    #[error("another store can't be put into {0}: {1}")]
+    #[diagnostic(help(
+        "write as the user that the office runs as, and look at the disk; the store is the old one or the new one, whole"
+    ))]
+    Unwritten(PathBuf, std::io::Error),
+    #[error("{0} is there from an earlier time, and would be lost")]
+    #[diagnostic(help("move it elsewhere, and ask again"))]
+    Before(PathBuf),
 }
 
 /// The rows as they stand.
@@ -31,10 +40,11 @@
 }
 
 /// Reads the store in an office's data folder. It is opened in place, as an office opens it at its start: an end that
-/// was torn is mended, and nothing else is written.
+/// was torn is mended, a replacement that was begun is ended, and nothing else is written.
 pub fn look(folder: &Path) -> Result<Contents, LookError> {
     let at = folder.join(FOLDER);
     let refused = |why| LookError::Refused(at.clone(), why);
+    settle(folder).map_err(refused)?;
     // Where there is none, opening would make one.
     if !at.join("conf").is_file() || !at.join("db").is_file() {
         return Err(LookError::Nothing(folder.into()));
--- a/crates/rookpulley-strongroom/src/store.rs
+++ b/crates/rookpulley-strongroom/src/store.rs
@@ -3,6 +3,7 @@
 //! `flush` of sled 0.34 does not sync (measured: the last puts are lost with the power), so its file `db` is synced
 //! after each flush, and the folder and all its files once after opening.
 
+use crate::replace::settle;
 use rookpulley_chain::Record;
 use std::fs::File;
 use std::path::{Path, PathBuf};
@@ -56,8 +57,8 @@
 }
 
 /// A disk that refuses is asked again so often, after such a pause.
-const PATIENCE: u32 = 100;
-const AGAIN: Duration = Duration::from_millis(100);
+pub(crate) const PATIENCE: u32 = 100;
+pub(crate) const AGAIN: Duration = Duration::from_millis(100);
 pub(crate) const IDENTITY: &[u8] = b"identity";
 
 /// Where in its data folder an office has its store.
@@ -110,6 +111,7 @@
     ) -> Result<Self, StoreError> {
         let at = folder.join(FOLDER);
         let troubled = |e| StoreError::Folder(folder.to_path_buf(), e);
+        settle(folder).map_err(troubled)?;
         std::fs::create_dir_all(&at).map_err(troubled)?;
         let mut opened = open_at(&at);
         // What the system refuses now it may grant soon; only a store that is spoilt itself is given up.
