--- a/crates/rookpulley-chain/src/chain.rs
+++ b/crates/rookpulley-chain/src/chain.rs
@@ -8,6 +8,7 @@
 use crate::mend::{Mending, Opinion};
 use crate::message::{Message, Standing};
 use crate::recent::Recent;
+use crate::refound::apart;
 use crate::view::{Member, View};
 use crate::{Boot, Effect, Input, Record, State};
 use std::collections::{BTreeMap, VecDeque};
@@ -123,7 +124,9 @@
             then: VecDeque::new(),
             out: Vec::new(),
         };
+        // What was shown before is where it begins: nothing has moved yet.
         new.apply_to(agreed.0);
+        new.out.clear();
         new.write(vec![kept::put_begun(new.me.life)], Then::Proven);
         if boot.founder && new.views.is_empty() {
             new.log("founds the first view".into());
@@ -356,6 +359,10 @@
         let Some(view) = self.views.last().filter(|v| v.number > before) else { return };
         let names: Vec<String> = view.members.iter().map(|m| m.address.ip().to_string()).collect();
         self.log(format!("view {} is decided: {}", self.decided(), names.join(" ")));
+        if apart(before, self.decided()) {
+            self.log("the chain was founded anew without what is kept here: it is given up".into());
+            self.out.push(Effect::Spoilt);
+        }
         self.learned_ms = now;
         self.mending.calm(now);
         self.filling.give_up();
--- a/crates/rookpulley-strongroom/src/store.rs
+++ b/crates/rookpulley-strongroom/src/store.rs
@@ -3,6 +3,7 @@
 //! `flush` of sled 0.34 does not sync (measured: the last puts are lost with the power), so its file `db` is synced
 //! after each flush, and the folder and all its files once after opening.
 
+use crate::replace::{put_aside, settle};
 use crate::rows::{Long, Rows};
 use rookpulley_chain::Record;
 use std::fs::File;
@@ -58,8 +59,8 @@
 }
 
 /// A disk that refuses is asked again so often, after such a pause.
-const PATIENCE: u32 = 100;
-const AGAIN: Duration = Duration::from_millis(100);
+pub(crate) const PATIENCE: u32 = 100;
+pub(crate) const AGAIN: Duration = Duration::from_millis(100);
 pub(crate) const IDENTITY: &[u8] = b"identity";
 const FOUNDER: &[u8] = b"founder";
 /// A file beside the store that says that it holds what it shouldn't: it is begun anew.
@@ -133,11 +134,12 @@
     ) -> Result<Self, StoreError> {
         let at = folder.join(FOLDER);
         let troubled = |e| StoreError::Folder(folder.to_path_buf(), e);
+        settle(folder).map_err(troubled)?;
         std::fs::create_dir_all(&at).map_err(troubled)?;
         let spoilt = folder.join(SPOILT);
         if spoilt.exists() {
             tracing::error!("store: was given up; begun anew as an empty disk");
-            std::fs::remove_dir_all(&at).map_err(troubled)?;
+            put_aside(folder).map_err(troubled)?;
             std::fs::create_dir_all(&at).map_err(troubled)?;
         }
         let mut opened = open_at(&at);
