--- a/crates/rookpulley-office/src/hub.rs
+++ b/crates/rookpulley-office/src/hub.rs
@@ -131,10 +131,8 @@
             life: seed,
             address: SocketAddrV4::new(node.ip, node.inner_ports.0 + 1),
         };
-        let first_seed = node.seeds.first().map(|s| *s.ip());
-        let founder = node.first_start && store.new && first_seed == Some(node.ip);
         let kept = (!store.new).then(|| rookpulley_chain::Kept::read(kept));
-        let boot = Boot { me, founder, losses: node.tolerance.machines as usize, seed, kept };
+        let boot = Boot { me, founder: store.founder, losses: node.tolerance.machines as usize, seed, kept };
         let inner = Inner {
             chain: Chain::start(0, boot, Kept::default()),
             registry: Registry::new(0.0, node.heartbeat_ms as f64, node.bounds.drain_ms as f64),
@@ -359,6 +357,7 @@
                 }
                 Effect::Log(line) => tracing::info!("{line}"),
                 Effect::Applied => moved = true,
+                Effect::Spoilt => self.begin_anew(),
             }
         }
         self.counts.view(self.inner.borrow().chain.view().map_or(0, |v| v.number));
@@ -368,6 +367,13 @@
         }
     }
 
+    /// The others keep something else: what is kept here is given up, and the next start is filled by them.
+    fn begin_anew(&self) {
+        let given_up = self.node.data.as_deref().map(Store::give_up);
+        tracing::error!("store: differs from all others; given up {given_up:?}, this process ends");
+        std::process::exit(1);
+    }
+
     /// Takes what the store says, for as long as it says anything.
     pub fn hear_store(self: &Rc<Self>, mut heard: mpsc::UnboundedReceiver<Said>) {
         let hub = self.clone();
--- a/crates/rookpulley-strongroom/src/look.rs
+++ b/crates/rookpulley-strongroom/src/look.rs
@@ -1,6 +1,8 @@
 //! What is in a store that no process uses, read in place.
 
-use crate::store::{CHAIN, FOLDER, IDENTITY, LIVES, Rows, in_use, open_at, sync_all};
+use crate::replace::settle;
+use crate::rows::{Long, Rows};
+use crate::store::{CHAIN, FOLDER, IDENTITY, LIVES, caught, in_use, open_at, sync_all};
 use std::fs::{File, TryLockError};
 use std::path::{Path, PathBuf};
 
@@ -18,6 +20,14 @@
     #[error("the store in {0} is spoilt: {1}")]
     #[diagnostic(help("let the office start: it begins such a store anew and is filled by the others"))]
     Spoilt(PathBuf, sled::Error),
+    #[error("another store can't be put into {0}: {1}")]
+    #[diagnostic(help(
+        "write as the user that the office runs as, and look at the disk; the store is the old one or the new one, whole"
+    ))]
+    Unwritten(PathBuf, std::io::Error),
+    #[error("{0} is there from an earlier time, and would be lost")]
+    #[diagnostic(help("move it elsewhere, and ask again"))]
+    Before(PathBuf),
 }
 
 /// The rows as they stand.
@@ -31,10 +41,11 @@
 }
 
 /// Reads the store in an office's data folder. It is opened in place, as an office opens it at its start: an end that
-/// was torn is mended, and nothing else is written.
+/// was torn is mended, a replacement that was begun is ended, and nothing else is written.
 pub fn look(folder: &Path) -> Result<Contents, LookError> {
     let at = folder.join(FOLDER);
     let refused = |why| LookError::Refused(at.clone(), why);
+    settle(folder).map_err(refused)?;
     // Where there is none, opening would make one.
     if !at.join("conf").is_file() || !at.join("db").is_file() {
         return Err(LookError::Nothing(folder.into()));
@@ -51,7 +62,7 @@
         sled::Error::Io(why) if why.raw_os_error().is_some() => refused(why),
         why => LookError::Spoilt(at.clone(), why),
     })?;
-    let contents = contents(&db).map_err(|why| LookError::Spoilt(at.clone(), why))?;
+    let contents = caught(|| contents(&db)).map_err(|why| LookError::Spoilt(at.clone(), why))?;
     drop(db);
     sync_all(&at).map_err(refused)?;
     Ok(contents)
@@ -63,7 +74,7 @@
         if !names.iter().any(|held| held == name.as_bytes()) {
             return Ok(Rows::new());
         }
-        db.open_tree(name)?.iter().map(|row| row.map(|(key, value)| (key.to_vec(), value.to_vec()))).collect()
+        Ok(Long::read(&db.open_tree(name)?)?.0)
     };
     let identity = db.get(IDENTITY)?.and_then(|value| value.as_ref().try_into().ok());
     Ok(Contents {
@@ -96,7 +107,7 @@
         assert!(matches!(look(folder.path()), Err(LookError::Nothing(_))));
         assert_eq!(std::fs::read_dir(folder.path()).unwrap().count(), 0);
         let (said, mut heard) = tokio::sync::mpsc::unbounded_channel();
-        let store = Store::open(folder.path(), 7, said).unwrap();
+        let store = Store::open(folder.path(), 7, false, said).unwrap();
         let put = |key: &str| Record::Put { key: key.into(), value: vec![1; 9] };
         assert!(store.write(Part::Chain, 1, vec![put("a"), put("b")]));
         assert!(store.write(Part::Lives, 1, vec![put("i-1")]));
@@ -106,7 +117,7 @@
         assert_eq!((seen.identity, seen.chain.len(), seen.lives.len()), (Some(7), 2, 1));
         assert_eq!(looked(folder.path()), seen);
         let (said, _heard) = tokio::sync::mpsc::unbounded_channel();
-        let again = Store::open(folder.path(), 8, said).unwrap();
+        let again = Store::open(folder.path(), 8, false, said).unwrap();
         assert_eq!((again.identity, again.new, &again.held), (7, false, &seen.chain));
     }
 
