--- /dev/null
+++ b/src/rules/arcs.rs
@@ -0,0 +1,131 @@
+//! All arcs are cut from the list, the health and the demand: which servers a proxy is sent to, and how many.
+
+use crate::{facts::*, state::*};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// A mean proxy's arc reaches over as many servers as spread it so that laying it loads none by over this
+/// part of its share; but all proxies together leave servers most of the connections they accept, and one
+/// controller's proxies can be written anew in a part of its queue.
+const LAID_PART: f64 = 0.05;
+const CONNS_PART: f64 = 0.3;
+const WRITE_PART: f64 = 0.2;
+pub(super) const LINES_LEAST: f64 = 4.0;
+/// Zones are kept apart where crossing them costs more than this; how unevenly goes by that price.
+const NEAR_PRICE: f64 = 0.02;
+const SLACK_PER_PRICE: f64 = 1.0;
+pub(super) const STEPS: f64 = 8.0;
+
+pub(super) fn in_steps(x: f64) -> f64 {
+    (x * STEPS).round() / STEPS
+}
+
+/// Says which part of a zone's demand goes where: home first, the rest by room. All are shares of the whole.
+fn flows_of(zone: ZoneId, demand: &Shares, room: &Shares, slack: f64) -> Shares {
+    let room_of = |z: &ZoneId| room.get(z).copied().unwrap_or(0.0) * (1.0 + slack);
+    let wanted = |z: &ZoneId| demand.get(z).copied().unwrap_or(0.0);
+    let home = (room_of(&zone) / wanted(&zone).max(1e-9)).min(1.0);
+    if home > 1.0 - 0.5 / STEPS {
+        return Shares::from([(zone, 1.0)]);
+    }
+    let left: Vec<_> = room.keys().map(|z| (*z, (room_of(z) - wanted(z)).max(0.0))).collect();
+    let all_left: f64 = left.iter().map(|l| l.1).sum::<f64>().max(1e-9);
+    let mut flows: Shares = left.iter().map(|(z, l)| (*z, in_steps((1.0 - home) * l / all_left))).collect();
+    *flows.entry(zone).or_insert(0.0) += in_steps(home);
+    flows.retain(|_, part| *part > 0.0);
+    flows
+}
+
+/// How many servers a mean proxy's arc reaches over, in coarse steps so that it holds still.
+fn lines_for(ring: f64, own: f64, by_conns: f64, pace: &ChannelFacts) -> f64 {
+    let by_queue = WRITE_PART * pace.backlog_lines / own - pace.head_lines;
+    let most = (ring / own / LAID_PART).min(by_conns).min(by_queue).max(LINES_LEAST);
+    ((most.log2() * 2.0).round() / 2.0).exp2()
+}
+
+/// Where a new arc starts: at the server that the arcs laid so far load least.
+fn least_loaded(ring: &[&Listed], loads: &Lines) -> ServerId {
+    let load = |l: &Listed| loads.get(&l.server).copied().unwrap_or(0.0);
+    ring.iter().min_by(|a, b| load(a).total_cmp(&load(b))).map_or_else(ServerId::default, |l| l.server)
+}
+
+/// One arc: so many mean servers of a ring, from a place on it onwards, at their listed weights.
+fn cut_arc(ring: &[&Listed], from: ServerId, lines: f64) -> Lines {
+    let wanted = lines * ring.iter().map(|l| l.weight).sum::<f64>() / ring.len() as f64;
+    let first = ring.partition_point(|l| l.server < from);
+    let (mut reached, mut arc) = (0.0, Lines::new());
+    for listed in ring[first..].iter().chain(&ring[..first]) {
+        if reached + listed.weight / 2.0 > wanted && reached > 0.0 {
+            break;
+        }
+        reached += listed.weight;
+        arc.insert(listed.server, listed.weight);
+    }
+    arc
+}
+
+impl Controller {
+    pub(super) fn cut_tables(&mut self, now: f64) {
+        let near = self.means.cross_zone_price > NEAR_PRICE;
+        let zone_of = |zone: ZoneId| if near { zone } else { 0 };
+        // A jam costs more than crossing zones does: then they are loaded evenly.
+        let jam = self.valves.mode == Mode::Tight;
+        let slack = if jam { 0.0 } else { SLACK_PER_PRICE * self.means.cross_zone_price };
+        let demand = self.demand.zones_held(zone_of);
+        let sized: f64 = self.demand.proxies.values().map(|p| p.sized_per_s).sum();
+        let mean_per_s = sized / self.demand.proxies.len().max(1) as f64;
+        let ready: Vec<&Server> = self.fleet.servers.values().filter(|s| s.phase != Phase::Leaving).collect();
+        let zones: BTreeSet<ZoneId> = ready.iter().map(|s| zone_of(s.listed.zone)).collect();
+        let (servers, own) = (ready.len() as f64, self.proxies / self.controllers);
+        let by_conns = CONNS_PART * self.means.conns_least * servers / self.proxies;
+        let mean_lines = lines_for(servers / zones.len().max(1) as f64, own, by_conns, &self.pace);
+        let mean_lines = (mean_lines * self.valves.reach).max(LINES_LEAST / 2.0);
+        let least_lines = LINES_LEAST.min(mean_lines);
+        let parts: &Lines = &ready.iter().map(|s| (s.listed.server, s.part)).collect();
+        let all: f64 = ready.iter().map(|s| s.part * s.listed.weight).sum::<f64>().max(1e-9);
+        let mut taken = Shares::new();
+        for (g, group) in self.groups.iter().enumerate() {
+            let (mut rings, mut room) = (BTreeMap::<ZoneId, Vec<&Listed>>::new(), Shares::new());
+            for s in ready.iter().filter(|s| s.part > 0.0 && group.open(&s.listed)) {
+                let zone = zone_of(s.listed.zone);
+                rings.entry(zone).or_default().push(&s.listed);
+                *room.entry(zone).or_insert(0.0) += s.part * s.listed.weight / all;
+            }
+            // What more bound kinds bring to a zone leaves less room there for the others.
+            room.iter_mut().for_each(|(z, r)| *r = (*r - taken.get(z).unwrap_or(&0.0)).max(0.0));
+            let open: f64 = room.values().sum::<f64>().max(1e-9);
+            room.values_mut().for_each(|r| *r /= open);
+            let share = self.demand.share_of(now, &group.kinds, self.kinds.len());
+            room.iter().for_each(|(z, r)| *taken.entry(*z).or_insert(0.0) += share * r);
+            // Arcs that have a place keep it; the others are laid where the ring is loaded least.
+            let mut laid: Vec<_> = self.demand.proxies.iter_mut().filter(|(_, p)| p.joined).collect();
+            laid.sort_by(|a, b| b.1.sized_per_s.total_cmp(&a.1.sized_per_s));
+            laid.sort_by_key(|(_, p)| p.places.is_empty());
+            let mut loads = Lines::new();
+            for (id, p) in laid {
+                let flows = match group.like.own_zone {
+                    true => Shares::from([(p.zone, 1.0)]),
+                    false => flows_of(zone_of(p.zone), &demand, &room, slack),
+                };
+                let wanted = (mean_lines * p.sized_per_s / mean_per_s).max(least_lines);
+                let mut arcs: Vec<(Lines, f64)> = Vec::new();
+                for (zone, part) in &flows {
+                    let Some(ring) = rings.get(zone) else { continue };
+                    let from = *p.places.entry(*zone).or_insert_with(|| least_loaded(ring, &loads));
+                    let arc = cut_arc(ring, from, (wanted * part).max(least_lines / 2.0));
+                    let density = part / arc.values().sum::<f64>();
+                    arc.keys().for_each(|s| *loads.entry(*s).or_insert(0.0) += p.sized_per_s * density);
+                    arcs.push((arc, density));
+                }
+                // In steps, lest a change at one line changes them all; never above a listed weight.
+                let most = arcs.iter().map(|(_, density)| *density).fold(0.0, f64::max);
+                let lines = arcs.into_iter().flat_map(|(arc, density)| {
+                    let scale = in_steps(density / most).max(1.0 / STEPS);
+                    arc.into_iter().map(move |(server, weight)| (server, weight * scale * parts[&server]))
+                });
+                let id_of_new = self.tables.len() as TableId;
+                let fresh = || Table { id: id_of_new, ..Table::default() };
+                self.tables.entry((*id, g)).or_insert_with(fresh).propose(lines.collect());
+            }
+        }
+    }
+}
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,4 +1,4 @@
-//! What a controller keeps: plain state. The decisions on it are in `rules.rs`.
+//! What a controller keeps: plain state. The decisions on it are in `rules.rs` and `rules/`.
 
 use crate::facts::*;
 use crate::ring::Buckets;
