Arcs are laid anew where many tasks have come since they were laid

Ruled out: the couriers' picks, which on a stand-in of 90 couriers and 28 tasks load the busiest with 2.1 times the mean and have nothing turned away at 200 requests a second.

Cause: arcs keep the places where they were first laid. Couriers call before most tasks have beaten once, so at a start all arcs lie where the first six tasks were. The desk has them laid anew once there are 30% more tasks for a second, or fewer more for as much longer. In the test six of 29 tasks were in all tables and the others in none; now each is in a third to three times the mean.

--- a/crates/rookpulley-sorting/src/hosted.rs
+++ b/crates/rookpulley-sorting/src/hosted.rs
@@ -14,6 +14,10 @@
 const COURIERS_MORE_FOR_MS: f64 = 2_000.0;
 const COURIERS_LESS: f64 = 2.5;
 const COURIERS_LESS_FOR_MS: f64 = 10_000.0;
+/// Arcs keep the places where they were laid, so tasks that came since are in few of them. All are laid anew once there
+/// are more by so large a part for a second, or by a smaller part for as much longer; not for less than the least.
+const TASKS_MORE: f64 = 0.3;
+const TASKS_MORE_LEAST: f64 = 0.03;
 const AIM_MS: f64 = 500.0;
 /// What is new is told to the module so often.
 const ENTER_MS: f64 = 1_000.0;
@@ -68,6 +72,9 @@
     waiting: BTreeMap<ProxyId, Vec<(u64, u64, Vec<u64>)>>,
     entered_ms: f64,
     off_since_ms: Option<f64>,
+    /// So many tasks were there when the arcs were laid, and since when there are many more.
+    laid_for: usize,
+    more_since_ms: Option<f64>,
     pub log: Vec<String>,
 }
 
@@ -87,6 +94,8 @@
             waiting: BTreeMap::new(),
             entered_ms: f64::NEG_INFINITY,
             off_since_ms: None,
+            laid_for: 0,
+            more_since_ms: None,
             log: Vec::new(),
         }
     }
@@ -150,7 +159,8 @@
         if members.is_empty() && self.module.is_none() {
             return;
         }
-        if self.module.is_none() || self.long_off(now, f64::from(couriers.max(1))) {
+        let off = self.long_off(now, f64::from(couriers.max(1))) | self.long_more(now);
+        if self.module.is_none() || off {
             self.make(now, couriers, members);
             return;
         }
@@ -176,6 +186,16 @@
         now - *self.off_since_ms.get_or_insert(now) >= for_ms
     }
 
+    fn long_more(&mut self, now: f64) -> bool {
+        let more = self.list.live() as f64 / self.laid_for.max(1) as f64 - 1.0;
+        if more <= TASKS_MORE_LEAST {
+            self.more_since_ms = None;
+            return false;
+        }
+        let since_ms = *self.more_since_ms.get_or_insert(now);
+        more.min(TASKS_MORE) * (now - since_ms) >= TASKS_MORE * 1e3
+    }
+
     fn enters(&mut self, now: f64, settling: bool) -> Vec<Listed> {
         let pause_ms = if settling { ENTER_SETTLING_MS } else { ENTER_MS };
         let bare = self.posted.values().any(|p| p.lines.as_ref().is_none_or(Vec::is_empty));
@@ -198,7 +218,8 @@
             aim_ms: aim_ms.clamp(20.0, 60_000.0),
             number: self.number,
         };
-        self.log.push(format!("arcs are cut for {couriers} couriers"));
+        (self.laid_for, self.more_since_ms) = (self.list.live(), None);
+        self.log.push(format!("arcs are cut for {couriers} couriers and {} tasks", self.laid_for));
         self.module = Some(Module::new(now, &facts));
         self.generation += 1;
         (self.off_since_ms, self.entered_ms, self.urgent) = (None, now, true);
--- a/crates/rookpulley-sorting/src/list.rs
+++ b/crates/rookpulley-sorting/src/list.rs
@@ -118,6 +118,10 @@
         lines
     }
 
+    pub fn live(&self) -> usize {
+        self.seen.values().filter(|(seen, _)| seen.standing == Standing::Live).count()
+    }
+
     /// Lines for what is new, came back or weighs otherwise.
     pub fn enters(&mut self, now: f64) -> Vec<Listed> {
         let live = || self.seen.iter().filter(|(_, (seen, _))| seen.standing == Standing::Live);
--- a/crates/rookpulley-sorting/tests/desk.rs
+++ b/crates/rookpulley-sorting/tests/desk.rs
@@ -249,6 +249,28 @@
     }
 }
 
+/// As it is at a start: couriers call before most tasks have been heard of.
+#[test]
+fn tasks_that_come_after_the_couriers_are_in_as_many_tables_as_those_that_came_before() {
+    for (tasks, couriers) in [(29, 91), (419, 91), (25, 12)] {
+        let mut world = World::new(&["a"], 610);
+        (0..couriers).for_each(|n| world.courier_in(&format!("c{n}")));
+        for place in 0..tasks {
+            world.start("a", place, 0.0);
+            if place % (tasks / 15 + 1) == 0 {
+                world.step();
+            }
+        }
+        world.steps(140);
+        let mut reach = BTreeMap::<String, usize>::new();
+        let lines = world.held.values().flat_map(|held| &held.lines);
+        lines.for_each(|line| *reach.entry(line.life.clone()).or_default() += 1);
+        let mean = reach.values().sum::<usize>() / tasks;
+        assert_eq!(reach.len(), tasks, "{reach:?}");
+        assert!(reach.values().all(|count| (mean / 3..=3 * mean).contains(count)), "{mean}: {reach:?}");
+    }
+}
+
 #[test]
 fn a_table_that_fails_is_tainted_and_the_one_before_comes_back_without_what_drains() {
     let mut world = World::new(&["a"], 130);
