--- a/crates/rookpulley-sorting/src/module.rs
+++ b/crates/rookpulley-sorting/src/module.rs
@@ -12,6 +12,10 @@
 const STAGGER_MS: f64 = 100.0;
 /// No pace is kept to: a whole table is a few KB, once a second.
 const LINES_PER_S: f64 = 1e6;
+/// A mean courier's arc has so many lines at most. With more, a courier that is one of many sends each task so little
+/// that it knows nothing of it, and opens a connection for nearly every request. The module has a bound for it by what
+/// may wait for all proxies: a fifth of it, less one line each.
+const LINES_MOST: f64 = 32.0;
 /// As many revisions as the module itself keeps.
 const REVISIONS: usize = 10;
 
@@ -88,7 +92,7 @@
             lines_per_s: LINES_PER_S,
             head_lines: 1.0,
             bind_lines: 1.0,
-            backlog_lines: LINES_PER_S,
+            backlog_lines: 5.0 * (LINES_MOST + 1.0) * f64::from(facts.couriers),
             messages_most: 0,
             messages_over_ms: 10_000.0,
             transit_ms: 50.0,
