What an office is filled with is on its disk before the view that follows

A view's install was written behind a filling that was not synced yet, so a loss of power could keep the view and lose what it begins with: an empty disk was then taken for spoilt, and a row left over from a view that was passed over could count as agreed. What comes with an install is now in one batch with it, and an install waits for a filling that is being written. Power is lost at each write of a filling in a test.

--- a/crates/rookpulley-chain/src/fill.rs
+++ b/crates/rookpulley-chain/src/fill.rs
@@ -33,7 +33,7 @@
     /// Until when an answer is waited for.
     until_ms: u64,
     /// A part is on its way to the disk.
-    writing: bool,
+    pub writing: bool,
     far: bool,
     pieces: Option<Pieces>,
     frozen: Option<Frozen>,
@@ -135,14 +135,13 @@
         self.filling.writing = true;
         self.write(records, Then::Filled);
         self.out.push(Effect::Applied);
-        if self.filling.awaited.as_ref().is_some_and(|a| a.committed <= self.flow.committed) {
-            self.install(now);
-        }
     }
 
     /// A part is on the disk.
     pub(crate) fn filled(&mut self, now: u64) {
         self.filling.writing = false;
+        self.install_as_source(now);
+        self.install(now);
         self.fetch(now);
         self.near(now);
     }
--- a/crates/rookpulley-chain/src/install.rs
+++ b/crates/rookpulley-chain/src/install.rs
@@ -40,11 +40,11 @@
     pub(crate) fn install_as_source(&mut self, now: u64) {
         let Some(view) = self.view() else { return };
         let source = view.head().is_some_and(|m| m.id == self.me.id && m.life == self.me.life);
-        if !source || self.flow.installing >= view.number {
+        if !source || self.flow.installing >= view.number || self.filling.writing {
             return;
         }
         let (view, log) = (view.clone(), self.flow.log.iter().cloned().collect());
-        self.keep_state(now, &view, self.time_left_at(now), log);
+        self.keep_state(now, &view, self.time_left_at(now), Vec::new(), log);
     }
 
     /// The ledger's time when we leave the view that is installed here: what its head said last, and no less than the
@@ -71,8 +71,12 @@
         self.install(now);
     }
 
-    /// Sets the view to work here as soon as all that it begins with is here.
+    /// Sets the view to work here as soon as all that it begins with is here. What has come of that before is on the
+    /// disk first: after a loss of power the view must not be there without it.
     pub(crate) fn install(&mut self, now: u64) {
+        if self.filling.writing {
+            return;
+        }
         let Some(awaited) = self.filling.awaited.take() else { return };
         if awaited.view.number <= self.never {
             return;
@@ -83,20 +87,30 @@
         let records = self.absorb(agreed);
         if !records.is_empty() {
             self.out.push(Effect::Applied);
-            self.write(records, Then::Nothing);
         }
-        if self.flow.committed < to {
-            self.filling.awaited = Some(awaited);
+        if self.flow.committed >= to {
+            let log = log.into_iter().filter(|e| e.seq > self.flow.committed).collect();
+            return self.keep_state(now, &awaited.view, awaited.at_ms, records, log);
+        }
+        self.filling.awaited = Some(awaited);
+        if records.is_empty() {
             return self.fetch(now);
         }
-        let log = log.into_iter().filter(|e| e.seq > self.flow.committed).collect();
-        self.keep_state(now, &awaited.view, awaited.at_ms, log);
+        self.filling.writing = true;
+        self.write(records, Then::Filled);
     }
 
     /// Goes on from what is applied here and this log behind it. What the disk holds behind it goes.
-    fn keep_state(&mut self, now: u64, view: &View, at_ms: u64, log: Vec<Entry>) {
+    fn keep_state(
+        &mut self,
+        now: u64,
+        view: &View,
+        at_ms: u64,
+        mut records: Vec<Record>,
+        log: Vec<Entry>,
+    ) {
         let (seq, number) = (self.flow.committed, view.number);
-        let mut records = self.first_state();
+        records.extend(self.first_state());
         let last = log.last().map_or(seq, |e| e.seq);
         records.extend(self.flow.on_disk().filter(|at| *at > last).map(kept::drop_entry));
         records.extend(log.iter().map(|entry| kept::put_entry(number, entry)));
--- a/crates/rookpulley-chain/tests/filling.rs
+++ b/crates/rookpulley-chain/tests/filling.rs
@@ -141,3 +141,26 @@
     assert!(world.log.iter().any(|line| line.contains("copies differ")));
     world.must_answer();
 }
+
+/// What it is filled with and the view that it is then part of are written one behind the other: any of them may be
+/// there without those before it.
+#[test]
+fn power_lost_at_every_write_of_a_filling_leaves_a_disk_that_opens() {
+    for nth in 1..=40 {
+        let (offices, bulk) = (2 + (nth / 4 % 2) as usize, if nth % 4 == 3 { 20_000 } else { 0 });
+        let mut world = World::bulky(nth, offices, bulk);
+        world.pace_ms = if bulk > 0 { 1 } else { 9 };
+        world.play(if bulk > 0 { 7_000 } else { 1_500 });
+        (world.pace_ms, world.far_ms) = (4, 15);
+        let at = (nth / 8 % 2) as usize;
+        world.strike(Trouble::Wipe { at });
+        world.play(700);
+        world.power_at_write = Some((at, 1 + nth / 5, nth % 3 == 0));
+        world.heal();
+        world.play(2_000);
+        world.heal();
+        world.play(3_000);
+        assert_eq!(world.members(), offices, "write {nth}");
+        world.must_answer();
+    }
+}
