A tail that knows of a later view tells the head of an earlier one nothing that is agreed

An office that left the chain is filled beside it, and so says that more is agreed on. Only a tail that knows of no later view counts now.

--- a/crates/rookpulley-chain/src/install.rs
+++ b/crates/rookpulley-chain/src/install.rs
@@ -101,14 +101,7 @@
     }
 
     /// Goes on from what is applied here and this log behind it. What the disk holds behind it goes.
-    fn keep_state(
-        &mut self,
-        now: u64,
-        view: &View,
-        at_ms: u64,
-        mut records: Vec<Record>,
-        log: Vec<Entry>,
-    ) {
+    fn keep_state(&mut self, now: u64, view: &View, at_ms: u64, mut records: Vec<Record>, log: Vec<Entry>) {
         let (seq, number) = (self.flow.committed, view.number);
         records.extend(self.first_state());
         let last = log.last().map_or(seq, |e| e.seq);
@@ -168,7 +161,8 @@
         let Some(view) = self.acting() else { return };
         let number = view.number;
         let tail = view.tail().map(|m| (m.id, m.life));
-        if tail == Some((from, its.me.life)) && its.installed == number {
+        // One that knows of a later view may have been filled with what that one agreed on, in the place of ours.
+        if tail == Some((from, its.me.life)) && (its.installed, its.decided) == (number, number) {
             self.take_commit(number, its.committed);
         }
         let next = self.successor().filter(|n| n.id == from && n.life == its.me.life);
--- a/crates/rookpulley-chain/tests/filling.rs
+++ b/crates/rookpulley-chain/tests/filling.rs
@@ -2,6 +2,7 @@
 
 mod world;
 
+use world::disk::DiskTrouble;
 use world::{Trouble, World};
 
 /// Some 480 KB: four pieces.
@@ -164,3 +165,22 @@
         world.must_answer();
     }
 }
+
+/// The tail leaves the chain for a slow disk and is filled with what the next view agrees on. The head of the view
+/// before was cut off meanwhile, and holds something else in the places of that.
+#[test]
+fn a_head_that_was_cut_off_takes_nothing_for_agreed_by_a_tail_that_has_moved_on() {
+    for seed in 0..16 {
+        let mut world = World::new(seed, 5, 1);
+        world.far_ms = 60;
+        world.play(2_000);
+        let (head, tail) = (world.head(), world.tail());
+        world.strike(Trouble::Disk { at: tail, trouble: DiskTrouble::Slow });
+        world.play(60);
+        world.strike(Trouble::Cut { from: world.others(head), to: vec![head], both: true, held: false });
+        world.play(500 + 40 * seed);
+        world.heal();
+        world.play(1_500);
+        world.must_answer();
+    }
+}
