What a member holds behind a state that it is handed stays

A member that was started again and lacks a long update gets the state by pieces, up to what its sender knows to be agreed on. It dropped what it held behind that, though the tail may have acknowledged it, and though it may be the source of the next view. Shown on one office by hand.

--- a/crates/rookpulley-chain/src/fill.rs
+++ b/crates/rookpulley-chain/src/fill.rs
@@ -204,10 +204,18 @@
             return Vec::new();
         }
         self.recent = recent;
-        let gone: Vec<Record> = self.flow.on_disk().map(kept::drop_entry).collect();
-        self.flow.begin(seq, at_ms.max(self.flow.last_at), now);
+        // What is held behind it stays: where we are a member of the newest view, that may have been acknowledged.
+        let behind: Vec<Entry> = self.flow.log.iter().filter(|e| e.seq > seq).cloned().collect();
+        let last = behind.last().map_or(seq, |e| e.seq);
+        let gone = self.flow.on_disk().filter(|at| *at <= seq || *at > last).map(kept::drop_entry);
+        let mut records: Vec<Record> = gone.collect();
+        let at_ms = at_ms.max(self.flow.last_at);
+        self.flow.begin(seq, at_ms, now);
+        self.flow.go_on(at_ms, now, behind);
         self.log(format!("filled with all up to update {seq}"));
-        gone.into_iter().chain(self.put_state()).chain([self.put_agreed()]).collect()
+        records.extend(self.put_state());
+        records.push(self.put_agreed());
+        records
     }
 
     // ---- who has it -------------------------------------------------------------------------
--- a/crates/rookpulley-chain/tests/doubts.rs
+++ b/crates/rookpulley-chain/tests/doubts.rs
@@ -3,10 +3,12 @@
 mod world;
 
 use rookpulley_chain::{
-    Ballot, Boot, CallKind, Chain, Effect, Input, Kept, Member, Message, Outcome, Record, Standing, View,
+    Asked, Ballot, Boot, CallKind, Chain, Effect, Entry, Fill, Input, Kept, Member, Message, Outcome, Record,
+    Standing, State, View,
 };
 use std::collections::BTreeMap;
 use std::net::{Ipv4Addr, SocketAddrV4};
+use twox_hash::XxHash64;
 use world::history::{Call, check};
 use world::names::{Ask, Names, Reply, body};
 
@@ -298,3 +300,48 @@
     assert!(check(&[put(70, 1, 2, 1), swap(1, 3, 4, true, 2), swap(1, 5, 6, false, 2)]).is_ok());
     assert!(check(&[put(70, 1, 2, 1), swap(0, 3, 4, true, 2)]).is_err(), "a swap over a later revision");
 }
+
+/// A member that is started again may be the last that holds what was acknowledged behind the state that it is handed.
+#[test]
+fn what_a_member_holds_behind_a_state_that_comes_stays() {
+    let ids = [(1, 1), (2, 1), (3, 1)];
+    let entry = |seq: u64| Entry {
+        seq,
+        at_ms: 10 * seq,
+        body: body(0, Ask::Put { value: seq }),
+        from: Asked { office: 1, life: 1, token: seq, attempt: 1 },
+    };
+    let mut office = Office::begin(2, 1, Rows::new());
+    office.hear(1, Message::Install { view: view(1, &ids), committed: 0, at_ms: 0, log: Vec::new() });
+    office.sync();
+    let entries = (1..=4).map(entry).collect();
+    office.hear(1, Message::Pass { view: 1, entries, questions: Vec::new(), synced_to: 4 });
+    office.sync();
+    let mut office = Office::begin(2, 2, office.rows);
+    office.give(Input::Met { member: member(3, 1) });
+    let (installed, decided, at_work, last, committed) = (1, 1, 1, 4, 4);
+    let standing = Standing { installed, decided, at_work, last, committed, ..Standing::of(member(3, 1)) };
+    for sent in 1..4 {
+        office.play(100);
+        let echo = office.said.iter().rev().find_map(|(_, m)| match m {
+            Message::Ping { sent, .. } => Some(*sent),
+            _ => None,
+        });
+        office.hear(3, Message::Ping { standing: standing.clone(), sent, echo, ledger: None });
+    }
+    let ask = office.said.iter().rev().find_map(|(_, m)| match m {
+        Message::Fetch { ask, .. } => Some(*ask),
+        _ => None,
+    });
+    let mut names = Names::default();
+    (1..=2).map(entry).for_each(|e| _ = names.apply(e.at_ms, &e.body));
+    let bytes = [vec![0], names.snapshot()].concat();
+    let sum = XxHash64::oneshot(0, &bytes);
+    let fill = Fill::Piece { seq: 2, at_ms: 20, piece: 0, pieces: 1, sum, bytes };
+    office.hear(3, Message::Filled { ask: ask.expect("it asks for what it lacks"), fill });
+    office.sync();
+    assert_eq!(office.chain.state().given.len(), 2);
+    let holds = |office: &Office| office.chain.shown(office.now).last;
+    assert_eq!(holds(&office), 4);
+    assert_eq!(holds(&Office::begin(2, 3, office.rows)), 4);
+}
