--- a/crates/rookpulley-chain/src/fill.rs
+++ b/crates/rookpulley-chain/src/fill.rs
@@ -33,7 +33,7 @@
     /// Until when an answer is waited for.
     until_ms: u64,
     /// A part is on its way to the disk.
-    writing: bool,
+    pub writing: bool,
     far: bool,
     pieces: Option<Pieces>,
     frozen: Option<Frozen>,
@@ -135,14 +135,13 @@
         self.filling.writing = true;
         self.write(records, Then::Filled);
         self.out.push(Effect::Applied);
-        if self.filling.awaited.as_ref().is_some_and(|a| a.committed <= self.flow.committed) {
-            self.install(now);
-        }
     }
 
     /// A part is on the disk.
     pub(crate) fn filled(&mut self, now: u64) {
         self.filling.writing = false;
+        self.install_as_source(now);
+        self.install(now);
         self.fetch(now);
         self.near(now);
     }
@@ -205,10 +204,18 @@
             return Vec::new();
         }
         self.recent = recent;
-        let gone: Vec<Record> = self.flow.on_disk().map(kept::drop_entry).collect();
-        self.flow.begin(seq, at_ms.max(self.flow.last_at), now);
+        // What is held behind it stays: where we are a member of the newest view, that may have been acknowledged.
+        let behind: Vec<Entry> = self.flow.log.iter().filter(|e| e.seq > seq).cloned().collect();
+        let last = behind.last().map_or(seq, |e| e.seq);
+        let gone = self.flow.on_disk().filter(|at| *at <= seq || *at > last).map(kept::drop_entry);
+        let mut records: Vec<Record> = gone.collect();
+        let at_ms = at_ms.max(self.flow.last_at);
+        self.flow.begin(seq, at_ms, now);
+        self.flow.go_on(at_ms, now, behind);
         self.log(format!("filled with all up to update {seq}"));
-        gone.into_iter().chain(self.put_state()).chain([self.put_agreed()]).collect()
+        records.extend(self.put_state());
+        records.push(self.put_agreed());
+        records
     }
 
     // ---- who has it -------------------------------------------------------------------------
