--- a/crates/rookpulley-office/src/show/tests.rs
+++ b/crates/rookpulley-office/src/show/tests.rs
@@ -161,7 +161,7 @@
         );
         has(shown(&calls, "tasks/parcels").await, &["\"tasks\":[]"]);
         has(shown(&calls, "tables/stamps").await, &["\"courier\":\"edge-quay-2\"", "\"lines\":1"]);
-        has(shown(&calls, "couriers").await, &["\"home\":true", "\"config\":5"]);
+        has(shown(&calls, "couriers").await, &["\"home\":true", "\"config\":7"]);
         has(shown(&calls, "ledger").await, &["\"configVersion\":7", "\"locks\":0"]);
         assert_eq!(call(&calls, "PUT", "show/view", "").await.status, 405);
         assert_eq!(call(&calls, "GET", "show/secrets", "").await.status, 404);
