An office's deciding parts meet in the clerk, free of I/O; its program is a thin shell

A drill of whole systems must play the office's own code, and that met in the program between sockets, oneshots and timeouts. The clerk takes calls, words and ticks with the time and gives effects; the hub carries them out.

--- /dev/null
+++ b/crates/rookpulley-clerk/src/lib.rs
@@ -0,0 +1,18 @@
+//! All that an office decides and keeps, put together. No sockets, files or clocks.
+//!
+//! `office` is where its parts meet: each input comes with the time, and what is to be done about it is taken from
+//! `Office::effects` afterwards. `calls` reads what callers ask and writes what they are told, `watches` are those who
+//! wait for a put, `word` is what offices say to each other, `state` the ledger as the chain keeps it, `tally` counts.
+
+mod calls;
+mod office;
+mod state;
+mod tally;
+mod watches;
+mod word;
+
+pub use calls::{Content, Path, Reply, Wants, read};
+pub use office::{Courier, Effect, Office, Rows, Start};
+pub use state::Kept;
+pub use tally::Tally;
+pub use word::Word;
--- a/crates/rookpulley-office/src/couriers.rs
+++ b/crates/rookpulley-office/src/couriers.rs
@@ -23,10 +23,9 @@
             let take = |up: Up| {
                 let known = name.borrow().clone();
                 match (up, known) {
-                    (Up::Hello { node, zone, home, config, tables, gone }, None) => {
+                    (hello @ Up::Hello { .. }, None) => {
                         let Some(outbox) = outbox.borrow().clone() else { return };
-                        *name.borrow_mut() =
-                            Some(hub.courier_in(&node, &zone, home, (config, tables), &gone, outbox));
+                        *name.borrow_mut() = hub.courier_in(hello, outbox);
                     }
                     (up, Some((node, line))) => hub.courier_said(&node, line, up),
                     _ => {}
--- a/crates/rookpulley-office/src/ending.rs
+++ b/crates/rookpulley-office/src/ending.rs
@@ -35,7 +35,7 @@
     counter: tokio::task::JoinHandle<()>,
 ) {
     tracing::info!("ending: {}", hub.status());
-    hub.ending.set(true);
+    hub.end();
     let left = async {
         while !hub.left_the_chain() {
             tokio::time::sleep(LOOK_AGAIN).await;
--- a/crates/rookpulley-office/src/main.rs
+++ b/crates/rookpulley-office/src/main.rs
@@ -6,7 +6,6 @@
 mod hub;
 mod peers;
 mod show;
-mod state;
 
 use miette::{IntoDiagnostic, WrapErr};
 use rookpulley_mailroom::{File, line, log};
--- a/crates/rookpulley-office/src/peers.rs
+++ b/crates/rookpulley-office/src/peers.rs
@@ -1,33 +1,12 @@
 //! Lines between offices. Each office dials every other; what it says goes on the line that it dialed.
 
 use crate::hub::Hub;
-use rookpulley_chain::{Member, Message};
+use rookpulley_clerk::Word;
 use rookpulley_mailroom::line;
-use rookpulley_sorting::News;
-use serde::{Deserialize, Serialize};
-use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
+use std::net::{Ipv4Addr, SocketAddr};
 use std::rc::Rc;
 use std::time::Duration;
 
-/// What offices say to each other.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-pub enum Word {
-    /// The first on a line, and again every two seconds: the known offices may have changed.
-    Hello {
-        from: Member,
-        offices: Vec<SocketAddrV4>,
-    },
-    Chain(Message),
-    /// `ask`: to be confirmed by this number once it is known there and told on.
-    News {
-        ask: u64,
-        news: Vec<News>,
-    },
-    Took {
-        ask: u64,
-    },
-}
-
 const DIAL_WITHIN: Duration = Duration::from_millis(400);
 const AGAIN_FIRST: Duration = Duration::from_millis(60);
 const AGAIN_MOST: Duration = Duration::from_millis(500);
--- a/crates/rookpulley-office/src/show.rs
+++ b/crates/rookpulley-office/src/show.rs
@@ -4,8 +4,9 @@
 mod counts;
 
 use crate::calls::{number, object};
-use crate::hub::{Hub, Inner};
+use crate::hub::Hub;
 pub use counts::Counts;
+use rookpulley_clerk::Office;
 use rookpulley_counter::Reply;
 use rookpulley_sorting::Standing;
 use tinyjson::JsonValue;
@@ -28,16 +29,16 @@
 pub fn answer(hub: &Hub, part: Part, service: &str) -> Reply {
     let now = hub.now_ms();
     let shown = |shown: JsonValue| Reply::json(200, &shown);
-    hub.look(|inner| match part {
-        Part::View => shown(view(hub, inner, now)),
-        Part::Tasks => shown(tasks(inner, now, service)),
-        Part::Tables => shown(tables(inner, service)),
-        Part::Couriers => shown(couriers(inner)),
-        Part::Ledger => shown(ledger(inner)),
+    hub.look(|office| match part {
+        Part::View => shown(view(hub, office, now)),
+        Part::Tasks => shown(tasks(office, now, service)),
+        Part::Tables => shown(tables(office, service)),
+        Part::Couriers => shown(couriers(office)),
+        Part::Ledger => shown(ledger(office)),
         Part::Counters => Reply {
             status: 200,
             headers: vec![("content-type", "text/plain; version=0.0.4".into())],
-            body: counts::page(hub, inner, now).into_bytes(),
+            body: counts::page(hub, office, now).into_bytes(),
         },
     })
 }
@@ -64,8 +65,8 @@
     (JsonValue::Array(kept), number(more))
 }
 
-fn view(hub: &Hub, inner: &Inner, now: f64) -> JsonValue {
-    let shown = inner.chain.shown(now as u64);
+fn view(hub: &Hub, office: &Office, now: f64) -> JsonValue {
+    let shown = office.chain.shown(now as u64);
     let last = shown.members.len().saturating_sub(1);
     let members = shown.members.iter().enumerate().map(|(at, one)| {
         let part = match at {
@@ -80,7 +81,7 @@
             ("part", text(part)),
             ("id", hex(one.member.id)),
             ("address", text(one.member.address)),
-            ("here", (one.member.id == inner.chain.me().id).into()),
+            ("here", (one.member.id == office.chain.me().id).into()),
             ("inContact", one.in_contact.into()),
             ("applied", heard(|h| number(h.applied))),
             ("diskSlow", heard(|h| h.slow.into())),
@@ -97,7 +98,7 @@
         ("inTouch", shown.in_touch.into()),
         ("held", number(shown.last)),
         ("applied", number(shown.applied)),
-        ("diskSlow", inner.disk.slow().into()),
+        ("diskSlow", office.disk.slow().into()),
         ("lossesBorne", number(shown.losses as u64)),
         ("members", JsonValue::Array(members.collect())),
     ])
@@ -114,8 +115,8 @@
     }
 }
 
-fn tasks(inner: &Inner, now: f64, service: &str) -> JsonValue {
-    let tasks = inner.registry.tasks().filter(|t| service.is_empty() || t.beat.service == service);
+fn tasks(office: &Office, now: f64, service: &str) -> JsonValue {
+    let tasks = office.registry.tasks().filter(|t| service.is_empty() || t.beat.service == service);
     let rows = tasks.map(|task| {
         object([
             ("life", text(&task.beat.life)),
@@ -128,11 +129,11 @@
         ])
     });
     let (rows, more) = bounded(rows);
-    object([("settling", inner.registry.settling(now).into()), ("tasks", rows), ("more", more)])
+    object([("settling", office.registry.settling(now).into()), ("tasks", rows), ("more", more)])
 }
 
-fn tables(inner: &Inner, service: &str) -> JsonValue {
-    let tables = inner.desk.shown().into_iter().filter(|t| service.is_empty() || t.service == service);
+fn tables(office: &Office, service: &str) -> JsonValue {
+    let tables = office.desk.shown().into_iter().filter(|t| service.is_empty() || t.service == service);
     let rows = tables.map(|table| {
         object([
             ("service", text(&table.service)),
@@ -147,8 +148,8 @@
     object([("tables", rows), ("more", more)])
 }
 
-fn couriers(inner: &Inner) -> JsonValue {
-    let rows = inner.couriers.iter().map(|(name, courier)| {
+fn couriers(office: &Office) -> JsonValue {
+    let rows = office.couriers.iter().map(|(name, courier)| {
         object([
             ("name", text(name)),
             ("zone", text(&courier.zone)),
@@ -160,8 +161,8 @@
     object([("couriers", rows), ("more", more)])
 }
 
-fn ledger(inner: &Inner) -> JsonValue {
-    let ledger = &inner.chain.state().ledger;
+fn ledger(office: &Office) -> JsonValue {
+    let ledger = &office.chain.state().ledger;
     let sizes = ledger.sizes();
     let size = |n: usize| number(n as u64);
     object([
--- a/crates/rookpulley-office/src/show/counts.rs
+++ b/crates/rookpulley-office/src/show/counts.rs
@@ -1,11 +1,11 @@
 //! Counts of what has happened here, and the page that collectors read.
 
-use crate::calls::Path;
-use crate::hub::{Hub, Inner};
+use crate::calls::Asked;
+use crate::hub::Hub;
+use rookpulley_clerk::{Office, Path};
 use rookpulley_sorting::Standing;
 use std::cell::Cell;
 use std::fmt::Write;
-use std::time::Duration;
 
 /// Calls by what they ask for. The last two: of this page, and none that there is.
 const CALLS: [&str; 13] = [
@@ -25,7 +25,8 @@
 ];
 const NO_CALL: usize = CALLS.len() - 1;
 
-fn place(path: Path) -> usize {
+fn place(asked: Asked) -> usize {
+    let Asked::Call(path) = asked else { return NO_CALL - 1 };
     match path {
         Path::Beat => 0,
         Path::Leave => 1,
@@ -38,7 +39,6 @@
         Path::PutCell => 8,
         Path::GetCell => 9,
         Path::Watch => 10,
-        Path::Show(_) => 11,
     }
 }
 
@@ -59,15 +59,6 @@
 #[derive(Default)]
 pub struct Counts {
     calls: [[Cell<u64>; OUTCOMES.len()]; CALLS.len()],
-    /// Of tasks that are available, of those that drain.
-    beats: [Cell<u64>; 2],
-    drains: Cell<u64>,
-    view: Cell<u64>,
-    views: Cell<u64>,
-    syncs: Cell<u64>,
-    sync_us: Cell<u64>,
-    news_told: Cell<u64>,
-    news_heard: Cell<u64>,
 }
 
 fn add(to: &Cell<u64>, count: u64) {
@@ -75,43 +66,13 @@
 }
 
 impl Counts {
-    /// `path`: none where there is no such call.
-    pub fn call(&self, path: Option<Path>, status: u16) {
-        let of = self.calls.get(path.map_or(NO_CALL, place));
+    /// `asked`: none where there is no such call.
+    pub fn call(&self, asked: Option<Asked>, status: u16) {
+        let of = self.calls.get(asked.map_or(NO_CALL, place));
         // What isn't there, or not by this method, is the caller's mistake.
-        let outcome = if path.is_none() { outcome(400) } else { outcome(status) };
+        let outcome = if asked.is_none() { outcome(400) } else { outcome(status) };
         of.and_then(|of| of.get(outcome)).into_iter().for_each(|cell| add(cell, 1));
     }
-
-    pub fn beat(&self, draining: bool) {
-        let [available, drains] = &self.beats;
-        add(if draining { drains } else { available }, 1);
-    }
-
-    /// Lives that were told to the couriers to get nothing more.
-    pub fn drains(&self, lives: usize) {
-        add(&self.drains, lives as u64);
-    }
-
-    /// The newest view that is known.
-    pub fn view(&self, number: u64) {
-        if self.view.replace(number) != number {
-            add(&self.views, 1);
-        }
-    }
-
-    pub fn sync(&self, took: Duration) {
-        add(&self.syncs, 1);
-        add(&self.sync_us, took.as_micros() as u64);
-    }
-
-    pub fn news_told(&self) {
-        add(&self.news_told, 1);
-    }
-
-    pub fn news_heard(&self, count: usize) {
-        add(&self.news_heard, count as u64);
-    }
 }
 
 /// A page of counters and gauges in the text form that collectors read.
@@ -131,7 +92,7 @@
 }
 
 /// All of them, as a collector reads it.
-pub fn page(hub: &Hub, inner: &Inner, now: f64) -> String {
+pub fn page(hub: &Hub, office: &Office, now: f64) -> String {
     let counts = &hub.counts;
     let mut page = Page(String::with_capacity(12 << 10));
     let calls = "rookpulley_office_calls_total";
@@ -143,24 +104,28 @@
     }
     let beats = "rookpulley_office_beats_total";
     page.name(beats, "counter", "Beats that tasks sent to this office.");
-    for (state, count) in ["available", "draining"].iter().zip(&counts.beats) {
-        _ = writeln!(page.0, "{beats}{{state=\"{state}\"}} {}", count.get());
+    for (state, count) in ["available", "draining"].iter().zip(&office.tally.beats) {
+        _ = writeln!(page.0, "{beats}{{state=\"{state}\"}} {count}");
     }
     let news = "rookpulley_office_news_total";
     page.name(news, "counter", "Words on tasks between offices: told to all, heard from one.");
-    _ = writeln!(page.0, "{news}{{way=\"told\"}} {}", counts.news_told.get());
-    _ = writeln!(page.0, "{news}{{way=\"heard\"}} {}", counts.news_heard.get());
-    let mut count = |name, help, cell: &Cell<u64>| page.one(name, "counter", help, cell.get());
-    count("rookpulley_office_drains_total", "Lives that couriers were told to spare.", &counts.drains);
-    count("rookpulley_office_view_changes_total", "Decided views that became known here.", &counts.views);
-    count("rookpulley_office_syncs_total", "Writes that reached the disk.", &counts.syncs);
+    _ = writeln!(page.0, "{news}{{way=\"told\"}} {}", office.tally.news_told);
+    _ = writeln!(page.0, "{news}{{way=\"heard\"}} {}", office.tally.news_heard);
+    let mut count = |name, help, count: u64| page.one(name, "counter", help, count);
+    count("rookpulley_office_drains_total", "Lives that couriers were told to spare.", office.tally.drains);
+    count(
+        "rookpulley_office_view_changes_total",
+        "Decided views that became known here.",
+        office.tally.views,
+    );
+    count("rookpulley_office_syncs_total", "Writes that reached the disk.", office.tally.syncs);
     let seconds = "rookpulley_office_sync_seconds_total";
     page.name(seconds, "counter", "Time that these writes took.");
-    _ = writeln!(page.0, "{seconds} {}", counts.sync_us.get() as f64 / 1e6);
+    _ = writeln!(page.0, "{seconds} {}", office.tally.sync_us as f64 / 1e6);
 
-    let shown = inner.chain.shown(now as u64);
+    let shown = office.chain.shown(now as u64);
     let [mut live, mut silent, mut draining, mut displaced] = [0; 4];
-    for task in inner.registry.tasks() {
+    for task in office.registry.tasks() {
         match task.standing {
             Standing::Live => live += 1,
             Standing::Silent => silent += 1,
@@ -176,16 +141,16 @@
         _ = writeln!(page.0, "{tasks}{{standing=\"{standing}\"}} {count}");
     }
     let mut gauge = |name, help, value: u64| page.one(name, "gauge", help, value);
-    gauge("rookpulley_office_couriers", "Couriers whose line is here.", inner.couriers.len() as u64);
-    let homes = inner.couriers.values().filter(|c| c.home).count();
+    gauge("rookpulley_office_couriers", "Couriers whose line is here.", office.couriers.len() as u64);
+    let homes = office.couriers.values().filter(|c| c.home).count();
     gauge("rookpulley_office_couriers_at_home", "Couriers that call this office home.", homes as u64);
     gauge("rookpulley_office_view", "The newest view that is decided.", shown.view);
     gauge("rookpulley_office_view_at_work", "The newest view known to be at work.", shown.at_work);
     gauge("rookpulley_office_acting", "1: part of the chain.", shown.acting.into());
     gauge("rookpulley_office_in_touch", "1: in touch with most of the view.", shown.in_touch.into());
-    gauge("rookpulley_office_disk_slow", "1: the disk is slow.", inner.disk.slow().into());
+    gauge("rookpulley_office_disk_slow", "1: the disk is slow.", office.disk.slow().into());
     gauge("rookpulley_office_update_applied", "The last update applied.", shown.applied);
-    let version = inner.chain.state().ledger.version();
+    let version = office.chain.state().ledger.version();
     gauge("rookpulley_office_configuration_version", "Of the configuration held; 0: none.", version);
     page.0
 }
--- a/crates/rookpulley-office/src/show/tests.rs
+++ b/crates/rookpulley-office/src/show/tests.rs
@@ -87,7 +87,7 @@
             *held.borrow_mut() = Some(to);
         };
         tokio::task::spawn_local(line::run::<rookpulley_waybill::Down>(stream, None, open, |_| ()));
-        while hub.look(|inner| inner.couriers.is_empty() || inner.desk.shown().is_empty()) {
+        while hub.look(|office| office.couriers.is_empty() || office.desk.shown().is_empty()) {
             tokio::task::yield_now().await;
         }
         trial(calls).await;
