What a courier holds and decides is a package of its own, free of I/O

The courier's program kept configuration, tables, budgets and offices beside its sockets, and one loop chose a task, waited and judged. The satchel takes what offices say and gives effects; a journey says for one request whom to try, when to turn away, what follows a try and what the client is told. The program keeps sockets, bodies and waits.

--- a/crates/rookpulley-courier/src/attempt.rs
+++ b/crates/rookpulley-courier/src/attempt.rs
@@ -2,15 +2,15 @@
 
 use crate::bodies::{self, Parcel, Reply, Stream, Upload};
 use crate::check::{DEADLINE_MS, strip};
-use crate::head::{Worth, worth};
+use crate::head::worth;
 use crate::state::Courier;
 use crate::wires::{self, NoWire, Wire};
 use hyper::body::{Body, Incoming};
 use hyper::header::{CONTENT_LENGTH, HeaderMap, HeaderName, HeaderValue, TRANSFER_ENCODING};
 use hyper::http::response;
 use hyper::{Method, Request, Response, Uri, Version};
-use rookpulley_addressbook::RouteKind;
 use rookpulley_round::{Fate, Pick};
+use rookpulley_satchel::{Back, How, Leaving, Way};
 use rookpulley_waybill::Line;
 use std::cell::Cell;
 use std::rc::Rc;
@@ -31,12 +31,7 @@
     /// Without those of the client's connection.
     pub headers: HeaderMap,
     pub id: HeaderValue,
-    pub service: Rc<str>,
-    pub kind: RouteKind,
-    pub attempts: u32,
-    pub aim_ms: f64,
-    pub until_ms: f64,
-    pub max_connections: u32,
+    pub way: Way,
 }
 
 /// How a try ended, what came of it, and the body where it can go out again.
@@ -46,17 +41,6 @@
     pub parcel: Option<Parcel>,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub enum How {
-    Fate(Fate),
-    /// There was no room for another connection.
-    Full,
-    /// Somebody else answered.
-    Stranger,
-    /// The client failed amid its body, and gets this status: it says nothing about the task.
-    Client(u16),
-}
-
 pub enum Answer {
     Whole(Response<Reply>),
     /// Its head and first bytes are here; the connection and the rest come along.
@@ -80,21 +64,21 @@
 impl Errand {
     /// It may run once at most.
     pub fn once(&self) -> bool {
-        !self.kind.repeatable()
+        !self.way.kind.repeatable()
     }
 
     /// `left` turns true once bytes of the request may have left.
     pub async fn attempt(&self, to: &Line, mut parcel: Parcel, left: &Cell<bool>) -> Ended {
-        let bound = self.courier.fleet().connections(self.max_connections);
-        let mut anew = false;
+        let bound = self.courier.look(|satchel| satchel.connections(&self.way));
+        let mut leaving = Leaving::default();
         loop {
-            let mut wire = match self.courier.wires.take(to, bound, self.once(), anew).await {
+            let mut wire = match self.courier.wires.take(to, bound, self.once(), leaving.anew()).await {
                 Ok(wire) => wire,
                 Err(NoWire::Full) => return Ended { parcel: Some(parcel), ..Ended::so(How::Full) },
                 Err(NoWire::Unreachable) => return Ended::unsent(Some(parcel)),
             };
             // It may have begun to drain while the connection came up.
-            if self.courier.post.borrow().is_gone(&to.life) {
+            if !self.courier.look(|satchel| satchel.may_leave(&to.life)) {
                 return Ended { parcel: Some(parcel), ..Ended::so(How::Full) };
             }
             let (spare, upload) = (parcel.again(), parcel.upload());
@@ -106,19 +90,20 @@
                 Err(mut why) => {
                     // It comes back only if nothing of it was written.
                     let back = why.take_message().map(Request::into_body);
-                    if back.is_none() && !wire.unsent() {
-                        return match upload.map(|upload| upload.get()) {
-                            Some(Upload::Failed(status)) => Ended::so(How::Client(status)),
-                            _ => Ended::fate(Fate::Broken),
-                        };
-                    }
-                    left.set(false);
+                    let unsent = back.is_some() || wire.unsent();
                     let back = back.or(spare);
-                    match back {
-                        Some(back) if wire.used && !anew => parcel = back,
-                        back => return Ended::unsent(back),
+                    let then = leaving.failed(unsent, wire.used, back.is_some());
+                    left.set(then == Back::Broken);
+                    match (then, back) {
+                        (Back::Anew, Some(back)) => parcel = back,
+                        (Back::Broken, _) => {
+                            return match upload.map(|upload| upload.get()) {
+                                Some(Upload::Failed(status)) => Ended::so(How::Client(status)),
+                                _ => Ended::fate(Fate::Broken),
+                            };
+                        }
+                        (_, back) => return Ended::unsent(back),
                     }
-                    anew = true;
                 }
             }
         }
@@ -135,7 +120,7 @@
         *request.version_mut() = Version::HTTP_11;
         let headers = request.headers_mut();
         *headers = self.headers.clone();
-        let left_ms = (self.until_ms - self.courier.now_ms() - WAY_MS).max(1.0) as u64;
+        let left_ms = (self.way.until_ms - self.courier.now_ms() - WAY_MS).max(1.0) as u64;
         headers.insert(&DEADLINE_MS, HeaderValue::from(left_ms));
         headers.insert(&TARGET_INSTANCE, life);
         if chunks {
@@ -147,15 +132,11 @@
     async fn judge(&self, wire: Wire, answer: Response<Incoming>) -> Ended {
         let (mut head, body) = answer.into_parts();
         let kept_for = wires::kept_for(&head.headers);
-        match worth(&head, &self.id, &self.method) {
-            Worth::Good => {}
-            Worth::NotExecuted => {
+        if let Some(how) = How::of(worth(&head, &self.id, &self.method)) {
+            if how == How::Fate(Fate::NotExecuted) {
                 drain(wire, body, kept_for);
-                return Ended::fate(Fate::NotExecuted);
             }
-            Worth::Stranger => return Ended::so(How::Stranger),
-            Worth::EmptyPromise => return Ended::fate(Fate::Broken),
-            Worth::Spoilt => return Ended::fate(Fate::Spoilt),
+            return Ended::so(how);
         }
         strip(&mut head.headers);
         head.version = Version::HTTP_11;
@@ -195,7 +176,7 @@
             };
             Answer::Whole(Response::from_parts(head, Reply::whole(bytes)))
         } else {
-            let until = Box::pin(tokio::time::sleep_until(self.courier.instant(self.until_ms)));
+            let until = Box::pin(tokio::time::sleep_until(self.courier.instant(self.way.until_ms)));
             let wire = Some((wire, kept_for));
             let stream = Stream { chunks: read.chunks, rest: body, left: length, until, wire, trial: None };
             Answer::Begun(head, Box::new(stream))
@@ -238,21 +219,11 @@
 
     pub fn end(mut self, how: How) {
         let Some(pick) = self.pick.take() else { return };
-        let now_ms = self.courier.now_ms();
-        let took_ms = now_ms - self.began_ms;
-        let mut post = self.courier.post.borrow_mut();
-        let fate = match how {
-            How::Fate(fate) => fate,
-            How::Full => return post.full(pick, now_ms),
-            How::Stranger => Fate::NotExecuted,
-            How::Client(_) => return post.left(pick),
-        };
-        self.courier.tally.borrow_mut().tried(&self.service, &pick.line.life, fate, took_ms);
-        if how == How::Stranger {
-            self.courier.wires.forget(&pick.line.life);
-            post.stranger(pick, now_ms);
-        } else {
-            post.settle(&self.service, pick, fate, took_ms, now_ms);
+        let life = pick.line.life.clone();
+        let left =
+            self.courier.with(|satchel, now| satchel.tried(&self.service, pick, how, self.began_ms, now));
+        if left {
+            self.courier.wires.forget(&life);
         }
     }
 }
@@ -260,7 +231,7 @@
 impl Drop for Trial {
     fn drop(&mut self) {
         if let Some(pick) = self.pick.take() {
-            self.courier.post.borrow_mut().left(pick);
+            self.courier.with(|satchel, _| satchel.post.left(pick));
         }
     }
 }
--- a/crates/rookpulley-courier/src/carry.rs
+++ b/crates/rookpulley-courier/src/carry.rs
@@ -1,7 +1,7 @@
 //! A request from its head to its answer: checked, routed, tried as often as it may be.
 
 use crate::answers;
-use crate::attempt::{Answer, Ended, Errand, How, Trial};
+use crate::attempt::{Answer, Ended, Errand, Trial};
 use crate::bodies::{self, Parcel, Reply, Upload};
 use crate::check;
 use crate::ear::Watch;
@@ -12,7 +12,7 @@
 use hyper::header::{CONNECTION, EXPECT, HeaderValue};
 use hyper::{Request, Response};
 use rookpulley_addressbook::Limits;
-use rookpulley_round::{Fate, Next, Round};
+use rookpulley_satchel::{Go, How, Journey, Tell, Then};
 use std::cell::Cell;
 use std::collections::VecDeque;
 use std::rc::Rc;
@@ -20,8 +20,6 @@
 
 /// A request's body up to this length is read whole before anything is sent on.
 const READ_WHOLE: usize = 64 << 10;
-/// When clients are to come again before a configuration is known.
-const UNKNOWN_MS: f64 = 200.0;
 
 /// Counts among what is at work as long as it lives.
 struct Counted(Rc<Courier>);
@@ -72,7 +70,7 @@
     let work = AtWork::new(&courier, &watch, body);
     let mut answer = carry(&courier, &watch, request).await;
     // What the client still sends isn't read to its end.
-    if courier.ending.get() || watch.unread() {
+    if courier.ending() || watch.unread() {
         answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
     answer.body_mut().keep(work);
@@ -80,24 +78,19 @@
 }
 
 async fn carry(courier: &Rc<Courier>, watch: &Watch, request: Request<Incoming>) -> Response<Reply> {
-    let arrived_ms = courier.now_ms();
     let (mut head, body) = request.into_parts();
-    let book = courier.book();
-    let limits = book.as_ref().map_or_else(Limits::default, |book| book.limits);
+    let limits = courier.book().map_or_else(Limits::default, |book| book.limits);
     let checked = match check::check(&head, watch, limits) {
         Ok(checked) => checked,
         Err(status) => return answers::last(status),
     };
-    let Some(book) = book else { return answers::own(503, Some(UNKNOWN_MS)) };
-    let Some(route) = book.route(&checked.host, head.uri.path()) else { return answers::own(404, None) };
-    let unit = courier.post.borrow_mut().unit();
-    let Some(service) = route.draw(unit).and_then(|index| book.service(index)) else {
-        return answers::own(503, Some(UNKNOWN_MS));
+    let way = courier
+        .with(|satchel, now| satchel.arrives(now, &checked.host, head.uri.path(), checked.deadline_ms));
+    let way = match way {
+        Ok(way) => way,
+        Err(tell) => return told(tell),
     };
-    let until_ms = arrived_ms + checked.deadline_ms.unwrap_or(route.timeout_ms).min(route.timeout_ms);
-    courier.tally.borrow_mut().came(&service.name);
-    courier.budget(&service.name, |budget| budget.request(arrived_ms));
-    let parcel = match gather(courier, body, checked.length, limits, until_ms).await {
+    let parcel = match gather(courier, body, checked.length, limits, way.until_ms).await {
         Ok(parcel) => parcel,
         Err(status) => return answers::last(status),
     };
@@ -109,12 +102,7 @@
         target: head.uri,
         headers: head.headers,
         id: checked.id,
-        service: Rc::from(service.name.as_str()),
-        kind: route.kind,
-        attempts: route.attempts,
-        aim_ms: route.aim_ms,
-        until_ms,
-        max_connections: service.max_connections,
+        way,
     };
     let gone = Rc::new(Cell::new(false));
     if !errand.once() {
@@ -159,54 +147,36 @@
 
 /// `gone` turns true when the client leaves: nothing is begun for it any more.
 async fn tries(errand: Errand, parcel: Parcel, gone: Rc<Cell<bool>>) -> Response<Reply> {
-    let (courier, name) = (&errand.courier, &*errand.service);
-    let unit = courier.post.borrow_mut().unit();
-    let mut round = Round::new(errand.kind, errand.attempts, errand.until_ms, unit);
-    if parcel.again().is_none() {
-        round.only_once();
-    }
+    let courier = &errand.courier;
+    let again = parcel.again().is_some();
+    let mut journey = courier.with(|satchel, _| Journey::new(satchel, errand.way.clone(), again));
     let mut parcel = Some(parcel);
     loop {
-        let now_ms = courier.now_ms();
-        let pick =
-            if gone.get() { None } else { courier.post.borrow_mut().pick(name, &round, errand.kind, now_ms) };
-        let (Some(pick), Some(body)) = (pick, parcel.take()) else {
-            let next = courier.budget(name, |budget| round.no_task(now_ms, budget));
-            return give_up(courier, name, next);
+        let wanted = !gone.get() && parcel.is_some();
+        let (pick, to, turn_ms) = match courier.with(|satchel, now| journey.go(satchel, now, wanted)) {
+            Go::Try { pick, to, turn_ms } => (pick, to, turn_ms),
+            Go::Tell(tell) => return told(tell),
         };
+        let trial = Trial::new(courier, &errand.way.service, pick);
+        let Some(body) = parcel.take() else { return answers::own(502, None) };
         parcel = body.again();
-        round.goes_to(&pick.line.life);
-        let (to, habit_ms) = (pick.line.clone(), pick.habit_ms);
-        let trial = Trial::new(courier, &errand.service, pick);
         let (left, upload) = (Cell::new(false), body.upload());
-        let patience_ms = round.patience_ms(now_ms, errand.aim_ms, habit_ms);
         let ended = {
             let mut work = std::pin::pin!(errand.attempt(&to, body, &left));
-            let first_ms = patience_ms.unwrap_or(errand.until_ms);
-            match timeout_at(courier.instant(first_ms), work.as_mut()).await {
+            match timeout_at(courier.instant(turn_ms), work.as_mut()).await {
                 Ok(ended) => Some(ended),
-                Err(_) if patience_ms.is_none() || elsewhere(courier, name, &round) => None,
-                Err(_) => timeout_at(courier.instant(errand.until_ms), work).await.ok(),
+                Err(_) if courier.with(|satchel, now| journey.turns(satchel, now)) => None,
+                Err(_) => timeout_at(courier.instant(errand.way.until_ms), work).await.ok(),
             }
         };
-        let ended = ended.unwrap_or_else(|| Ended {
-            how: match upload {
-                Some(upload) if left.get() && upload.get() == Upload::Waits => How::Client(504),
-                _ if left.get() => How::Fate(Fate::TimedOut),
-                _ => How::Fate(Fate::Unsent),
-            },
-            answer: None,
-            parcel: None,
+        let ended = ended.unwrap_or_else(|| {
+            let client_waits = upload.is_some_and(|upload| upload.get() == Upload::Waits);
+            Ended { how: Journey::broken_off(left.get(), client_waits), answer: None, parcel: None }
         });
-        let fate = match ended.how {
-            How::Fate(fate) => fate,
-            How::Full => Fate::Unsent,
-            How::Stranger => Fate::NotExecuted,
-            How::Client(status) => {
-                trial.end(ended.how);
-                return answers::last(status);
-            }
-        };
+        if let How::Client(status) = ended.how {
+            trial.end(ended.how);
+            return answers::last(status);
+        }
         let answer = match ended.answer {
             Some(Answer::Begun(head, mut stream)) => {
                 stream.trial = Some(trial);
@@ -224,35 +194,18 @@
         if ended.parcel.is_some() {
             parcel = ended.parcel;
         }
-        let now_ms = courier.now_ms();
-        let another = parcel.is_some() && courier.post.borrow().another(name, &round);
-        let next = courier.budget(name, |budget| round.settle(fate, now_ms, another, budget));
-        match (next, answer) {
-            (Next::Try, _) => {}
-            (Next::Pass, Some(answer)) => {
-                if answer.status().is_server_error() {
-                    courier.tally.borrow_mut().failed(name);
-                }
-                return answer;
-            }
-            (next, _) => return give_up(courier, name, next),
+        let status = answer.as_ref().map(|answer| answer.status().as_u16());
+        let then =
+            courier.with(|satchel, now| journey.ended(satchel, now, ended.how, status, parcel.is_some()));
+        match (then, answer) {
+            (Then::Again, _) => {}
+            (Then::Pass, Some(answer)) => return answer,
+            (Then::Pass, None) => return answers::own(502, None),
+            (Then::Tell(tell), _) => return told(tell),
         }
     }
 }
 
-/// Whether a try that takes long may be broken off for one that goes to another task.
-fn elsewhere(courier: &Courier, service: &str, round: &Round) -> bool {
-    let now_ms = courier.now_ms();
-    !courier.ending.get()
-        && courier.post.borrow().another(service, round)
-        && courier.budget(service, |budget| budget.has(now_ms))
-}
-
-fn give_up(courier: &Courier, service: &str, next: Next) -> Response<Reply> {
-    courier.tally.borrow_mut().failed(service);
-    match next {
-        Next::Refuse { retry_after_ms } => answers::own(503, Some(retry_after_ms)),
-        Next::TimedOut => answers::own(504, None),
-        Next::Try | Next::Pass | Next::BadGateway => answers::own(502, None),
-    }
+fn told(tell: Tell) -> Response<Reply> {
+    answers::own(tell.status, tell.retry_after_ms)
 }
--- a/crates/rookpulley-courier/src/ending.rs
+++ b/crates/rookpulley-courier/src/ending.rs
@@ -1,9 +1,9 @@
 //! What the platform says by signals, and all that is due from time to time.
 
-use crate::links;
 use crate::state::Courier;
 use rookpulley_addressbook::Limits;
 use rookpulley_mailroom::File;
+use rookpulley_satchel::Satchel;
 use rookpulley_settings::Node;
 use std::path::PathBuf;
 use std::rc::Rc;
@@ -77,18 +77,21 @@
     end(&courier).await;
 }
 
-fn take_settings(courier: &Courier, node: Option<Node>) {
-    node.into_iter().for_each(|node| courier.links.set_seeds(node.seeds));
+fn take_settings(courier: &Rc<Courier>, node: Option<Node>) {
+    if let Some(node) = node {
+        let seeds = node.seeds.iter().map(|seed| *seed.ip()).collect();
+        courier.with(|satchel, _| satchel.set_seeds(seeds));
+    }
 }
 
 fn due(courier: &Rc<Courier>, tick: u32) {
-    links::tend(courier);
+    courier.with(Satchel::tend);
     if tick.is_multiple_of(2) {
         courier.wires.sweep();
-        courier.clients.sweep(limits(courier), courier.ending.get());
+        courier.clients.sweep(limits(courier), courier.ending());
     }
     if tick.is_multiple_of(4) {
-        links::report(courier);
+        courier.with(Satchel::report);
     }
 }
 
@@ -99,7 +102,7 @@
 /// Not ready from now on, but at work for what still comes, until nothing does.
 async fn end(courier: &Rc<Courier>) {
     tracing::info!("ending: no longer ready");
-    courier.ending.set(true);
+    courier.with(|satchel, _| satchel.ending = true);
     let begun = Instant::now();
     let grace = Duration::from_secs_f64(courier.node.bounds.grace_period_s.clamp(0.0, 3_600.0));
     let latest = grace.saturating_sub(BEFORE_KILL).max(grace / 2);
--- a/crates/rookpulley-courier/src/lib.rs
+++ b/crates/rookpulley-courier/src/lib.rs
@@ -3,7 +3,7 @@
 //! `state` is what the parts share, `links` are the lines to offices. A request passes `listener`, `check`, `carry`
 //! (its tries), `attempt` (one try) and `head` (what an answer is worth); `wires` keeps connections to tasks, `bodies`
 //! carries bytes both ways. `ear` stands between a client's connection and the parser, `sieve` between a task's and
-//! the parser, `span` tells both where a body ends. `ending` hears the platform, `readiness` tells it, `tally` counts.
+//! the parser, `span` tells both where a body ends. `ending` hears the platform, `readiness` tells it. What is decided, is decided in the satchel.
 
 mod answers;
 mod attempt;
@@ -19,13 +19,13 @@
 mod sieve;
 mod span;
 mod state;
-mod tally;
 mod wires;
 
 pub use ending::{Signal, Signals};
 pub use state::Courier;
 
 use rookpulley_mailroom::line;
+use rookpulley_satchel::Satchel;
 use rookpulley_settings::Node;
 use std::net::{SocketAddr, SocketAddrV4};
 use std::path::PathBuf;
@@ -74,6 +74,6 @@
     tracing::info!("courier: {} begins", courier.node.name);
     tokio::task::spawn_local(readiness::serve(courier.clone(), bound.readiness));
     tokio::task::spawn_local(listener::serve(courier.clone(), bound.front));
-    links::tend(&courier);
+    courier.with(Satchel::tend);
     ending::attend(courier, path, signals).await;
 }
--- a/crates/rookpulley-courier/src/listener.rs
+++ b/crates/rookpulley-courier/src/listener.rs
@@ -127,7 +127,7 @@
             }
             () = watch.close.notified() => {}
         }
-        match watch.due(limits(&courier), courier.ending.get()) {
+        match watch.due(limits(&courier), courier.ending()) {
             // Nothing of a request is here, or the client leaves us to sit.
             Some(Due::Idle | Due::Stuck) => break,
             Some(Due::SlowHead) if watch.held_up() => break,
--- a/crates/rookpulley-courier/src/state.rs
+++ b/crates/rookpulley-courier/src/state.rs
@@ -1,15 +1,13 @@
 //! What the parts of a courier share. Nothing borrowed from here is held across a wait.
 
-use crate::links::Links;
+use crate::links::{self, Links};
 use crate::listener::Clients;
-use crate::tally::Tally;
 use crate::wires::Wires;
 use bytes::Bytes;
 use rookpulley_addressbook::Book;
-use rookpulley_round::{Budget, Fleet, Post};
+use rookpulley_satchel::{Effect, Satchel};
 use rookpulley_settings::Node;
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
 use std::hash::{BuildHasher, RandomState};
 use std::rc::Rc;
 use std::sync::Arc;
@@ -22,17 +20,10 @@
 pub struct Courier {
     pub node: Node,
     begun: Instant,
-    book: RefCell<Option<Rc<Book>>>,
-    /// The bytes that it was read from: newer ones come as what differs.
-    edition: RefCell<Vec<u8>>,
-    pub post: RefCell<Post>,
-    budgets: RefCell<HashMap<String, Budget>>,
-    fleet: Cell<Fleet>,
-    pub tally: RefCell<Tally>,
+    satchel: RefCell<Satchel>,
     pub links: Links,
     pub wires: Wires,
     pub clients: Clients,
-    pub ending: Cell<bool>,
     /// Requests that were read and whose answers aren't written yet.
     pub at_work: Cell<usize>,
     /// Bytes of bodies that are held whole, and the most there may be.
@@ -48,18 +39,14 @@
         let files = node.limits.open_files.saturating_sub(KEPT_FILES).max(100) as usize;
         let to_tasks = (files / 3).min(800);
         let hold_bytes = if node.limits.link_mbps >= 100.0 { 1 << 20 } else { 16 << 10 };
+        let seeds = node.seeds.iter().map(|seed| *seed.ip()).collect();
+        let further = (node.bounds.retry_budget_ratio, node.bounds.retry_budget_slack);
         Rc::new(Courier {
             begun: Instant::now(),
-            book: RefCell::default(),
-            edition: RefCell::default(),
-            post: RefCell::new(Post::new(&node.zone, seed)),
-            budgets: RefCell::default(),
-            fleet: Cell::default(),
-            tally: RefCell::default(),
-            links: Links::new(&node),
+            satchel: RefCell::new(Satchel::new(&node.name, &node.zone, seeds, further, seed)),
+            links: Links::default(),
             wires: Wires::new(&node.zone, to_tasks),
             clients: Clients::new(files - to_tasks),
-            ending: Cell::new(false),
             at_work: Cell::new(0),
             held: Arc::default(),
             held_most: (node.limits.memory_mb / 4.0 * 1e6) as usize,
@@ -76,57 +63,41 @@
         self.begun + std::time::Duration::from_secs_f64(at_ms.clamp(0.0, 1e12) / 1e3)
     }
 
-    pub fn book(&self) -> Option<Rc<Book>> {
-        self.book.borrow().clone()
-    }
-
-    pub fn version(&self) -> u64 {
-        self.book.borrow().as_ref().map_or(0, |book| book.version)
+    /// Something comes in, or is asked; what the satchel wants is carried out by the links.
+    pub fn with<T>(self: &Rc<Self>, input: impl FnOnce(&mut Satchel, f64) -> T) -> T {
+        let (came, effects) = {
+            let mut satchel = self.satchel.borrow_mut();
+            (input(&mut satchel, self.now_ms()), satchel.effects())
+        };
+        effects.into_iter().for_each(|effect| self.carry_out(effect));
+        came
     }
 
-    /// Within a life the version only rises: an older configuration that comes late changes nothing.
-    pub fn take_book(&self, book: Book, edition: Vec<u8>) {
-        if book.version > self.version() {
-            *self.edition.borrow_mut() = edition;
-            tracing::info!("courier: configuration {} is in force", book.version);
-            *self.book.borrow_mut() = Some(Rc::new(book));
+    fn carry_out(self: &Rc<Self>, effect: Effect) {
+        match effect {
+            Effect::Dial(office) => links::dial(self, office),
+            Effect::Say(office, up) => links::say(self, office, &up),
+            Effect::Forget(life) => self.wires.forget(&life),
+            Effect::Log(line) => tracing::info!("{line}"),
+            Effect::Complain(line) => tracing::warn!("{line}"),
         }
     }
 
-    pub fn with_edition<T>(&self, with: impl FnOnce(&[u8]) -> T) -> T {
-        with(&self.edition.borrow())
-    }
-
-    pub fn ready(&self) -> bool {
-        !self.ending.get() && self.book.borrow().is_some() && self.post.borrow().any()
+    /// The same where nothing can come of it.
+    pub fn look<T>(&self, look: impl FnOnce(&Satchel) -> T) -> T {
+        look(&self.satchel.borrow())
     }
 
-    pub fn fleet(&self) -> Fleet {
-        self.fleet.get()
+    pub fn book(&self) -> Option<Rc<Book>> {
+        self.look(Satchel::book)
     }
 
-    pub fn take_couriers(&self, heard: u32) {
-        let mut fleet = self.fleet.get();
-        if fleet.heard(self.now_ms(), heard) {
-            self.budgets.borrow_mut().values_mut().for_each(|budget| budget.shared_by(fleet.couriers()));
-        }
-        self.fleet.set(fleet);
+    pub fn ready(&self) -> bool {
+        self.look(Satchel::ready)
     }
 
-    pub fn budget<T>(&self, service: &str, with: impl FnOnce(&mut Budget) -> T) -> T {
-        let mut budgets = self.budgets.borrow_mut();
-        if let Some(budget) = budgets.get_mut(service) {
-            return with(budget);
-        }
-        let bounds = &self.node.bounds;
-        let budget = budgets
-            .entry(service.to_owned())
-            .or_insert_with(|| Budget::new(bounds.retry_budget_ratio, bounds.retry_budget_slack));
-        let couriers = self.fleet().couriers();
-        if couriers > 0 {
-            budget.shared_by(couriers);
-        }
-        with(budget)
+    pub fn ending(&self) -> bool {
+        self.look(|satchel| satchel.ending)
     }
 
     /// Room for so many bytes of an answer, given back when dropped.
--- /dev/null
+++ b/crates/rookpulley-satchel/src/satchel.rs
@@ -0,0 +1,245 @@
+//! What a courier holds: the configuration, tables and drains as offices tell them, and what pays for further tries.
+
+use crate::tally::Tally;
+use rookpulley_addressbook::Book;
+use rookpulley_round::{Budget, Fleet, Move, Offices, Post};
+use rookpulley_waybill::frame::LONGEST;
+use rookpulley_waybill::{Down, Life, Up, unpack};
+use std::collections::HashMap;
+use std::net::Ipv4Addr;
+use std::rc::Rc;
+
+/// What is to be done.
+#[derive(Debug, PartialEq)]
+pub enum Effect {
+    /// A line to this office is to be kept until it is forgotten.
+    Dial(Ipv4Addr),
+    /// To an office, on its line.
+    Say(Ipv4Addr, Up),
+    /// No connection to this life is to be used again.
+    Forget(Life),
+    Log(String),
+    /// Something is wrong.
+    Complain(String),
+}
+
+pub struct Satchel {
+    name: String,
+    zone: String,
+    ratio: f64,
+    slack: f64,
+    seeds: Vec<Ipv4Addr>,
+    book: Option<Rc<Book>>,
+    /// The bytes that it was read from: newer ones come as what differs.
+    edition: Vec<u8>,
+    pub post: Post,
+    budgets: HashMap<String, Budget>,
+    fleet: Fleet,
+    pub(crate) tally: Tally,
+    offices: Offices,
+    pub ending: bool,
+    out: Vec<Effect>,
+}
+
+impl Satchel {
+    /// `ratio` and `slack`: what further tries a service may get from all couriers.
+    pub fn new(name: &str, zone: &str, seeds: Vec<Ipv4Addr>, (ratio, slack): (f64, f64), seed: u64) -> Self {
+        Self {
+            name: name.into(),
+            zone: zone.into(),
+            ratio,
+            slack,
+            seeds,
+            book: None,
+            edition: Vec::new(),
+            post: Post::new(zone, seed),
+            budgets: HashMap::new(),
+            fleet: Fleet::default(),
+            tally: Tally::default(),
+            offices: Offices::default(),
+            ending: false,
+            out: Vec::new(),
+        }
+    }
+
+    /// What came of all inputs since the last time.
+    pub fn effects(&mut self) -> Vec<Effect> {
+        std::mem::take(&mut self.out)
+    }
+
+    pub fn book(&self) -> Option<Rc<Book>> {
+        self.book.clone()
+    }
+
+    pub fn version(&self) -> u64 {
+        self.book.as_ref().map_or(0, |book| book.version)
+    }
+
+    /// Within a life the version only rises: an older configuration that comes late changes nothing.
+    pub fn take_book(&mut self, book: Book, edition: Vec<u8>) {
+        if book.version > self.version() {
+            self.edition = edition;
+            self.out.push(Effect::Log(format!("courier: configuration {} is in force", book.version)));
+            self.book = Some(Rc::new(book));
+        }
+    }
+
+    pub fn ready(&self) -> bool {
+        !self.ending && self.book.is_some() && self.post.any()
+    }
+
+    pub fn fleet(&self) -> Fleet {
+        self.fleet
+    }
+
+    pub fn take_couriers(&mut self, now: f64, heard: u32) {
+        if self.fleet.heard(now, heard) {
+            let couriers = self.fleet.couriers();
+            self.budgets.values_mut().for_each(|budget| budget.shared_by(couriers));
+        }
+    }
+
+    pub fn budget<T>(&mut self, service: &str, with: impl FnOnce(&mut Budget) -> T) -> T {
+        if let Some(budget) = self.budgets.get_mut(service) {
+            return with(budget);
+        }
+        let budget = self.budgets.entry(service.to_owned()).or_insert(Budget::new(self.ratio, self.slack));
+        if self.fleet.couriers() > 0 {
+            budget.shared_by(self.fleet.couriers());
+        }
+        with(budget)
+    }
+
+    // ---- offices ----------------------------------------------------------------------------
+
+    pub fn set_seeds(&mut self, seeds: Vec<Ipv4Addr>) {
+        self.seeds = seeds;
+    }
+
+    /// The line to an office is over.
+    pub fn lost(&mut self, office: Ipv4Addr) {
+        self.offices.lost(office);
+    }
+
+    pub fn home(&self) -> Option<Ipv4Addr> {
+        self.offices.home()
+    }
+
+    fn say(&mut self, office: Ipv4Addr, up: Up) {
+        self.out.push(Effect::Say(office, up));
+    }
+
+    /// What is due from time to time: lines to offices named anew, and another home where this one is no good.
+    pub fn tend(&mut self, now: f64) {
+        self.seeds.clone().into_iter().for_each(|seed| self.named(now, seed));
+        self.choose_home(now);
+    }
+
+    /// To the home, about once a second.
+    pub fn report(&mut self, now: f64) {
+        let Some(home) = self.home() else { return };
+        let report = self.tally.report(now);
+        self.say(home, Up::Report(report));
+    }
+
+    fn named(&mut self, now: f64, office: Ipv4Addr) {
+        if self.offices.named(now, office) {
+            self.out.push(Effect::Dial(office));
+        }
+    }
+
+    /// True where nobody has named it for long: it need not be dialed again.
+    pub fn forgotten(&mut self, now: f64, office: Ipv4Addr) -> bool {
+        self.offices.forgotten(now, office)
+    }
+
+    pub fn opened(&mut self, now: f64, office: Ipv4Addr) {
+        let hello = Up::Hello {
+            node: self.name.clone(),
+            zone: self.zone.clone(),
+            home: self.home() == Some(office),
+            config: self.version(),
+            tables: self.post.any(),
+            gone: self.post.all_gone(),
+        };
+        self.say(office, hello);
+        self.offices.connected(now, office);
+    }
+
+    /// An office says something.
+    pub fn take(&mut self, now: f64, office: Ipv4Addr, down: Down) {
+        match down {
+            Down::Pulse { in_touch, config, couriers, offices } => {
+                let have = self.version();
+                if self.offices.pulse(now, office, in_touch, config, have) {
+                    self.say(office, Up::WantConfig { have });
+                }
+                if couriers > 0 {
+                    self.take_couriers(now, couriers);
+                }
+                offices.iter().for_each(|other| self.named(now, *other.ip()));
+                self.choose_home(now);
+            }
+            Down::Config { version, base, length, packed } => {
+                if let Some(have) = self.take_configuration(office, version, (base, length as usize), &packed)
+                {
+                    self.say(office, Up::WantConfig { have });
+                }
+            }
+            // Another office than the home may still think that it is the home.
+            Down::Table { service, mark, lines, .. } if self.home() == Some(office) => {
+                let left = self.post.table(&service, lines);
+                self.out.extend(left.into_iter().map(Effect::Forget));
+                self.say(office, Up::Took { mark });
+            }
+            Down::Table { .. } => {}
+            Down::Gone { lives } => {
+                let news = self.post.gone(lives, now);
+                self.out.extend(news.into_iter().map(Effect::Forget));
+            }
+        }
+    }
+
+    /// What is to be asked for instead, where it can't be used: something newer than that.
+    fn take_configuration(
+        &mut self,
+        office: Ipv4Addr,
+        version: u64,
+        (base, length): (u64, usize),
+        packed: &[u8],
+    ) -> Option<u64> {
+        let held = self.version();
+        if version <= held {
+            return None;
+        }
+        if base != 0 && base != held {
+            return Some(held);
+        }
+        let on = if base == 0 { &[] } else { self.edition.as_slice() };
+        let body = match unpack(packed, on, length, LONGEST) {
+            Ok(body) => body,
+            Err(why) => {
+                let line =
+                    format!("links: configuration {version} from {office} on {base} came to nothing: {why}");
+                self.out.push(Effect::Complain(line));
+                return (base != 0).then_some(0);
+            }
+        };
+        match Book::read(&body) {
+            Ok(book) => self.take_book(book, body),
+            Err(faults) => {
+                let line = format!("links: configuration {version} from {office} can't be used: {faults}");
+                self.out.push(Effect::Complain(line));
+            }
+        }
+        None
+    }
+
+    pub fn choose_home(&mut self, now: f64) {
+        let Some(Move { from, to }) = self.offices.choose(now) else { return };
+        self.out.push(Effect::Log(format!("links: {to} is the home")));
+        let (config, tables) = (self.version(), self.post.any());
+        from.into_iter().for_each(|from| self.say(from, Up::Home { home: false, config, tables }));
+        self.say(to, Up::Home { home: true, config, tables });
+    }
+}
--- a/crates/rookpulley-courier/src/tally.rs
+++ b/crates/rookpulley-satchel/src/tally.rs
@@ -20,7 +20,7 @@
 }
 
 #[derive(Default)]
-pub struct Tally {
+pub(crate) struct Tally {
     since_ms: f64,
     services: HashMap<String, OfService>,
 }
