--- /dev/null
+++ b/crates/rookpulley-drill/src/apps.rs
@@ -0,0 +1,301 @@
+//! Stand-ins for applications: locks, numbers, cells and those who watch them.
+
+use crate::callers::{Call, Who};
+use crate::record::{AppCall, Asked, Got, Hold, WatchPart};
+use crate::world::{What, World};
+use crate::{MS, S, Us};
+use rand::RngExt;
+use rookpulley_clerk::{Content, Path, Reply};
+use std::collections::HashMap;
+use tinyjson::JsonValue;
+
+const LOCKS: u32 = 2;
+const NUMBERS: u32 = 2;
+const GROUPS: u32 = 2;
+const KEYS: u32 = 3;
+const WITHIN: Us = 4 * S;
+
+struct Held {
+    lock: String,
+    fence: u64,
+    hold: usize,
+    hold_ms: u64,
+}
+
+#[derive(Default)]
+pub struct App {
+    held: Option<Held>,
+    /// Under way: its number in the record.
+    call: Option<usize>,
+    seen: HashMap<String, u64>,
+    values: u64,
+}
+
+#[derive(Default)]
+pub struct Watcher {
+    group: String,
+    after: u64,
+}
+
+fn field(reply: &Reply, name: &str) -> Option<u64> {
+    match &reply.content {
+        Content::Json(JsonValue::Object(fields)) => match fields.get(name) {
+            Some(JsonValue::Number(n)) => Some(*n as u64),
+            _ => None,
+        },
+        _ => None,
+    }
+}
+
+fn value_of(reply: &Reply) -> Option<String> {
+    match &reply.content {
+        Content::Json(JsonValue::Object(fields)) => match fields.get("value") {
+            Some(JsonValue::String(text)) => Some(text.clone()),
+            _ => None,
+        },
+        _ => None,
+    }
+}
+
+fn events_of(reply: &Reply) -> Vec<(String, String, u64)> {
+    let Content::Json(JsonValue::Object(fields)) = &reply.content else { return Vec::new() };
+    let Some(JsonValue::Array(events)) = fields.get("events") else { return Vec::new() };
+    let one = |event: &JsonValue| {
+        let JsonValue::Object(fields) = event else { return None };
+        match (fields.get("name"), fields.get("value"), fields.get("revision")) {
+            (Some(JsonValue::String(n)), Some(JsonValue::String(v)), Some(JsonValue::Number(r))) => {
+                Some((n.clone(), v.clone(), *r as u64))
+            }
+            _ => None,
+        }
+    };
+    events.iter().filter_map(one).collect()
+}
+
+impl World {
+    pub fn begin_apps(&mut self) {
+        for app in 0..self.day.apps {
+            self.apps.push(App::default());
+            self.after(2 * S + app as u64 * 37 * MS, None, What::App(app));
+        }
+        if self.day.apps > 0 {
+            for group in 0..GROUPS {
+                self.watchers.push(Watcher { group: format!("g{group}."), after: 0 });
+                self.after(2 * S, None, What::Watch(group as usize));
+            }
+            self.after((self.day.length_ms - 4_000) * MS, None, What::AppsEnd);
+        }
+    }
+
+    fn winding_up(&self) -> bool {
+        self.now + 4_500 * MS >= self.day.length_ms * MS
+    }
+
+    fn app_calls(&mut self, app: usize, asked: Asked, path: Path, name: &str, body: String) {
+        let number = self.record.calls.len();
+        self.record.calls.push(AppCall {
+            asked,
+            name: name.into(),
+            sent: self.now,
+            done: None,
+            got: Got::Nothing,
+            unclear: false,
+        });
+        self.apps[app].call = Some(number);
+        self.call(Who::App(app), path, name, body, Vec::new(), (WITHIN, 0));
+    }
+
+    pub fn app_acts(&mut self, app: usize) {
+        if self.winding_up() && self.apps[app].held.is_none() {
+            return;
+        }
+        let now = self.now;
+        if let Some(held) = &self.apps[app].held {
+            let (lock, fence, hold, hold_ms) = (held.lock.clone(), held.fence, held.hold, held.hold_ms);
+            let until = self.record.holds[hold].until;
+            if now >= until {
+                self.apps[app].held = None;
+                return self.after(20 * MS, None, What::App(app));
+            }
+            // Some die while holding.
+            if self.chance(25) {
+                self.apps[app].held = None;
+                self.record.holds[hold].until = now;
+                return self.after(until - now, None, What::App(app));
+            }
+            if self.chance(2) {
+                let body = format!("{{\"holder\":\"a{app}\",\"fence\":{fence},\"holdMs\":{hold_ms}}}");
+                return self.app_calls(app, Asked::Renew { hold }, Path::RenewLock, &lock, body);
+            }
+            self.record.holds[hold].until = now;
+            self.apps[app].held = None;
+            let body = format!("{{\"holder\":\"a{app}\",\"fence\":{fence}}}");
+            return self.app_calls(app, Asked::Drop, Path::DropLock, &lock, body);
+        }
+        match self.rng.random_range(0..10u32) {
+            0..=2 => {
+                let lock = format!("l{}", self.rng.random_range(0..LOCKS));
+                let hold_ms = self.rng.random_range(300..3_000u64);
+                let body = format!("{{\"holder\":\"a{app}\",\"holdMs\":{hold_ms}}}");
+                self.app_calls(app, Asked::Take { hold_ms }, Path::TakeLock, &lock, body);
+            }
+            3 | 4 => {
+                let name = format!("n{}", self.rng.random_range(0..NUMBERS));
+                self.app_calls(app, Asked::Number, Path::Number, &name, "{}".into());
+            }
+            5..=7 => {
+                let name = self.cell();
+                self.apps[app].values += 1;
+                let value = format!("v{app}-{}", self.apps[app].values);
+                let active = self.chance(2).then(|| self.apps[app].seen.get(&name).copied().unwrap_or(0));
+                let body = match active {
+                    Some(active) => format!("{{\"value\":\"{value}\",\"active\":{active}}}"),
+                    None => format!("{{\"value\":\"{value}\"}}"),
+                };
+                self.app_calls(app, Asked::Put { value, active }, Path::PutCell, &name, body);
+            }
+            _ => {
+                let name = self.cell();
+                self.app_calls(app, Asked::Get, Path::GetCell, &name, String::new());
+            }
+        }
+    }
+
+    fn cell(&mut self) -> String {
+        format!("g{}.k{}", self.rng.random_range(0..GROUPS), self.rng.random_range(0..KEYS))
+    }
+
+    pub fn app_answered(&mut self, app: usize, call: &Call, reply: Option<&Reply>) {
+        let now = self.now;
+        let Some(number) = self.apps[app].call.take() else { return };
+        let asked = self.record.calls[number].asked.clone();
+        let name = call.name.clone();
+        let got = match (reply, &asked) {
+            (None, _) => Got::Nothing,
+            (Some(reply), _) if reply.status == 412 => Got::Conflict(field(reply, "revision").unwrap_or(0)),
+            (Some(reply), Asked::Get) if reply.status == 404 => Got::Read(None),
+            (Some(reply), _) if reply.status != 200 => Got::No(reply.status),
+            (Some(reply), Asked::Take { .. }) => Got::Fence(field(reply, "fence").unwrap_or(0)),
+            (Some(reply), Asked::Number) => Got::Number(field(reply, "value").unwrap_or(0)),
+            (Some(reply), Asked::Put { .. }) => Got::Revision(field(reply, "revision").unwrap_or(0)),
+            (Some(reply), Asked::Get) => {
+                Got::Read(value_of(reply).map(|value| (value, field(reply, "revision").unwrap_or(0))))
+            }
+            (Some(_), _) => Got::Done,
+        };
+        match (&asked, &got) {
+            (Asked::Take { hold_ms }, Got::Fence(fence)) => {
+                // It counts itself holder from the answer until its time since the call is over.
+                let until = call.sent_us + hold_ms * MS;
+                if until > now {
+                    let hold = self.record.holds.len();
+                    self.record.holds.push(Hold {
+                        app,
+                        lock: name.clone(),
+                        fence: *fence,
+                        from: now,
+                        until,
+                        asked: call.first_us,
+                    });
+                    let held = Held { lock: name.clone(), fence: *fence, hold, hold_ms: *hold_ms };
+                    self.apps[app].held = Some(held);
+                }
+            }
+            (Asked::Renew { hold }, Got::Done) => {
+                let hold_ms = self.apps[app].held.as_ref().map_or(0, |held| held.hold_ms);
+                let until = call.sent_us + hold_ms * MS;
+                let of = &mut self.record.holds[*hold];
+                if now < of.until {
+                    of.until = of.until.max(until);
+                } else {
+                    self.apps[app].held = None;
+                }
+            }
+            (Asked::Renew { hold }, Got::No(_)) => {
+                let of = &mut self.record.holds[*hold];
+                of.until = of.until.min(now);
+                self.apps[app].held = None;
+            }
+            (_, Got::Revision(revision)) => _ = self.apps[app].seen.insert(name.clone(), *revision),
+            (_, Got::Conflict(revision)) => _ = self.apps[app].seen.insert(name.clone(), *revision),
+            (_, Got::Read(Some((_, revision)))) => _ = self.apps[app].seen.insert(name.clone(), *revision),
+            _ => {}
+        }
+        let of = &mut self.record.calls[number];
+        (of.done, of.got, of.unclear) = (Some(now), got, call.unclear);
+        let us = self.rng.random_range(10..160u64) * MS;
+        self.after(us, None, What::App(app));
+    }
+
+    // ---- watches ----------------------------------------------------------------------------
+
+    pub fn watcher_acts(&mut self, watcher: usize) {
+        let of = &self.watchers[watcher];
+        let (group, after) = (of.group.clone(), of.after);
+        let query = vec![("after", after.to_string()), ("waitMs", "800".to_string())];
+        self.call(Who::Watcher(watcher), Path::Watch, &group, String::new(), query, (WITHIN, 800 * MS));
+    }
+
+    pub fn watcher_answered(&mut self, watcher: usize, call: &Call, reply: Option<&Reply>) {
+        let group = call.name.clone();
+        if let Some(reply) = reply {
+            let after = self.watchers[watcher].after;
+            let revision = field(reply, "revision").unwrap_or(0);
+            let status = reply.status;
+            let events = events_of(reply);
+            self.record.watches.push(WatchPart {
+                group,
+                after,
+                revision,
+                status,
+                events,
+                sent: call.first_us,
+            });
+            if status == 200 {
+                self.watchers[watcher].after = revision;
+            }
+        }
+        self.after(5 * MS, None, What::Watch(watcher));
+    }
+
+    // ---- the end of the day -----------------------------------------------------------------
+
+    /// Keys are read back, numbers asked for, locks too.
+    pub fn apps_end(&mut self) {
+        let mut last = |asked: Asked, path: Path, name: String, body: String| {
+            let number = self.record.calls.len();
+            self.record.calls.push(AppCall {
+                asked,
+                name: name.clone(),
+                sent: self.now,
+                done: None,
+                got: Got::Nothing,
+                unclear: false,
+            });
+            self.record.last.push(number);
+            self.call(Who::Last(number), path, &name, body, Vec::new(), (3_300 * MS, 0));
+        };
+        for group in 0..GROUPS {
+            for key in 0..KEYS {
+                last(Asked::Get, Path::GetCell, format!("g{group}.k{key}"), String::new());
+            }
+        }
+        for number in 0..NUMBERS {
+            last(Asked::Number, Path::Number, format!("n{number}"), "{}".into());
+        }
+    }
+
+    pub fn last_answered(&mut self, number: usize, call: &Call, reply: Option<&Reply>) {
+        let got = match (reply, &self.record.calls[number].asked) {
+            (Some(reply), Asked::Get) if reply.status == 404 => Got::Read(None),
+            (Some(reply), _) if reply.status != 200 => Got::No(reply.status),
+            (Some(reply), Asked::Number) => Got::Number(field(reply, "value").unwrap_or(0)),
+            (Some(reply), _) => {
+                Got::Read(value_of(reply).map(|value| (value, field(reply, "revision").unwrap_or(0))))
+            }
+            (None, _) => Got::Nothing,
+        };
+        let of = &mut self.record.calls[number];
+        (of.done, of.got, of.unclear) = (Some(self.now), got, call.unclear);
+    }
+}
--- /dev/null
+++ b/crates/rookpulley-drill/src/callers.rs
@@ -0,0 +1,189 @@
+//! Calls from outside to offices: who gets no clear answer goes to another one, with the same call.
+
+use crate::net::Host;
+use crate::world::{What, World};
+use crate::{MS, S, Us};
+use rand::RngExt;
+use rookpulley_clerk::{Path, Reply};
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Who {
+    Beat {
+        task: usize,
+        life: u64,
+        draining: bool,
+        leaving: bool,
+    },
+    /// Which put of the operator's.
+    Operator(usize),
+    ReadBack,
+    App(usize),
+    Watcher(usize),
+    /// A read at the end of the day, with its number in the record.
+    Last(usize),
+}
+
+pub struct Call {
+    pub who: Who,
+    pub path: Path,
+    pub name: String,
+    pub body: Vec<u8>,
+    pub query: Vec<(&'static str, String)>,
+    pub first_us: Us,
+    pub sent_us: Us,
+    pub attempt: u32,
+    pub machine: usize,
+    /// Some try had no clear answer.
+    pub unclear: bool,
+    pub until_us: Us,
+    /// So long each try is waited for.
+    pub patience: Us,
+}
+
+const SECOND: Us = S;
+
+impl World {
+    pub fn call(
+        &mut self,
+        who: Who,
+        path: Path,
+        name: &str,
+        body: String,
+        query: Vec<(&'static str, String)>,
+        (within, patience): (Us, Us),
+    ) -> u64 {
+        let core: Vec<usize> = self.callable();
+        let machine = core[self.rng.random_range(0..core.len())];
+        self.call_at(who, path, name, body, query, (within, patience), machine)
+    }
+
+    #[allow(clippy::too_many_arguments)]
+    pub fn call_at(
+        &mut self,
+        who: Who,
+        path: Path,
+        name: &str,
+        body: String,
+        query: Vec<(&'static str, String)>,
+        (within, patience): (Us, Us),
+        machine: usize,
+    ) -> u64 {
+        let (call, now) = (self.number(), self.now);
+        self.calls.insert(
+            call,
+            Call {
+                who,
+                path,
+                name: name.into(),
+                body: body.into_bytes(),
+                query,
+                first_us: now,
+                sent_us: now,
+                attempt: 0,
+                machine,
+                unclear: false,
+                until_us: now + within,
+                patience: SECOND + patience,
+            },
+        );
+        self.send_call(call);
+        call
+    }
+
+    /// The list that callers choose from: the core's machines, up or not.
+    pub fn callable(&self) -> Vec<usize> {
+        (0..self.machines.len()).filter(|m| self.machines[*m].core && !self.machines[*m].gone).collect()
+    }
+
+    pub fn caller_host(&self, call: u64) -> Host {
+        match self.calls.get(&call).map(|call| &call.who) {
+            Some(Who::Beat { task, .. }) => Host::Task(*task),
+            _ => Host::Outside(0),
+        }
+    }
+
+    pub fn send_call(&mut self, call: u64) {
+        let from = self.caller_host(call);
+        let now = self.now;
+        let Some(of) = self.calls.get_mut(&call) else { return };
+        of.attempt += 1;
+        of.sent_us = now;
+        let (attempt, machine, patience) = (of.attempt, of.machine, of.patience);
+        self.after(patience, None, What::CallLate { call, attempt });
+        let process = self.process_of(machine, true);
+        let to = Host::Machine(machine);
+        match self.address(process) {
+            Some(to_process) => self.post(from, to, Some(to_process), What::Call { call, attempt }),
+            // Nobody listens.
+            None if self.powered(to) && !self.net.cut_either(from, to) => {
+                let us = self.delay(from, to) + self.delay(to, from);
+                self.after(us, None, What::Replied { call, attempt, reply: None });
+            }
+            None => {}
+        }
+    }
+
+    /// It came where nobody is any more, or nobody listens: a reset, and nothing was done.
+    pub fn call_not_heard(&mut self, process: usize, call: u64, attempt: u32) {
+        let (from, to) = (self.host_of(process), self.caller_host(call));
+        if self.powered(from) {
+            self.post(from, to, None, What::Replied { call, attempt, reply: None });
+        }
+    }
+
+    pub fn call_late(&mut self, call: u64, attempt: u32) {
+        if self.calls.get(&call).is_some_and(|of| of.attempt == attempt) {
+            self.unanswered(call, true);
+        }
+    }
+
+    pub fn replied(&mut self, call: u64, attempt: u32, reply: Option<Reply>) {
+        if self.calls.get(&call).is_none_or(|of| of.attempt != attempt) {
+            return;
+        }
+        match reply {
+            None => self.unanswered(call, true),
+            Some(reply) => match reply.status {
+                429 | 503 => self.unanswered(call, false),
+                408 | 500.. => self.unanswered(call, true),
+                _ => {
+                    let Some(of) = self.calls.remove(&call) else { return };
+                    self.call_ended(of, Some(reply));
+                }
+            },
+        }
+    }
+
+    /// To another office after a pause that grows, or given up.
+    fn unanswered(&mut self, call: u64, unclear: bool) {
+        let core = self.callable();
+        let now = self.now;
+        let Some(of) = self.calls.get_mut(&call) else { return };
+        of.unclear |= unclear;
+        // What comes back later is not waited for.
+        of.attempt += 1;
+        let place = core.iter().position(|machine| *machine == of.machine).map_or(0, |at| at + 1);
+        of.machine = core[place % core.len()];
+        let pause = (u64::from(of.attempt) * 20 * MS).min(400 * MS);
+        if now + pause >= of.until_us {
+            if let Some(of) = self.calls.remove(&call) {
+                self.call_ended(of, None);
+            }
+            return;
+        }
+        self.after(pause, None, What::CallAgain { call });
+    }
+
+    fn call_ended(&mut self, call: Call, reply: Option<Reply>) {
+        match call.who.clone() {
+            Who::Beat { task, life, draining, leaving } => {
+                self.beat_ended(task, life, (draining, leaving), &call, reply.as_ref());
+            }
+            Who::Operator(put) => self.put_ended(put, &call, reply.as_ref()),
+            Who::ReadBack => self.read_back_ended(&call, reply.as_ref()),
+            Who::App(app) => self.app_answered(app, &call, reply.as_ref()),
+            Who::Watcher(watcher) => self.watcher_answered(watcher, &call, reply.as_ref()),
+            Who::Last(index) => self.last_answered(index, &call, reply.as_ref()),
+        }
+    }
+}
--- /dev/null
+++ b/crates/rookpulley-drill/src/clients.rs
@@ -0,0 +1,212 @@
+//! Stand-ins for clients and for the platform that brings them to couriers.
+
+use crate::net::Host;
+use crate::record::{Ended, Try};
+use crate::world::{What, World};
+use crate::{MS, S, Us};
+use rand::RngExt;
+use rookpulley_addressbook::RouteKind;
+
+/// What a client hears.
+#[derive(Clone, Debug)]
+pub struct Told {
+    /// 0: nothing, the connection ended.
+    pub status: u16,
+    pub signature: u64,
+    pub body: u64,
+    pub retry_after_ms: Option<f64>,
+    pub whole: bool,
+}
+
+impl Told {
+    pub fn own(status: u16, retry_after_ms: Option<f64>) -> Told {
+        Told { status, signature: 0, body: 0, retry_after_ms, whole: true }
+    }
+}
+
+#[derive(Default)]
+pub struct Clients {
+    requests: usize,
+}
+
+pub fn hash(a: u64, b: u64) -> u64 {
+    (a.wrapping_mul(0x9e37_79b9_7f4a_7c15) ^ b).wrapping_mul(0xd6e8_feb8_6659_fd93) ^ (a >> 7)
+}
+
+const TRIES: u32 = 4;
+
+impl World {
+    // ---- the platform -----------------------------------------------------------------------
+
+    pub fn ask_readiness(&mut self) {
+        for machine in 0..self.machines.len() {
+            let ready = self.machines[machine].power
+                && !self.machines[machine].gone
+                && self.courier_ready(machine)
+                && !self.net.lossy.values().any(|host| *host == Host::Machine(machine));
+            let at = &mut self.machines[machine];
+            at.readiness_missed = if ready { 0 } else { (at.readiness_missed + 1).min(9) };
+        }
+        self.after(S, None, What::Readiness);
+    }
+
+    fn courier_for(&mut self, zone: usize) -> Option<usize> {
+        let there = |w: &World, m: &usize| !w.machines[*m].gone && w.machines[*m].zone == zone;
+        let all: Vec<usize> = (0..self.machines.len()).filter(|m| there(self, m)).collect();
+        let is_in: Vec<usize> =
+            all.iter().copied().filter(|m| self.machines[*m].readiness_missed < 2).collect();
+        let any: Vec<usize> = match (is_in.len() * 2 >= all.len(), is_in.is_empty()) {
+            (true, false) => is_in,
+            (false, false) => all,
+            _ => {
+                let all = (0..self.machines.len()).filter(|m| !self.machines[*m].gone);
+                all.filter(|m| self.machines[*m].readiness_missed < 2).collect()
+            }
+        };
+        (!any.is_empty()).then(|| any[self.rng.random_range(0..any.len())])
+    }
+
+    // ---- clients ----------------------------------------------------------------------------
+
+    pub fn client_comes(&mut self) {
+        let (times, until) = self.burst;
+        let times = if self.now < until { times } else { 1 };
+        let mean = 1_000_000 / u64::from(self.day.rate * times).max(1);
+        let us = self.rng.random_range(0..2 * mean);
+        if self.now + S + 500 * MS < self.day.length_ms * MS {
+            self.after(us, None, What::Client);
+        }
+        let Some(route) = self.operator.pick_route(&mut self.rng) else { return };
+        self.clients.requests += 1;
+        let request = self.clients.requests;
+        let zone = self.rng.random_range(0..self.day.zones);
+        let deadline = route.timeout_ms * MS + self.rng.random_range(0..300u64) * MS;
+        let path = format!("{}{:x}", route.prefix, request);
+        self.begin_try(Try {
+            request,
+            number: 1,
+            zone,
+            host: route.host.clone(),
+            path,
+            kind: route.kind,
+            machine: 0,
+            process_life: 0,
+            sent_us: 0,
+            deadline,
+            until: self.now + deadline,
+            read_us: None,
+            ended: None,
+        });
+    }
+
+    fn begin_try(&mut self, try_: Try) {
+        self.record.tries.push(try_);
+        let index = self.record.tries.len() - 1;
+        self.client_sends(index);
+    }
+
+    pub fn client_sends(&mut self, index: usize) {
+        let zone = self.record.tries[index].zone;
+        let now = self.now;
+        let machine = self.courier_for(zone);
+        let of = &mut self.record.tries[index];
+        of.sent_us = now;
+        let left = of.until.saturating_sub(now);
+        of.deadline = left;
+        let Some(machine) = machine else {
+            self.ends(index, Ended::Unread);
+            return;
+        };
+        of.machine = machine;
+        let process = self.process_of(machine, false);
+        let from = Host::Outside(zone);
+        let to = Host::Machine(machine);
+        if let Some(address) = self.address(process) {
+            self.record.tries[index].process_life = address.1;
+            let us = 2 * self.delay(from, to);
+            self.after(us, Some(address), What::Request(index));
+            // A repeatable one that isn't read is given up after a while.
+            self.after(left, None, What::ClientLate { try_: index });
+            if self.record.tries[index].kind.repeatable() {
+                self.after((left / 3).min(S), None, What::ClientLate { try_: index });
+            }
+        } else {
+            let us = if self.powered(to) { 2 * self.delay(from, to) } else { S };
+            let told = Told { whole: false, ..Told::own(0, None) };
+            self.after(us, None, What::ClientAnswer { try_: index, answer: told });
+        }
+    }
+
+    /// It came where nobody is any more: the client sees a reset, or nothing.
+    pub fn not_read(&mut self, process: usize, index: usize) {
+        let host = self.host_of(process);
+        let us = if self.powered(host) { MS } else { S };
+        let told = Told { whole: false, ..Told::own(0, None) };
+        self.after(us, None, What::ClientAnswer { try_: index, answer: told });
+    }
+
+    pub fn client_late(&mut self, index: usize) {
+        let of = &self.record.tries[index];
+        if of.ended.is_some() || (self.now < of.sent_us + of.deadline && of.read_us.is_some()) {
+            return;
+        }
+        let (machine, life, read) = (of.machine, of.process_life, of.read_us.is_some());
+        let process = self.process_of(machine, false);
+        let zone = of.zone;
+        self.ends(index, if read { Ended::Late } else { Ended::GivenUp });
+        let us = self.delay(Host::Outside(zone), Host::Machine(machine));
+        self.after(us, Some((process, life)), What::ClientClosed(index));
+    }
+
+    pub fn client_hears(&mut self, index: usize, told: Told) {
+        if self.record.tries[index].ended.is_some() {
+            return;
+        }
+        let read = self.record.tries[index].read_us.is_some();
+        let ended = match (told.status, read) {
+            (0, false) => Ended::Unread,
+            (0, true) => Ended::Closed,
+            _ => Ended::Told(told),
+        };
+        self.ends(index, ended);
+    }
+
+    /// A try is over; another follows where it may.
+    fn ends(&mut self, index: usize, ended: Ended) {
+        let now = self.now;
+        let of = &mut self.record.tries[index];
+        let repeatable = of.kind.repeatable();
+        let retry_ms = match &ended {
+            Ended::Told(told) => told.retry_after_ms.unwrap_or(0.0),
+            _ => 0.0,
+        };
+        let again = match &ended {
+            Ended::Told(told) => match told.status {
+                200..=299 | 400 | 401 | 404 | 413 | 431 => false,
+                408 | 421 | 429 | 503 => true,
+                _ => repeatable,
+            },
+            Ended::Unread => true,
+            Ended::Closed | Ended::GivenUp => repeatable,
+            Ended::Late => false,
+        };
+        of.ended = Some((now, ended));
+        let left = of.until.saturating_sub(now);
+        if !again || of.number >= TRIES || left < 20 * MS {
+            return;
+        }
+        let pause = ((retry_ms * 1e3) as Us).min(left / 3).max(10 * MS);
+        let next = Try { number: of.number + 1, read_us: None, ended: None, ..of.clone() };
+        self.record.tries.push(next);
+        let next = self.record.tries.len() - 1;
+        self.after(pause, None, What::Send(next));
+    }
+}
+
+pub fn kind_name(kind: RouteKind) -> &'static str {
+    match kind {
+        RouteKind::ReadOnly => "read_only",
+        RouteKind::Mutating => "mutating",
+        RouteKind::Download => "download",
+    }
+}
--- /dev/null
+++ b/crates/rookpulley-drill/src/couriers.rs
@@ -0,0 +1,703 @@
+//! A courier's process: the satchel and its journeys, with lines, clients and connections to tasks round them.
+
+use crate::clients::Told;
+use crate::net::Host;
+use crate::tasks::{Answer, Errand};
+use crate::world::{Core, Mutation, What, World};
+use crate::{MS, S, Us};
+use rand::RngExt;
+use rookpulley_round::{Fate, Pick};
+use rookpulley_satchel::{Back, Effect, Go, Head, How, Journey, Leaving, Satchel, Then, Way, worth};
+use rookpulley_waybill::{Down, Frames, Line as TableLine, frame};
+use std::collections::{BTreeMap, HashMap};
+use std::net::Ipv4Addr;
+use std::rc::Rc;
+
+const DIAL_WITHIN: Us = 500 * MS;
+const PAUSE: Us = 100 * MS;
+const LONGEST_PAUSE: Us = S;
+const TICK: Us = 250 * MS;
+const LAST_TICK: Us = 100 * MS;
+const STILL_SENT: Us = 3 * S;
+const BEFORE_KILL: Us = 700 * MS;
+pub const GRACE: Us = 6 * S;
+const CONNECT: Us = 150 * MS;
+const CONNECT_FAR: Us = 300 * MS;
+const IDLE: Us = 4 * S;
+/// What may run once goes on a connection that was used this lately.
+const FRESH: Us = 250 * MS;
+
+struct Dialer {
+    line: Option<u64>,
+    pause: Us,
+    begun: Us,
+}
+
+struct Wire {
+    number: u64,
+    freed: Us,
+}
+
+#[derive(Default)]
+struct Pool {
+    open: usize,
+    idle: Vec<Wire>,
+}
+
+/// A request at work.
+struct Work {
+    journey: Journey,
+    once: bool,
+    gone: bool,
+    /// A later one makes what was begun for an earlier one void.
+    attempt: u32,
+    pick: Option<Pick>,
+    to: Option<Rc<TableLine>>,
+    began_ms: f64,
+    leaving: Leaving,
+    left: bool,
+    wire: Option<(u64, bool)>,
+}
+
+pub struct CourierProcess {
+    satchel: Satchel,
+    dialers: BTreeMap<Ipv4Addr, Dialer>,
+    pools: HashMap<String, Pool>,
+    /// The lives that connections go to.
+    lives: HashMap<u64, String>,
+    works: BTreeMap<usize, Work>,
+    tick: u32,
+    ends: Option<Us>,
+    /// The first configuration that it was sent.
+    first: Option<Vec<u8>>,
+    gone_back: bool,
+}
+
+impl World {
+    pub fn start_courier(&mut self, machine: usize) {
+        let process = self.process_of(machine, false);
+        if self.running(process) {
+            return;
+        }
+        let satchel = self.satchel(machine);
+        let courier = CourierProcess {
+            satchel,
+            dialers: BTreeMap::new(),
+            pools: HashMap::new(),
+            lives: HashMap::new(),
+            works: BTreeMap::new(),
+            tick: 0,
+            ends: None,
+            first: None,
+            gone_back: false,
+        };
+        self.begin(process, Core::Courier(courier));
+        self.say(|| format!("courier {machine}: begins"));
+        self.after(TICK, self.address(process), What::Tick);
+        self.with_satchel(process, Satchel::tend);
+    }
+
+    fn satchel(&mut self, machine: usize) -> Satchel {
+        let seeds = self.machines.iter().filter(|m| m.core && !m.gone).take(3).map(|m| m.ip).collect();
+        let (mut ratio, mut slack) = (self.day.retry_ratio, self.day.retry_slack);
+        if self.mutation == Some(Mutation::FreeTries) {
+            (ratio, slack) = (50.0, 1e6);
+        }
+        let zone = format!("zone-{}", self.machines[machine].zone);
+        Satchel::new(&format!("edge-{machine}"), &zone, seeds, (ratio, slack), self.rng.random())
+    }
+
+    fn courier(&mut self, process: usize) -> Option<&mut CourierProcess> {
+        match self.processes.get_mut(process)?.core.as_mut()? {
+            Core::Courier(courier) => Some(courier),
+            Core::Office(_) => None,
+        }
+    }
+
+    fn with_satchel<T>(&mut self, process: usize, input: impl FnOnce(&mut Satchel, f64) -> T) -> Option<T> {
+        let clock = self.clock(process);
+        let courier = self.courier(process)?;
+        let came = input(&mut courier.satchel, clock);
+        let effects = courier.satchel.effects();
+        effects.into_iter().for_each(|effect| self.satchel_wants(process, effect));
+        Some(came)
+    }
+
+    /// The same with one of its requests.
+    fn with_work<T>(
+        &mut self,
+        process: usize,
+        request: usize,
+        input: impl FnOnce(&mut Work, &mut Satchel, f64) -> T,
+    ) -> Option<T> {
+        let clock = self.clock(process);
+        let courier = self.courier(process)?;
+        let work = courier.works.get_mut(&request)?;
+        let came = input(work, &mut courier.satchel, clock);
+        let effects = courier.satchel.effects();
+        effects.into_iter().for_each(|effect| self.satchel_wants(process, effect));
+        Some(came)
+    }
+
+    fn satchel_wants(&mut self, process: usize, effect: Effect) {
+        let me = self.address(process);
+        match effect {
+            Effect::Dial(ip) => {
+                if let Some(courier) = self.courier(process) {
+                    courier.dialers.insert(ip, Dialer { line: None, pause: PAUSE, begun: 0 });
+                }
+                self.after(0, me, What::Dial(ip));
+            }
+            Effect::Say(ip, up) => {
+                let line = self.courier(process).and_then(|courier| courier.dialers.get(&ip)?.line);
+                line.into_iter().for_each(|line| self.send_line(line, 0, frame(&up)));
+            }
+            Effect::Forget(life) => {
+                let pool = self.courier(process).and_then(|courier| courier.pools.remove(&life));
+                let idle = pool.map_or(Vec::new(), |pool| pool.idle);
+                idle.into_iter().for_each(|wire| self.end_wire(process, wire.number));
+            }
+            Effect::Log(line) | Effect::Complain(line) => {
+                let machine = self.processes[process].machine;
+                self.say(|| format!("courier {machine}: {line}"));
+            }
+        }
+    }
+
+    pub fn courier_ready(&self, machine: usize) -> bool {
+        let process = &self.processes[self.process_of(machine, false)];
+        !process.asleep && matches!(&process.core, Some(Core::Courier(courier)) if courier.satchel.ready())
+    }
+
+    pub fn to_courier(&mut self, process: usize, what: What) {
+        match what {
+            What::Tick => self.courier_ticks(process),
+            What::Dial(ip) => self.dial(process, ip, DIAL_WITHIN),
+            What::Dialed { ip, up } => self.courier_dialed(process, ip, up),
+            What::Line { line, side, bytes } => {
+                if let Some(bytes) = self.heard_line(line, side, bytes) {
+                    self.courier_hears(process, line, bytes);
+                }
+            }
+            What::LineEnd { line, side } => self.courier_line_ends(process, line, side, false),
+            What::LineCheck { line, side } => {
+                if self.check_line(line, side) {
+                    self.courier_line_ends(process, line, side, true);
+                }
+            }
+            What::Request(try_) => self.request(process, try_),
+            What::ClientClosed(try_) => self.client_closed(process, try_),
+            What::WireUp { request, attempt, wire, up } => self.wire_up(process, request, attempt, wire, up),
+            What::Turn { request, attempt } => self.turn(process, request, attempt),
+            What::Over { request, attempt } => self.over(process, request, attempt),
+            What::Answer { request, attempt, wire, answer } => {
+                self.answered(process, request, attempt, wire, answer);
+            }
+            _ => {}
+        }
+    }
+
+    fn courier_ticks(&mut self, process: usize) {
+        let (me, now) = (self.address(process), self.now);
+        let Some(courier) = self.courier(process) else { return };
+        courier.tick = courier.tick.wrapping_add(1);
+        let (tick, ends, calm) = (courier.tick, courier.ends, courier.works.is_empty());
+        let due = match ends {
+            None => Some(tick),
+            Some(_) => tick.is_multiple_of(2).then_some(tick / 2),
+        };
+        if let Some(tick) = due {
+            self.with_satchel(process, Satchel::tend);
+            if tick.is_multiple_of(2) {
+                self.sweep_wires(process);
+            }
+            if tick.is_multiple_of(4) {
+                self.with_satchel(process, Satchel::report);
+            }
+        }
+        if let Some(since) = ends {
+            let latest = (GRACE - BEFORE_KILL).max(GRACE / 2);
+            if (now - since >= STILL_SENT && calm) || now - since >= latest {
+                return self.stop(process, false);
+            }
+        }
+        self.after(if ends.is_some() { LAST_TICK } else { TICK }, me, What::Tick);
+        if self.mutation == Some(Mutation::GoesBack) && tick == 48 {
+            self.go_back(process);
+        }
+    }
+
+    /// It takes up its first configuration again.
+    fn go_back(&mut self, process: usize) {
+        let machine = self.processes[process].machine;
+        let fresh = self.satchel(machine);
+        let clock = self.clock(process);
+        let Some(courier) = self.courier(process) else { return };
+        let Some(first) = courier.first.clone() else { return };
+        let (post, ending) = (std::mem::replace(&mut courier.satchel, fresh), courier.satchel.ending);
+        (courier.satchel.post, courier.satchel.ending) = (post.post, ending);
+        courier.gone_back = true;
+        let mut frames = Frames::default();
+        frames.push(&first);
+        if let Ok(Some(down)) = frames.take::<Down>() {
+            courier.satchel.take(clock, Ipv4Addr::LOCALHOST, down);
+        }
+        _ = courier.satchel.effects();
+    }
+
+    pub fn term_courier(&mut self, process: usize) {
+        let now = self.now;
+        if self.mutation == Some(Mutation::EndsAtOnce) {
+            return self.stop(process, false);
+        }
+        if let Some(courier) = self.courier(process)
+            && courier.ends.is_none()
+        {
+            courier.ends = Some(now);
+            self.with_satchel(process, |satchel, _| satchel.ending = true);
+        }
+    }
+
+    // ---- offices ----------------------------------------------------------------------------
+
+    fn courier_dialed(&mut self, process: usize, ip: Ipv4Addr, up: bool) {
+        let (Some(me), now) = (self.address(process), self.now) else { return };
+        let there = self.machine_at(ip).map(|machine| self.process_of(machine, true));
+        let Some(there) = there.and_then(|there| self.address(there)).filter(|_| up) else {
+            return self.courier_dials_again(process, ip);
+        };
+        let line = self.open_line(me, there, [true, false]);
+        if let Some(dialer) = self.courier(process).and_then(|courier| courier.dialers.get_mut(&ip)) {
+            (dialer.line, dialer.begun) = (Some(line), now);
+        }
+        self.with_satchel(process, |satchel, now| satchel.opened(now, ip));
+    }
+
+    fn courier_dials_again(&mut self, process: usize, ip: Ipv4Addr) {
+        let me = self.address(process);
+        if self.with_satchel(process, |satchel, now| satchel.forgotten(now, ip)) == Some(true) {
+            self.courier(process).into_iter().for_each(|courier| _ = courier.dialers.remove(&ip));
+            return;
+        }
+        let Some(dialer) = self.courier(process).and_then(|courier| courier.dialers.get_mut(&ip)) else {
+            return;
+        };
+        let pause = dialer.pause;
+        dialer.pause = (pause * 2).min(LONGEST_PAUSE);
+        self.after(pause, me, What::Dial(ip));
+    }
+
+    fn courier_hears(&mut self, process: usize, line: u64, bytes: Vec<u8>) {
+        let Some(of) = self.lines.get(&line) else { return };
+        let ip = self.machines[self.processes[of.ends[1].0].machine].ip;
+        let mut frames = Frames::default();
+        frames.push(&bytes);
+        let Ok(Some(down)) = frames.take::<Down>() else { return };
+        let missed = match (&down, self.mutation) {
+            (Down::Gone { .. } | Down::Table { .. }, Some(Mutation::DrainsUnheard)) => {
+                self.now > 3 * S && self.courier(process).is_some_and(|courier| courier.satchel.ready())
+            }
+            (Down::Config { .. }, Some(Mutation::ConfigurationsMissed)) => {
+                self.courier(process).is_some_and(|c| c.satchel.version() > 0) && !self.chance(4)
+            }
+            (Down::Config { .. }, Some(Mutation::GoesBack)) => {
+                let courier = self.courier(process);
+                courier.is_some_and(|courier| {
+                    courier.first.get_or_insert(bytes);
+                    courier.gone_back
+                })
+            }
+            _ => false,
+        };
+        if !missed {
+            self.with_satchel(process, |satchel, now| satchel.take(now, ip, down));
+        }
+    }
+
+    fn courier_line_ends(&mut self, process: usize, line: u64, side: usize, own: bool) {
+        let Some(of) = self.lines.get(&line).filter(|of| of.open[side]) else { return };
+        let ip = self.machines[self.processes[of.ends[1 - side].0].machine].ip;
+        self.end_line(line, side, !own);
+        let now = self.now;
+        if let Some(dialer) = self.courier(process).and_then(|courier| courier.dialers.get_mut(&ip)) {
+            dialer.line = None;
+            if now - dialer.begun > S {
+                dialer.pause = PAUSE;
+            }
+        }
+        self.with_satchel(process, |satchel, now| {
+            satchel.lost(ip);
+            satchel.choose_home(now);
+        });
+        self.courier_dials_again(process, ip);
+    }
+
+    // ---- requests ---------------------------------------------------------------------------
+
+    fn request(&mut self, process: usize, try_: usize) {
+        let of = &mut self.record.tries[try_];
+        of.read_us = Some(self.now);
+        let (host, path, deadline_ms) = (of.host.clone(), of.path.clone(), of.deadline as f64 / 1e3);
+        let arrived = self.with_satchel(process, |satchel, now| {
+            satchel.arrives(now, &host, &path, Some(deadline_ms)).map(|way| {
+                let once = !way.kind.repeatable();
+                (Journey::new(satchel, way, true), once)
+            })
+        });
+        match arrived {
+            Some(Ok((journey, once))) => {
+                let work = Work {
+                    journey,
+                    once,
+                    gone: false,
+                    attempt: 0,
+                    pick: None,
+                    to: None,
+                    began_ms: 0.0,
+                    leaving: Leaving::default(),
+                    left: false,
+                    wire: None,
+                };
+                if let Some(courier) = self.courier(process) {
+                    courier.works.insert(try_, work);
+                }
+                self.go(process, try_);
+            }
+            Some(Err(tell)) => self.tell(process, try_, Told::own(tell.status, tell.retry_after_ms)),
+            None => {}
+        }
+    }
+
+    fn tell(&mut self, process: usize, try_: usize, mut told: Told) {
+        if self.mutation == Some(Mutation::PromisesAll) && matches!(told.status, 502 | 504) {
+            told.status = 503;
+        }
+        self.courier(process).into_iter().for_each(|courier| _ = courier.works.remove(&try_));
+        let from = self.host_of(process);
+        self.post(from, Host::Outside(0), None, What::ClientAnswer { try_, answer: told });
+    }
+
+    fn go(&mut self, process: usize, request: usize) {
+        let me = self.address(process);
+        let go = self.with_work(process, request, |work, satchel, now| {
+            work.attempt += 1;
+            let go = work.journey.go(satchel, now, !work.gone);
+            (go, work.attempt, now)
+        });
+        let Some((go, attempt, clock)) = go else { return };
+        match go {
+            Go::Tell(tell) => self.tell(process, request, Told::own(tell.status, tell.retry_after_ms)),
+            Go::Try { pick, to, turn_ms } => {
+                self.with_work(process, request, |work, _, now| {
+                    (work.pick, work.to, work.began_ms) = (Some(pick), Some(to), now);
+                    (work.leaving, work.left, work.wire) = (Leaving::default(), false, None);
+                });
+                let us = ((turn_ms - clock).max(0.0) * 1e3) as Us;
+                self.after(us, me, What::Turn { request, attempt });
+                self.take_wire(process, request, attempt);
+            }
+        }
+    }
+
+    /// An idle connection, or a new one, or none.
+    fn take_wire(&mut self, process: usize, request: usize, attempt: u32) {
+        let (me, now) = (self.address(process), self.now);
+        let taken = self.with_work(process, request, |work, satchel, _| {
+            let bound = satchel.connections(work.journey.way());
+            (work.to.clone(), bound, work.once, work.leaving.anew())
+        });
+        let Some((Some(to), bound, once, anew)) = taken else { return };
+        let Some(courier) = self.courier(process) else { return };
+        let pool = courier.pools.entry(to.life.clone()).or_default();
+        let fit = pool
+            .idle
+            .last()
+            .is_some_and(|wire| !anew && now - wire.freed < IDLE && (!once || now - wire.freed <= FRESH));
+        if fit && let Some(wire) = pool.idle.pop() {
+            return self.wire_at_hand(process, request, attempt, (wire.number, true));
+        }
+        if pool.open >= bound {
+            match pool.idle.pop() {
+                Some(wire) => self.end_wire(process, wire.number),
+                None => return self.ended(process, request, How::Full, None),
+            }
+        }
+        let wire = self.number();
+        let Some(courier) = self.courier(process) else { return };
+        courier.pools.entry(to.life.clone()).or_default().open += 1;
+        courier.lives.insert(wire, to.life.clone());
+        let machine = self.host_of(process);
+        let place = self.place_of(to.address);
+        let near = self.zone_of(machine) == place.map_or(0, |place| self.zone_of(Host::Task(place)));
+        let within = if near { CONNECT } else { CONNECT_FAR };
+        let reached = place.is_some_and(|place| !self.net.cut_either(machine, Host::Task(place)));
+        let (us, up) = match place {
+            Some(place) if reached => {
+                let way = self.delay(machine, Host::Task(place)) + self.delay(Host::Task(place), machine);
+                let rest = if once { (way * 2).clamp(MS, 10 * MS) } else { 0 };
+                let up = way < within && self.accepts_wire(place, wire, once);
+                (way.min(within) + rest, up)
+            }
+            _ => (within, false),
+        };
+        self.after(us, me, What::WireUp { request, attempt, wire, up });
+    }
+
+    fn current(&mut self, process: usize, request: usize, attempt: u32) -> Option<&mut Work> {
+        self.courier(process)?.works.get_mut(&request).filter(|work| work.attempt == attempt)
+    }
+
+    fn wire_up(&mut self, process: usize, request: usize, attempt: u32, wire: u64, up: bool) {
+        if self.current(process, request, attempt).is_none() {
+            return self.end_wire(process, wire);
+        }
+        if up {
+            return self.wire_at_hand(process, request, attempt, (wire, false));
+        }
+        self.end_wire(process, wire);
+        self.ended(process, request, How::Fate(Fate::Unsent), None);
+    }
+
+    fn end_wire(&mut self, process: usize, wire: u64) {
+        if let Some(courier) = self.courier(process)
+            && let Some(life) = courier.lives.remove(&wire)
+            && let Some(pool) = courier.pools.get_mut(&life)
+        {
+            pool.open = pool.open.saturating_sub(1);
+        }
+        self.close_wire(wire);
+    }
+
+    /// It may serve again.
+    fn free_wire(&mut self, process: usize, wire: u64) {
+        let now = self.now;
+        if let Some(courier) = self.courier(process)
+            && let Some(life) = courier.lives.get(&wire)
+            && let Some(pool) = courier.pools.get_mut(life)
+        {
+            return pool.idle.push(Wire { number: wire, freed: now });
+        }
+        self.end_wire(process, wire);
+    }
+
+    fn wire_at_hand(&mut self, process: usize, request: usize, attempt: u32, wire: (u64, bool)) {
+        let may = self.with_work(process, request, |work, satchel, now| {
+            let to = work.to.clone()?;
+            if !satchel.may_leave(&to.life) {
+                return None;
+            }
+            (work.wire, work.left) = (Some(wire), true);
+            let left_ms = (work.journey.way().until_ms - now - 5.0).max(1.0);
+            Some((to, left_ms))
+        });
+        let Some(Some((to, left_ms))) = may else {
+            self.end_wire(process, wire.0);
+            return self.ended(process, request, How::Full, None);
+        };
+        let Some(me) = self.address(process) else { return };
+        let of = &self.record.tries[request];
+        let mut path = of.path.clone();
+        if self.mutation == Some(Mutation::OtherPath) && self.chance(200) {
+            path.push('x');
+        }
+        let meant =
+            if self.mutation == Some(Mutation::NobodyMeant) { String::new() } else { to.life.clone() };
+        let Some(place) = self.place_of(to.address) else { return };
+        let from = self.host_of(process);
+        let errand = Errand {
+            from: me,
+            request,
+            attempt,
+            wire: wire.0,
+            place,
+            meant,
+            path,
+            left_us: (left_ms * 1e3) as Us,
+        };
+        self.post(from, Host::Task(place), None, What::Arrive(errand));
+    }
+
+    fn answered(&mut self, process: usize, request: usize, attempt: u32, wire: u64, answer: Answer) {
+        if self.current(process, request, attempt).is_none() {
+            return;
+        }
+        let mutation = self.mutation;
+        let how = match &answer {
+            Answer::Reset { unread } => {
+                // Whether anything was written is told by the connection.
+                let back = self.with_work(process, request, |work, _, _| {
+                    let used = work.wire.is_some_and(|(_, used)| used);
+                    let back = work.leaving.failed(*unread, used, true);
+                    work.left = back == Back::Broken;
+                    back
+                });
+                self.end_wire(process, wire);
+                self.with_work(process, request, |work, _, _| work.wire = None);
+                match back {
+                    Some(Back::Anew) => return self.take_wire(process, request, attempt),
+                    Some(Back::Unsent) => How::Fate(Fate::Unsent),
+                    _ => How::Fate(Fate::Broken),
+                }
+            }
+            Answer::Head { status, own, not_executed, stamped, sized, whole, .. } => {
+                let head = Head {
+                    status: *status,
+                    own: *own || mutation == Some(Mutation::AnyAnswer),
+                    not_executed: *not_executed,
+                    stamped: *stamped,
+                    encoded: false,
+                    sized: *sized,
+                };
+                let how = How::of(worth(head));
+                let how = how.unwrap_or(if *whole {
+                    How::Fate(Fate::Answered(*status))
+                } else {
+                    How::Fate(Fate::Broken)
+                });
+                let in_order = matches!(how, How::Fate(Fate::Answered(_) | Fate::NotExecuted));
+                self.with_work(process, request, |work, _, _| work.wire = None);
+                match in_order {
+                    true => self.free_wire(process, wire),
+                    false => self.end_wire(process, wire),
+                }
+                how
+            }
+        };
+        let how = match (how, mutation) {
+            (How::Fate(Fate::Broken), Some(Mutation::BrokenIsUnsent)) => How::Fate(Fate::Unsent),
+            (how, _) => how,
+        };
+        let passed = match (how, answer) {
+            (How::Fate(Fate::Answered(status)), Answer::Head { signature, body, .. }) => {
+                Some(Told { status, signature, body, retry_after_ms: None, whole: true })
+            }
+            _ => None,
+        };
+        self.ended(process, request, how, passed);
+    }
+
+    fn turn(&mut self, process: usize, request: usize, attempt: u32) {
+        let me = self.address(process);
+        if self.current(process, request, attempt).is_none() {
+            return;
+        }
+        let turns = self.with_work(process, request, |work, satchel, now| {
+            (work.journey.turns(satchel, now), work.journey.way().until_ms - now)
+        });
+        match turns {
+            Some((true, _)) => self.over(process, request, attempt),
+            Some((false, left_ms)) => {
+                let us = (left_ms.max(0.0) * 1e3) as Us;
+                self.after(us, me, What::Over { request, attempt });
+            }
+            None => {}
+        }
+    }
+
+    /// The try is broken off.
+    fn over(&mut self, process: usize, request: usize, attempt: u32) {
+        let Some(work) = self.current(process, request, attempt) else { return };
+        let (how, wire) = (Journey::broken_off(work.left, false), work.wire.take());
+        if let Some((wire, _)) = wire {
+            self.break_off(process, request, attempt, wire);
+        }
+        self.ended(process, request, how, None);
+    }
+
+    /// The connection of a request ends while a task has it.
+    fn break_off(&mut self, process: usize, request: usize, attempt: u32, wire: u64) {
+        let place = self.place_of_wire(wire);
+        self.end_wire(process, wire);
+        if let Some(task) = place {
+            let from = self.host_of(process);
+            self.post(from, Host::Task(task), None, What::Dropped { task, wire, request, attempt });
+        }
+    }
+
+    fn ended(&mut self, process: usize, request: usize, how: How, passed: Option<Told>) {
+        let status = passed.as_ref().map(|told| told.status);
+        let then = self.with_work(process, request, |work, satchel, now| {
+            let way: &Way = work.journey.way();
+            let (service, life) = (way.service.clone(), work.to.as_ref().map(|to| to.life.clone()));
+            let forget = match work.pick.take() {
+                Some(pick) => satchel.tried(&service, pick, how, work.began_ms, now),
+                None => false,
+            };
+            // It belongs to no try any more.
+            work.attempt += 1;
+            let then = work.journey.ended(satchel, now, how, status, true);
+            (then, life.filter(|_| forget))
+        });
+        let Some((then, forget)) = then else { return };
+        forget.into_iter().for_each(|life| self.satchel_wants(process, Effect::Forget(life)));
+        match (then, passed) {
+            (Then::Again, _) => self.go(process, request),
+            (Then::Pass, Some(told)) => self.tell(process, request, told),
+            (Then::Pass, None) => self.tell(process, request, Told::own(502, None)),
+            (Then::Tell(tell), _) => self.tell(process, request, Told::own(tell.status, tell.retry_after_ms)),
+        }
+    }
+
+    /// The client has left. What may run once goes on, whatever is under way.
+    fn client_closed(&mut self, process: usize, request: usize) {
+        let Some(work) = self.courier(process).and_then(|courier| courier.works.get_mut(&request)) else {
+            return;
+        };
+        work.gone = true;
+        if work.once {
+            return;
+        }
+        let (wire, attempt, pick) = (work.wire.take(), work.attempt, work.pick.take());
+        if let Some((wire, _)) = wire {
+            self.break_off(process, request, attempt, wire);
+        }
+        self.with_satchel(process, |satchel, _| pick.into_iter().for_each(|pick| satchel.post.left(pick)));
+        self.courier(process).into_iter().for_each(|courier| _ = courier.works.remove(&request));
+    }
+
+    fn sweep_wires(&mut self, process: usize) {
+        let now = self.now;
+        let Some(courier) = self.courier(process) else { return };
+        let mut old = Vec::new();
+        courier.pools.retain(|_, pool| {
+            old.extend(pool.idle.extract_if(.., |wire| now - wire.freed >= IDLE));
+            pool.open > 0
+        });
+        old.into_iter().for_each(|wire| self.end_wire(process, wire.number));
+    }
+
+    /// Its requests and connections end with it.
+    pub fn courier_ended(&mut self, process: usize, life: u32, courier: CourierProcess, quiet: bool) {
+        let from = self.host_of(process);
+        for (request, work) in courier.works {
+            if quiet {
+                continue;
+            }
+            let told = Told { whole: false, ..Told::own(0, None) };
+            self.post(from, Host::Outside(0), None, What::ClientAnswer { try_: request, answer: told });
+            if let Some((wire, _)) = work.wire
+                && let Some(task) = self.place_of_wire(wire)
+            {
+                let attempt = work.attempt;
+                self.post(from, Host::Task(task), None, What::Dropped { task, wire, request, attempt });
+            }
+        }
+        self.wires_ended((process, life));
+        for wire in courier.pools.into_values().flat_map(|pool| pool.idle) {
+            self.close_wire(wire.number);
+        }
+    }
+
+    /// The connections of a machine to clients and tasks are reset.
+    pub fn reset_requests(&mut self, machine: usize) {
+        let process = self.process_of(machine, false);
+        let from = self.host_of(process);
+        let Some(courier) = self.courier(process) else { return };
+        let works: Vec<usize> = courier.works.keys().copied().collect();
+        for request in works {
+            let told = Told { whole: false, ..Told::own(0, None) };
+            self.post(from, Host::Outside(0), None, What::ClientAnswer { try_: request, answer: told });
+            self.client_closed(process, request);
+        }
+    }
+}
--- /dev/null
+++ b/crates/rookpulley-drill/src/day.rs
@@ -0,0 +1,322 @@
+//! A day: how large the gateway is, what its users do, and what happens to it. All of it is drawn from a seed.
+
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::fmt;
+
+/// The first configuration and the tasks' first beats are given so long before traffic; after the last trouble the
+/// day goes on calmly for so long.
+pub const BEGINS_MS: u64 = 2_500;
+pub const CALM_MS: u64 = 9_000;
+/// Between what loses a disk and any other loss in the core there is so much: the one that lost it has caught up.
+const CATCHES_UP_MS: u64 = 9_000;
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Happens {
+    /// A machine's processes end and are started again. `power`: what was not synced may be gone.
+    Kill {
+        machine: usize,
+        power: bool,
+        down_ms: u64,
+    },
+    /// Only its office ends, or only its courier.
+    KillOne {
+        machine: usize,
+        office: bool,
+        down_ms: u64,
+    },
+    /// A machine of the core loses power and its disk.
+    Wipe {
+        machine: usize,
+        down_ms: u64,
+    },
+    Freeze {
+        machine: usize,
+        ms: u64,
+    },
+    /// What these machines say to all others, to offices and tasks, doesn't come; `both`: nor the other way.
+    Cut {
+        machines: Vec<usize>,
+        both: bool,
+        ms: u64,
+    },
+    /// What others say to these machines doesn't come.
+    Deaf {
+        machines: Vec<usize>,
+        ms: u64,
+    },
+    /// One machine doesn't reach the tasks of a zone.
+    CutTasks {
+        machine: usize,
+        zone: usize,
+        ms: u64,
+    },
+    /// All connections of a machine are reset.
+    Reset {
+        machine: usize,
+    },
+    /// Packets of a machine are lost now and then.
+    Lossy {
+        machine: usize,
+        ms: u64,
+    },
+    /// The whole core is killed at one moment.
+    Herd {
+        power: bool,
+        down_ms: u64,
+    },
+    /// All machines lose power.
+    Dark {
+        down_ms: u64,
+    },
+    SlowDisk {
+        machine: usize,
+        hangs: bool,
+        ms: u64,
+    },
+    /// The time of day jumps. Nothing that decides is told it.
+    ClockStep {
+        machine: usize,
+        by_s: i64,
+    },
+    /// SIGTERM to a machine's processes, and a start.
+    Term {
+        machine: usize,
+    },
+    /// The same for one machine after the other.
+    Roll {
+        pause_ms: u64,
+    },
+    /// Another machine with the same roles comes, and this one goes for good.
+    Replace {
+        machine: usize,
+        orderly: bool,
+    },
+    CrashTasks {
+        share: u32,
+        silent: bool,
+    },
+    DrainTasks {
+        share: u32,
+    },
+    /// Tasks of a service answer badly for a while.
+    BadTasks {
+        service: usize,
+        how: BadTask,
+        ms: u64,
+    },
+    /// Clients come that much more often.
+    Burst {
+        times: u32,
+        ms: u64,
+    },
+    /// The operator changes the configuration.
+    Change,
+    /// Two operators change it at the same moment at two offices.
+    Race,
+    /// Several changes, one right after the other.
+    Storm {
+        count: u32,
+    },
+    Invalid,
+    /// An earlier change arrives again.
+    Again,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum BadTask {
+    /// No answer comes.
+    Mute,
+    /// Answers break off.
+    Cuts,
+    /// Bytes that are no answer, or another request's answer in the place of the next.
+    Garbles,
+    /// Everything takes ten times as long.
+    Slow,
+    /// They turn most requests away.
+    Sheds,
+    Fails,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct Day {
+    pub seed: u64,
+    pub offices: usize,
+    pub couriers: usize,
+    pub zones: usize,
+    pub losses: u32,
+    pub services: usize,
+    pub tasks: usize,
+    /// Clients' requests in a second.
+    pub rate: u32,
+    pub apps: usize,
+    pub retry_ratio: f64,
+    pub retry_slack: f64,
+    /// Processes stand still for a moment now and then, as on a shared core.
+    pub held_up: bool,
+    pub length_ms: u64,
+    /// By when it happens.
+    pub happens: Vec<(u64, Happens)>,
+}
+
+impl Day {
+    pub fn draw(seed: u64) -> Day {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed ^ 0xd417);
+        let offices = rng.random_range(3..=5usize);
+        let couriers = rng.random_range(6..=12usize).max(offices);
+        let length_ms = 28_000;
+        let mut day = Day {
+            seed,
+            offices,
+            couriers,
+            zones: rng.random_range(2..=3),
+            losses: if offices == 5 { rng.random_range(1..=2) } else { 1 },
+            services: rng.random_range(2..=4),
+            tasks: rng.random_range(6..=20),
+            rate: rng.random_range(60..=160),
+            apps: rng.random_range(3..=7),
+            retry_ratio: if rng.random_range(0..2u32) == 0 { 0.1 } else { 0.2 },
+            retry_slack: f64::from(rng.random_range(4..=64u32)),
+            held_up: rng.random_range(0..3u32) == 0,
+            length_ms,
+            happens: Vec::new(),
+        };
+        let last = length_ms - CALM_MS;
+        let mut disk_lost: Vec<u64> = Vec::new();
+        if rng.random_range(0..3u32) == 0 {
+            let at = rng.random_range(9_000..last - 3_000);
+            let machine = rng.random_range(0..offices);
+            let happens = match rng.random_range(0..4u32) {
+                0 => Happens::Replace { machine, orderly: true },
+                1 => Happens::Replace { machine, orderly: false },
+                _ => Happens::Wipe { machine, down_ms: rng.random_range(200..2_000) },
+            };
+            // At times all others lose power with it.
+            if matches!(happens, Happens::Wipe { .. }) && rng.random_range(0..3u32) == 0 {
+                day.happens.push((at, Happens::Dark { down_ms: rng.random_range(200..900) }));
+            }
+            disk_lost.push(at);
+            day.happens.push((at, happens));
+        }
+        for _ in 0..rng.random_range(1..=5u32) {
+            let (at, happens) = (rng.random_range(4_000..last - 2_000), day.draw_trouble(&mut rng));
+            let close = disk_lost.iter().any(|lost| at.abs_diff(*lost) < CATCHES_UP_MS);
+            if !(close && happens.touches_core(offices)) {
+                day.happens.push((at, happens));
+            }
+        }
+        for _ in 0..rng.random_range(0..=3u32) {
+            let at = rng.random_range(3_500..last);
+            let happens = day.draw_of_tasks(&mut rng);
+            day.happens.push((at, happens));
+        }
+        for _ in 0..rng.random_range(1..=5u32) {
+            let at = rng.random_range(3_500..last + 2_000);
+            let happens = match rng.random_range(0..9u32) {
+                0 => Happens::Race,
+                1 => Happens::Storm { count: rng.random_range(2..=6) },
+                2 => Happens::Invalid,
+                3 => Happens::Again,
+                _ => Happens::Change,
+            };
+            day.happens.push((at, happens));
+        }
+        day.happens.sort_by_key(|(at, _)| *at);
+        day
+    }
+
+    fn draw_trouble(&self, rng: &mut ChaCha8Rng) -> Happens {
+        let any = rng.random_range(0..self.couriers);
+        let core = rng.random_range(0..self.offices);
+        let machine = if rng.random_range(0..2u32) == 0 { core } else { any };
+        let ms = rng.random_range(200..4_500);
+        let down_ms = rng.random_range(150..2_500);
+        match rng.random_range(0..17u32) {
+            0 => Happens::Kill { machine, power: false, down_ms },
+            1 => Happens::Kill { machine, power: true, down_ms },
+            2 => Happens::KillOne { machine: core, office: rng.random_range(0..2u32) == 0, down_ms },
+            3 | 4 => Happens::Freeze { machine, ms },
+            5 | 6 => {
+                let first = rng.random_range(0..self.couriers);
+                let machines = match rng.random_range(0..3u32) {
+                    0 => vec![core],
+                    1 => vec![first],
+                    _ => (0..self.couriers).filter(|m| m % self.zones == core % self.zones).collect(),
+                };
+                Happens::Cut { machines, both: rng.random_range(0..3u32) != 0, ms }
+            }
+            7 => Happens::Deaf { machines: vec![machine], ms },
+            8 => Happens::CutTasks { machine, zone: rng.random_range(0..self.zones), ms },
+            9 => Happens::Reset { machine },
+            10 => Happens::Lossy { machine, ms },
+            11 => Happens::Herd { power: rng.random_range(0..2u32) == 0, down_ms: down_ms.min(900) },
+            12 => Happens::Dark { down_ms },
+            13 => Happens::SlowDisk { machine: core, hangs: rng.random_range(0..2u32) == 0, ms },
+            14 => Happens::ClockStep { machine, by_s: rng.random_range(-9..=9) },
+            15 => Happens::Term { machine },
+            _ => Happens::Roll { pause_ms: rng.random_range(400..1_500) },
+        }
+    }
+
+    fn draw_of_tasks(&self, rng: &mut ChaCha8Rng) -> Happens {
+        let how =
+            [BadTask::Mute, BadTask::Cuts, BadTask::Garbles, BadTask::Slow, BadTask::Sheds, BadTask::Fails]
+                [rng.random_range(0..6usize)];
+        match rng.random_range(0..7u32) {
+            0 => {
+                Happens::CrashTasks { share: rng.random_range(1..=3), silent: rng.random_range(0..3u32) == 0 }
+            }
+            1 | 2 => Happens::DrainTasks { share: rng.random_range(1..=3) },
+            3 => Happens::Burst { times: rng.random_range(2..=4), ms: rng.random_range(500..3_000) },
+            _ => Happens::BadTasks {
+                service: rng.random_range(0..self.services),
+                how,
+                ms: rng.random_range(500..5_000),
+            },
+        }
+    }
+}
+
+impl Happens {
+    fn touches_core(&self, offices: usize) -> bool {
+        match self {
+            Happens::Kill { machine, .. }
+            | Happens::KillOne { machine, .. }
+            | Happens::Wipe { machine, .. }
+            | Happens::Freeze { machine, .. }
+            | Happens::Reset { machine }
+            | Happens::Lossy { machine, .. }
+            | Happens::SlowDisk { machine, .. }
+            | Happens::Term { machine }
+            | Happens::Replace { machine, .. } => *machine < offices,
+            Happens::Cut { machines, .. } | Happens::Deaf { machines, .. } => {
+                machines.iter().any(|machine| *machine < offices)
+            }
+            Happens::Herd { .. } | Happens::Dark { .. } | Happens::Roll { .. } => true,
+            _ => false,
+        }
+    }
+}
+
+impl fmt::Display for Day {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(
+            f,
+            "day {}: {} offices, {} couriers in {} zones, losses {}, {} services, {} tasks, {} requests/s, {} apps, \
+             further tries {} + {}{}",
+            self.seed,
+            self.offices,
+            self.couriers,
+            self.zones,
+            self.losses,
+            self.services,
+            self.tasks,
+            self.rate,
+            self.apps,
+            self.retry_ratio,
+            self.retry_slack,
+            if self.held_up { ", held up" } else { "" }
+        )?;
+        self.happens.iter().try_for_each(|(at, happens)| writeln!(f, "{at:>7} ms  {happens:?}"))
+    }
+}
--- /dev/null
+++ b/crates/rookpulley-drill/src/hunt.rs
@@ -0,0 +1,98 @@
+//! Plays day after day until one breaks a rule, and shrinks that day to the fewest troubles that still do.
+
+use crate::day::Day;
+use crate::judge::{Breach, Rule};
+use crate::world::{Mutation, play};
+use std::ops::Range;
+use std::sync::Mutex;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+/// A day that broke a rule.
+#[derive(Clone, Debug)]
+pub struct Found {
+    pub day: Day,
+    pub breaches: Vec<Breach>,
+    /// So many days were played before it was found.
+    pub days: u64,
+}
+
+/// What came of a hunt: all that was played, and the day of the lowest seed that failed.
+#[derive(Clone, Debug, Default)]
+pub struct Hunted {
+    pub days: u64,
+    pub requests: u64,
+    pub served: u64,
+    pub calls: u64,
+    pub steps: u64,
+    pub found: Option<Found>,
+}
+
+/// Plays the days of these seeds on so many threads; ends with the first that fails, of a mutation with the first that
+/// breaks its rule.
+pub fn hunt(seeds: Range<u64>, threads: usize, mutation: Option<Mutation>) -> Hunted {
+    let next = AtomicU64::new(seeds.start);
+    let all = Mutex::new(Hunted::default());
+    std::thread::scope(|scope| {
+        for _ in 0..threads.max(1) {
+            scope.spawn(|| {
+                loop {
+                    let seed = next.fetch_add(1, Ordering::Relaxed);
+                    let over = all.lock().map_or(true, |all| all.found.is_some());
+                    if seed >= seeds.end || over {
+                        return;
+                    }
+                    let day = Day::draw(seed);
+                    let mut played = play(&day, mutation);
+                    if let Some(mutation) = mutation {
+                        played.breaches.retain(|breach| breach.rule == mutation.breaks());
+                    }
+                    let Ok(mut all) = all.lock() else { return };
+                    all.days += 1;
+                    all.requests += played.requests as u64;
+                    all.served += played.served as u64;
+                    all.calls += played.calls as u64;
+                    all.steps += played.steps;
+                    let lower = all.found.as_ref().is_none_or(|found| seed < found.day.seed);
+                    if !played.breaches.is_empty() && lower {
+                        all.found = Some(Found { day, breaches: played.breaches, days: all.days });
+                    }
+                }
+            });
+        }
+    });
+    all.into_inner().unwrap_or_default()
+}
+
+/// The fewest troubles of a day that still break the rule, as far as leaving out one or several at a time finds them.
+/// Gives the day, and how often it was played.
+pub fn shrink(day: &Day, rule: Rule, mutation: Option<Mutation>) -> (Day, u64) {
+    let mut played = 0;
+    let mut still = |day: &Day| {
+        played += 1;
+        play(day, mutation).breaches.iter().any(|breach| breach.rule == rule)
+    };
+    let mut day = day.clone();
+    let mut size = day.happens.len().div_ceil(2);
+    while size > 0 {
+        let mut from = 0;
+        while from < day.happens.len() {
+            let mut less = day.clone();
+            less.happens.drain(from..(from + size).min(day.happens.len()));
+            if still(&less) {
+                day = less;
+            } else {
+                from += size;
+            }
+        }
+        size /= 2;
+    }
+    let plainer: [fn(&mut Day); 3] = [|day| day.held_up = false, |day| day.apps = 0, |day| day.rate /= 2];
+    for plainer in plainer {
+        let mut less = day.clone();
+        plainer(&mut less);
+        if less != day && still(&less) {
+            day = less;
+        }
+    }
+    (day, played)
+}
--- /dev/null
+++ b/crates/rookpulley-drill/src/offices.rs
@@ -0,0 +1,442 @@
+//! An office's process: the clerk with a simulated store, lines and callers round it.
+
+use crate::world::{Core, Mutation, What, World};
+use crate::{MS, S, Us};
+use rand::RngExt;
+use rookpulley_chain::{Kept, Member};
+use rookpulley_clerk::{Content, Effect, Office, Path, Reply, Start, Wants, Word, read};
+use rookpulley_ledger::{Answer, Ask, Update};
+use rookpulley_waybill::{Frames, Up};
+use std::collections::{BTreeMap, HashMap};
+use std::net::{Ipv4Addr, SocketAddrV4};
+use tinyjson::JsonValue;
+
+const DIAL_WITHIN: Us = 400 * MS;
+const AGAIN_FIRST: Us = 60 * MS;
+const AGAIN_MOST: Us = 500 * MS;
+const TICK: Us = 50 * MS;
+const LOOK_AGAIN: Us = 20 * MS;
+const LEAVE_WITHIN: Us = 1_200 * MS;
+/// A store that was given up is begun anew after so long.
+const BEGUN_ANEW: Us = 400 * MS;
+pub const HEARTBEAT_MS: u64 = 1_500;
+pub const DRAIN_MS: u64 = 2_500;
+
+struct Dialer {
+    line: Option<u64>,
+    pause: Us,
+    /// Dials that are to come: the last one counts.
+    dials: bool,
+}
+
+pub struct OfficeProcess {
+    office: Office,
+    round: u64,
+    dialers: BTreeMap<Ipv4Addr, Dialer>,
+    /// Lines of couriers by the office's number for them.
+    couriers: BTreeMap<u64, u64>,
+    /// Calls by their tokens.
+    calls: BTreeMap<u64, (u64, u32)>,
+    /// Since when it leaves.
+    leaves: Option<Us>,
+    deaf: bool,
+}
+
+/// The one message in a frame.
+fn unframed<T>(bytes: &[u8]) -> Option<T>
+where
+    Frames: Take<T>,
+{
+    let mut frames = Frames::default();
+    frames.push(bytes);
+    frames.one()
+}
+
+trait Take<T> {
+    fn one(&mut self) -> Option<T>;
+}
+
+impl Take<Word> for Frames {
+    fn one(&mut self) -> Option<Word> {
+        self.take().ok().flatten()
+    }
+}
+
+impl Take<Up> for Frames {
+    fn one(&mut self) -> Option<Up> {
+        self.take().ok().flatten()
+    }
+}
+
+impl World {
+    fn seeds(&self) -> Vec<SocketAddrV4> {
+        let core = self.machines.iter().filter(|machine| machine.core && !machine.gone);
+        core.take(3).map(|machine| SocketAddrV4::new(machine.ip, 8_166)).collect()
+    }
+
+    pub fn start_office(&mut self, machine: usize, first: bool) {
+        let process = self.process_of(machine, true);
+        if self.running(process) {
+            return;
+        }
+        let (life, mint): (u64, u64) = (self.rng.random(), self.rng.random());
+        let seeds = self.seeds();
+        let founder = first && seeds.first().is_some_and(|seed| *seed.ip() == self.machines[machine].ip);
+        let at = &mut self.machines[machine];
+        let torn = at.disk.identity.is_some() && !Kept::read(at.disk.chain.clone()).sound();
+        if torn {
+            at.disk.wipe();
+        }
+        let fresh = at.disk.identity.is_none();
+        let identity = *at.disk.identity.get_or_insert(mint);
+        at.disk.founder |= fresh && founder;
+        let start = Start {
+            me: Member { id: identity, life, address: SocketAddrV4::new(at.ip, 7_721) },
+            seeds,
+            losses: self.day.losses,
+            heartbeat_ms: HEARTBEAT_MS,
+            drain_ms: DRAIN_MS,
+            founder: at.disk.founder,
+            held: (!fresh).then(|| at.disk.chain.clone().into_iter().collect()),
+            lives: at.disk.lives.clone().into_iter().collect(),
+        };
+        if torn {
+            self.say(|| format!("office {machine}: its disk is torn"));
+            self.record.fault(format!("the disk of office {machine} is torn"));
+        }
+        let office = OfficeProcess {
+            office: Office::new(start),
+            round: 0,
+            dialers: BTreeMap::new(),
+            couriers: BTreeMap::new(),
+            calls: BTreeMap::new(),
+            leaves: None,
+            deaf: false,
+        };
+        self.begin(process, Core::Office(office));
+        self.say(|| format!("office {machine}: begins, {identity:x}"));
+        self.after(TICK, self.address(process), What::Tick);
+        self.with_office(process, |_, _| ());
+    }
+
+    fn office(&mut self, process: usize) -> Option<&mut OfficeProcess> {
+        match self.processes.get_mut(process)?.core.as_mut()? {
+            Core::Office(office) => Some(office),
+            Core::Courier(_) => None,
+        }
+    }
+
+    /// Something comes in; what the clerk wants is carried out.
+    fn with_office<T>(&mut self, process: usize, input: impl FnOnce(&mut Office, f64) -> T) -> Option<T> {
+        let clock = self.clock(process);
+        let office = self.office(process)?;
+        let came = input(&mut office.office, clock);
+        let effects = office.office.effects();
+        for effect in effects {
+            self.office_wants(process, effect);
+        }
+        Some(came)
+    }
+
+    fn office_wants(&mut self, process: usize, effect: Effect) {
+        let me = self.address(process);
+        let machine = self.processes[process].machine;
+        match effect {
+            Effect::Dial(ip) => {
+                if let Some(office) = self.office(process) {
+                    office.dialers.insert(ip, Dialer { line: None, pause: AGAIN_FIRST, dials: true });
+                    self.after(0, me, What::Dial(ip));
+                }
+            }
+            Effect::Spoke(ip) => {
+                let waits = self.office(process).and_then(|office| office.dialers.get_mut(&ip));
+                if let Some(dialer) = waits.filter(|dialer| dialer.line.is_none() && !dialer.dials) {
+                    (dialer.pause, dialer.dials) = (AGAIN_FIRST, true);
+                    self.after(0, me, What::Dial(ip));
+                }
+            }
+            Effect::Word { to, frame } => {
+                let line = self.office(process).and_then(|office| office.dialers.get(&to)?.line);
+                line.into_iter().for_each(|line| self.send_line(line, 0, frame.clone()));
+            }
+            Effect::Down { line, frame } => {
+                let line = self.office(process).and_then(|office| office.couriers.get(&line).copied());
+                line.into_iter().for_each(|line| self.send_line(line, 1, frame.clone()));
+            }
+            Effect::Write { ticket, records } => self.write(process, true, ticket, records),
+            Effect::Note { ticket, records } => self.write(process, false, ticket, records),
+            Effect::Reply { token, reply } => {
+                let call = self.office(process).and_then(|office| office.calls.remove(&token));
+                if let Some((call, attempt)) = call {
+                    self.reply(process, call, attempt, reply);
+                }
+            }
+            Effect::Spoilt => {
+                self.say(|| format!("office {machine}: its copy is spoilt"));
+                self.record.fault(format!("office {machine} gives its disk up"));
+                self.stop(process, false);
+                self.machines[machine].disk.wipe();
+                self.after(BEGUN_ANEW, None, What::Start { machine, office: true, courier: false });
+            }
+            Effect::Log(line) | Effect::Complain(line) => self.say(|| format!("office {machine}: {line}")),
+        }
+    }
+
+    fn write(&mut self, process: usize, of_chain: bool, ticket: u64, records: Vec<rookpulley_chain::Record>) {
+        let me = self.address(process);
+        let (machine, now) = (self.processes[process].machine, self.now);
+        let disk = &mut self.machines[machine].disk;
+        disk.write(of_chain, ticket, records);
+        let (begun, lies) = (disk.begin(now), disk.lies);
+        if let Some(us) = begun {
+            self.after(if lies { 400 * MS } else { us }, me, What::Synced);
+        }
+        if lies {
+            self.after(MS, me, What::Lied { of_chain, ticket });
+        }
+    }
+
+    fn reply(&mut self, process: usize, call: u64, attempt: u32, mut reply: Reply) {
+        if self.mutation == Some(Mutation::RefusedAfterAll) && reply.status == 504 {
+            reply.status = 503;
+        }
+        let (from, to) = (self.host_of(process), self.caller_host(call));
+        self.post(from, to, None, What::Replied { call, attempt, reply: Some(reply) });
+    }
+
+    pub fn to_office(&mut self, process: usize, what: What) {
+        let me = self.address(process);
+        match what {
+            What::Tick => {
+                let round = self.office(process).map_or(0, |office| {
+                    office.round += 1;
+                    office.round - 1
+                });
+                self.after(TICK, me, What::Tick);
+                self.with_office(process, |office, now| office.tick(now, round));
+            }
+            What::Dial(ip) => {
+                if self.office(process).is_some_and(|office| office.dialers.contains_key(&ip)) {
+                    self.dial(process, ip, DIAL_WITHIN);
+                }
+            }
+            What::Dialed { ip, up } => self.office_dialed(process, ip, up),
+            What::Line { line, side, bytes } => {
+                if let Some(bytes) = self.heard_line(line, side, bytes) {
+                    self.office_hears(process, line, &bytes);
+                }
+            }
+            What::LineEnd { line, side } => self.office_line_ends(process, line, side, false),
+            What::LineCheck { line, side } => {
+                if self.check_line(line, side) {
+                    self.office_line_ends(process, line, side, true);
+                }
+            }
+            What::Synced => {
+                let (machine, now) = (self.processes[process].machine, self.now);
+                let disk = &mut self.machines[machine].disk;
+                let (synced, lies) = (disk.done(now), disk.lies);
+                if let Some(us) = disk.begin(now) {
+                    self.after(if lies { 400 * MS } else { us }, me, What::Synced);
+                }
+                if let Some(synced) = synced.filter(|_| !lies) {
+                    let took_ms = synced.took as f64 / 1e3;
+                    self.with_office(process, |office, now| {
+                        office.stored(now, synced.chain, synced.lives, took_ms);
+                    });
+                }
+            }
+            What::Lied { of_chain, ticket } => {
+                let (chain, lives) = if of_chain { (Some(ticket), None) } else { (None, Some(ticket)) };
+                self.with_office(process, |office, now| office.stored(now, chain, lives, 1.0));
+            }
+            What::Call { call, attempt } => self.office_called(process, call, attempt),
+            What::Leaving => self.leaving(process),
+            _ => {}
+        }
+    }
+
+    fn office_dialed(&mut self, process: usize, ip: Ipv4Addr, up: bool) {
+        let Some(me) = self.address(process) else { return };
+        let there = self.machine_at(ip).map(|machine| self.process_of(machine, true));
+        let there = there.and_then(|there| self.address(there)).filter(|_| up);
+        let Some(there) = there else {
+            let Some(dialer) = self.office(process).and_then(|office| office.dialers.get_mut(&ip)) else {
+                return;
+            };
+            dialer.pause = (dialer.pause * 2).min(AGAIN_MOST);
+            return self.office_dials_again(process, ip);
+        };
+        let line = self.open_line(me, there, [false, true]);
+        if let Some(dialer) = self.office(process).and_then(|office| office.dialers.get_mut(&ip)) {
+            (dialer.line, dialer.pause, dialer.dials) = (Some(line), AGAIN_FIRST, false);
+        }
+        self.with_office(process, |office, now| office.dialed(now, ip));
+    }
+
+    fn office_dials_again(&mut self, process: usize, ip: Ipv4Addr) {
+        let me = self.address(process);
+        if self.with_office(process, |office, now| office.still_known(now, ip)) != Some(true) {
+            self.office(process).into_iter().for_each(|office| _ = office.dialers.remove(&ip));
+            self.with_office(process, |office, _| office.forget(ip));
+            return;
+        }
+        let Some(dialer) = self.office(process).and_then(|office| office.dialers.get_mut(&ip)) else {
+            return;
+        };
+        dialer.dials = true;
+        let pause = dialer.pause;
+        self.after(pause, me, What::Dial(ip));
+    }
+
+    fn office_hears(&mut self, process: usize, line: u64, bytes: &[u8]) {
+        let Some(of) = self.lines.get(&line) else { return };
+        if self.processes[of.ends[0].0].is_office {
+            let Some(word) = unframed::<Word>(bytes) else { return };
+            let mut who = of.who;
+            self.with_office(process, |office, now| office.word(now, &mut who, word));
+            self.lines.get_mut(&line).into_iter().for_each(|of| of.who = who);
+            return;
+        }
+        let (Some(up), known) = (unframed::<Up>(bytes), of.courier.clone()) else { return };
+        match (up, known) {
+            (Up::Hello { node, zone, home, config, tables, gone }, None) => {
+                let Some(number) = self.with_office(process, |office, _| office.number()) else { return };
+                self.office(process).into_iter().for_each(|office| _ = office.couriers.insert(number, line));
+                self.lines
+                    .get_mut(&line)
+                    .into_iter()
+                    .for_each(|of| of.courier = Some((node.clone(), number)));
+                self.with_office(process, |office, now| {
+                    office.courier_in(now, number, (&node, &zone), home, (config, tables), &gone);
+                });
+            }
+            (up, Some((node, number))) => {
+                self.with_office(process, |office, now| office.courier_said(now, &node, number, up));
+            }
+            _ => {}
+        }
+    }
+
+    /// `own`: this side ends it.
+    fn office_line_ends(&mut self, process: usize, line: u64, side: usize, own: bool) {
+        let Some(of) = self.lines.get(&line).filter(|of| of.open[side]) else { return };
+        let (who, courier, other) = (of.who, of.courier.clone(), of.ends[1 - side].0);
+        self.end_line(line, side, !own);
+        if side == 0 {
+            let ip = self.machines[self.processes[other].machine].ip;
+            if let Some(dialer) = self.office(process).and_then(|office| office.dialers.get_mut(&ip)) {
+                dialer.line = None;
+            }
+            self.with_office(process, |office, _| office.hung_up(ip));
+            return self.office_dials_again(process, ip);
+        }
+        if let Some((node, number)) = courier {
+            self.office(process).into_iter().for_each(|office| _ = office.couriers.remove(&number));
+            self.with_office(process, |office, now| office.courier_out(now, &node, number));
+        } else if let Some(id) = who {
+            self.with_office(process, |office, now| office.line_ended(now, id));
+        }
+    }
+
+    // ---- callers ----------------------------------------------------------------------------
+
+    fn office_called(&mut self, process: usize, call: u64, attempt: u32) {
+        if self.office(process).is_none_or(|office| office.deaf) {
+            return self.call_not_heard(process, call, attempt);
+        }
+        let Some(of) = self.calls.get(&call) else { return };
+        let (path, name, body) = (of.path, of.name.clone(), of.body.clone());
+        let query = of.query.clone();
+        let wants = read(path, &name, body.clone(), |wanted| {
+            query.iter().find(|(name, _)| *name == wanted).map(|(_, value)| value.as_str())
+        });
+        let wants = match wants {
+            Ok(wants) => self.mutated(wants),
+            Err(_) if self.mutation == Some(Mutation::TakesInvalid) && path == Path::PutConfiguration => {
+                Wants::Update(Update::PutConfiguration { version: self.operator.newest + 1, body })
+            }
+            Err(reply) => return self.reply(process, call, attempt, reply),
+        };
+        if self.mutation == Some(Mutation::ReadsAlone)
+            && let Wants::Ask(Ask::Cell { name }) = &wants
+        {
+            let reply = self.read_alone(process, name);
+            return self.reply(process, call, attempt, reply);
+        }
+        let Some(token) = self.with_office(process, |office, _| office.number()) else { return };
+        self.office(process).into_iter().for_each(|office| _ = office.calls.insert(token, (call, attempt)));
+        self.with_office(process, |office, now| office.call(now, token, wants));
+    }
+
+    fn mutated(&self, wants: Wants) -> Wants {
+        match wants {
+            Wants::Update(Update::TakeLock { name, holder, hold_ms })
+                if self.mutation == Some(Mutation::LocksShort) =>
+            {
+                Wants::Update(Update::TakeLock { name, holder, hold_ms: hold_ms / 2 })
+            }
+            wants => wants,
+        }
+    }
+
+    fn read_alone(&mut self, process: usize, name: &str) -> Reply {
+        let ask = Ask::Cell { name: name.into() };
+        let answer = self.office(process).map(|office| office.office.chain.state().ledger.read(&ask));
+        let (status, content) = match answer {
+            Some(Answer::Cell { value, revision }) => {
+                let fields = HashMap::from([
+                    ("value".to_string(), JsonValue::String(value)),
+                    ("revision".to_string(), JsonValue::Number(revision as f64)),
+                ]);
+                (200, Content::Json(JsonValue::Object(fields)))
+            }
+            _ => (404, Content::Nothing),
+        };
+        Reply { status, retry_after: None, content }
+    }
+
+    // ---- its end ----------------------------------------------------------------------------
+
+    pub fn term_office(&mut self, process: usize) {
+        let (me, now) = (self.address(process), self.now);
+        if let Some(office) = self.office(process)
+            && office.leaves.is_none()
+        {
+            office.leaves = Some(now);
+            self.with_office(process, |office, _| office.end());
+            self.after(0, me, What::Leaving);
+        }
+    }
+
+    /// As the program does: the chain is left first, then calls at work are answered.
+    fn leaving(&mut self, process: usize) {
+        let (me, now) = (self.address(process), self.now);
+        let Some(since) = self.office(process).and_then(|office| office.leaves) else { return };
+        let deaf = self.office(process).is_some_and(|office| office.deaf);
+        if !deaf {
+            let left = self.with_office(process, Office::left_the_chain) == Some(true);
+            if left || now - since >= LEAVE_WITHIN {
+                self.office(process).into_iter().for_each(|office| office.deaf = true);
+            }
+            return self.after(LOOK_AGAIN, me, What::Leaving);
+        }
+        let calm = self.office(process).is_none_or(|office| office.calls.is_empty());
+        if calm || now - since >= LEAVE_WITHIN + 2 * S {
+            return self.stop(process, false);
+        }
+        self.after(LOOK_AGAIN, me, What::Leaving);
+    }
+
+    /// Callers of an office that is gone hear its connections end, if anything.
+    pub fn office_ended(&mut self, machine: usize, office: OfficeProcess, quiet: bool) {
+        if quiet {
+            return;
+        }
+        let from = crate::net::Host::Machine(machine);
+        for (call, attempt) in office.calls.into_values() {
+            let to = self.caller_host(call);
+            self.post(from, to, None, What::Replied { call, attempt, reply: None });
+        }
+    }
+}
--- /dev/null
+++ b/crates/rookpulley-drill/src/tasks.rs
@@ -0,0 +1,465 @@
+//! Stand-ins for tasks: lives with slots, a queue and a speed, which beat, drain, end, crash and answer badly. A place
+//! is an address; after one life another may have it, also of another service.
+
+use crate::callers::{Call, Who};
+use crate::clients::hash;
+use crate::day::BadTask;
+use crate::net::Host;
+use crate::offices::{DRAIN_MS, HEARTBEAT_MS};
+use crate::record::{Arrival, Drain, Run};
+use crate::world::{What, World};
+use crate::{MS, S, Us};
+use rand::RngExt;
+use rookpulley_clerk::{Path, Reply};
+use std::collections::{BTreeMap, VecDeque};
+use std::net::{Ipv4Addr, SocketAddrV4};
+
+/// A request on its way to a place.
+#[derive(Clone, Debug)]
+pub struct Errand {
+    pub from: (usize, u32),
+    pub request: usize,
+    pub attempt: u32,
+    pub wire: u64,
+    pub place: usize,
+    /// The life that is to run it; empty: any.
+    pub meant: String,
+    pub path: String,
+    pub left_us: Us,
+}
+
+/// What comes back.
+#[derive(Clone, Debug)]
+pub enum Answer {
+    /// The connection ended. `unread`: the courier knows that nothing of the request was written.
+    Reset { unread: bool },
+    Head {
+        status: u16,
+        own: bool,
+        not_executed: bool,
+        stamped: bool,
+        sized: bool,
+        whole: bool,
+        signature: u64,
+        body: u64,
+    },
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum State {
+    Down,
+    Up,
+    Draining,
+    /// Its drain is acknowledged, or it doesn't wait for that any more.
+    Leaving,
+}
+
+struct Job {
+    errand: Errand,
+    until: Us,
+    arrival: usize,
+}
+
+struct WireEnd {
+    place: usize,
+    life: u64,
+    owner: Option<(usize, u32)>,
+    bad: bool,
+}
+
+pub struct Task {
+    pub zone: usize,
+    address: SocketAddrV4,
+    pub service: usize,
+    pub life: u64,
+    state: State,
+    slots: usize,
+    queue: usize,
+    most_wires: usize,
+    wires: usize,
+    work_us: Us,
+    cold_until: Us,
+    sequence: u64,
+    running: Vec<Job>,
+    waiting: VecDeque<Job>,
+    pub bad: Option<BadTask>,
+    drained: bool,
+}
+
+#[derive(Default)]
+pub struct Wires {
+    open: BTreeMap<u64, WireEnd>,
+}
+
+pub const MOST_WIRES: usize = 60;
+
+pub fn service_name(service: usize) -> String {
+    format!("svc{service}")
+}
+
+pub fn life_name(place: usize, life: u64) -> String {
+    format!("i-{place}-{life}")
+}
+
+impl World {
+    pub fn begin_tasks(&mut self) {
+        for place in 0..self.day.tasks {
+            let task = Task {
+                zone: self.rng.random_range(0..self.day.zones),
+                address: SocketAddrV4::new(Ipv4Addr::new(10, 128, 0, place as u8 + 1), 8_080),
+                service: place % self.day.services,
+                life: 0,
+                state: State::Down,
+                slots: self.rng.random_range(2..=6),
+                queue: self.rng.random_range(1..=4),
+                most_wires: MOST_WIRES,
+                wires: 0,
+                work_us: self.rng.random_range(4..30u64) * MS,
+                cold_until: 0,
+                sequence: 0,
+                running: Vec::new(),
+                waiting: VecDeque::new(),
+                bad: None,
+                drained: false,
+            };
+            self.tasks.push(task);
+            let us = self.rng.random_range(100..900u64) * MS;
+            self.after(us, None, What::TaskStarts { task: place });
+        }
+    }
+
+    pub fn place_of(&self, address: SocketAddrV4) -> Option<usize> {
+        let place = usize::from(address.ip().octets()[3]).checked_sub(1)?;
+        (place < self.tasks.len()).then_some(place)
+    }
+
+    pub fn task_starts(&mut self, task: usize) {
+        let (life, now) = (self.number(), self.now);
+        let cold = self.rng.random_range(0..3_000u64) * MS;
+        let of = &mut self.tasks[task];
+        (of.life, of.state, of.sequence) = (life, State::Up, 0);
+        of.cold_until = if now < 2 * S { 0 } else { now + cold };
+        (of.wires, of.drained) = (0, false);
+        self.record.life(life_name(task, life), of.service);
+        let text = format!("task {task}: {} of {}", life_name(task, life), service_name(of.service));
+        self.say(|| text);
+        self.after(0, None, What::TaskBeat { task, life });
+    }
+
+    // ---- beats ------------------------------------------------------------------------------
+
+    fn beat_body(&mut self, task: usize) -> String {
+        let now = self.now;
+        let of = &mut self.tasks[task];
+        of.sequence += 1;
+        format!(
+            "{{\"address\":\"{}\",\"nodeInfo\":{{\"targetService\":\"{}\",\"configVersion\":\"v1\",\
+             \"zone\":\"zone-{}\",\"capacitySlots\":{}}},\"currentStatus\":{{\"lifecycleState\":\"{}\",\
+             \"callSequence\":{},\"coldRemainingMs\":{}}}}}",
+            of.address,
+            service_name(of.service),
+            of.zone,
+            of.slots,
+            if of.state == State::Up { "available" } else { "draining" },
+            of.sequence,
+            of.cold_until.saturating_sub(now) / MS,
+        )
+    }
+
+    pub fn task_beats(&mut self, task: usize, life: u64) {
+        if self.tasks[task].life != life || matches!(self.tasks[task].state, State::Down | State::Leaving) {
+            return;
+        }
+        let draining = self.tasks[task].state == State::Draining;
+        let body = self.beat_body(task);
+        let name = life_name(task, life);
+        let who = Who::Beat { task, life, draining, leaving: false };
+        let within = if draining { 4 * S } else { HEARTBEAT_MS * MS };
+        self.call(who, Path::Beat, &name, body, Vec::new(), (within, 0));
+        if !draining {
+            let us = HEARTBEAT_MS * MS + self.rng.random_range(0..60u64) * MS;
+            self.after(us, None, What::TaskBeat { task, life });
+        }
+    }
+
+    /// It reports that it drains.
+    pub fn drain(&mut self, task: usize) {
+        if self.tasks[task].state == State::Up {
+            self.tasks[task].state = State::Draining;
+            let life = self.tasks[task].life;
+            let name = life_name(task, life);
+            self.say(|| format!("task {task}: {name} drains"));
+            self.task_beats(task, life);
+        }
+    }
+
+    pub fn beat_ended(
+        &mut self,
+        task: usize,
+        life: u64,
+        (draining, leaving): (bool, bool),
+        call: &Call,
+        reply: Option<&Reply>,
+    ) {
+        let acknowledged = reply.is_some_and(|reply| reply.status == 200);
+        let now = self.now;
+        if (draining || leaving) && acknowledged {
+            let name = life_name(task, life);
+            self.record.drains.push(Drain { life: name, at: now, machine: call.machine });
+        }
+        if self.tasks[task].life != life || !draining || leaving || self.tasks[task].state != State::Draining
+        {
+            return;
+        }
+        self.tasks[task].state = State::Leaving;
+        // Where nobody acknowledges it still goes.
+        let us = if acknowledged { (DRAIN_MS + 600) * MS } else { 2 * S };
+        self.after(us, None, What::TaskLeaves { task, life });
+    }
+
+    pub fn task_leaves(&mut self, task: usize, life: u64) {
+        if self.tasks[task].life != life {
+            return;
+        }
+        let name = life_name(task, life);
+        let who = Who::Beat { task, life, draining: true, leaving: true };
+        self.call(who, Path::Leave, &name, String::new(), Vec::new(), (2 * S, 0));
+        self.after(300 * MS, None, What::TaskEnds { task, life, crash: None });
+    }
+
+    /// `crash`: not in order, and whether its connections end without a word.
+    pub fn task_ends(&mut self, task: usize, life: u64, crash: Option<bool>) {
+        let of = &mut self.tasks[task];
+        if of.life != life || of.state == State::Down {
+            return;
+        }
+        of.state = State::Down;
+        let name = life_name(task, life);
+        let jobs: Vec<Job> = of.running.drain(..).chain(of.waiting.drain(..)).collect();
+        self.say(|| format!("task {task}: {name} ends"));
+        if crash != Some(true) {
+            for job in jobs {
+                self.record.arrivals[job.arrival].broke_off = true;
+                self.answer(task, &job.errand, Answer::Reset { unread: false });
+            }
+        } else {
+            jobs.iter().for_each(|job| self.record.arrivals[job.arrival].broke_off = true);
+        }
+        // Its address may be another service's next, after a while.
+        let us = 2 * S + self.rng.random_range(0..1_000u64) * MS;
+        if self.chance(2) {
+            self.tasks[task].service = self.rng.random_range(0..self.day.services);
+        }
+        self.after(us, None, What::TaskStarts { task });
+    }
+
+    pub fn crash(&mut self, task: usize, silent: bool) {
+        let life = self.tasks[task].life;
+        self.task_ends(task, life, Some(silent));
+    }
+
+    // ---- connections ------------------------------------------------------------------------
+
+    /// A task resets what is beyond its bound; whoever waits a little sees it.
+    pub fn accepts_wire(&mut self, place: usize, wire: u64, once: bool) -> bool {
+        let of = &mut self.tasks[place];
+        if of.state == State::Down {
+            return false;
+        }
+        let bad = of.wires >= of.most_wires;
+        if bad && once {
+            return false;
+        }
+        of.wires += 1;
+        let end = WireEnd { place, life: of.life, owner: None, bad };
+        self.record.wires.open.insert(wire, end);
+        true
+    }
+
+    pub fn close_wire(&mut self, wire: u64) {
+        if let Some(end) = self.record.wires.open.remove(&wire) {
+            let of = &mut self.tasks[end.place];
+            if of.life == end.life {
+                of.wires = of.wires.saturating_sub(1);
+            }
+        }
+    }
+
+    pub fn place_of_wire(&self, wire: u64) -> Option<usize> {
+        self.record.wires.open.get(&wire).map(|end| end.place)
+    }
+
+    /// All connections of a process that ended.
+    pub fn wires_ended(&mut self, owner: (usize, u32)) {
+        let its: Vec<u64> = self
+            .record
+            .wires
+            .open
+            .iter()
+            .filter(|(_, end)| end.owner == Some(owner))
+            .map(|(w, _)| *w)
+            .collect();
+        its.into_iter().for_each(|wire| self.close_wire(wire));
+    }
+
+    // ---- requests ---------------------------------------------------------------------------
+
+    fn answer(&mut self, task: usize, errand: &Errand, answer: Answer) {
+        let to = self.host_of(errand.from.0);
+        let (request, attempt, wire) = (errand.request, errand.attempt, errand.wire);
+        let what = What::Answer { request, attempt, wire, answer };
+        self.post(Host::Task(task), to, Some(errand.from), what);
+    }
+
+    pub fn arrives_at_task(&mut self, errand: Errand) {
+        let (task, now) = (errand.place, self.now);
+        let life = self.tasks[task].life;
+        let end = self.record.wires.open.get_mut(&errand.wire);
+        let sound = end.as_ref().is_some_and(|end| end.life == life && !end.bad);
+        end.into_iter().for_each(|end| end.owner = Some(errand.from));
+        if self.tasks[task].state == State::Down || !sound {
+            // Nobody is there, or it is another one that knows nothing of this connection.
+            return self.answer(task, &errand, Answer::Reset { unread: false });
+        }
+        let name = life_name(task, life);
+        let stranger = !errand.meant.is_empty() && errand.meant != name;
+        let arrival = Arrival {
+            request: errand.request,
+            life: name,
+            service: self.tasks[task].service,
+            at: now,
+            machine: self.processes[errand.from.0].machine,
+            task,
+            path: errand.path.clone(),
+            stranger,
+            ran: None,
+            broke_off: false,
+        };
+        self.record.arrivals.push(arrival);
+        let arrival = self.record.arrivals.len() - 1;
+        if stranger {
+            return self.turn_away(task, &errand, 421);
+        }
+        let sheds = self.tasks[task].bad == Some(BadTask::Sheds) && !self.chance(4);
+        let of = &mut self.tasks[task];
+        let job = Job { until: now + errand.left_us, errand, arrival };
+        if sheds || (of.running.len() >= of.slots && of.waiting.len() >= of.queue) {
+            return self.turn_away(task, &job.errand, 503);
+        }
+        if of.running.len() < of.slots {
+            return self.begin_job(task, job);
+        }
+        of.waiting.push_back(job);
+    }
+
+    fn turn_away(&mut self, task: usize, errand: &Errand, status: u16) {
+        let answer = Answer::Head {
+            status,
+            own: true,
+            not_executed: true,
+            stamped: false,
+            sized: true,
+            whole: true,
+            signature: 0,
+            body: 0,
+        };
+        self.answer(task, errand, answer);
+    }
+
+    fn begin_job(&mut self, task: usize, job: Job) {
+        let now = self.now;
+        let mut us = self.tasks[task].work_us;
+        us = us / 2 + self.rng.random_range(0..us);
+        let of = &self.tasks[task];
+        if now < of.cold_until {
+            us *= 3;
+        }
+        if of.bad == Some(BadTask::Slow) {
+            us *= 10;
+        }
+        if of.running.len() + 1 >= of.slots {
+            us = us * 13 / 10;
+        }
+        let (request, attempt) = (job.errand.request, job.errand.attempt);
+        self.record.arrivals[job.arrival].ran =
+            Some(Run { begun: now, ended: None, status: 0, signature: 0, body: 0 });
+        self.tasks[task].running.push(job);
+        self.after(us, None, What::TaskDone { task, request, attempt });
+    }
+
+    fn next_job(&mut self, task: usize) {
+        while self.tasks[task].running.len() < self.tasks[task].slots
+            && let Some(job) = self.tasks[task].waiting.pop_front()
+        {
+            if job.until <= self.now {
+                self.turn_away(task, &job.errand, 503);
+            } else {
+                self.begin_job(task, job);
+            }
+        }
+    }
+
+    pub fn task_done(&mut self, task: usize, request: usize, attempt: u32) {
+        let now = self.now;
+        let of = &mut self.tasks[task];
+        let fits = |job: &Job| (job.errand.request, job.errand.attempt) == (request, attempt);
+        let Some(at) = of.running.iter().position(fits) else { return };
+        let job = of.running.swap_remove(at);
+        let bad = of.bad;
+        self.next_job(task);
+        let late = now >= job.until;
+        let fails = late || (bad == Some(BadTask::Fails) && !self.chance(3)) || self.chance(500);
+        let status = if late {
+            504
+        } else if fails {
+            500
+        } else {
+            200
+        };
+        let (signature, body): (u64, u64) = (self.rng.random(), hash(request as u64, job.arrival as u64));
+        if let Some(run) = &mut self.record.arrivals[job.arrival].ran {
+            (run.ended, run.status) = (Some(now), status);
+            (run.signature, run.body) = (signature, body);
+        }
+        let (mut own, mut whole, mut sized) = (true, true, true);
+        let (mut signature, mut body) = (signature, body);
+        match bad {
+            Some(BadTask::Mute) if !self.chance(3) => {
+                self.record.arrivals[job.arrival].broke_off = true;
+                return;
+            }
+            Some(BadTask::Cuts) if !self.chance(3) => {
+                self.record.arrivals[job.arrival].broke_off = true;
+                if self.chance(2) {
+                    return self.answer(task, &job.errand, Answer::Reset { unread: false });
+                }
+                whole = false;
+            }
+            Some(BadTask::Garbles) if !self.chance(3) => {
+                // Another request's answer in the place of this one's, or nothing that tells its end.
+                if self.chance(2) {
+                    own = false;
+                    (signature, body) = (self.rng.random(), self.rng.random());
+                } else {
+                    sized = false;
+                }
+                self.record.arrivals[job.arrival].broke_off = true;
+            }
+            _ => {}
+        }
+        let stamped = status == 200;
+        let answer =
+            Answer::Head { status, own, not_executed: false, stamped, sized, whole, signature, body };
+        self.answer(task, &job.errand, answer);
+    }
+
+    /// The connection of a request ended: what waits is dropped, what has begun goes on unseen.
+    pub fn task_dropped(&mut self, task: usize, wire: u64, request: usize, attempt: u32) {
+        let of = &mut self.tasks[task];
+        let fits = |job: &Job| (job.errand.request, job.errand.attempt) == (request, attempt);
+        of.waiting.retain(|job| !fits(job));
+        of.running.retain(|job| !fits(job));
+        self.close_wire(wire);
+        self.next_job(task);
+    }
+}
--- /dev/null
+++ b/crates/rookpulley-drill/src/world.rs
@@ -0,0 +1,504 @@
+//! The day's clock and all that stands on it.
+
+use crate::apps::{App, Watcher};
+use crate::callers::Call;
+use crate::clients::Clients;
+use crate::couriers::CourierProcess;
+use crate::day::{BEGINS_MS, Day};
+use crate::disk::Disk;
+use crate::judge::{self, Breach, Rule};
+use crate::net::{Host, Line, Net};
+use crate::offices::OfficeProcess;
+use crate::operator::Operator;
+use crate::record::Record;
+use crate::tasks::Task;
+use crate::{MS, S, Us};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::collections::{BTreeMap, VecDeque};
+use std::net::Ipv4Addr;
+
+/// A fault put in on purpose: each must be found.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Mutation {
+    /// A try that broke off counts as one that never left.
+    BrokenIsUnsent,
+    /// Clients are told 503 where something may have run.
+    PromisesAll,
+    /// An answer is passed on whosever it is.
+    AnyAnswer,
+    /// Tasks are not told which of them is meant.
+    NobodyMeant,
+    /// A task gets its request with another path.
+    OtherPath,
+    /// Couriers don't hear of drains, and their tables don't change either.
+    DrainsUnheard,
+    /// Couriers miss most configurations.
+    ConfigurationsMissed,
+    /// A courier takes up its first configuration again amid its life.
+    GoesBack,
+    /// An invalid configuration is taken.
+    TakesInvalid,
+    /// Further tries cost nothing.
+    FreeTries,
+    /// A sync is left out.
+    SyncLeftOut,
+    /// An office reads from its own copy, without the chain.
+    ReadsAlone,
+    /// What may have taken effect is told to be refused.
+    RefusedAfterAll,
+    /// A lock is kept for its holder half as long as promised.
+    LocksShort,
+    /// A courier ends at SIGTERM with requests at work.
+    EndsAtOnce,
+}
+
+impl Mutation {
+    pub const ALL: [Mutation; 15] = [
+        Mutation::BrokenIsUnsent,
+        Mutation::PromisesAll,
+        Mutation::AnyAnswer,
+        Mutation::NobodyMeant,
+        Mutation::OtherPath,
+        Mutation::DrainsUnheard,
+        Mutation::ConfigurationsMissed,
+        Mutation::GoesBack,
+        Mutation::TakesInvalid,
+        Mutation::FreeTries,
+        Mutation::SyncLeftOut,
+        Mutation::ReadsAlone,
+        Mutation::RefusedAfterAll,
+        Mutation::LocksShort,
+        Mutation::EndsAtOnce,
+    ];
+}
+
+impl Mutation {
+    /// The rule that it breaks.
+    pub fn breaks(self) -> Rule {
+        match self {
+            Mutation::BrokenIsUnsent => Rule::Twice,
+            Mutation::PromisesAll | Mutation::RefusedAfterAll => Rule::Refused,
+            Mutation::AnyAnswer => Rule::Mixed,
+            Mutation::NobodyMeant => Rule::Route,
+            Mutation::OtherPath => Rule::Unasked,
+            Mutation::DrainsUnheard => Rule::Drain,
+            Mutation::ConfigurationsMissed | Mutation::GoesBack | Mutation::TakesInvalid => Rule::Config,
+            Mutation::FreeTries => Rule::Budget,
+            Mutation::SyncLeftOut => Rule::Order,
+            Mutation::ReadsAlone => Rule::Stale,
+            Mutation::LocksShort => Rule::One,
+            Mutation::EndsAtOnce => Rule::Lost,
+        }
+    }
+}
+
+/// How a day went.
+#[derive(Clone, Debug, Default)]
+pub struct Played {
+    pub breaches: Vec<Breach>,
+    pub steps: u64,
+    pub requests: usize,
+    pub served: usize,
+    pub calls: usize,
+    /// The last lines that were logged.
+    pub log: VecDeque<String>,
+}
+
+#[derive(Debug)]
+pub enum What {
+    // To an office or a courier.
+    Tick,
+    Dial(Ipv4Addr),
+    Dialed { ip: Ipv4Addr, up: bool },
+    Line { line: u64, side: usize, bytes: Vec<u8> },
+    LineEnd { line: u64, side: usize },
+    LineCheck { line: u64, side: usize },
+    // To an office.
+    Synced,
+    Lied { of_chain: bool, ticket: u64 },
+    Leaving,
+    Call { call: u64, attempt: u32 },
+    // To a courier.
+    Request(usize),
+    ClientClosed(usize),
+    WireUp { request: usize, attempt: u32, wire: u64, up: bool },
+    Turn { request: usize, attempt: u32 },
+    Over { request: usize, attempt: u32 },
+    Answer { request: usize, attempt: u32, wire: u64, answer: crate::tasks::Answer },
+    // To those outside.
+    Arrive(crate::tasks::Errand),
+    Dropped { task: usize, wire: u64, request: usize, attempt: u32 },
+    TaskDone { task: usize, request: usize, attempt: u32 },
+    TaskBeat { task: usize, life: u64 },
+    TaskLeaves { task: usize, life: u64 },
+    TaskEnds { task: usize, life: u64, crash: Option<bool> },
+    TaskStarts { task: usize },
+    Client,
+    Send(usize),
+    ClientAnswer { try_: usize, answer: crate::clients::Told },
+    ClientLate { try_: usize },
+    Readiness,
+    Replied { call: u64, attempt: u32, reply: Option<rookpulley_clerk::Reply> },
+    CallLate { call: u64, attempt: u32 },
+    CallAgain { call: u64 },
+    App(usize),
+    Watch(usize),
+    Operate(usize),
+    ReadBack,
+    AppsEnd,
+    Happens(usize),
+    Heal(u64),
+    Start { machine: usize, office: bool, courier: bool },
+    Wake { process: usize },
+    Roll { machine: usize, pause_ms: u64 },
+    Retire { machine: usize },
+    Gone { machine: usize },
+    Kill { process: usize, life: u32 },
+    Held,
+}
+
+#[derive(Debug)]
+pub struct Event {
+    /// A process and its life; none: somebody outside.
+    pub to: Option<(usize, u32)>,
+    pub what: What,
+}
+
+#[allow(clippy::large_enum_variant)]
+pub enum Core {
+    Office(OfficeProcess),
+    Courier(CourierProcess),
+}
+
+pub struct Process {
+    pub machine: usize,
+    pub is_office: bool,
+    pub life: u32,
+    pub core: Option<Core>,
+    pub born: Us,
+    pub asleep: bool,
+    pub inbox: VecDeque<Event>,
+    /// It was told to end.
+    pub termed: bool,
+}
+
+pub struct Machine {
+    pub ip: Ipv4Addr,
+    pub zone: usize,
+    pub core: bool,
+    pub power: bool,
+    pub gone: bool,
+    /// It is to go once its processes have ended.
+    pub leaves: bool,
+    pub disk: Disk,
+    pub readiness_missed: u32,
+}
+
+pub struct World {
+    pub day: Day,
+    pub mutation: Option<Mutation>,
+    pub now: Us,
+    pub rng: ChaCha8Rng,
+    events: BTreeMap<(Us, u64), Event>,
+    count: u64,
+    pub machines: Vec<Machine>,
+    pub processes: Vec<Process>,
+    pub net: Net,
+    pub lines: BTreeMap<u64, Line>,
+    pub tasks: Vec<Task>,
+    pub clients: Clients,
+    pub calls: BTreeMap<u64, Call>,
+    pub operator: Operator,
+    pub apps: Vec<App>,
+    pub watchers: Vec<Watcher>,
+    pub record: Record,
+    pub next: u64,
+    pub steps: u64,
+    pub burst: (u32, Us),
+    pub log: VecDeque<String>,
+    pub heals: BTreeMap<u64, crate::troubles::Heals>,
+}
+
+const LOGGED: usize = 4_000;
+
+pub fn play(day: &Day, mutation: Option<Mutation>) -> Played {
+    let mut world = World::new(day, mutation);
+    world.run();
+    let breaches = judge::judge(&world.record, day);
+    Played {
+        breaches,
+        steps: world.steps,
+        requests: world.record.tries.len(),
+        served: world.record.tries.iter().filter(|t| t.served()).count(),
+        calls: world.record.calls.len(),
+        log: world.log,
+    }
+}
+
+impl World {
+    fn new(day: &Day, mutation: Option<Mutation>) -> World {
+        let mut world = World {
+            day: day.clone(),
+            mutation,
+            now: 0,
+            rng: ChaCha8Rng::seed_from_u64(day.seed),
+            events: BTreeMap::new(),
+            count: 0,
+            machines: Vec::new(),
+            processes: Vec::new(),
+            net: Net::default(),
+            lines: BTreeMap::new(),
+            tasks: Vec::new(),
+            clients: Clients::default(),
+            calls: BTreeMap::new(),
+            operator: Operator::default(),
+            apps: Vec::new(),
+            watchers: Vec::new(),
+            record: Record::default(),
+            next: 0,
+            steps: 0,
+            burst: (1, 0),
+            log: VecDeque::new(),
+            heals: BTreeMap::new(),
+        };
+        for machine in 0..day.couriers.max(day.offices) {
+            world.add_machine(machine < day.offices);
+        }
+        for machine in 0..world.machines.len() {
+            world.start_machine(machine, true);
+        }
+        world.begin_tasks();
+        world.begin_operator();
+        world.begin_apps();
+        world.after(BEGINS_MS * MS, None, What::Client);
+        world.after(S, None, What::Readiness);
+        let happens: Vec<u64> = day.happens.iter().map(|(at, _)| *at).collect();
+        for (index, at) in happens.into_iter().enumerate() {
+            world.after(at * MS, None, What::Happens(index));
+        }
+        if day.held_up {
+            world.after(S, None, What::Held);
+        }
+        world
+    }
+
+    fn run(&mut self) {
+        let end = self.day.length_ms * MS;
+        while let Some(((at, _), event)) = self.events.pop_first() {
+            if at > end {
+                break;
+            }
+            self.now = at;
+            self.steps += 1;
+            self.hand(event);
+        }
+        self.now = end;
+        self.record.end = end;
+    }
+
+    pub fn say(&mut self, line: impl FnOnce() -> String) {
+        if self.log.len() >= LOGGED {
+            self.log.pop_front();
+        }
+        let line = line();
+        self.log.push_back(format!("{:>9.3} {line}", self.now as f64 / 1e6));
+    }
+
+    pub fn number(&mut self) -> u64 {
+        self.next += 1;
+        self.next
+    }
+
+    pub fn chance(&mut self, one_in: u32) -> bool {
+        self.rng.random_range(0..one_in) == 0
+    }
+
+    pub fn after(&mut self, us: Us, to: Option<(usize, u32)>, what: What) {
+        self.count += 1;
+        self.events.insert((self.now + us, self.count), Event { to, what });
+    }
+
+    pub fn at(&mut self, at: Us, to: Option<(usize, u32)>, what: What) {
+        self.after(at.saturating_sub(self.now), to, what);
+    }
+
+    // ---- machines and processes ---------------------------------------------------------------
+
+    pub fn add_machine(&mut self, core: bool) -> usize {
+        let machine = self.machines.len();
+        let ip = Ipv4Addr::new(10, 1, (machine / 200) as u8, (machine % 200) as u8 + 10);
+        let disk = Disk::new(self.mutation == Some(Mutation::SyncLeftOut));
+        self.machines.push(Machine {
+            ip,
+            zone: machine % self.day.zones,
+            core,
+            power: true,
+            gone: false,
+            leaves: false,
+            disk,
+            readiness_missed: 2,
+        });
+        for is_office in [true, false] {
+            self.processes.push(Process {
+                machine,
+                is_office,
+                life: 0,
+                core: None,
+                born: 0,
+                asleep: false,
+                inbox: VecDeque::new(),
+                termed: false,
+            });
+        }
+        machine
+    }
+
+    pub fn machine_at(&self, ip: Ipv4Addr) -> Option<usize> {
+        self.machines.iter().position(|machine| machine.ip == ip)
+    }
+
+    pub fn process_of(&self, machine: usize, office: bool) -> usize {
+        2 * machine + usize::from(!office)
+    }
+
+    pub fn running(&self, process: usize) -> bool {
+        self.processes.get(process).is_some_and(|p| p.core.is_some())
+    }
+
+    pub fn address(&self, process: usize) -> Option<(usize, u32)> {
+        self.running(process).then(|| (process, self.processes[process].life))
+    }
+
+    pub fn host_of(&self, process: usize) -> Host {
+        Host::Machine(self.processes[process].machine)
+    }
+
+    /// The steady clock of a process.
+    pub fn clock(&self, process: usize) -> f64 {
+        (self.now - self.processes[process].born) as f64 / 1e3
+    }
+
+    pub fn start_machine(&mut self, machine: usize, first: bool) {
+        if self.machines[machine].gone {
+            return;
+        }
+        self.machines[machine].power = true;
+        if self.machines[machine].core {
+            self.start_office(machine, first);
+        }
+        self.start_courier(machine);
+        self.record.started(self.now, machine, self.machines[machine].core);
+    }
+
+    /// A new life of a process.
+    pub fn begin(&mut self, process: usize, core: Core) {
+        let now = self.now;
+        let process = &mut self.processes[process];
+        process.life += 1;
+        (process.core, process.born, process.asleep, process.termed) = (Some(core), now, false, false);
+        process.inbox.clear();
+    }
+
+    /// The end of a process. `quiet`: nobody is told, as without power.
+    pub fn stop(&mut self, process: usize, quiet: bool) {
+        let Some(core) = self.processes[process].core.take() else { return };
+        let life = self.processes[process].life;
+        self.processes[process].inbox.clear();
+        self.processes[process].asleep = false;
+        let machine = self.processes[process].machine;
+        self.end_lines(process, quiet);
+        match core {
+            Core::Office(office) => {
+                self.machines[machine].disk.ends(&mut self.rng);
+                self.office_ended(machine, office, quiet);
+            }
+            Core::Courier(courier) => self.courier_ended(process, life, courier, quiet),
+        }
+        self.ended_in_order(process);
+    }
+
+    fn hand(&mut self, event: Event) {
+        let Some((process, life)) = event.to else { return self.outside(event.what) };
+        let at = &mut self.processes[process];
+        if at.life != life || at.core.is_none() {
+            return self.undelivered(process, event.what);
+        }
+        if at.asleep {
+            at.inbox.push_back(event);
+            return;
+        }
+        match at.is_office {
+            true => self.to_office(process, event.what),
+            false => self.to_courier(process, event.what),
+        }
+    }
+
+    pub fn wake(&mut self, process: usize) {
+        if !std::mem::take(&mut self.processes[process].asleep) {
+            return;
+        }
+        let inbox = std::mem::take(&mut self.processes[process].inbox);
+        inbox.into_iter().for_each(|event| self.hand(event));
+    }
+
+    /// It came to a process that is no longer there.
+    fn undelivered(&mut self, process: usize, what: What) {
+        match what {
+            What::Request(try_) => self.not_read(process, try_),
+            What::Call { call, attempt } => self.call_not_heard(process, call, attempt),
+            _ => {}
+        }
+    }
+
+    fn outside(&mut self, what: What) {
+        match what {
+            What::Arrive(errand) => self.arrives_at_task(errand),
+            What::Dropped { task, wire, request, attempt } => self.task_dropped(task, wire, request, attempt),
+            What::TaskDone { task, request, attempt } => self.task_done(task, request, attempt),
+            What::TaskBeat { task, life } => self.task_beats(task, life),
+            What::TaskLeaves { task, life } => self.task_leaves(task, life),
+            What::TaskEnds { task, life, crash } => self.task_ends(task, life, crash),
+            What::TaskStarts { task } => self.task_starts(task),
+            What::Client => self.client_comes(),
+            What::Send(try_) => self.client_sends(try_),
+            What::ClientAnswer { try_, answer } => self.client_hears(try_, answer),
+            What::ClientLate { try_ } => self.client_late(try_),
+            What::Readiness => self.ask_readiness(),
+            What::Replied { call, attempt, reply } => self.replied(call, attempt, reply),
+            What::CallLate { call, attempt } => self.call_late(call, attempt),
+            What::CallAgain { call } => self.send_call(call),
+            What::App(app) => self.app_acts(app),
+            What::Watch(watcher) => self.watcher_acts(watcher),
+            What::Operate(index) => self.operate(index),
+            What::ReadBack => self.read_back(),
+            What::AppsEnd => self.apps_end(),
+            What::Happens(index) => self.happens(index),
+            What::Heal(number) => self.heal(number),
+            What::Start { machine, office, courier } => self.start_again(machine, office, courier),
+            What::Wake { process } => self.wake(process),
+            What::Roll { machine, pause_ms } => self.roll(machine, pause_ms),
+            What::Retire { machine } => self.retire(machine),
+            What::Gone { machine } => self.retired(machine, false),
+            What::Kill { process, life } => {
+                if self.processes[process].life == life {
+                    self.stop(process, false);
+                }
+            }
+            What::Held => self.hold_up(),
+            _ => {}
+        }
+    }
+
+    /// Some process stands still for a moment.
+    fn hold_up(&mut self) {
+        let process = self.rng.random_range(0..self.processes.len());
+        if self.running(process) && !self.processes[process].asleep {
+            self.processes[process].asleep = true;
+            let us = self.rng.random_range(20..220u64) * MS;
+            self.after(us, None, What::Wake { process });
+        }
+        let us = self.rng.random_range(50..300u64) * MS;
+        self.after(us, None, What::Held);
+    }
+}
