An office hangs up on whom too much waits for, instead of dropping words in silence

A line's outbox takes 1,024 frames and then says that the line must end. The office passed over that: a frame was lost and the line went on, so a courier could miss a drain, another office a task's word, for as long as the line held. Now the line ends, and with the next one all is told anew. The new test fails on the text before.

--- a/crates/rookpulley-office/src/calls.rs
+++ b/crates/rookpulley-office/src/calls.rs
@@ -44,7 +44,7 @@
 }
 
 pub struct Calls {
-    hub: Rc<Hub>,
+    pub hub: Rc<Hub>,
     tree: Tree<Asked>,
 }
 
--- a/crates/rookpulley-office/src/couriers.rs
+++ b/crates/rookpulley-office/src/couriers.rs
@@ -24,7 +24,7 @@
                 let known = name.borrow().clone();
                 match (up, known) {
                     (hello @ Up::Hello { .. }, None) => {
-                        let Some(outbox) = outbox.borrow().clone() else { return };
+                        let Some(outbox) = outbox.borrow_mut().take() else { return };
                         *name.borrow_mut() = hub.courier_in(hello, outbox);
                     }
                     (up, Some((node, line))) => hub.courier_said(&node, line, up),
@@ -39,3 +39,23 @@
         });
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use crate::show::tests::at_an_office;
+
+    #[test]
+    fn a_courier_that_too_much_waits_for_is_hung_up_on_so_that_it_misses_nothing() {
+        at_an_office(|calls| async move {
+            // Nothing is written meanwhile.
+            (0..2_000).for_each(|_| calls.hub.tick(8));
+            for _ in 0..10_000 {
+                if calls.hub.look(|office| office.couriers.is_empty()) {
+                    return;
+                }
+                tokio::task::yield_now().await;
+            }
+            panic!("its line goes on, without what was dropped");
+        });
+    }
+}
--- a/crates/rookpulley-office/src/hub.rs
+++ b/crates/rookpulley-office/src/hub.rs
@@ -118,13 +118,16 @@
                     peer.wake.notify_waiters();
                 }
             }
+            // Where too much waits the line ends: on the next one all is told anew, and nothing is missed.
             Effect::Word { to, frame } => {
-                let outbox = lines.peers.get(&to).and_then(|peer| peer.outbox.as_ref());
-                outbox.into_iter().for_each(|outbox| _ = outbox.send_framed(frame.clone()));
+                if let Some(peer) = lines.peers.get_mut(&to) {
+                    _ = peer.outbox.take_if(|outbox| !outbox.send_framed(frame));
+                }
             }
             Effect::Down { line, frame } => {
-                let outbox = lines.couriers.get(&line);
-                outbox.into_iter().for_each(|outbox| _ = outbox.send_framed(frame.clone()));
+                if lines.couriers.get(&line).is_some_and(|outbox| !outbox.send_framed(frame)) {
+                    lines.couriers.remove(&line);
+                }
             }
             Effect::Write { ticket, records } => _ = lines.store.write(Part::Chain, ticket, records),
             Effect::Note { ticket, records } => _ = lines.store.write(Part::Lives, ticket, records),
--- a/crates/rookpulley-office/src/show.rs
+++ b/crates/rookpulley-office/src/show.rs
@@ -180,4 +180,4 @@
 }
 
 #[cfg(test)]
-mod tests;
+pub mod tests;
--- a/crates/rookpulley-office/src/show/tests.rs
+++ b/crates/rookpulley-office/src/show/tests.rs
@@ -48,7 +48,7 @@
 }
 
 /// An office alone, at work, with a task, a configuration and a courier at home.
-fn at_an_office<F: Future<Output = ()>>(trial: impl FnOnce(Rc<Calls>) -> F) {
+pub fn at_an_office<F: Future<Output = ()>>(trial: impl FnOnce(Rc<Calls>) -> F) {
     let folder = tempfile::tempdir().unwrap();
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
     tokio::task::LocalSet::new().block_on(&runtime, async {
