--- a/crates/rookpulley-drill/src/net.rs
+++ b/crates/rookpulley-drill/src/net.rs
@@ -187,10 +187,16 @@
         let (from, to) = (self.host_of(of.ends[1 - side].0), self.host_of(of.ends[side].0));
         let cut = self.net.cut(from, to);
         let now = self.now;
-        let of = self.lines.get_mut(&line)?;
-        if !of.open[side] {
+        if !self.lines.get(&line)?.open[side] {
+            // A reset goes back.
+            let end = self.lines.get(&line)?.ends[1 - side];
+            if !self.net.cut(to, from) {
+                let us = self.delay(to, from);
+                self.after(us, Some(end), What::LineEnd { line, side: 1 - side });
+            }
             return None;
         }
+        let of = self.lines.get_mut(&line)?;
         if cut {
             of.held[1 - side].push_back(bytes);
             of.stuck[1 - side].get_or_insert(now);
--- a/crates/rookpulley-drill/tests/days.rs
+++ b/crates/rookpulley-drill/tests/days.rs
@@ -1,6 +1,7 @@
 //! Days of whole gateways, drawn from seeds.
 
-use rookpulley_drill::{Day, Mutation, hunt, play, shrink};
+use rookpulley_drill::{Day, Happens, Mutation, hunt, play, shrink};
+use std::path::{Path, PathBuf};
 
 #[test]
 #[ignore = "long: DRILL_SEEDS=0..2000 cargo test --release -p rookpulley-drill -- --ignored --nocapture many_days"]
@@ -44,6 +45,58 @@
     assert_eq!(play(&day, None).breaches, []);
 }
 
+#[test]
+fn a_step_of_the_time_of_day_changes_nothing() {
+    let mut day = Day::draw(7);
+    day.happens.retain(|(_, happens)| !matches!(happens, Happens::ClockStep { .. }));
+    let calm = play(&day, None);
+    day.happens.insert(0, (5_000, Happens::ClockStep { machine: 0, by_s: -7 }));
+    let stepped = play(&day, None);
+    assert_eq!(stepped.steps, calm.steps + 1);
+    let lines = stepped.log.iter().filter(|line| !line.contains("ClockStep"));
+    assert!(lines.eq(&calm.log));
+}
+
+/// The sources of a package that decides or keeps, without their tests.
+fn deciding() -> Vec<(PathBuf, String)> {
+    let crates = Path::new(env!("CARGO_MANIFEST_DIR")).parent().unwrap();
+    let mut packages: Vec<PathBuf> =
+        std::fs::read_dir(crates).unwrap().map(|entry| entry.unwrap().path()).collect();
+    packages.push(crates.parent().unwrap().to_path_buf());
+    let mut sources = Vec::new();
+    for package in packages {
+        let manifest = std::fs::read_to_string(package.join("Cargo.toml")).unwrap_or_default();
+        if !manifest.contains("role = \"decides\"") && !manifest.contains("role = \"keeps\"") {
+            continue;
+        }
+        let mut folders = vec![package.join("src")];
+        while let Some(folder) = folders.pop() {
+            for path in std::fs::read_dir(folder).unwrap().map(|entry| entry.unwrap().path()) {
+                if path.is_dir() {
+                    folders.push(path);
+                } else if path.file_stem().is_some_and(|name| name != "tests") {
+                    let text = std::fs::read_to_string(&path).unwrap();
+                    let code = text.split("#[cfg(test)]").next().unwrap_or_default().to_string();
+                    sources.push((path, code));
+                }
+            }
+        }
+    }
+    sources
+}
+
+#[test]
+fn what_decides_has_no_clock_no_socket_and_no_file() {
+    let sources = deciding();
+    // The clerk, the satchel and what they stand on.
+    assert!(sources.len() > 60, "{}", sources.len());
+    for (path, code) in sources {
+        for word in ["SystemTime", "Instant", "tokio", "std::fs", "TcpStream", "UdpSocket", "thread::"] {
+            assert!(!code.contains(word), "{} has {word}", path.display());
+        }
+    }
+}
+
 #[test]
 #[ignore = "prints one day"]
 fn one_day() {
@@ -67,7 +120,7 @@
     let mut missed = Vec::new();
     for mutation in Mutation::ALL {
         let begun = std::time::Instant::now();
-        let hunted = hunt(0..400, 6, Some(mutation));
+        let hunted = hunt(0..1_000, 6, Some(mutation));
         let Some(found) = hunted.found else {
             println!("{mutation:?}: not found in {} days", hunted.days);
             missed.push(mutation);
