--- a/crates/rookpulley-chain/tests/world/mod.rs
+++ b/crates/rookpulley-chain/tests/world/mod.rs
@@ -154,6 +154,7 @@
     least_ahead: i64,
     pub took: VecDeque<(u64, u64)>,
     pub steps: u64,
+    rotten: bool,
     /// So many copies were found to be spoilt.
     pub spoilt: u64,
     pub unknown: u64,
@@ -211,6 +212,7 @@
             least_ahead: i64::MAX,
             took: VecDeque::new(),
             steps: 0,
+            rotten: false,
             spoilt: 0,
             unknown: 0,
             forgotten: 0,
@@ -715,6 +717,7 @@
     pub fn rots(&mut self, at: usize) {
         self.say(format!("the copy of office {at} rots"));
         self.places[at].rot.set(1);
+        self.rotten = true;
     }
 
     /// Stops, and nobody starts it again.
@@ -888,6 +891,8 @@
             }
         }
         assert!(answered > 25, "only {answered} updates of a second are answered");
+        let differ = self.log.iter().any(|line| line.contains("copies differ"));
+        assert!(self.rotten || !differ, "copies differ without anybody's doing");
         self.check();
     }
 
