--- a/crates/rookpulley-cli/tests/gateway.rs
+++ b/crates/rookpulley-cli/tests/gateway.rs
@@ -1,8 +1,9 @@
 //! The commands on the gateway, against an office that answers by script, files, and a store on disk.
 
 use assert_cmd::Command;
-use rookpulley_chain::{Boot, CallKind, Chain, Effect, Input, Kept, Member, Outcome, Record, State};
-use rookpulley_ledger::{Ledger, Update};
+use rookpulley_chain::{Boot, CallKind, Chain, Effect, Input, Kept, Member, Outcome, Record};
+use rookpulley_clerk::Kept as Held;
+use rookpulley_ledger::Update;
 use rookpulley_sorting::News;
 use rookpulley_strongroom::{Part, Said, Store};
 use serde_json::Value;
@@ -255,24 +256,6 @@
     assert_eq!(run(&["explain", &bad, "post.example", "/"]).0, 1);
 }
 
-#[derive(Default)]
-struct Held(Ledger);
-
-impl State for Held {
-    fn apply(&mut self, at_ms: u64, entry: &[u8]) -> Vec<u8> {
-        self.0.apply_bytes(at_ms, entry)
-    }
-    fn read(&self, ask: &[u8]) -> Vec<u8> {
-        self.0.read_bytes(ask)
-    }
-    fn snapshot(&self) -> Vec<u8> {
-        self.0.snapshot()
-    }
-    fn restore(&mut self, bytes: &[u8]) -> bool {
-        self.0.restore(bytes).is_ok()
-    }
-}
-
 /// An office alone on its store.
 struct Alone {
     store: Store,
@@ -585,7 +568,7 @@
     // It goes to work by itself, under another identity, with all that was there.
     let mut office = Alone::open(folder.path(), 5);
     office.answers([configured(9, CONFIGURATION)]);
-    let held = &office.chain.state().0;
+    let held = &office.chain.state().ledger;
     assert_eq!((held.version(), held.sizes().cells), (9, 9));
     assert_eq!(office.chain.view().unwrap().number, number + 1);
     office.close();
--- a/crates/rookpulley-strongroom/examples/call_cost.rs
+++ b/crates/rookpulley-strongroom/examples/call_cost.rs
@@ -5,8 +5,9 @@
 
 mod load;
 
-use load::{Kept, Load};
+use load::Load;
 use rookpulley_chain::{Boot, CallKind, Chain, Effect, Input, Member, Message, Outcome};
+use rookpulley_clerk::Kept;
 use rookpulley_ledger::{Answer, Ask};
 use rookpulley_waybill::{Frames, frame};
 use std::collections::VecDeque;
--- a/crates/rookpulley-strongroom/examples/disk_use.rs
+++ b/crates/rookpulley-strongroom/examples/disk_use.rs
@@ -4,8 +4,9 @@
 
 mod load;
 
-use load::{Kept, Load};
+use load::Load;
 use rookpulley_chain::{Boot, CallKind, Chain, Effect, Input, Member, Outcome};
+use rookpulley_clerk::Kept;
 use rookpulley_ledger::Answer;
 use rookpulley_strongroom::{Part, Said, Store};
 use std::collections::VecDeque;
--- a/crates/rookpulley-strongroom/examples/fill_time.rs
+++ b/crates/rookpulley-strongroom/examples/fill_time.rs
@@ -4,8 +4,9 @@
 
 mod load;
 
-use load::{Kept, configuration};
+use load::configuration;
 use rookpulley_chain::{Boot, CallKind, Chain, Effect, Input, Member, Message, Outcome};
+use rookpulley_clerk::Kept;
 use rookpulley_ledger::Update;
 use rookpulley_strongroom::{Part, Said, Store};
 use rookpulley_waybill::{Frames, frame};
--- a/crates/rookpulley-strongroom/examples/load/mod.rs
+++ b/crates/rookpulley-strongroom/examples/load/mod.rs
@@ -1,33 +1,10 @@
-//! The ledger as the state of a chain, and updates for it: the same in each run.
+//! Updates for the ledger as the state of a chain: the same in each run.
 
 #![allow(dead_code)]
 
-use rookpulley_ledger::{Answer, Ledger, Update};
+use rookpulley_ledger::{Answer, Update};
 use std::fmt::Write;
 
-#[derive(Default)]
-pub struct Kept {
-    pub ledger: Ledger,
-}
-
-impl rookpulley_chain::State for Kept {
-    fn apply(&mut self, at_ms: u64, entry: &[u8]) -> Vec<u8> {
-        self.ledger.apply_bytes(at_ms, entry)
-    }
-
-    fn read(&self, ask: &[u8]) -> Vec<u8> {
-        self.ledger.read_bytes(ask)
-    }
-
-    fn snapshot(&self) -> Vec<u8> {
-        self.ledger.snapshot()
-    }
-
-    fn restore(&mut self, bytes: &[u8]) -> bool {
-        self.ledger.restore(bytes).is_ok()
-    }
-}
-
 /// Drawn by a seed, spread by the mixer of SplitMix64.
 pub fn drawn(seed: u64) -> u64 {
     let mixed = (seed.wrapping_add(0x9e37_79b9_7f4a_7c15) ^ (seed >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
--- a/crates/rookpulley-strongroom/tests/torn.rs
+++ b/crates/rookpulley-strongroom/tests/torn.rs
@@ -1,32 +1,12 @@
 //! Power lost while an office's store is written: of what isn't synced any part may have reached the disk, cut anywhere.
 
 use rookpulley_chain::{Boot, CallKind, Chain, Effect, Input, Member, Outcome, Record};
-use rookpulley_ledger::{Ledger, Update};
+use rookpulley_clerk::Kept;
+use rookpulley_ledger::Update;
 use rookpulley_strongroom::{Part, Said, Store, look, replace};
 use std::collections::{BTreeMap, VecDeque};
 use std::path::Path;
 
-#[derive(Default)]
-struct Kept(Ledger);
-
-impl rookpulley_chain::State for Kept {
-    fn apply(&mut self, at_ms: u64, entry: &[u8]) -> Vec<u8> {
-        self.0.apply_bytes(at_ms, entry)
-    }
-
-    fn read(&self, ask: &[u8]) -> Vec<u8> {
-        self.0.read_bytes(ask)
-    }
-
-    fn snapshot(&self) -> Vec<u8> {
-        self.0.snapshot()
-    }
-
-    fn restore(&mut self, bytes: &[u8]) -> bool {
-        self.0.restore(bytes).is_ok()
-    }
-}
-
 type Batches = Vec<Vec<Record>>;
 
 /// Offices whose messages and disks take no time; what each writes is noted.
@@ -109,7 +89,7 @@
         offices.update(&Update::NextNumber { name: format!("n{n}") });
         offices.configure(40 << 10);
     }
-    assert_eq!(offices.all[2].0.state().0.digest(), offices.all[0].0.state().0.digest());
+    assert_eq!(offices.all[2].0.state().ledger.digest(), offices.all[0].0.state().ledger.digest());
     [first, std::mem::take(&mut offices.all[2].1)]
 }
 
