Arcs lie in their couriers' zone as far as it has room

Bytes between zones were the second largest price on the grown sites: a courier's arc of 32 lines spanned all zones, and four fifths of it were far. The module keeps zones apart where its settings price what crosses them; the desk now prices it at 0.03. What goes to which zone is settled in steps of 1/32 (eighths, as in service, kept a tenth too much at home), and a far task costs a pick only 1.1 times as much (1.5 a download), since a table names far ones only as far as planned. Where nobody brings anything yet, the zones' shares known before hold (all went home).

--- a/crates/rookpulley-round/src/post.rs
+++ b/crates/rookpulley-round/src/post.rs
@@ -15,9 +15,10 @@
 /// A life that is gone is remembered so long: longer than any table that could still name it.
 const GONE_MS: f64 = 600_000.0;
 const GONE_MOST: usize = 10_000;
-/// What a task of another zone costs more, since its bytes do.
-const FAR: f64 = 1.4;
-const FAR_DOWNLOAD: f64 = 2.5;
+/// What a task of another zone costs more, since its bytes do. Little: a table names others only as far as its own zone
+/// has no room, and what is to go there must go there.
+const FAR: f64 = 1.1;
+const FAR_DOWNLOAD: f64 = 1.5;
 /// What an answer is thought to take before any came.
 const UNKNOWN_MS: f64 = 20.0;
 
--- a/crates/rookpulley-sorting/src/module.rs
+++ b/crates/rookpulley-sorting/src/module.rs
@@ -16,6 +16,11 @@
 /// that it knows nothing of it, and opens a connection for nearly every request. The module has a bound for it by what
 /// may wait for all proxies: a fifth of it, less one line each.
 const LINES_MOST: f64 = 32.0;
+/// What a request that goes to another zone costs: a part of its worth. The module keeps arcs in their couriers' zone as far as
+/// it has room.
+const CROSS_ZONE_PRICE: f64 = 0.03;
+/// In eighths, as where tables are dear, a zone with a tenth more than it has room for keeps all of it.
+const FLOW_STEPS: f64 = 32.0;
 /// As many revisions as the module itself keeps.
 const REVISIONS: usize = 10;
 
@@ -103,6 +108,8 @@
         means: Means {
             report_period_ms: 1_000.0,
             conns_least: if most > 0.0 { most } else { f64::INFINITY },
+            cross_zone_price: CROSS_ZONE_PRICE,
+            flow_steps: FLOW_STEPS,
             ..Means::default()
         },
         load_fields: Vec::new(),
--- a/src/facts.rs
+++ b/src/facts.rs
@@ -144,6 +144,8 @@
     pub peers: bool,
     pub probes: bool,
     pub cross_zone_price: f64,
+    /// What goes to which zone is settled in so many steps: few, where tables are dear to write anew.
+    pub flow_steps: f64,
     pub report_period_ms: f64,
     pub report_lines_per_s: f64,
     /// The fewest connections that a server accepts; infinite where that is not told.
--- a/src/rules/arcs.rs
+++ b/src/rules/arcs.rs
@@ -19,12 +19,14 @@
     (x * STEPS).round() / STEPS
 }
 
-/// Says which part of a zone's demand goes where: home first, the rest by room. All are shares of the whole.
-fn flows_of(zone: ZoneId, demand: &Shares, room: &Shares, slack: f64) -> Shares {
+/// Says which part of a zone's demand goes where, in so many steps: home first, the rest by room. All are shares of the
+/// whole.
+fn flows_of(zone: ZoneId, demand: &Shares, room: &Shares, slack: f64, steps: f64) -> Shares {
+    let in_steps = |x: f64| (x * steps).round() / steps;
     let room_of = |z: &ZoneId| room.get(z).copied().unwrap_or(0.0) * (1.0 + slack);
     let wanted = |z: &ZoneId| demand.get(z).copied().unwrap_or(0.0);
     let home = (room_of(&zone) / wanted(&zone).max(1e-9)).min(1.0);
-    if home > 1.0 - 0.5 / STEPS {
+    if home > 1.0 - 0.5 / steps {
         return Shares::from([(zone, 1.0)]);
     }
     let left: Vec<_> = room.keys().map(|z| (*z, (room_of(z) - wanted(z)).max(0.0))).collect();
@@ -104,7 +106,7 @@
             for (id, p) in laid {
                 let flows = match group.like.own_zone {
                     true => Shares::from([(p.zone, 1.0)]),
-                    false => flows_of(zone_of(p.zone), &demand, &room, slack),
+                    false => flows_of(zone_of(p.zone), &demand, &room, slack, self.means.flow_steps),
                 };
                 let wanted = (mean_lines * p.sized_per_s / mean_per_s).max(least_lines);
                 let mut arcs: Vec<(Lines, f64)> = Vec::new();
--- a/src/rules/demand.rs
+++ b/src/rules/demand.rs
@@ -41,7 +41,11 @@
 
     /// The zones' shares of the demand, held until one is well off.
     pub(super) fn zones_held(&mut self, zone_of: impl Fn(ZoneId) -> ZoneId) -> Shares {
-        let all: f64 = self.proxies.values().map(|p| p.met_per_s).sum::<f64>().max(1e-9);
+        let all: f64 = self.proxies.values().map(|p| p.met_per_s).sum();
+        // Where nobody brings anything, what was known before holds.
+        if all <= 0.0 {
+            return self.zones.clone();
+        }
         let mut met = Shares::new();
         for p in self.proxies.values() {
             *met.entry(zone_of(p.zone)).or_insert(0.0) += p.met_per_s / all;
