Where a courier's share of the slack is under one token, further tries are paid again

A bucket was bound to one token there, and what is above the share leaks: when a try had ended, there was always a little less than one, so nothing was ever paid. With a slack of 64 that is so from 45 couriers on.

Up to two tokens are saved now. What is above the share leaks as before, so it is backed by requests of the same window; the property test over all couriers' windows holds as it was.

--- a/crates/rookpulley-round/src/budget.rs
+++ b/crates/rookpulley-round/src/budget.rs
@@ -7,8 +7,8 @@
 /// its start plus what came in during it: the first is bounded by a share of 0.7 of the slack, the second is
 /// 0.8 of `ratio` for each request, and both add up over couriers to less than what is allowed. The rest
 /// is left for sends that arrive in a later window than they were paid in, and for couriers not counted yet.
-/// Where a share is less than one token, up to one can still be saved, but what is above the share leaks away
-/// within seconds: it is then backed by requests of the same window.
+/// Where a share is less than one token, up to two can still be saved, so that one is left when a try has ended, but
+/// what is above the share leaks away within seconds: it is then backed by requests of the same window.
 #[derive(Clone, Debug)]
 pub struct Budget {
     tokens: f64,
@@ -21,6 +21,8 @@
 
 /// How fast tokens above the share are lost: by a factor of e in so many ms.
 const LEAK_MS: f64 = 2_000.0;
+/// With one token at most, the leak left less than one to any try that took time: nothing was ever paid.
+const SAVED: f64 = 2.0;
 
 impl Budget {
     /// `ratio` and `slack` as the users state them for all couriers together.
@@ -70,7 +72,7 @@
     }
 
     fn bound(&mut self) {
-        self.tokens = self.tokens.min(self.share.unwrap_or(0.0).max(1.0));
+        self.tokens = self.tokens.min(self.share.filter(|share| *share >= 1.0).unwrap_or(SAVED));
     }
 
     fn leak(&mut self, now_ms: f64) {
