Revisions that follow each other faster than they are judged share a verdict in the gateway

A revision is judged 4 s after its push. A task that enters makes another one each second till it is warm, and the drain of the one that it replaces one more; each began the trial anew, and took the failures of the tasks that had just come for the level to measure by. So no revision of a release was ever tainted, however bad.

A push while an earlier revision is on trial now leaves that trial as it is, with its level; if it fails, all that were published since go with it, and the newest that passed its trial is published. In service nothing changes: the desk alone asks for it. Where the new tasks are still ramping when the verdict falls, the next step of the ramp is a new revision and brings them back, as before.

Tried first and left out: only the level of the first, each trial anew. Tainted one revision every 4 s, from the newest back, and reached the sound one after the release had gone on.

--- a/crates/rookpulley-sorting/src/module.rs
+++ b/crates/rookpulley-sorting/src/module.rs
@@ -103,6 +103,8 @@
         means: Means {
             report_period_ms: 1_000.0,
             conns_least: if most > 0.0 { most } else { f64::INFINITY },
+            // A task that enters makes a revision a second till it is warm, so none of a release is ever judged.
+            verdicts_shared: true,
             ..Means::default()
         },
         load_fields: Vec::new(),
--- a/crates/rookpulley-sorting/tests/desk.rs
+++ b/crates/rookpulley-sorting/tests/desk.rs
@@ -148,9 +148,13 @@
 
     /// Each courier reports tries at all that it holds.
     fn report(&mut self, tries: u32, bad: u32) {
+        self.report_of(tries, |_| bad);
+    }
+
+    fn report_of(&mut self, tries: u32, bad: impl Fn(&str) -> u32) {
         for ((courier, service), held) in &self.held {
             let mean_ms = 20.0;
-            let task = |l: &Line| TaskReport { life: l.life.clone(), tries, bad, mean_ms };
+            let task = |l: &Line| TaskReport { life: l.life.clone(), tries, bad: bad(&l.life), mean_ms };
             let tasks: Vec<_> = held.lines.iter().map(task).collect();
             let came = tries * tasks.len() as u32;
             let of = ServiceReport { service: service.clone(), came, bad: 0, tasks };
@@ -298,6 +302,33 @@
     assert!(world.log.iter().any(|text| text.contains("tainted, rolled back")), "{:?}", world.log);
 }
 
+#[test]
+fn revisions_that_follow_each_other_faster_than_any_is_judged_are_tainted_together() {
+    let mut world = World::new(&["a"], 130);
+    let lives: Vec<String> = (0..12).map(|place| world.start("a", place, 0.0)).collect();
+    world.courier_in("c0");
+    for _ in 0..10 {
+        world.report(20, 0);
+        world.steps(10);
+    }
+    let mut bad = BTreeSet::new();
+    for place in 0..3 {
+        bad.insert(world.start("a", 12 + place, 0.0));
+        world.drain(&lives[place]);
+        world.steps(10);
+        world.report_of(20, |life| if bad.contains(life) { 8 } else { 0 });
+    }
+    let released = world.lives_held("c0", "a");
+    assert!(bad.is_subset(&released) && released.len() == 12, "{released:?}");
+    for _ in 0..4 {
+        world.steps(10);
+        world.report_of(20, |life| if bad.contains(life) { 8 } else { 0 });
+    }
+    let held = world.lives_held("c0", "a");
+    assert_eq!(held, lives[3..].iter().cloned().collect(), "{:?}", world.log);
+    assert!(world.log.iter().any(|text| text.contains("tainted, rolled back")), "{:?}", world.log);
+}
+
 #[test]
 fn one_that_holds_tables_gets_none_from_an_office_that_is_still_settling() {
     let mut world = World::new(&["a"], 130);
--- a/crates/rookpulley-start/src/lib.rs
+++ b/crates/rookpulley-start/src/lib.rs
@@ -194,6 +194,7 @@
             conns_least: family.num_or("min_conn_cap", f64::INFINITY),
             slices: family.num_or("shards", 0.0) as u32,
             single_owner: family.flag("one_owner"),
+            verdicts_shared: false,
         },
         load_fields: load.value["fields"]
             .as_array()
--- a/src/facts.rs
+++ b/src/facts.rs
@@ -151,6 +151,8 @@
     /// 0: no slices; otherwise every slice is a table of its own.
     pub slices: u32,
     pub single_owner: bool,
+    /// Revisions that followed each other faster than any could be judged are judged together.
+    pub verdicts_shared: bool,
 }
 
 /// What the figures of a load report mean, in their order.
--- a/src/rules/gate.rs
+++ b/src/rules/gate.rs
@@ -137,9 +137,15 @@
         (table.bound, table.held) = (true, lines);
         let published = table.recalled().or_else(|| table.newest()).map_or(0, |r| r.name);
         if table.published != published {
-            table.published = published;
-            let mark = self.channel.next_mark;
-            table.trial = Some(Trial { mark, from_ms: now, answered: false, prior_bad });
+            let before = std::mem::replace(&mut table.published, published);
+            // What was never found sound can't vouch for what follows it.
+            if self.means.verdicts_shared && table.trial.is_some() {
+                table.unproven.push(before);
+            } else {
+                table.unproven.clear();
+                let mark = self.channel.next_mark;
+                table.trial = Some(Trial { mark, from_ms: now, answered: false, prior_bad });
+            }
         }
     }
 }
--- a/src/rules/revisions.rs
+++ b/src/rules/revisions.rs
@@ -64,13 +64,16 @@
     /// are struck don't count: one bad server would taint every revision that names it.
     pub(super) fn judge(&mut self, now: f64, gap_ms: f64, zone: ZoneId, fleet: &mut Fleet) -> Option<String> {
         let trial = self.trial.take_if(|t| now >= t.from_ms + gap_ms + TAINT_SPAN_MS)?;
+        let unproven = std::mem::take(&mut self.unproven);
         let met = fleet.met_on(now, zone, &self.held, TAINT_SPAN_MS);
         let (bad, prior) = (met.bad_share(), trial.prior_bad);
         if met.tries < TAINT_TRIES || bad <= TAINT_SHARE || bad <= TAINT_FACTOR * prior {
             return None;
         }
         let (id, was) = (self.id, self.published);
-        self.file(was, Verdict::Failed, Lines::new());
+        for name in unproven.into_iter().chain([was]) {
+            self.file(name, Verdict::Failed, Lines::new());
+        }
         let next = self.recalled().or_else(|| self.newest())?;
         let (sound, to) = (next.standing == Standing::Sound, next.name);
         let what = if sound { "rolled back to" } else { "all tainted, keeps" };
--- a/src/state.rs
+++ b/src/state.rs
@@ -193,6 +193,8 @@
     pub cut: u64,
     pub published: u64,
     pub trial: Option<Trial>,
+    /// Published before it, and replaced before their own trials were over: they share its verdict.
+    pub unproven: Vec<u64>,
     /// What the table holds by the orders that went out.
     pub held: Lines,
     pub bound: bool,
