--- a/crates/rookpulley-drill/src/clients.rs
+++ b/crates/rookpulley-drill/src/clients.rs
@@ -34,6 +34,7 @@
 }
 
 const TRIES: u32 = 4;
+const IMPATIENT_TRIES: u32 = 12;
 
 impl World {
     // ---- the platform -----------------------------------------------------------------------
@@ -192,10 +193,17 @@
         };
         of.ended = Some((now, ended));
         let left = of.until.saturating_sub(now);
-        if !again || of.number >= TRIES || left < 20 * MS {
+        let (impatient, once) = (self.day.shape.impatient, self.day.shape.once);
+        let tries = match (impatient, once) {
+            (_, true) => 1,
+            (true, _) => IMPATIENT_TRIES,
+            _ => TRIES,
+        };
+        if !again || of.number >= tries || left < 20 * MS {
             return;
         }
-        let pause = ((retry_ms * 1e3) as Us).min(left / 3).max(10 * MS);
+        let told = if impatient { 0.0 } else { retry_ms };
+        let pause = ((told * 1e3) as Us).min(left / 3).max(10 * MS);
         let next = Try { number: of.number + 1, read_us: None, ended: None, ..of.clone() };
         self.record.tries.push(next);
         let next = self.record.tries.len() - 1;
--- a/crates/rookpulley-drill/src/couriers.rs
+++ b/crates/rookpulley-drill/src/couriers.rs
@@ -8,7 +8,7 @@
 use rand::RngExt;
 use rookpulley_round::{Fate, Pick};
 use rookpulley_satchel::{Back, Effect, Go, Head, How, Journey, Leaving, Satchel, Then, Way, worth};
-use rookpulley_waybill::{Down, Frames, Line as TableLine, frame};
+use rookpulley_waybill::{Down, Frames, Line as TableLine, Report, TaskReport, Up, frame};
 use std::collections::{BTreeMap, HashMap};
 use std::net::Ipv4Addr;
 use std::rc::Rc;
@@ -148,7 +148,10 @@
                 }
                 self.after(0, me, What::Dial(ip));
             }
-            Effect::Say(ip, up) => {
+            Effect::Say(ip, mut up) => {
+                if let Up::Report(report) = &mut up {
+                    self.spoil_report(report);
+                }
                 let line = self.courier(process).and_then(|courier| courier.dialers.get(&ip)?.line);
                 line.into_iter().for_each(|line| self.send_line(line, 0, frame(&up)));
             }
@@ -164,6 +167,21 @@
         }
     }
 
+    fn spoil_report(&self, report: &mut Report) {
+        for of in &mut report.services {
+            match self.mutation {
+                Some(Mutation::FailuresUntold) => of.tasks.iter_mut().for_each(|task| task.bad = 0),
+                Some(Mutation::FailuresSpread) => {
+                    let (bad, tries) =
+                        of.tasks.iter().fold((0, 0), |(b, t), task| (b + task.bad, t + task.tries));
+                    let part = |task: &TaskReport| (task.tries * bad).div_ceil(tries.max(1));
+                    of.tasks.iter_mut().for_each(|task| task.bad = part(task));
+                }
+                _ => {}
+            }
+        }
+    }
+
     pub fn courier_ready(&self, machine: usize) -> bool {
         let process = &self.processes[self.process_of(machine, false)];
         !process.asleep && matches!(&process.core, Some(Core::Courier(courier)) if courier.satchel.ready())
@@ -290,8 +308,22 @@
         let ip = self.machines[self.processes[of.ends[1].0].machine].ip;
         let mut frames = Frames::default();
         frames.push(&bytes);
-        let Ok(Some(down)) = frames.take::<Down>() else { return };
+        let Ok(Some(mut down)) = frames.take::<Down>() else { return };
+        if let Down::Table { lines, .. } = &mut down {
+            let zone = format!("zone-{}", self.machines[self.processes[process].machine].zone);
+            let near = lines.iter().any(|line| line.zone == zone);
+            match self.mutation {
+                Some(Mutation::OwnZoneAlone) if near => lines.retain(|line| line.zone == zone),
+                Some(Mutation::TaintedBare) if self.log.iter().any(|line| line.contains("all tainted")) => {
+                    lines.clear();
+                }
+                _ => {}
+            }
+        }
         let missed = match (&down, self.mutation) {
+            (Down::Table { .. }, Some(Mutation::TablesMissed)) => {
+                self.now > 5 * S && self.courier(process).is_some_and(|courier| courier.satchel.ready())
+            }
             (Down::Gone { .. } | Down::Table { .. }, Some(Mutation::DrainsUnheard)) => {
                 self.now > 3 * S && self.courier(process).is_some_and(|courier| courier.satchel.ready())
             }
@@ -323,9 +355,14 @@
                 dialer.pause = PAUSE;
             }
         }
+        let alone = self.mutation == Some(Mutation::AloneTakesAll)
+            && self.courier(process).is_some_and(|c| c.dialers.values().all(|dialer| dialer.line.is_none()));
         self.with_satchel(process, |satchel, now| {
             satchel.lost(ip);
             satchel.choose_home(now);
+            if alone {
+                satchel.take_couriers(now + 1e9, 1);
+            }
         });
         self.courier_dials_again(process, ip);
     }
@@ -370,9 +407,21 @@
         if self.mutation == Some(Mutation::PromisesAll) && matches!(told.status, 502 | 504) {
             told.status = 503;
         }
+        if self.mutation == Some(Mutation::NoTimeTold) {
+            told.retry_after_ms = None;
+        }
+        let mut late = 0;
+        if told.status == 503 && self.mutation == Some(Mutation::RefusedLate) {
+            let of = &self.record.tries[try_];
+            late = (of.sent_us + of.deadline).saturating_sub(self.now + 30 * MS);
+        }
         self.courier(process).into_iter().for_each(|courier| _ = courier.works.remove(&try_));
         let from = self.host_of(process);
-        self.post(from, Host::Outside(0), None, What::ClientAnswer { try_, answer: told });
+        let what = What::ClientAnswer { try_, answer: told };
+        match late {
+            0 => self.post(from, Host::Outside(0), None, what),
+            late => self.after(late, None, what),
+        }
     }
 
     fn go(&mut self, process: usize, request: usize) {
@@ -386,8 +435,12 @@
         match go {
             Go::Tell(tell) => self.tell(process, request, Told::own(tell.status, tell.retry_after_ms)),
             Go::Try { pick, to, turn_ms } => {
-                self.with_work(process, request, |work, _, now| {
+                let uncounted = self.mutation == Some(Mutation::NothingCounted);
+                self.with_work(process, request, |work, satchel, now| {
                     (work.pick, work.to, work.began_ms) = (Some(pick), Some(to), now);
+                    if uncounted {
+                        work.pick.take().into_iter().for_each(|pick| satchel.post.left(pick));
+                    }
                     (work.leaving, work.left, work.wire) = (Leaving::default(), false, None);
                 });
                 let us = ((turn_ms - clock).max(0.0) * 1e3) as Us;
@@ -614,10 +667,15 @@
 
     fn ended(&mut self, process: usize, request: usize, how: How, passed: Option<Told>) {
         let status = passed.as_ref().map(|told| told.status);
+        let nothing_learnt = self.mutation == Some(Mutation::NothingLearnt);
         let then = self.with_work(process, request, |work, satchel, now| {
             let way: &Way = work.journey.way();
             let (service, life) = (way.service.clone(), work.to.as_ref().map(|to| to.life.clone()));
             let forget = match work.pick.take() {
+                Some(pick) if nothing_learnt => {
+                    satchel.post.left(pick);
+                    false
+                }
                 Some(pick) => satchel.tried(&service, pick, how, work.began_ms, now),
                 None => false,
             };
--- a/crates/rookpulley-drill/src/day.rs
+++ b/crates/rookpulley-drill/src/day.rs
@@ -2,6 +2,7 @@
 
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
+use rookpulley_addressbook::RouteKind;
 use std::fmt;
 
 /// The first configuration and the tasks' first beats are given so long before traffic; after the last trouble the
@@ -105,6 +106,29 @@
         how: BadTask,
         ms: u64,
     },
+    /// The same of these places alone.
+    BadPlaces {
+        places: Vec<usize>,
+        how: BadTask,
+        ms: u64,
+    },
+    /// So many tasks of a service are replaced, one after the other: another begins at a new address, and the oldest
+    /// drains for good. `bad`: how the new ones answer.
+    Release {
+        service: usize,
+        count: u32,
+        pause_ms: u64,
+        bad: Option<BadTask>,
+    },
+    /// Tasks of these places end, and their addresses go to another service's at once.
+    PassOn {
+        places: Vec<usize>,
+    },
+    /// These machines and all others don't hear each other; tasks and clients they reach.
+    CutOffices {
+        machines: Vec<usize>,
+        ms: u64,
+    },
     /// Clients come that much more often.
     Burst {
         times: u32,
@@ -112,6 +136,10 @@
     },
     /// The operator changes the configuration.
     Change,
+    /// The routes of a kind get another service as their only target.
+    Retarget {
+        kind: RouteKind,
+    },
     /// Two operators change it at the same moment at two offices.
     Race,
     /// Several changes, one right after the other.
@@ -150,6 +178,29 @@
     /// They turn most requests away.
     Sheds,
     Fails,
+    /// Two requests of five fail.
+    Errs,
+    /// All fail, in no time.
+    Quick,
+}
+
+/// What is unlike other days: drawn days have nothing of it.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Shape {
+    /// Clients that are refused come again at once, whatever they are told, and more often.
+    pub impatient: bool,
+    /// Clients never come a second time.
+    pub once: bool,
+    /// The first zone has a tenth of the tasks. It has as many clients as any other.
+    pub lopsided: bool,
+    /// What tasks take for a request; otherwise 4 to 30 ms, each its own.
+    pub work_ms: Option<(u64, u64)>,
+    /// What they do at once; otherwise two to six, each its own.
+    pub slots: Option<usize>,
+    /// Tasks are never cold.
+    pub warm: bool,
+    /// The tries that routes allow; otherwise one to three, each its own.
+    pub attempts: Option<u32>,
 }
 
 #[derive(Clone, Debug, PartialEq)]
@@ -168,6 +219,7 @@
     pub retry_slack: f64,
     /// Processes stand still for a moment now and then, as on a shared core.
     pub held_up: bool,
+    pub shape: Shape,
     pub length_ms: u64,
     /// By when it happens.
     pub happens: Vec<(u64, Happens)>,
@@ -192,6 +244,7 @@
             retry_ratio: if rng.random_range(0..2u32) == 0 { 0.1 } else { 0.2 },
             retry_slack: f64::from(rng.random_range(4..=64u32)),
             held_up: rng.random_range(0..3u32) == 0,
+            shape: Shape::default(),
             length_ms,
             happens: Vec::new(),
         };
@@ -254,6 +307,27 @@
         day
     }
 
+    /// A day of a middling gateway to which nothing happens yet.
+    pub fn calm(seed: u64) -> Day {
+        Day {
+            seed,
+            offices: 3,
+            couriers: 8,
+            zones: 2,
+            losses: 1,
+            services: 1,
+            tasks: 8,
+            rate: 160,
+            apps: 0,
+            retry_ratio: 0.2,
+            retry_slack: 20.0,
+            held_up: false,
+            shape: Shape::default(),
+            length_ms: 16_000,
+            happens: Vec::new(),
+        }
+    }
+
     fn draw_trouble(&self, rng: &mut ChaCha8Rng) -> Happens {
         let any = rng.random_range(0..self.couriers);
         let core = rng.random_range(0..self.offices);
--- a/crates/rookpulley-drill/src/hunt.rs
+++ b/crates/rookpulley-drill/src/hunt.rs
@@ -44,7 +44,7 @@
                     let day = Day::draw(seed);
                     let mut played = play(&day, mutation);
                     if let Some(mutation) = mutation {
-                        played.breaches.retain(|breach| breach.rule == mutation.breaks());
+                        played.breaches.retain(|breach| Some(breach.rule) == mutation.breaks());
                     }
                     let Ok(mut all) = all.lock() else { return };
                     all.days += 1;
--- a/crates/rookpulley-drill/src/lib.rs
+++ b/crates/rookpulley-drill/src/lib.rs
@@ -18,13 +18,15 @@
 mod offices;
 mod operator;
 mod record;
+mod seen;
 mod tasks;
 mod troubles;
 mod world;
 
-pub use day::{Day, Happens};
+pub use day::{BadTask, Closing, Day, Happens, Shape};
 pub use hunt::{Found, Hunted, hunt, shrink};
 pub use judge::{Breach, Rule};
+pub use seen::{Arrived, Asked, Refused, Seen};
 pub use world::{Mutation, Played, play};
 
 /// Simulated time, in microseconds.
--- a/crates/rookpulley-drill/src/operator.rs
+++ b/crates/rookpulley-drill/src/operator.rs
@@ -69,6 +69,7 @@
         }
         let timeout_ms = self.rng.random_range(600..2_500);
         let attempts = self.rng.random_range(1..=3);
+        let attempts = self.day.shape.attempts.unwrap_or(attempts);
         Route { name, host, prefix, kind, timeout_ms, attempts, targets }
     }
 
@@ -150,6 +151,15 @@
                 let config = self.change();
                 self.put(config, true, None);
             }
+            Some(Happens::Retarget { kind }) => {
+                for route in self.operator.routes.iter_mut().filter(|route| route.kind == kind) {
+                    let (service, _) = route.targets[0];
+                    route.targets = vec![((service + 1) % self.day.services, 100)];
+                }
+                self.operator.newest += 1;
+                let (version, routes) = (self.operator.newest, self.operator.routes.clone());
+                self.put(Config { version, routes, services: self.day.services }, true, None);
+            }
             Some(Happens::Race) => {
                 let core = self.callable();
                 for machine in [core[0], core[core.len() - 1]] {
--- /dev/null
+++ b/crates/rookpulley-drill/src/seen.rs
@@ -0,0 +1,106 @@
+//! What of a day tells whether a mechanism did its work: what was served, refused and sent, and when.
+
+use crate::MS;
+use crate::record::{Ended, Record};
+use rookpulley_addressbook::RouteKind;
+use std::collections::BTreeMap;
+
+/// A client's request with all its tries.
+#[derive(Clone, Debug)]
+pub struct Asked {
+    pub at_ms: u64,
+    pub kind: RouteKind,
+    pub zone: usize,
+    pub tries: u32,
+    /// No route led anywhere: whoever asks for what was dropped gets that.
+    pub unknown: bool,
+    pub served_ms: Option<u64>,
+}
+
+/// A try that was told 503.
+#[derive(Clone, Copy, Debug)]
+pub struct Refused {
+    pub at_ms: u64,
+    pub took_ms: u64,
+    /// When its client is to come back.
+    pub again_ms: Option<f64>,
+}
+
+/// A try at a task.
+#[derive(Clone, Copy, Debug)]
+pub struct Arrived {
+    pub at_ms: u64,
+    pub service: usize,
+    pub place: usize,
+    pub machine: usize,
+    /// Of its request, it was not the first.
+    pub further: bool,
+    /// Another life was meant.
+    pub stranger: bool,
+    pub ran: bool,
+    /// The task's answer; 0: none, or it turned the try away.
+    pub status: u16,
+}
+
+#[derive(Clone, Debug, Default)]
+pub struct Seen {
+    pub asked: Vec<Asked>,
+    pub refused: Vec<Refused>,
+    pub arrived: Vec<Arrived>,
+}
+
+impl Seen {
+    pub(crate) fn of(record: &Record) -> Seen {
+        let mut asked: BTreeMap<usize, Asked> = BTreeMap::new();
+        let mut refused = Vec::new();
+        for of in &record.tries {
+            let at_ms = of.sent_us / MS;
+            let (kind, zone) = (of.kind, of.zone);
+            let fresh = Asked { at_ms, kind, zone, tries: 0, unknown: false, served_ms: None };
+            let one = asked.entry(of.request).or_insert(fresh);
+            one.tries += 1;
+            one.unknown |= of.status() == 404;
+            if of.served() {
+                one.served_ms = Some(of.ended_us() / MS);
+            }
+            if let Some((at, Ended::Told(told))) = &of.ended
+                && told.status == 503
+            {
+                let (took_ms, again_ms) = ((at - of.sent_us) / MS, told.retry_after_ms);
+                refused.push(Refused { at_ms: at / MS, took_ms, again_ms });
+            }
+        }
+        let mut known: BTreeMap<usize, u32> = BTreeMap::new();
+        let arrived = record.arrivals.iter().map(|of| {
+            let count = known.entry(of.request).or_default();
+            *count += 1;
+            Arrived {
+                at_ms: of.at / MS,
+                service: of.service,
+                place: of.task,
+                machine: of.machine,
+                further: *count > 1,
+                stranger: of.stranger,
+                ran: of.ran.is_some(),
+                status: of.ran.as_ref().map_or(0, |run| run.status),
+            }
+        });
+        Seen { arrived: arrived.collect(), asked: asked.into_values().collect(), refused }
+    }
+
+    /// The part that was served of what came from then to then, as far as it fits.
+    pub fn share(&self, from_ms: u64, to_ms: u64, fits: impl Fn(&Asked) -> bool) -> f64 {
+        let within = |of: &&Asked| (from_ms..to_ms).contains(&of.at_ms) && !of.unknown && fits(of);
+        let (served, all) = self
+            .asked
+            .iter()
+            .filter(within)
+            .fold((0, 0), |(served, all), of| (served + usize::from(of.served_ms.is_some()), all + 1));
+        served as f64 / f64::max(f64::from(all), 1.0)
+    }
+
+    /// What came to tasks from then to then.
+    pub fn came(&self, from_ms: u64, to_ms: u64) -> impl Iterator<Item = &Arrived> {
+        self.arrived.iter().filter(move |of| (from_ms..to_ms).contains(&of.at_ms))
+    }
+}
--- a/crates/rookpulley-drill/src/tasks.rs
+++ b/crates/rookpulley-drill/src/tasks.rs
@@ -3,7 +3,7 @@
 
 use crate::callers::{Call, Who};
 use crate::clients::hash;
-use crate::day::BadTask;
+use crate::day::{BadTask, Happens};
 use crate::net::Host;
 use crate::offices::{DRAIN_MS, HEARTBEAT_MS};
 use crate::record::{Arrival, Drain, Run};
@@ -84,6 +84,8 @@
     waiting: VecDeque<Job>,
     pub bad: Option<BadTask>,
     drained: bool,
+    /// It is to drain, and nothing comes after it.
+    retires: bool,
 }
 
 #[derive(Default)]
@@ -104,30 +106,72 @@
 impl World {
     pub fn begin_tasks(&mut self) {
         for place in 0..self.day.tasks {
-            let task = Task {
-                zone: self.rng.random_range(0..self.day.zones),
-                address: SocketAddrV4::new(Ipv4Addr::new(10, 128, 0, place as u8 + 1), 8_080),
-                service: place % self.day.services,
-                life: 0,
-                state: State::Down,
-                slots: self.rng.random_range(2..=6),
-                queue: self.rng.random_range(1..=4),
-                most_wires: MOST_WIRES,
-                wires: 0,
-                work_us: self.rng.random_range(4..30u64) * MS,
-                cold_until: 0,
-                sequence: 0,
-                running: Vec::new(),
-                waiting: VecDeque::new(),
-                bad: None,
-                drained: false,
-            };
-            self.tasks.push(task);
+            self.add_place(place % self.day.services);
             let us = self.rng.random_range(100..900u64) * MS;
             self.after(us, None, What::TaskStarts { task: place });
         }
     }
 
+    fn add_place(&mut self, service: usize) -> usize {
+        let place = self.tasks.len();
+        let shape = self.day.shape.clone();
+        let mut zone = self.rng.random_range(0..self.day.zones);
+        if shape.lopsided {
+            zone = if place.is_multiple_of(10) { 0 } else { 1 + place % (self.day.zones - 1) };
+        }
+        let slots = self.rng.random_range(2..=6);
+        let queue = self.rng.random_range(1..=4);
+        let (least, most) = shape.work_ms.unwrap_or((4, 30));
+        self.tasks.push(Task {
+            zone,
+            address: SocketAddrV4::new(Ipv4Addr::new(10, 128, 0, place as u8 + 1), 8_080),
+            service,
+            life: 0,
+            state: State::Down,
+            slots: shape.slots.unwrap_or(slots),
+            queue,
+            most_wires: MOST_WIRES,
+            wires: 0,
+            work_us: self.rng.random_range(least..most) * MS,
+            cold_until: 0,
+            sequence: 0,
+            running: Vec::new(),
+            waiting: VecDeque::new(),
+            bad: None,
+            drained: false,
+            retires: false,
+        });
+        place
+    }
+
+    /// A task begins at an address of its own, and the oldest of its service drains.
+    pub fn release(&mut self, service: usize, count: u32, pause_ms: u64, bad: Option<BadTask>) {
+        if count == 0 || self.tasks.len() >= 200 {
+            return;
+        }
+        let of = |task: &Task| task.service == service && task.state == State::Up && !task.retires;
+        if let Some(oldest) = self.tasks.iter().position(of) {
+            self.tasks[oldest].retires = true;
+            self.after(100 * MS, None, What::TaskRetires { task: oldest });
+        }
+        let place = self.add_place(service);
+        self.tasks[place].bad = bad;
+        self.after(0, None, What::TaskStarts { task: place });
+        let rest = Happens::Release { service, count: count - 1, pause_ms, bad };
+        self.after(pause_ms * MS, None, What::Goes(rest));
+    }
+
+    /// The life at a place ends, and another service has its address at once.
+    pub fn pass_on(&mut self, task: usize) {
+        if self.tasks[task].state == State::Down {
+            return;
+        }
+        let life = self.tasks[task].life;
+        self.end_life(task, life, Some(false));
+        self.tasks[task].service = (self.tasks[task].service + 1) % self.day.services;
+        self.after(20 * MS, None, What::TaskStarts { task });
+    }
+
     pub fn place_of(&self, address: SocketAddrV4) -> Option<usize> {
         let place = usize::from(address.ip().octets()[3]).checked_sub(1)?;
         (place < self.tasks.len()).then_some(place)
@@ -138,7 +182,7 @@
         let cold = self.rng.random_range(0..3_000u64) * MS;
         let of = &mut self.tasks[task];
         (of.life, of.state, of.sequence) = (life, State::Up, 0);
-        of.cold_until = if now < 2 * S { 0 } else { now + cold };
+        of.cold_until = if now < 2 * S || self.day.shape.warm { 0 } else { now + cold };
         (of.wires, of.drained) = (0, false);
         self.record.life(life_name(task, life), of.service);
         let text = format!("task {task}: {} of {}", life_name(task, life), service_name(of.service));
@@ -229,10 +273,25 @@
 
     /// `crash`: not in order, and whether its connections end without a word.
     pub fn task_ends(&mut self, task: usize, life: u64, crash: Option<bool>) {
-        let of = &mut self.tasks[task];
-        if of.life != life || of.state == State::Down {
+        if self.tasks[task].life != life || self.tasks[task].state == State::Down {
             return;
         }
+        self.end_life(task, life, crash);
+        if self.tasks[task].retires {
+            return;
+        }
+        // Its address may be another service's next, after a while.
+        let us = 2 * S + self.rng.random_range(0..1_000u64) * MS;
+        let service = self.tasks[task].service;
+        let others = self.tasks.iter().filter(|of| of.service == service).count() > 1;
+        if others && self.chance(2) {
+            self.tasks[task].service = self.rng.random_range(0..self.day.services);
+        }
+        self.after(us, None, What::TaskStarts { task });
+    }
+
+    fn end_life(&mut self, task: usize, life: u64, crash: Option<bool>) {
+        let of = &mut self.tasks[task];
         of.state = State::Down;
         let name = life_name(task, life);
         let jobs: Vec<Job> = of.running.drain(..).chain(of.waiting.drain(..)).collect();
@@ -245,14 +304,6 @@
         } else {
             jobs.iter().for_each(|job| self.record.arrivals[job.arrival].broke_off = true);
         }
-        // Its address may be another service's next, after a while.
-        let us = 2 * S + self.rng.random_range(0..1_000u64) * MS;
-        let service = self.tasks[task].service;
-        let others = self.tasks.iter().filter(|of| of.service == service).count() > 1;
-        if others && self.chance(2) {
-            self.tasks[task].service = self.rng.random_range(0..self.day.services);
-        }
-        self.after(us, None, What::TaskStarts { task });
     }
 
     pub fn crash(&mut self, task: usize, silent: bool) {
@@ -373,6 +424,9 @@
         let mut us = self.tasks[task].work_us;
         us = us / 2 + self.rng.random_range(0..us);
         let of = &self.tasks[task];
+        if of.bad == Some(BadTask::Quick) {
+            us = MS;
+        }
         if now < of.cold_until {
             us *= 3;
         }
@@ -410,7 +464,12 @@
         let bad = of.bad;
         self.next_job(task);
         let late = now >= job.until;
-        let fails = late || (bad == Some(BadTask::Fails) && !self.chance(3)) || self.chance(500);
+        let fails =
+            late || match bad {
+                Some(BadTask::Fails) => !self.chance(3),
+                Some(BadTask::Errs) => self.rng.random_range(0..5u32) < 2,
+                bad => bad == Some(BadTask::Quick),
+            } || self.chance(500);
         let status = if late {
             504
         } else if fails {
--- a/crates/rookpulley-drill/src/troubles.rs
+++ b/crates/rookpulley-drill/src/troubles.rs
@@ -19,6 +19,11 @@
 impl World {
     pub fn happens(&mut self, index: usize) {
         let Some((_, happens)) = self.day.happens.get(index).cloned() else { return };
+        self.goes(happens, index);
+    }
+
+    /// `index`: its place in the day, for what the operator does.
+    pub fn goes(&mut self, happens: Happens, index: usize) {
         self.say(|| format!("-- {happens:?}"));
         match happens {
             Happens::Kill { machine, power, down_ms } => self.kill(machine, (true, true), power, down_ms),
@@ -97,12 +102,36 @@
                 let number = self.number();
                 self.heals_in(ms, number, Heals::Tasks(service));
             }
+            Happens::BadPlaces { places, how, ms } => {
+                self.unplanned(ms);
+                places.into_iter().for_each(|place| self.tasks[place].bad = Some(how));
+                let number = self.number();
+                self.heals_in(ms, number, Heals::Tasks(0));
+            }
+            Happens::Release { service, count, pause_ms, bad } => {
+                if bad.is_some() {
+                    self.unplanned(3_000);
+                }
+                self.release(service, count, pause_ms, bad);
+            }
+            Happens::PassOn { places } => {
+                self.unplanned(0);
+                places.into_iter().for_each(|place| self.pass_on(place));
+            }
+            Happens::CutOffices { machines, ms } => {
+                let others = (0..self.machines.len()).filter(|machine| !machines.contains(machine));
+                let others: BTreeSet<Host> = others.map(Host::Machine).collect();
+                let these = machines.into_iter().map(Host::Machine).collect();
+                self.cut(&these, &others, ms);
+                self.cut(&others, &these, ms);
+            }
             Happens::Burst { times, ms } => {
                 self.unplanned(ms + 5_000);
                 self.burst = (times, self.now + ms * MS);
             }
             Happens::Closing { .. }
             | Happens::Change
+            | Happens::Retarget { .. }
             | Happens::Race
             | Happens::Storm { .. }
             | Happens::Invalid
--- a/crates/rookpulley-drill/src/world.rs
+++ b/crates/rookpulley-drill/src/world.rs
@@ -11,6 +11,7 @@
 use crate::offices::OfficeProcess;
 use crate::operator::Operator;
 use crate::record::Record;
+use crate::seen::Seen;
 use crate::tasks::Task;
 use crate::{MS, S, Us};
 use rand::{RngExt, SeedableRng};
@@ -51,6 +52,28 @@
     LocksShort,
     /// A courier ends at SIGTERM with requests at work.
     EndsAtOnce,
+
+    // What these spoil is no rule: `tests/round.rs` sees it in what is served, refused and sent.
+    /// Couriers report no failure of a task.
+    FailuresUntold,
+    /// Couriers report the failures of one task as those of all.
+    FailuresSpread,
+    /// Couriers learn nothing from how a try ended.
+    NothingLearnt,
+    /// The same, and they don't know what they have under way: all tasks look alike.
+    NothingCounted,
+    /// A courier that is out of touch with all offices takes the whole slack for its own.
+    AloneTakesAll,
+    /// Refusals name no time to come back.
+    NoTimeTold,
+    /// Refusals come when the request's time is over.
+    RefusedLate,
+    /// Couriers use the tasks of their own zone alone, where there are any.
+    OwnZoneAlone,
+    /// Offices give out no line of a table whose revisions are all tainted.
+    TaintedBare,
+    /// Couriers take no table after their first ones.
+    TablesMissed,
 }
 
 impl Mutation {
@@ -74,9 +97,9 @@
 }
 
 impl Mutation {
-    /// The rule that it breaks.
-    pub fn breaks(self) -> Rule {
-        match self {
+    /// The rule that it breaks, if it breaks one.
+    pub fn breaks(self) -> Option<Rule> {
+        let rule = match self {
             Mutation::BrokenIsUnsent => Rule::Twice,
             Mutation::PromisesAll | Mutation::RefusedAfterAll => Rule::Refused,
             Mutation::AnyAnswer => Rule::Mixed,
@@ -89,7 +112,9 @@
             Mutation::ReadsAlone => Rule::Stale,
             Mutation::LocksShort => Rule::One,
             Mutation::EndsAtOnce => Rule::Lost,
-        }
+            _ => return None,
+        };
+        Some(rule)
     }
 }
 
@@ -101,6 +126,8 @@
     pub requests: usize,
     pub served: usize,
     pub calls: usize,
+    /// What clients and tasks saw.
+    pub seen: Seen,
     /// The last lines that were logged.
     pub log: VecDeque<String>,
 }
@@ -134,6 +161,7 @@
     TaskLeaves { task: usize, life: u64 },
     TaskEnds { task: usize, life: u64, crash: Option<bool> },
     TaskStarts { task: usize },
+    TaskRetires { task: usize },
     Client,
     Send(usize),
     ClientAnswer { try_: usize, answer: crate::clients::Told },
@@ -148,6 +176,7 @@
     ReadBack,
     AppsEnd,
     Happens(usize),
+    Goes(crate::day::Happens),
     Heal(u64),
     Start { machine: usize, office: bool, courier: bool },
     Wake { process: usize },
@@ -234,6 +263,7 @@
         requests: world.record.tries.len(),
         served: world.record.tries.iter().filter(|t| t.served()).count(),
         calls: world.record.calls.len(),
+        seen: Seen::of(&world.record),
         log: world.log,
     }
 }
@@ -463,6 +493,7 @@
             What::TaskLeaves { task, life } => self.task_leaves(task, life),
             What::TaskEnds { task, life, crash } => self.task_ends(task, life, crash),
             What::TaskStarts { task } => self.task_starts(task),
+            What::TaskRetires { task } => self.drain(task),
             What::Client => self.client_comes(),
             What::Send(try_) => self.client_sends(try_),
             What::ClientAnswer { try_, answer } => self.client_hears(try_, answer),
@@ -477,6 +508,7 @@
             What::ReadBack => self.read_back(),
             What::AppsEnd => self.apps_end(),
             What::Happens(index) => self.happens(index),
+            What::Goes(happens) => self.goes(happens, usize::MAX),
             What::Heal(number) => self.heal(number),
             What::Start { machine, office, courier } => self.start_again(machine, office, courier),
             What::Wake { process } => self.wake(process),
--- a/crates/rookpulley-drill/tests/days.rs
+++ b/crates/rookpulley-drill/tests/days.rs
@@ -34,7 +34,7 @@
 #[test]
 fn a_day_that_fails_is_shrunk_to_what_it_needs() {
     let mutation = Some(Mutation::SyncLeftOut);
-    let rule = Mutation::SyncLeftOut.breaks();
+    let rule = Mutation::SyncLeftOut.breaks().unwrap();
     let found = hunt(0..40, 4, mutation).found.unwrap();
     let (day, _) = shrink(&found.day, rule, mutation);
     // What was not synced is lost with the power alone.
