--- a/crates/rookpulley-sorting/tests/desk.rs
+++ b/crates/rookpulley-sorting/tests/desk.rs
@@ -312,9 +312,9 @@
         world.steps(10);
     }
     let mut bad = BTreeSet::new();
-    for place in 0..3 {
+    for (place, oldest) in lives.iter().enumerate().take(3) {
         bad.insert(world.start("a", 12 + place, 0.0));
-        world.drain(&lives[place]);
+        world.drain(oldest);
         world.steps(10);
         world.report_of(20, |life| if bad.contains(life) { 8 } else { 0 });
     }
