What a pick and a revision cost by the size of the fleet, and a pick's steps counted

The design says that a pick touches its table's lines alone; nothing showed it, and nobody had figures by size.

Each line that is looked at draws one number, so a test counts the steps of a pick by what it drew.

--- a/crates/rookpulley-round/tests/picks.rs
+++ b/crates/rookpulley-round/tests/picks.rs
@@ -157,3 +157,23 @@
     }
     assert!(got[0] > 2 * got[1] && got[1] > 50, "{got:?}");
 }
+
+/// Each line that is looked at draws one number, so what was drawn tells the steps of a pick.
+#[test]
+fn a_pick_looks_at_the_lines_of_its_table_alone_and_at_a_few_of_a_long_one() {
+    for (lines, most) in [(3, 3), (24, 24), (32, 32), (64, 64), (110, 40), (2_000, 40)] {
+        let (mut post, seed) = (Post::new("a", 9), 9);
+        // Whatever else is known changes nothing.
+        for other in 0..40 {
+            let of = |number: usize| line(&format!("o{other}-{number}"), "b");
+            post.table(&format!("other{other}"), (0..50).map(of).collect());
+        }
+        post.table("s", (0..lines).map(|number| line(&format!("t{number}"), "a")).collect());
+        let pick = post.pick("s", &round(RouteKind::ReadOnly), RouteKind::ReadOnly, 1.0).unwrap();
+        post.left(pick);
+        let next = post.unit();
+        let mut drawn = Post::new("a", seed);
+        let steps = (0..=2 * most).position(|_| drawn.unit() == next);
+        assert!(steps.is_some_and(|steps| steps <= most && steps >= most.min(8)), "{lines}: {steps:?}");
+    }
+}
--- /dev/null
+++ b/crates/rookpulley-sorting/examples/pick_cost.rs
@@ -0,0 +1,203 @@
+//! What a pick and a revision cost by the size of the fleet: microseconds and allocations, medians of rounds.
+//!
+//!     cargo run --release -p rookpulley-sorting --example pick_cost
+//!
+//! A pick is measured with its end, on the tables that a desk cuts for one courier; beside it, in the same rounds, the
+//! least busy of two tasks drawn from the whole fleet. A revision is what one task more and one less cost the desk,
+//! until all tables that change are cut.
+
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use rookpulley_addressbook::RouteKind;
+use rookpulley_round::{Fate, Post, Round};
+use rookpulley_sorting::{Beat, Desk, Out, Registry, Service};
+use rookpulley_waybill::Line;
+use stats_alloc::{INSTRUMENTED_SYSTEM, Region, StatsAlloc};
+use std::alloc::System;
+use std::collections::{BTreeMap, VecDeque};
+use std::hint::black_box;
+use std::time::Instant;
+
+#[global_allocator]
+static COUNTED: &StatsAlloc<System> = &INSTRUMENTED_SYSTEM;
+
+const ROUNDS: usize = 31;
+/// Few enough for a round to pass between two turns of a busy processor.
+const PICKS: usize = 400;
+const UNDER_WAY: usize = 16;
+
+fn median(mut of: Vec<f64>) -> f64 {
+    of.sort_by(f64::total_cmp);
+    of.get(of.len() / 2).copied().unwrap_or(0.0)
+}
+
+/// Microseconds and allocations.
+fn measured(what: impl FnOnce()) -> (f64, f64) {
+    let (begun, region) = (Instant::now(), Region::new(COUNTED));
+    what();
+    let us = begun.elapsed().as_nanos() as f64 / 1e3;
+    (us, region.change().allocations as f64)
+}
+
+struct Site {
+    now: f64,
+    registry: Registry,
+    desk: Desk,
+    tasks: VecDeque<Beat>,
+    born: usize,
+    tables: BTreeMap<String, Vec<Line>>,
+}
+
+impl Site {
+    fn new(tasks: usize, couriers: usize) -> Site {
+        let mut desk = Desk::new(7);
+        desk.set_services(&[Service { name: "a".into(), max_connections: 610, aim_ms: 250.0 }]);
+        let registry = Registry::new(0.0, 1_500.0, 2_500.0);
+        let (tasks_there, tables) = (VecDeque::new(), BTreeMap::new());
+        let mut site = Site { now: 0.0, registry, desk, tasks: tasks_there, born: 0, tables };
+        (0..tasks).for_each(|_| site.start());
+        site.desk.set_couriers(couriers as u32);
+        for courier in 0..couriers {
+            let zone = format!("z{}", courier % 3);
+            site.desk.courier_in(0.0, &format!("c{courier}"), &zone, 10.0, false);
+        }
+        site.passes(12_000.0);
+        site
+    }
+
+    fn start(&mut self) {
+        let place = self.born;
+        self.born += 1;
+        let beat = Beat {
+            life: format!("i-{place}"),
+            service: "a".into(),
+            address: format!("10.{}.{}.{}:80", place / 40_000, place / 200 % 200, place % 200 + 1)
+                .parse()
+                .unwrap(),
+            zone: format!("z{}", place % 3),
+            software: "v1".into(),
+            slots: 4,
+            draining: false,
+            cold_ms: 0.0,
+            sequence: 1,
+        };
+        self.registry.beat(self.now, beat.clone());
+        self.tasks.push_back(beat);
+    }
+
+    /// All that is due at this moment; gives how many tables were cut.
+    fn due(&mut self) -> usize {
+        self.registry.tick(self.now);
+        self.desk.sync(self.now, &self.registry);
+        let mut cut = 0;
+        for out in self.desk.tick(self.now) {
+            if let Out::Table { courier, mark, lines, .. } = out {
+                self.desk.took(&courier, mark);
+                self.tables.insert(courier, lines);
+                cut += 1;
+            }
+        }
+        cut
+    }
+
+    fn passes(&mut self, ms: f64) {
+        let until = self.now + ms;
+        while self.now < until {
+            self.now += 100.0;
+            if (self.now as u64).is_multiple_of(1_000) {
+                for beat in &mut self.tasks {
+                    beat.sequence += 1;
+                    self.registry.beat(self.now, beat.clone());
+                }
+            }
+            self.due();
+        }
+    }
+
+    /// One task more and one less, until their tables are cut: what was cut, and what the dearest moment and all cost.
+    fn revision(&mut self) -> (usize, f64, f64, f64) {
+        self.passes(5_000.0);
+        self.start();
+        if let Some(mut oldest) = self.tasks.pop_front() {
+            (oldest.draining, oldest.sequence) = (true, oldest.sequence + 1);
+            self.registry.beat(self.now, oldest);
+        }
+        let (mut cut, mut all_us, mut dearest_us, mut allocations) = (0, 0.0, 0.0, 0.0);
+        for _ in 0..12 {
+            self.now += 100.0;
+            let (us, count) = measured(|| cut += self.due());
+            all_us += us;
+            dearest_us = f64::max(dearest_us, us);
+            allocations += count;
+        }
+        (cut, all_us, dearest_us, allocations)
+    }
+}
+
+/// Picks one after the other, so many under way all the time.
+fn picks(post: &mut Post, now_ms: &mut f64) {
+    let mut flying = VecDeque::new();
+    for _ in 0..PICKS {
+        *now_ms += 2.0;
+        let round = Round::new(RouteKind::ReadOnly, 3, *now_ms + 1_000.0, 0.5);
+        flying.extend(post.pick("a", &round, RouteKind::ReadOnly, *now_ms));
+        if flying.len() > UNDER_WAY
+            && let Some(pick) = flying.pop_front()
+        {
+            post.settle("a", pick, Fate::Answered(200), 32.0, *now_ms);
+        }
+    }
+    flying.into_iter().for_each(|pick| post.left(pick));
+}
+
+/// The same by the least busy of two, of all tasks.
+fn plain(waiting: &mut [u32], chance: &mut ChaCha8Rng) {
+    let mut flying = VecDeque::new();
+    for _ in 0..PICKS {
+        let two = [chance.random_range(0..waiting.len()), chance.random_range(0..waiting.len())];
+        let [one, other] = two;
+        let at = if waiting[other] < waiting[one] { other } else { one };
+        waiting[at] += 1;
+        flying.push_back(black_box(at));
+        if flying.len() > UNDER_WAY
+            && let Some(at) = flying.pop_front()
+        {
+            waiting[at] -= 1;
+        }
+    }
+    flying.into_iter().for_each(|at| waiting[at] -= 1);
+}
+
+fn main() {
+    println!(
+        "tasks couriers | lines | pick us, allocations | least of two us | revision us, at most at once, tables, allocations"
+    );
+    for (tasks, couriers) in [(33, 12), (33, 91), (450, 12), (450, 91)] {
+        let mut site = Site::new(tasks, couriers);
+        let lines = site.tables.get("c0").cloned().unwrap_or_default();
+        let held: usize = site.tables.values().map(Vec::len).sum();
+        let mut post = Post::new("z0", 1);
+        post.table("a", lines);
+        let (mut now_ms, mut chance) = (0.0, ChaCha8Rng::seed_from_u64(1));
+        let mut waiting = vec![0; tasks];
+        let (mut pick_us, mut pick_allocations, mut plain_us) = (Vec::new(), Vec::new(), Vec::new());
+        for _ in 0..ROUNDS {
+            let (us, count) = measured(|| picks(&mut post, &mut now_ms));
+            pick_us.push(us / PICKS as f64);
+            pick_allocations.push(count / PICKS as f64);
+            plain_us.push(measured(|| plain(&mut waiting, &mut chance)).0 / PICKS as f64);
+        }
+        let revisions: Vec<_> = (0..ROUNDS).map(|_| site.revision()).collect();
+        println!(
+            "{tasks:>5} {couriers:>8} | {:>5.1} | {:.3}, {:.2} | {:.3} | {:.0}, {:.0}, {:.0}, {:.0}",
+            held as f64 / couriers as f64,
+            median(pick_us),
+            median(pick_allocations),
+            median(plain_us),
+            median(revisions.iter().map(|of| of.1).collect()),
+            median(revisions.iter().map(|of| of.2).collect()),
+            median(revisions.iter().map(|of| of.0 as f64).collect()),
+            median(revisions.iter().map(|of| of.3).collect()),
+        );
+    }
+}
