--- a/crates/rookpulley-sorting/src/module.rs
+++ b/crates/rookpulley-sorting/src/module.rs
@@ -110,6 +110,8 @@
             conns_least: if most > 0.0 { most } else { f64::INFINITY },
             cross_zone_price: CROSS_ZONE_PRICE,
             flow_steps: FLOW_STEPS,
+            // A task that enters makes a revision a second till it is warm, so none of a release is ever judged.
+            verdicts_shared: true,
             ..Means::default()
         },
         load_fields: Vec::new(),
