Offices without a disk pass calls on to one that has; who founds where seeds have none

One deploy file serves all sites, and a share of a zone's machines, or two, may put the office on a machine without a disk. It ended with an error. Now it is in no chain, votes in nothing and keeps nothing: it dials all offices as couriers do, and answers each call with 307 to one in touch, of its own zone first, else by a hash; 503 where it reaches none. Couriers that have its address learn the offices from it and never make it their home.

The first of the seeds that has a disk founds, once each before it has said that it has none; where none has, the first seed names one.

--- a/crates/rookpulley-chain/src/chain.rs
+++ b/crates/rookpulley-chain/src/chain.rs
@@ -128,17 +128,25 @@
         new.apply_to(agreed.0);
         new.out.clear();
         new.write(vec![kept::put_begun(new.me.life)], Then::Proven);
-        if boot.founder && new.views.is_empty() {
-            new.log("founds the first view".into());
-            let view = new.first_view();
-            let mut records = new.first_state();
-            records.extend([new.put_agreed(), kept::put_view(&view), kept::put_installed(view.number)]);
-            // Nobody hears of it before it is there whole: one that lost its power before founds once more.
-            new.write(records, Then::Founded);
+        if boot.founder {
+            new.found();
         }
         new
     }
 
+    /// Nobody hears of the first view before it is there whole: one that lost its power before founds once more.
+    fn found(&mut self) {
+        let founding = self.then.iter().any(|(_, then)| matches!(then, Then::Founded));
+        if founding || !self.views.is_empty() {
+            return;
+        }
+        self.log("founds the first view".into());
+        let view = self.first_view();
+        let mut records = self.first_state();
+        records.extend([self.put_agreed(), kept::put_view(&view), kept::put_installed(view.number)]);
+        self.write(records, Then::Founded);
+    }
+
     pub fn handle(&mut self, now: u64, input: Input) -> Vec<Effect> {
         match input {
             Input::Tick => {
@@ -155,6 +163,7 @@
                 self.tend_calls(now);
                 self.tend_fill(now);
             }
+            Input::Found => self.found(),
             Input::Met { member } => self.met(now, member),
             Input::Heard { from, message } => self.heard(now, from, message),
             Input::Synced { ticket } => {
--- a/crates/rookpulley-chain/src/lib.rs
+++ b/crates/rookpulley-chain/src/lib.rs
@@ -60,6 +60,8 @@
 pub enum Input {
     /// Every 50 ms.
     Tick,
+    /// It is now known that this one is to make the first view, if it knows of none.
+    Found,
     /// An office said who it is.
     Met {
         member: Member,
--- a/crates/rookpulley-clerk/src/office.rs
+++ b/crates/rookpulley-clerk/src/office.rs
@@ -2,6 +2,7 @@
 //! put together as effects. It decides nothing about tables, views or the ledger itself.
 
 use crate::calls::{Kind, Reply, Taken, Wants, later, taken, told};
+use crate::founding::Founding;
 use crate::state::Kept;
 use crate::tally::Tally;
 use crate::watches::Watches;
@@ -14,7 +15,7 @@
     Word as Spread,
 };
 use rookpulley_waybill::{Down, Up, frame};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::{Ipv4Addr, SocketAddrV4};
 
 /// An office that nobody has reached for so long, and that no view names, is forgotten.
@@ -24,6 +25,7 @@
 /// What was noted before a start and hasn't been heard of since is dropped after so long.
 const NOTES_KEPT_MS: f64 = 90_000.0;
 const PEERS_MOST: usize = 64;
+const ANNEXES_MOST: usize = 1_024;
 const CALLS_MOST: usize = 4_096;
 
 /// Rows of a store.
@@ -38,8 +40,9 @@
     pub losses: u32,
     pub heartbeat_ms: u64,
     pub drain_ms: u64,
-    /// Its disk was minted to found the first view.
-    pub founder: bool,
+    pub zone: String,
+    /// What its disk was minted with, where that was at the first start of all.
+    pub founding: Option<Founding>,
     /// What the disk holds of the chain; None: it is new.
     pub held: Option<Rows>,
     /// What it holds on tasks.
@@ -137,6 +140,14 @@
     peers: BTreeMap<Ipv4Addr, Peer>,
     pub couriers: BTreeMap<String, Courier>,
     roll: Roll,
+    /// Lines of offices without a disk, and their addresses. They are told which offices are in touch, and nothing else.
+    annexes: BTreeMap<u64, Ipv4Addr>,
+    zone: String,
+    founding: Option<Founding>,
+    /// Of the seeds that this one waits for: those that have said that they have no disk.
+    diskless: BTreeSet<Ipv4Addr>,
+    /// The first seed has named this one.
+    named: bool,
     calls: BTreeMap<u64, Kind>,
     watches: Watches,
     drains: Drains,
@@ -169,7 +180,8 @@
     pub fn new(start: Start) -> Self {
         let (me, seed) = (start.me, start.me.life);
         let kept = start.held.map(rookpulley_chain::Kept::read);
-        let boot = Boot { me, founder: start.founder, losses: start.losses as usize, seed, kept };
+        let founder = start.founding.as_ref().is_some_and(Founding::at_once);
+        let boot = Boot { me, founder, losses: start.losses as usize, seed, kept };
         let mut office = Self {
             me,
             seeds: start.seeds,
@@ -180,6 +192,11 @@
             peers: BTreeMap::new(),
             couriers: BTreeMap::new(),
             roll: Roll::default(),
+            annexes: BTreeMap::new(),
+            zone: start.zone,
+            founding: start.founding,
+            diskless: BTreeSet::new(),
+            named: false,
             calls: BTreeMap::new(),
             watches: Watches::default(),
             drains: Drains::new(start.losses as usize),
@@ -195,7 +212,7 @@
             out: Vec::new(),
         };
         office.begin_with_notes();
-        office.meet_seeds(0.0, &office.seeds.clone());
+        office.meet_all(0.0, &office.seeds.clone());
         office.step(0.0, Input::Tick);
         office
     }
@@ -235,12 +252,13 @@
 
     // ---- offices ----------------------------------------------------------------------------
 
-    pub fn meet_seeds(&mut self, now: f64, seeds: &[SocketAddrV4]) {
-        seeds.iter().for_each(|seed| self.meet(now, *seed.ip()));
+    pub fn meet_all(&mut self, now: f64, offices: &[SocketAddrV4]) {
+        offices.iter().for_each(|office| self.meet(now, *office.ip()));
     }
 
     fn meet(&mut self, now: f64, ip: Ipv4Addr) {
-        if ip == *self.me.address.ip() || self.peers.contains_key(&ip) || self.peers.len() >= PEERS_MOST {
+        let (own, known) = (ip == *self.me.address.ip(), self.peers.contains_key(&ip) || self.is_annex(ip));
+        if own || known || self.peers.len() >= PEERS_MOST {
             return;
         }
         self.peers.insert(ip, Peer { dialed: false, id: None, seen_ms: now });
@@ -248,7 +266,11 @@
     }
 
     fn reached(&self) -> impl Iterator<Item = Ipv4Addr> {
-        self.peers.iter().filter(|(_, p)| p.dialed).map(|(ip, _)| *ip)
+        self.peers.iter().filter(|(ip, p)| p.dialed && !self.is_annex(**ip)).map(|(ip, _)| *ip)
+    }
+
+    fn is_annex(&self, ip: Ipv4Addr) -> bool {
+        self.annexes.values().any(|annex| *annex == ip)
     }
 
     fn hello(&self) -> Word {
@@ -278,7 +300,7 @@
         let named = self.chain.view().is_some_and(|v| v.members.iter().any(|m| *m.address.ip() == ip));
         let seed = self.seeds.iter().any(|s| *s.ip() == ip);
         let lately = self.peers.get(&ip).is_some_and(|p| now - p.seen_ms < FORGOTTEN_MS);
-        named || seed || lately
+        (named || seed || lately) && !self.is_annex(ip)
     }
 
     pub fn forget(&mut self, ip: Ipv4Addr) {
@@ -291,6 +313,8 @@
             Word::Hello { from, offices } => {
                 *who = Some(from.id);
                 let ip = *from.address.ip();
+                // It has got a disk since.
+                self.annexes.retain(|_, annex| *annex != ip);
                 self.meet(now, ip);
                 offices.iter().for_each(|o| self.meet(now, *o.ip()));
                 self.peers.values_mut().filter(|p| p.id == Some(from.id)).for_each(|p| p.id = None);
@@ -559,7 +583,7 @@
             }
             Up::Report(report) => self.desk.report(node, &report),
             Up::Took { mark } => self.desk.took(node, mark),
-            Up::Hello { .. } | Up::WantConfig { .. } => {}
+            Up::Hello { .. } | Up::WantConfig { .. } | Up::Annex { .. } | Up::Found { .. } => {}
         }
     }
 
@@ -577,6 +601,55 @@
         self.out.extend(self.couriers.values().map(each));
     }
 
+    // ---- offices without a disk -----------------------------------------------------------------
+
+    /// An office without a disk says hello on a line, which `number` gave.
+    pub fn annex_in(&mut self, now: f64, line: u64, address: SocketAddrV4, offices: &[SocketAddrV4]) {
+        let ip = *address.ip();
+        if self.annexes.len() >= ANNEXES_MOST || ip == *self.me.address.ip() {
+            return;
+        }
+        self.annexes.insert(line, ip);
+        self.meet_all(now, offices);
+        let view = self.chain.view().is_some();
+        let founds = self.founding.as_ref().filter(|_| !view).map(|_| self.me.id);
+        for down in [Down::Place { zone: self.zone.clone(), founds, view }, self.pulse(now)] {
+            self.out.push(Effect::Down { line, frame: frame(&down) });
+        }
+        self.log(format!("annexes: {ip} has no disk; it passes calls on"));
+        if self.founding.as_ref().is_some_and(|founding| founding.waits_for(ip)) {
+            self.diskless.insert(ip);
+            self.found_if_due(now);
+        }
+    }
+
+    pub fn annex_said(&mut self, now: f64, line: u64, up: &Up) {
+        let Some(by) = self.annexes.get(&line) else { return };
+        let names = self.founding.as_ref().is_some_and(|founding| founding.names(*by));
+        match up {
+            Up::Annex { offices, .. } => self.meet_all(now, offices),
+            Up::Found { id } if *id == self.me.id && names => {
+                self.named = true;
+                self.found_if_due(now);
+            }
+            _ => {}
+        }
+    }
+
+    pub fn annex_out(&mut self, now: f64, line: u64) {
+        let ip = self.annexes.remove(&line);
+        if let Some(ip) = ip.filter(|ip| self.seeds.iter().any(|seed| seed.ip() == ip)) {
+            self.meet(now, ip);
+        }
+    }
+
+    fn found_if_due(&mut self, now: f64) {
+        let due = self.founding.as_ref().is_some_and(|founding| founding.due(&self.diskless, self.named));
+        if due && self.chain.view().is_none() {
+            self.step(now, Input::Found);
+        }
+    }
+
     fn tell_gone(&mut self, now: f64, lives: Vec<String>) {
         if lives.is_empty() {
             return;
@@ -769,6 +842,9 @@
         if round.is_multiple_of(8) || std::mem::replace(&mut self.told_touch, in_touch) != in_touch {
             let pulse = self.pulse(now);
             self.tell_couriers(&pulse);
+            let frame = frame(&pulse);
+            let tell = |line: &u64| Effect::Down { line: *line, frame: frame.clone() };
+            self.out.extend(self.annexes.keys().map(tell));
         }
         if round.is_multiple_of(40) {
             let hello = self.hello();
--- a/crates/rookpulley-cli/src/gateway/check.rs
+++ b/crates/rookpulley-cli/src/gateway/check.rs
@@ -2,7 +2,7 @@
 
 use rookpulley_addressbook::{BYTES_MOST, Book};
 use rookpulley_returns::{Fault, Faults, Manner, Place, counted};
-use rookpulley_settings::{Deploy, Node, SettingsError};
+use rookpulley_settings::{Amount, Deploy, Node, Role, SettingsError};
 use serde_json::{Value, json};
 use std::fmt::Display;
 use std::fs::File;
@@ -88,7 +88,11 @@
 pub fn settings(file: &Path) -> Checked {
     let verdict = Node::read(file).map_err(untaken).map(|node| {
         let serves = if node.serves.is_empty() { "nobody".into() } else { node.serves.join(" and ") };
-        let disk = if node.data.is_some() { "a disk" } else { "no disk" };
+        let disk = match node.data {
+            Some(_) => "a disk",
+            None if node.serves("control_plane") => "no disk, so that its office only passes calls on,",
+            None => "no disk",
+        };
         format!(
             "{} of {} serves {serves}, has {disk} and {}; can be used",
             node.name,
@@ -102,7 +106,19 @@
 pub fn deploy(file: &Path) -> Checked {
     let verdict = Deploy::read(file).map_err(untaken).map(|deploy| {
         let names: Vec<&str> = deploy.roles.keys().map(String::as_str).collect();
-        format!("{} ({}); can be used", counted(names.len(), "role"), names.join(", "))
+        // Only the first machines of a zone have a disk, and the file doesn't say how many do.
+        let beyond = |role: &Role| role.apart || role.amount != Amount::Count(1);
+        let may: Vec<&str> = deploy
+            .roles
+            .iter()
+            .filter(|(_, role)| role.serves.iter().any(|whom| whom == "control_plane") && beyond(role))
+            .map(|(name, _)| name.as_str())
+            .collect();
+        let disks = match may.as_slice() {
+            [] => String::new(),
+            may => format!("; on a machine without a disk, {} only passes calls on", may.join(", ")),
+        };
+        format!("{} ({}); can be used{disks}", counted(names.len(), "role"), names.join(", "))
     });
     Checked { file: file.into(), verdict }
 }
--- a/crates/rookpulley-cli/tests/gateway.rs
+++ b/crates/rookpulley-cli/tests/gateway.rs
@@ -155,12 +155,25 @@
 fn files_are_checked_with_a_place_what_was_found_and_what_to_write() {
     let folder = tempfile::tempdir().unwrap();
     let deployed = include_str!("../../../deploy/system.toml");
+    let (diskless, share) =
+        (SETTINGS.replace("dataDirectory", "other"), deployed.replace("count = 1", "share = 0.6"));
     for (what, text, wanted) in [
         (
             "settings",
             SETTINGS,
             "edge-quay-1 of quay serves control_plane, has a disk and 1 seed; can be used\n",
         ),
+        (
+            "settings",
+            &diskless,
+            "edge-quay-1 of quay serves control_plane, has no disk, so that its office only passes calls on, and 1 \
+             seed; can be used\n",
+        ),
+        (
+            "deploy",
+            &share,
+            "2 roles (courier, office); can be used; on a machine without a disk, office only passes calls on\n",
+        ),
         ("configuration", CONFIGURATION, "version 7, 2 services, 1 host, 3 routes; can be taken\n"),
         ("deploy", deployed, "2 roles (courier, office); can be used\n"),
     ] {
@@ -269,7 +282,7 @@
 impl Alone {
     fn open(folder: &Path, life: u64) -> Self {
         let (said, heard) = tokio::sync::mpsc::unbounded_channel();
-        let mut store = Store::open(folder, 0x5f0c_1be2_a9d4_7731, false, said).unwrap();
+        let mut store = Store::open(folder, 0x5f0c_1be2_a9d4_7731, None, said).unwrap();
         let rows = BTreeMap::from_iter(std::mem::take(&mut store.held));
         let chain = Self::begin(&store, &rows, life);
         Self { store, heard, rows, chain, now: 0, done: 0 }
--- a/crates/rookpulley-drill/src/disk.rs
+++ b/crates/rookpulley-drill/src/disk.rs
@@ -30,7 +30,7 @@
 #[derive(Default)]
 pub struct Disk {
     pub identity: Option<u64>,
-    pub founder: bool,
+    pub founding: Option<rookpulley_clerk::Founding>,
     pub chain: Rows,
     pub lives: Rows,
     pub trouble: Option<DiskTrouble>,
--- a/crates/rookpulley-drill/src/offices.rs
+++ b/crates/rookpulley-drill/src/offices.rs
@@ -4,7 +4,7 @@
 use crate::{MS, S, Us};
 use rand::RngExt;
 use rookpulley_chain::{Kept, Member};
-use rookpulley_clerk::{Content, Effect, Office, Path, Reply, Start, Wants, Word, read};
+use rookpulley_clerk::{Content, Effect, Founding, Office, Path, Reply, Start, Wants, Word, read};
 use rookpulley_ledger::{Answer, Ask, Update};
 use rookpulley_waybill::{Frames, Up};
 use std::collections::{BTreeMap, HashMap};
@@ -81,7 +81,6 @@
         }
         let (life, mint): (u64, u64) = (self.rng.random(), self.rng.random());
         let seeds = self.seeds();
-        let founder = first && seeds.first().is_some_and(|seed| *seed.ip() == self.machines[machine].ip);
         let at = &mut self.machines[machine];
         let torn = at.disk.identity.is_some() && !Kept::read(at.disk.chain.clone()).sound();
         if torn {
@@ -89,14 +88,17 @@
         }
         let fresh = at.disk.identity.is_none();
         let identity = *at.disk.identity.get_or_insert(mint);
-        at.disk.founder |= fresh && founder;
+        if fresh && first {
+            at.disk.founding = Some(Founding::new(at.ip, &seeds));
+        }
         let start = Start {
             me: Member { id: identity, life, address: SocketAddrV4::new(at.ip, 7_721) },
             seeds,
             losses: self.day.losses,
             heartbeat_ms: HEARTBEAT_MS,
             drain_ms: DRAIN_MS,
-            founder: at.disk.founder,
+            zone: at.zone.to_string(),
+            founding: at.disk.founding.clone(),
             held: (!fresh).then(|| at.disk.chain.clone().into_iter().collect()),
             lives: at.disk.lives.clone().into_iter().collect(),
         };
--- /dev/null
+++ b/crates/rookpulley-office/src/annex.rs
@@ -0,0 +1,234 @@
+//! The office of a machine without a disk on sockets and clock: it passes calls on, and keeps nothing.
+
+use crate::calls::{Asked, tree};
+use crate::ending;
+use miette::IntoDiagnostic;
+use rookpulley_clerk::{Annex, AnnexEffect, AnnexStart, Word};
+use rookpulley_counter::{Bounds, Call, Match, Reply, Tree};
+use rookpulley_mailroom::{File, line};
+use rookpulley_settings::Node;
+use rookpulley_waybill::{Down, Up};
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+
+/// An office with a disk says something every 400 ms, another one every second.
+const QUIET: Duration = Duration::from_millis(2_500);
+const DIAL: Duration = Duration::from_millis(500);
+const PAUSE: Duration = Duration::from_millis(100);
+const LONGEST_PAUSE: Duration = Duration::from_secs(1);
+const TICK: Duration = Duration::from_secs(1);
+/// So often it says in the log how it stands, in ticks.
+const STATUS: u64 = 10;
+
+#[derive(Default)]
+struct Lines {
+    offices: BTreeMap<Ipv4Addr, line::Outbox>,
+    guests: BTreeMap<u64, line::Outbox>,
+}
+
+struct Shell {
+    annex: RefCell<Annex>,
+    lines: RefCell<Lines>,
+    born: Instant,
+    next: Cell<u64>,
+    port: u16,
+    control: u16,
+    tree: Tree<Asked>,
+    /// Calls that were passed on, and those that nobody could take.
+    passed: Cell<u64>,
+    refused: Cell<u64>,
+}
+
+pub async fn run(node: Node, control: SocketAddrV4, path: PathBuf) -> miette::Result<()> {
+    let [counter, for_couriers, for_peers] = crate::listen(&node, control)?;
+    tracing::info!("office: {} begins, without a disk: calls are passed on", node.name);
+    if !node.seeds.iter().any(|seed| *seed.ip() != node.ip) {
+        tracing::warn!(
+            "office: seedNodes names nobody else, so calls get 503 until an office dials this one"
+        );
+    }
+    let shell = Shell::new(&node, control).into_diagnostic()?;
+    let (stop, stopped) = watch::channel(false);
+    let calls = shell.clone();
+    let handler = Rc::new(move |call: Call| std::future::ready(calls.answer(&call)));
+    let counter =
+        tokio::task::spawn_local(rookpulley_counter::serve(counter, Bounds::default(), stopped, handler));
+    shell.begin(for_couriers, for_peers);
+    let of = shell.clone();
+    ending::wait(File::new(path), |seeds| of.with(|annex, now| annex.set_seeds(now, seeds))).await;
+    tracing::info!("ending: {}", shell.status());
+    ending::close(&node, stop, counter).await;
+    Ok(())
+}
+
+impl Shell {
+    fn new(node: &Node, control: SocketAddrV4) -> Result<Rc<Shell>, rookpulley_counter::TreeError> {
+        let start = AnnexStart {
+            address: SocketAddrV4::new(node.ip, node.inner_ports.0 + 1),
+            zone: node.zone.clone(),
+            seeds: node.seeds.clone(),
+            first_start: node.first_start,
+        };
+        Ok(Rc::new(Shell {
+            annex: RefCell::new(Annex::new(start)),
+            lines: RefCell::default(),
+            born: Instant::now(),
+            next: Cell::new(0),
+            port: node.inner_ports.0,
+            control: control.port(),
+            tree: tree()?,
+            passed: Cell::new(0),
+            refused: Cell::new(0),
+        }))
+    }
+
+    fn begin(self: &Rc<Self>, for_couriers: TcpListener, for_peers: TcpListener) {
+        tokio::task::spawn_local(self.clone().take_lines(for_couriers, Shell::guest));
+        tokio::task::spawn_local(self.clone().take_lines(for_peers, Shell::peer));
+        let shell = self.clone();
+        tokio::task::spawn_local(async move {
+            let mut beat = tokio::time::interval(TICK);
+            beat.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+            for round in 0u64.. {
+                beat.tick().await;
+                shell.with(Annex::tick);
+                if round.is_multiple_of(STATUS) {
+                    tracing::info!("office: {}", shell.status());
+                }
+            }
+        });
+    }
+
+    fn now_ms(&self) -> f64 {
+        self.born.elapsed().as_secs_f64() * 1e3
+    }
+
+    fn status(&self) -> String {
+        let stands = self.annex.borrow().status(self.now_ms());
+        format!("{stands}; calls passed on {}, refused {}", self.passed.get(), self.refused.get())
+    }
+
+    /// Something comes in; what is wanted is carried out.
+    fn with<T>(self: &Rc<Self>, input: impl FnOnce(&mut Annex, f64) -> T) -> T {
+        let (came, effects) = {
+            let mut annex = self.annex.borrow_mut();
+            (input(&mut annex, self.now_ms()), annex.effects())
+        };
+        for effect in effects {
+            let mut lines = self.lines.borrow_mut();
+            match effect {
+                AnnexEffect::Dial(ip) => drop(tokio::task::spawn_local(self.clone().keep(ip))),
+                // Where too much waits the line ends, and all is told anew on the next one.
+                AnnexEffect::Up { to, up } => {
+                    if lines.offices.get(&to).is_some_and(|outbox| !outbox.send(&up)) {
+                        lines.offices.remove(&to);
+                    }
+                }
+                AnnexEffect::Down { line, frame } => {
+                    if lines.guests.get(&line).is_some_and(|outbox| !outbox.send_framed(frame)) {
+                        lines.guests.remove(&line);
+                    }
+                }
+                AnnexEffect::Log(line) => tracing::info!("{line}"),
+            }
+        }
+        came
+    }
+
+    /// Dials one office again and again for as long as somebody names it.
+    async fn keep(self: Rc<Self>, ip: Ipv4Addr) {
+        let mut pause = PAUSE;
+        loop {
+            if let Ok(stream) = line::dial(SocketAddr::from((ip, self.port)), DIAL).await {
+                let begun = Instant::now();
+                let open = |outbox| {
+                    self.lines.borrow_mut().offices.insert(ip, outbox);
+                    self.with(|annex, now| annex.opened(now, ip));
+                };
+                let take = |down: Down| self.with(|annex, now| annex.told(now, ip, down));
+                let why = line::run(stream, Some(QUIET), open, take).await;
+                self.lines.borrow_mut().offices.remove(&ip);
+                self.with(|annex, _| annex.lost(ip));
+                tracing::info!("peers: the line to {ip} {why}");
+                if begun.elapsed() > TICK {
+                    pause = PAUSE;
+                }
+            }
+            tokio::time::sleep(pause).await;
+            pause = (pause * 2).min(LONGEST_PAUSE);
+            if self.with(|annex, now| annex.forgotten(now, ip)) {
+                return;
+            }
+        }
+    }
+
+    async fn take_lines<F>(self: Rc<Self>, listener: TcpListener, attend: fn(Rc<Self>, TcpStream) -> F)
+    where
+        F: Future<Output = ()> + 'static,
+    {
+        loop {
+            let Ok((stream, _)) = listener.accept().await else {
+                tokio::time::sleep(Duration::from_millis(20)).await;
+                continue;
+            };
+            line::tend(&stream, line::UNHEARD);
+            tokio::task::spawn_local(attend(self.clone(), stream));
+        }
+    }
+
+    /// A courier, or another office without a disk.
+    async fn guest(self: Rc<Self>, stream: TcpStream) {
+        let number = self.next.get() + 1;
+        self.next.set(number);
+        let open = |outbox| _ = self.lines.borrow_mut().guests.insert(number, outbox);
+        let take = |up: Up| {
+            if matches!(up, Up::Hello { .. } | Up::Annex { .. }) {
+                self.with(|annex, _| annex.guest_in(number, &up));
+            }
+        };
+        line::run(stream, None, open, take).await;
+        self.lines.borrow_mut().guests.remove(&number);
+        self.with(|annex, _| annex.guest_out(number));
+    }
+
+    /// An office that has this address as a seed. It is dialed in turn, and stops to dial here.
+    async fn peer(self: Rc<Self>, stream: TcpStream) {
+        let mut own = None;
+        let take = |word: Word| {
+            if let Word::Hello { from, .. } = word {
+                self.with(|annex, now| annex.hello(now, from));
+            }
+        };
+        line::run(stream, Some(QUIET), |outbox| own = Some(outbox), take).await;
+    }
+
+    fn answer(&self, call: &Call) -> Reply {
+        match self.tree.lookup(&call.method, &call.path) {
+            Match::Nothing => return Reply::error(404, "there is no such call"),
+            Match::WrongMethod => return Reply::error(405, "there is no such call with this method"),
+            // What is shown is of one office alone: whoever asks is to know of which.
+            Match::Found(Asked::Show(_), _) => {
+                return Reply::error(404, "this office has no disk and nothing to show; ask one that has");
+            }
+            Match::Found(Asked::Call(_), _) => {}
+        }
+        let Some(to) = self.annex.borrow().pass_on(self.now_ms(), &call.path) else {
+            self.refused.set(self.refused.get() + 1);
+            let sentence = "not now: this office has no disk and reaches none that has; nothing was done";
+            return Reply::error(503, sentence).with("Retry-After", "0.2");
+        };
+        self.passed.set(self.passed.get() + 1);
+        let query = if call.query.is_empty() { String::new() } else { format!("?{}", call.query) };
+        let location = format!("http://{to}:{}{}{query}", self.control, call.path);
+        Reply::empty(307).with("Location", location)
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/rookpulley-office/src/annex/tests.rs
@@ -0,0 +1,166 @@
+use super::*;
+use crate::couriers;
+use crate::hub::Hub;
+use rookpulley_clerk::Founding;
+use rookpulley_strongroom::Store;
+use std::thread::JoinHandle;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::sync::oneshot;
+
+fn settings(ip: Ipv4Addr, zone: &str, port: u16) -> Node {
+    let text = format!(
+        r#"
+        nodeName = "edge-{zone}"
+        serves = ["control_plane"]
+        ipAddress = "{ip}"
+        zone = "{zone}"
+        internalPortRange = [{port}, {}]
+        seedNodes = ["127.0.3.1:8166", "127.0.3.2:8166", "127.0.3.3:8166"]
+        firstStart = true
+        [listenAddresses]
+        controlPlane = "{ip}:8166"
+        "#,
+        port + 1
+    );
+    Node::parse(&text).unwrap()
+}
+
+/// An office with a disk that is in touch alone, until it is told to end: then all its sockets are closed at once.
+fn office(ip: Ipv4Addr, zone: &str, port: u16) -> (oneshot::Sender<()>, JoinHandle<()>) {
+    let (end, ended) = oneshot::channel::<()>();
+    let node = settings(ip, zone, port);
+    let run = move || {
+        let folder = tempfile::tempdir().unwrap();
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+        tokio::task::LocalSet::new().block_on(&runtime, async {
+            let (said, heard) = tokio::sync::mpsc::unbounded_channel();
+            let mark = Founding::new(ip, &[SocketAddrV4::new(ip, 8_166)]).mark();
+            let store = Store::open(folder.path(), 7, Some(&mark), said).unwrap();
+            let hub = Hub::new(node, store, Vec::new(), 11);
+            hub.hear_store(heard);
+            let listener = line::listen(SocketAddr::from((ip, port)), 16).unwrap();
+            tokio::task::spawn_local(couriers::listen(hub.clone(), listener));
+            let tick = async {
+                let mut beat = tokio::time::interval(Duration::from_millis(10));
+                for round in 1.. {
+                    beat.tick().await;
+                    hub.tick(round);
+                }
+            };
+            tokio::select! { () = tick => {}, _ = ended => {} }
+            assert!(hub.look(|office| office.couriers.is_empty()), "it was counted as a courier");
+        });
+    };
+    (end, std::thread::spawn(run))
+}
+
+async fn answered(at: SocketAddr, call: &str) -> String {
+    let mut stream = TcpStream::connect(at).await.unwrap();
+    stream.write_all(call.as_bytes()).await.unwrap();
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).await.unwrap();
+    answer
+}
+
+/// Asks until the answer begins so.
+async fn until(at: SocketAddr, call: &str, status: &str, has: &str) -> String {
+    loop {
+        let answer = answered(at, call).await;
+        if answer.starts_with(&format!("HTTP/1.1 {status} ")) && answer.contains(has) {
+            return answer;
+        }
+        tokio::task::yield_now().await;
+    }
+}
+
+#[test]
+fn a_call_goes_on_to_an_office_that_lives_near_before_far_and_else_it_is_refused() {
+    // A port that is free at all three.
+    let ips = [1, 2, 3].map(|n| Ipv4Addr::new(127, 0, 3, n));
+    let free = std::net::TcpListener::bind((ips[0], 0)).unwrap();
+    let port = free.local_addr().unwrap().port();
+    drop(free);
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    tokio::task::LocalSet::new().block_on(&runtime, async {
+        let node = settings(ips[0], "quay", port);
+        let shell = Shell::new(&node, node.listen.control.unwrap()).unwrap();
+        let at = |port| line::listen(SocketAddr::from((ips[0], port)), 16).unwrap();
+        shell.begin(at(port), at(0));
+        let counter = at(0);
+        let to = counter.local_addr().unwrap();
+        let (_stop, stopped) = watch::channel(false);
+        let calls = shell.clone();
+        let handler = Rc::new(move |call: Call| std::future::ready(calls.answer(&call)));
+        tokio::task::spawn_local(rookpulley_counter::serve(counter, Bounds::default(), stopped, handler));
+
+        let call = "PUT /rookpulley/cells/g1.%2Fa?x=1&y HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\nConnection: close\r\n\r\n{}";
+        let none = until(to, call, "503", "nothing was done").await;
+        assert!(none.to_ascii_lowercase().contains("\r\nretry-after: 0.2\r\n"), "{none}");
+
+        let (end_far, far) = office(ips[1], "hill", port);
+        let location = |ip| format!("ocation: http://{ip}:8166/rookpulley/cells/g1.%2Fa?x=1&y\r\n");
+        until(to, call, "307", &location(ips[1])).await;
+        let (end_near, near) = office(ips[2], "quay", port);
+        until(to, call, "307", &location(ips[2])).await;
+        assert!(answered(to, call).await.contains(&location(ips[2])));
+
+        _ = end_near.send(());
+        until(to, call, "307", &location(ips[1])).await;
+        _ = end_far.send(());
+        until(to, call, "503", "nothing was done").await;
+        let show = "GET /rookpulley/show/view HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n";
+        assert!(answered(to, show).await.starts_with("HTTP/1.1 404 "));
+        near.join().unwrap();
+        far.join().unwrap();
+    });
+}
+
+#[test]
+fn a_courier_is_told_of_the_offices_by_one_without_a_disk_and_not_to_make_it_its_home() {
+    let ip = Ipv4Addr::new(127, 0, 3, 1);
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    tokio::task::LocalSet::new().block_on(&runtime, async {
+        let other = line::listen(SocketAddr::from((Ipv4Addr::new(127, 0, 3, 2), 0)), 16).unwrap();
+        let port = other.local_addr().unwrap().port();
+        let node = settings(ip, "quay", port);
+        let shell = Shell::new(&node, node.listen.control.unwrap()).unwrap();
+        let at = |port| line::listen(SocketAddr::from((ip, port)), 16).unwrap();
+        let for_couriers = at(0);
+        let to = for_couriers.local_addr().unwrap();
+        shell.begin(for_couriers, at(0));
+        // The other stands for an office: it says where it is.
+        let taken = async {
+            let (stream, _) = other.accept().await.unwrap();
+            let place = Down::Place { zone: "hill".into(), founds: None, view: true };
+            let mut own = None;
+            let open = |outbox: line::Outbox| {
+                assert!(outbox.send(&place));
+                own = Some(outbox);
+            };
+            line::run::<Up>(stream, None, open, |up| assert!(matches!(up, Up::Annex { .. }))).await
+        };
+        let heard = Rc::new(Cell::new(false));
+        let courier = async {
+            let stream = line::dial(to, Duration::from_secs(60)).await.unwrap();
+            let (node, zone) = ("edge-quay-2".into(), "quay".into());
+            let hello = Up::Hello { node, zone, home: false, config: 0, tables: false, gone: Vec::new() };
+            let mut own = None;
+            let open = |outbox: line::Outbox| {
+                assert!(outbox.send(&hello));
+                own = Some(outbox);
+            };
+            let take = |down: Down| {
+                let Down::Pulse { in_touch, config, couriers, offices } = down else { panic!("{down:?}") };
+                assert_eq!((in_touch, config, couriers), (false, 0, 0));
+                heard.set(offices.iter().any(|office| *office.ip() == Ipv4Addr::new(127, 0, 3, 2)));
+            };
+            line::run(stream, None, open, take).await
+        };
+        let told = async {
+            while !heard.get() {
+                tokio::task::yield_now().await;
+            }
+        };
+        tokio::select! { why = taken => panic!("{why}"), why = courier => panic!("{why}"), () = told => {} }
+    });
+}
--- a/crates/rookpulley-office/src/calls.rs
+++ b/crates/rookpulley-office/src/calls.rs
@@ -17,7 +17,7 @@
     Show(Part),
 }
 
-fn tree() -> Result<Tree<Asked>, rookpulley_counter::TreeError> {
+pub fn tree() -> Result<Tree<Asked>, rookpulley_counter::TreeError> {
     let call = Asked::Call;
     let show = Asked::Show;
     Tree::new(&[
--- a/crates/rookpulley-office/src/ending.rs
+++ b/crates/rookpulley-office/src/ending.rs
@@ -2,6 +2,8 @@
 
 use crate::hub::Hub;
 use rookpulley_mailroom::File;
+use rookpulley_settings::Node;
+use std::net::SocketAddrV4;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::signal::unix::{SignalKind, signal};
@@ -9,7 +11,7 @@
 const LOOK_EVERY: Duration = Duration::from_secs(2);
 
 /// Returns when the process is to end.
-pub async fn wait(hub: &Rc<Hub>, mut file: File) {
+pub async fn wait(mut file: File, take_seeds: impl Fn(&[SocketAddrV4])) {
     let (Ok(mut term), Ok(mut hup)) = (signal(SignalKind::terminate()), signal(SignalKind::hangup())) else {
         tracing::error!("ending: signals can't be heard");
         return;
@@ -20,7 +22,7 @@
             _ = hup.recv() => file.read(),
             () = tokio::time::sleep(LOOK_EVERY) => file.look(),
         };
-        node.into_iter().for_each(|node| hub.meet_seeds(&node.seeds));
+        node.into_iter().for_each(|node| take_seeds(&node.seeds));
     }
 }
 
@@ -42,9 +44,18 @@
         }
     };
     _ = tokio::time::timeout(LEAVE_WITHIN, left).await;
+    close(&hub.node, stop, counter).await;
+}
+
+/// Calls at work are answered, as far as there is time.
+pub async fn close(
+    node: &Node,
+    stop: tokio::sync::watch::Sender<bool>,
+    counter: tokio::task::JoinHandle<()>,
+) {
     _ = stop.send(true);
     let most =
-        Duration::from_secs_f64((hub.node.bounds.grace_period_s - 1.0).max(0.5)).min(Duration::from_secs(2));
+        Duration::from_secs_f64((node.bounds.grace_period_s - 1.0).max(0.5)).min(Duration::from_secs(2));
     _ = tokio::time::timeout(most, counter).await;
     tracing::info!("ending: done");
 }
--- a/crates/rookpulley-office/src/hub.rs
+++ b/crates/rookpulley-office/src/hub.rs
@@ -3,7 +3,7 @@
 use crate::show::Counts;
 use crate::store::{Part, Said, Store};
 use rookpulley_chain::Member;
-use rookpulley_clerk::{Effect, Office, Reply, Start, Wants, Word};
+use rookpulley_clerk::{Effect, Founding, Office, Reply, Start, Wants, Word};
 use rookpulley_mailroom::line::Outbox;
 use rookpulley_settings::Node;
 use rookpulley_waybill::Up;
@@ -54,7 +54,8 @@
             losses: node.tolerance.machines,
             heartbeat_ms: node.heartbeat_ms,
             drain_ms: node.bounds.drain_ms,
-            founder: store.founder,
+            zone: node.zone.clone(),
+            founding: store.founding.as_deref().and_then(Founding::read),
             held: (!store.new).then_some(kept),
             lives: std::mem::take(&mut store.lives),
         };
@@ -144,7 +145,7 @@
     // ---- offices ----------------------------------------------------------------------------
 
     pub fn meet_seeds(&self, seeds: &[SocketAddrV4]) {
-        self.with(|office, now| office.meet_seeds(now, seeds));
+        self.with(|office, now| office.meet_all(now, seeds));
     }
 
     /// Offices that became known and have no line yet.
@@ -234,24 +235,43 @@
 
     // ---- couriers ---------------------------------------------------------------------------
 
-    /// A courier has said hello; gives its name and its line's number.
+    /// Who has come by its first word: a courier, or an office without a disk. Gives its name and its line's number.
     pub fn courier_in(&self, hello: Up, outbox: Outbox) -> Option<(String, u64)> {
-        let Up::Hello { node, zone, home, config, tables, gone } = hello else { return None };
         let line = self.with(|office, _| office.number());
-        self.lines.borrow_mut().couriers.insert(line, outbox);
-        self.with(|office, now| {
-            office.courier_in(now, line, (&node, &zone), home, (config, tables), &gone);
-        });
-        Some((node, line))
+        let came = |name: String| {
+            self.lines.borrow_mut().couriers.insert(line, outbox.clone());
+            Some((name, line))
+        };
+        match hello {
+            Up::Hello { node, zone, home, config, tables, gone } => {
+                let came = came(node.clone());
+                self.with(|office, now| {
+                    office.courier_in(now, line, (&node, &zone), home, (config, tables), &gone);
+                });
+                came
+            }
+            Up::Annex { address, offices } => {
+                let came = came(format!("the office without a disk at {}", address.ip()));
+                self.with(|office, now| office.annex_in(now, line, address, &offices));
+                came
+            }
+            _ => None,
+        }
     }
 
     pub fn courier_said(&self, node: &str, line: u64, up: Up) {
-        self.with(|office, now| office.courier_said(now, node, line, up));
+        self.with(|office, now| match up {
+            Up::Annex { .. } | Up::Found { .. } => office.annex_said(now, line, &up),
+            up => office.courier_said(now, node, line, up),
+        });
     }
 
     pub fn courier_out(&self, node: &str, line: u64) {
         self.lines.borrow_mut().couriers.remove(&line);
-        self.with(|office, now| office.courier_out(now, node, line));
+        self.with(|office, now| {
+            office.courier_out(now, node, line);
+            office.annex_out(now, line);
+        });
     }
 
     // ---- time -------------------------------------------------------------------------------
--- a/crates/rookpulley-office/src/main.rs
+++ b/crates/rookpulley-office/src/main.rs
@@ -1,5 +1,6 @@
 //! The program that keeps control: beats, configurations, coordination, tables.
 
+mod annex;
 mod calls;
 mod couriers;
 mod ending;
@@ -8,11 +9,13 @@
 mod show;
 
 use miette::{IntoDiagnostic, WrapErr};
+use rookpulley_clerk::Founding;
 use rookpulley_mailroom::{File, line, log};
 use rookpulley_settings::Node;
 use rookpulley_strongroom as store;
-use std::net::SocketAddr;
+use std::net::{SocketAddr, SocketAddrV4};
 use std::time::Duration;
+use tokio::net::TcpListener;
 
 xflags::xflags! {
     /// The control program of rookpulley. Its settings are read from the file that ROOKPULLEY_BOOT names.
@@ -37,6 +40,16 @@
     tokio::task::LocalSet::new().block_on(&runtime, run(node, path))
 }
 
+/// For calls, couriers and other offices.
+fn listen(node: &Node, control: SocketAddrV4) -> miette::Result<[TcpListener; 3]> {
+    let inner = |more| SocketAddrV4::new(node.ip, node.inner_ports.0 + more);
+    let listen = |at: SocketAddrV4| {
+        let listened = line::listen(SocketAddr::V4(at), 512).into_diagnostic();
+        listened.wrap_err_with(|| format!("office: {at} can't be listened at"))
+    };
+    Ok([listen(control)?, listen(inner(0))?, listen(inner(1))?])
+}
+
 async fn run(node: Node, path: std::path::PathBuf) -> miette::Result<()> {
     let Some(control) = node.listen.control else {
         return Err(miette::miette!(
@@ -44,19 +57,12 @@
             "no controlPlane address"
         ));
     };
-    let Some(folder) = node.data.clone() else {
-        return Err(miette::miette!(help = "run offices on machines with a disk", "no dataDirectory"));
-    };
-    let listen = |at: SocketAddr| {
-        line::listen(at, 512).into_diagnostic().wrap_err_with(|| format!("office: {at} can't be listened at"))
-    };
-    let counter = listen(SocketAddr::V4(control))?;
-    let for_couriers = listen(SocketAddr::from((node.ip, node.inner_ports.0)))?;
-    let for_peers = listen(SocketAddr::from((node.ip, node.inner_ports.0 + 1)))?;
+    let Some(folder) = node.data.clone() else { return annex::run(node, control, path).await };
+    let [counter, for_couriers, for_peers] = listen(&node, control)?;
     let seed = rand::random::<u64>();
     let (said, heard) = tokio::sync::mpsc::unbounded_channel();
-    let founder = node.first_start && node.seeds.first().is_some_and(|seed| *seed.ip() == node.ip);
-    let mut store = store::Store::open(&folder, rand::random::<u64>(), founder, said)?;
+    let founding = node.first_start.then(|| Founding::new(node.ip, &node.seeds).mark());
+    let mut store = store::Store::open(&folder, rand::random::<u64>(), founding.as_deref(), said)?;
     let kept = std::mem::take(&mut store.held);
     let fresh = store.new;
     let hub = hub::Hub::new(node, store, kept, seed);
@@ -88,7 +94,7 @@
             }
         }
     });
-    ending::wait(&hub, File::new(path)).await;
+    ending::wait(File::new(path), |seeds| hub.meet_seeds(seeds)).await;
     ending::finish(&hub, stop, counter).await;
     Ok(())
 }
--- a/crates/rookpulley-office/src/show/tests.rs
+++ b/crates/rookpulley-office/src/show/tests.rs
@@ -53,7 +53,7 @@
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
     tokio::task::LocalSet::new().block_on(&runtime, async {
         let (said, heard) = tokio::sync::mpsc::unbounded_channel();
-        let store = Store::open(folder.path(), 7, true, said).unwrap();
+        let store = Store::open(folder.path(), 7, Some(&[]), said).unwrap();
         let hub = Hub::new(Node::parse(SETTINGS).unwrap(), store, Vec::new(), 11);
         hub.hear_store(heard);
         let to = hub.clone();
--- a/crates/rookpulley-round/src/offices.rs
+++ b/crates/rookpulley-round/src/offices.rs
@@ -93,6 +93,12 @@
         }
     }
 
+    /// Those that said no longer than so ago that they are in touch.
+    pub fn in_touch(&self, now_ms: f64, within_ms: f64) -> impl Iterator<Item = Ipv4Addr> {
+        let fit = move |seen: &Seen| seen.fit() && now_ms - seen.touched_ms <= within_ms;
+        self.seen.iter().filter(move |(_, seen)| fit(seen)).map(|(&ip, _)| ip)
+    }
+
     /// An office says how it stands; true where its newer configuration is to be asked for.
     pub fn pulse(&mut self, now_ms: f64, office: Ipv4Addr, in_touch: bool, config: u64, held: u64) -> bool {
         let Some(seen) = self.seen.get_mut(&office) else { return false };
--- a/crates/rookpulley-satchel/src/satchel.rs
+++ b/crates/rookpulley-satchel/src/satchel.rs
@@ -192,7 +192,7 @@
                 self.out.extend(left.into_iter().map(Effect::Forget));
                 self.say(office, Up::Took { mark });
             }
-            Down::Table { .. } => {}
+            Down::Table { .. } | Down::Place { .. } => {}
             Down::Gone { lives } => {
                 let news = self.post.gone(lives, now);
                 self.out.extend(news.into_iter().map(Effect::Forget));
--- a/crates/rookpulley-strongroom/examples/disk_use.rs
+++ b/crates/rookpulley-strongroom/examples/disk_use.rs
@@ -31,10 +31,10 @@
     fn open(folder: &Path, life: u64) -> (Self, f64) {
         let began = Instant::now();
         let (said, heard) = tokio::sync::mpsc::unbounded_channel();
-        let store = Store::open(folder, 7, true, said).unwrap();
+        let store = Store::open(folder, 7, Some(&[]), said).unwrap();
         let me = Member { id: store.identity, life, address: "127.0.0.1:7".parse().unwrap() };
         let kept = (!store.new).then(|| rookpulley_chain::Kept::read(store.held.iter().cloned()));
-        let boot = Boot { me, founder: store.founder, losses: 0, seed: life, kept };
+        let boot = Boot { me, founder: store.founding.is_some(), losses: 0, seed: life, kept };
         let chain = Chain::start(0, boot, Kept::default());
         let took = began.elapsed().as_secs_f64() * 1e3;
         let mut office = Self { chain, store, heard, now: 0, ticked: 0, syncs: 0 };
--- a/crates/rookpulley-strongroom/examples/fill_time.rs
+++ b/crates/rookpulley-strongroom/examples/fill_time.rs
@@ -62,9 +62,9 @@
     let address: SocketAddrV4 = listener.local_addr().unwrap().to_string().parse().unwrap();
     let (events, queue) = channel();
     let (said, mut heard) = tokio::sync::mpsc::unbounded_channel();
-    let store = Store::open(&folder, number, number == 1, said).unwrap();
+    let store = Store::open(&folder, number, (number == 1).then_some(&[]), said).unwrap();
     let me = Member { id: store.identity, life: 77, address };
-    let boot = Boot { me, founder: store.founder, losses: 1, seed: number, kept: None };
+    let boot = Boot { me, founder: store.founding.is_some(), losses: 1, seed: number, kept: None };
     let now = began.elapsed().as_millis() as u64;
     let chain = Chain::start(now, boot, Kept::default());
     let to = events.clone();
--- a/crates/rookpulley-strongroom/src/look.rs
+++ b/crates/rookpulley-strongroom/src/look.rs
@@ -107,7 +107,7 @@
         assert!(matches!(look(folder.path()), Err(LookError::Nothing(_))));
         assert_eq!(std::fs::read_dir(folder.path()).unwrap().count(), 0);
         let (said, mut heard) = tokio::sync::mpsc::unbounded_channel();
-        let store = Store::open(folder.path(), 7, false, said).unwrap();
+        let store = Store::open(folder.path(), 7, None, said).unwrap();
         let put = |key: &str| Record::Put { key: key.into(), value: vec![1; 9] };
         assert!(store.write(Part::Chain, 1, vec![put("a"), put("b")]));
         assert!(store.write(Part::Lives, 1, vec![put("i-1")]));
@@ -117,7 +117,7 @@
         assert_eq!((seen.identity, seen.chain.len(), seen.lives.len()), (Some(7), 2, 1));
         assert_eq!(looked(folder.path()), seen);
         let (said, _heard) = tokio::sync::mpsc::unbounded_channel();
-        let again = Store::open(folder.path(), 8, false, said).unwrap();
+        let again = Store::open(folder.path(), 8, None, said).unwrap();
         assert_eq!((again.identity, again.new, &again.held), (7, false, &seen.chain));
     }
 
--- a/crates/rookpulley-strongroom/src/replace.rs
+++ b/crates/rookpulley-strongroom/src/replace.rs
@@ -117,7 +117,7 @@
     fn a_store() -> (tempfile::TempDir, Contents) {
         let folder = tempfile::tempdir().unwrap();
         let (said, mut heard) = tokio::sync::mpsc::unbounded_channel();
-        let store = Store::open(folder.path(), 7, false, said).unwrap();
+        let store = Store::open(folder.path(), 7, None, said).unwrap();
         assert!(store.write(Part::Chain, 1, vec![put("a")]));
         assert!(store.write(Part::Lives, 1, vec![put("i-1")]));
         drop(store);
@@ -159,7 +159,7 @@
                 }
             };
             let (said, mut heard) = tokio::sync::mpsc::unbounded_channel();
-            let store = Store::open(folder.path(), 8, false, said).unwrap();
+            let store = Store::open(folder.path(), 8, None, said).unwrap();
             assert_eq!((Some(store.identity), store.new), (wanted.0, false), "step {step}");
             drop(store);
             while heard.blocking_recv().is_some() {}
@@ -178,7 +178,7 @@
     fn a_store_in_use_is_not_replaced() {
         let (folder, old) = a_store();
         let (said, _heard) = tokio::sync::mpsc::unbounded_channel();
-        let _store = Store::open(folder.path(), 8, false, said).unwrap();
+        let _store = Store::open(folder.path(), 8, None, said).unwrap();
         assert!(matches!(replace(folder.path(), &old, 9, &[put("c")]), Err(LookError::InUse(_))));
         assert!(!folder.path().join(NEXT).exists() && !folder.path().join(BEFORE).exists());
     }
--- a/crates/rookpulley-strongroom/src/store.rs
+++ b/crates/rookpulley-strongroom/src/store.rs
@@ -52,8 +52,8 @@
     /// The identity that was minted with the disk, and whether that was just now.
     pub identity: u64,
     pub new: bool,
-    /// It was minted to found the first view.
-    pub founder: bool,
+    /// It was minted at the first start of all, and what was noted then of who is to found the first view.
+    pub founding: Option<Vec<u8>>,
     pub held: Rows,
     pub lives: Rows,
 }
@@ -108,15 +108,15 @@
 }
 
 impl Store {
-    /// Opens the store in a folder. One that can't be opened is an empty disk: it is begun anew. `founder`: a new one
-    /// is to found the first view.
+    /// Opens the store in a folder. One that can't be opened is an empty disk: it is begun anew. `founding`: what a new
+    /// one keeps on who is to found the first view.
     pub fn open(
         folder: &Path,
         mint: u64,
-        founder: bool,
+        founding: Option<&[u8]>,
         said: UnboundedSender<Said>,
     ) -> Result<Self, StoreError> {
-        Self::open_with(folder, mint, founder, said, PATIENCE)
+        Self::open_with(folder, mint, founding, said, PATIENCE)
     }
 
     /// Has the store in a folder begun anew at the next opening, whatever happens till then.
@@ -128,7 +128,7 @@
     fn open_with(
         folder: &Path,
         mint: u64,
-        founder: bool,
+        founding: Option<&[u8]>,
         said: UnboundedSender<Said>,
         patience: u32,
     ) -> Result<Self, StoreError> {
@@ -179,12 +179,12 @@
         if kept.is_none() {
             let mut batch = sled::Batch::default();
             batch.insert(IDENTITY, &mint.to_le_bytes());
-            if founder {
-                batch.insert(FOUNDER, &[]);
+            if let Some(founding) = founding {
+                batch.insert(FOUNDER, founding);
             }
             db.apply_batch(batch)?;
         }
-        let founder = db.contains_key(FOUNDER)?;
+        let founding = db.get(FOUNDER)?.map(|kept| kept.to_vec());
         db.flush()?;
         sync_all(&at).map_err(troubled)?;
         if spoilt.exists() {
@@ -228,7 +228,7 @@
             }
         };
         std::thread::Builder::new().name("store".into()).spawn(work).map_err(StoreError::Thread)?;
-        Ok(Self { jobs, identity: kept.unwrap_or(mint), new: kept.is_none(), founder, held, lives })
+        Ok(Self { jobs, identity: kept.unwrap_or(mint), new: kept.is_none(), founding, held, lives })
     }
 
     pub fn write(&self, part: Part, ticket: u64, records: Vec<Record>) -> bool {
@@ -242,7 +242,7 @@
 
     fn opened(folder: &Path, mint: u64) -> (Store, tokio::sync::mpsc::UnboundedReceiver<Said>) {
         let (said, heard) = tokio::sync::mpsc::unbounded_channel();
-        (Store::open(folder, mint, false, said).unwrap(), heard)
+        (Store::open(folder, mint, None, said).unwrap(), heard)
     }
 
     #[test]
@@ -308,7 +308,7 @@
         let folder = tempfile::tempdir().unwrap();
         let (store, mut heard) = opened(folder.path(), 7);
         let (said, _) = tokio::sync::mpsc::unbounded_channel();
-        assert!(matches!(Store::open_with(folder.path(), 8, false, said, 0), Err(StoreError::InUse(_))));
+        assert!(matches!(Store::open_with(folder.path(), 8, None, said, 0), Err(StoreError::InUse(_))));
         assert!(matches!(crate::look(folder.path()), Err(crate::LookError::InUse(_))));
         drop(store);
         while heard.blocking_recv().is_some() {}
@@ -330,13 +330,13 @@
     fn a_store_that_was_given_up_is_an_empty_disk_with_a_new_identity_once() {
         let folder = tempfile::tempdir().unwrap();
         let (said, mut heard) = tokio::sync::mpsc::unbounded_channel();
-        let store = Store::open(folder.path(), 7, true, said).unwrap();
-        assert!(store.founder);
+        let store = Store::open(folder.path(), 7, Some(&[1, 2]), said).unwrap();
+        assert_eq!(store.founding.as_deref(), Some(&[1, 2][..]));
         Store::give_up(folder.path()).unwrap();
         drop(store);
         while heard.blocking_recv().is_some() {}
         let (store, mut heard) = opened(folder.path(), 8);
-        assert_eq!((store.identity, store.new, store.founder), (8, true, false));
+        assert_eq!((store.identity, store.new, &store.founding), (8, true, &None));
         drop(store);
         while heard.blocking_recv().is_some() {}
         let (store, _heard) = opened(folder.path(), 9);
--- a/crates/rookpulley-strongroom/tests/torn.rs
+++ b/crates/rookpulley-strongroom/tests/torn.rs
@@ -165,7 +165,7 @@
 
 fn open(folder: &Path, mint: u64) -> (Store, tokio::sync::mpsc::UnboundedReceiver<Said>) {
     let (said, heard) = tokio::sync::mpsc::unbounded_channel();
-    (Store::open(folder, mint, false, said).unwrap(), heard)
+    (Store::open(folder, mint, None, said).unwrap(), heard)
 }
 
 fn close((store, mut heard): (Store, tokio::sync::mpsc::UnboundedReceiver<Said>)) {
--- a/crates/rookpulley-waybill/src/messages.rs
+++ b/crates/rookpulley-waybill/src/messages.rs
@@ -34,6 +34,16 @@
     Took {
         mark: u64,
     },
+    /// The first word of an office that has no disk, and where it hears other offices. It only passes calls on. It says
+    /// so again when the offices with a disk that it knows of have changed.
+    Annex {
+        address: SocketAddrV4,
+        offices: Vec<SocketAddrV4>,
+    },
+    /// From the first seed, which has no disk: the office with this identity is to found the first view.
+    Found {
+        id: u64,
+    },
 }
 
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
@@ -71,6 +81,9 @@
     Table { service: String, name: u64, mark: u64, lines: Vec<Line> },
     /// These lives drain or have ended: nothing new goes there from now on, whatever tables say.
     Gone { lives: Vec<Life> },
+    /// To an office without a disk, first: where this one is, its identity if it may found the first view, and
+    /// whether it knows of a view.
+    Place { zone: String, founds: Option<u64>, view: bool },
 }
 
 /// A task in a table.
