--- a/crates/rookpulley-drill/src/callers.rs
+++ b/crates/rookpulley-drill/src/callers.rs
@@ -90,8 +90,14 @@
         call
     }
 
-    /// The list that callers choose from: the core's machines, up or not.
+    /// The list that callers choose from: machines with an office, up or not.
     pub fn callable(&self) -> Vec<usize> {
+        let serves = |m: &usize| self.machines[*m].core || self.machines[*m].annex;
+        (0..self.machines.len()).filter(|m| serves(m) && !self.machines[*m].gone).collect()
+    }
+
+    /// Those with a disk.
+    pub fn core(&self) -> Vec<usize> {
         (0..self.machines.len()).filter(|m| self.machines[*m].core && !self.machines[*m].gone).collect()
     }
 
@@ -137,6 +143,14 @@
         }
     }
 
+    /// An office without a disk names another one; that is followed at once.
+    pub fn redirected(&mut self, call: u64, attempt: u32, machine: usize) {
+        if let Some(of) = self.calls.get_mut(&call).filter(|of| of.attempt == attempt) {
+            of.machine = machine;
+            self.send_call(call);
+        }
+    }
+
     pub fn replied(&mut self, call: u64, attempt: u32, reply: Option<Reply>) {
         if self.calls.get(&call).is_none_or(|of| of.attempt != attempt) {
             return;
--- a/crates/rookpulley-drill/src/couriers.rs
+++ b/crates/rookpulley-drill/src/couriers.rs
@@ -1,14 +1,14 @@
 //! A courier's process: the satchel and its journeys, with lines, clients and connections to tasks round them.
 
 use crate::clients::Told;
-use crate::net::Host;
+use crate::net::{Host, unframed};
 use crate::tasks::{Answer, Errand};
 use crate::world::{Core, Mutation, What, World};
 use crate::{MS, S, Us};
 use rand::RngExt;
 use rookpulley_round::{Fate, Pick};
 use rookpulley_satchel::{Back, Effect, Go, Head, How, Journey, Leaving, Satchel, Then, Way, worth};
-use rookpulley_waybill::{Down, Frames, Line as TableLine, frame};
+use rookpulley_waybill::{Down, Line as TableLine, frame};
 use std::collections::{BTreeMap, HashMap};
 use std::net::Ipv4Addr;
 use std::rc::Rc;
@@ -98,7 +98,7 @@
     }
 
     fn satchel(&mut self, machine: usize) -> Satchel {
-        let seeds = self.machines.iter().filter(|m| m.core && !m.gone).take(3).map(|m| m.ip).collect();
+        let seeds = self.seeds().iter().map(|seed| *seed.ip()).collect();
         let (mut ratio, mut slack) = (self.day.retry_ratio, self.day.retry_slack);
         if self.mutation == Some(Mutation::FreeTries) {
             (ratio, slack) = (50.0, 1e6);
@@ -110,7 +110,7 @@
     fn courier(&mut self, process: usize) -> Option<&mut CourierProcess> {
         match self.processes.get_mut(process)?.core.as_mut()? {
             Core::Courier(courier) => Some(courier),
-            Core::Office(_) => None,
+            _ => None,
         }
     }
 
@@ -235,9 +235,7 @@
         let (post, ending) = (std::mem::replace(&mut courier.satchel, fresh), courier.satchel.ending);
         (courier.satchel.post, courier.satchel.ending) = (post.post, ending);
         courier.gone_back = true;
-        let mut frames = Frames::default();
-        frames.push(&first);
-        if let Ok(Some(down)) = frames.take::<Down>() {
+        if let Some(down) = unframed::<Down>(&first) {
             courier.satchel.take(clock, Ipv4Addr::LOCALHOST, down);
         }
         _ = courier.satchel.effects();
@@ -288,9 +286,7 @@
     fn courier_hears(&mut self, process: usize, line: u64, bytes: Vec<u8>) {
         let Some(of) = self.lines.get(&line) else { return };
         let ip = self.machines[self.processes[of.ends[1].0].machine].ip;
-        let mut frames = Frames::default();
-        frames.push(&bytes);
-        let Ok(Some(down)) = frames.take::<Down>() else { return };
+        let Some(down) = unframed::<Down>(&bytes) else { return };
         let missed = match (&down, self.mutation) {
             (Down::Gone { .. } | Down::Table { .. }, Some(Mutation::DrainsUnheard)) => {
                 self.now > 3 * S && self.courier(process).is_some_and(|courier| courier.satchel.ready())
--- a/crates/rookpulley-drill/src/day.rs
+++ b/crates/rookpulley-drill/src/day.rs
@@ -156,6 +156,9 @@
 pub struct Day {
     pub seed: u64,
     pub offices: usize,
+    /// Machines behind the offices whose office has no disk, and whether they come first among the seeds.
+    pub annexes: usize,
+    pub annex_seeds: bool,
     pub couriers: usize,
     pub zones: usize,
     pub losses: u32,
@@ -179,9 +182,14 @@
         let offices = rng.random_range(3..=5usize);
         let couriers = rng.random_range(6..=12usize).max(offices);
         let length_ms = 30_000;
+        // Drawn apart: the days without them stay as they were.
+        let mut apart = ChaCha8Rng::seed_from_u64(seed ^ 0xa446);
+        let some = if apart.random_range(0..4u32) == 0 { apart.random_range(1..=3) } else { 0 };
         let mut day = Day {
             seed,
             offices,
+            annexes: some.min(couriers - offices),
+            annex_seeds: apart.random_range(0..2u32) == 0,
             couriers,
             zones: rng.random_range(2..=3),
             losses: if offices == 5 { rng.random_range(1..=2) } else { 1 },
@@ -331,10 +339,12 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         writeln!(
             f,
-            "day {}: {} offices, {} couriers in {} zones, losses {}, {} services, {} tasks, {} requests/s, {} apps, \
+            "day {}: {} offices, {} without a disk{}, {} couriers in {} zones, losses {}, {} services, {} tasks, {} requests/s, {} apps, \
              further tries {} + {}{}",
             self.seed,
             self.offices,
+            self.annexes,
+            if self.annexes > 0 && self.annex_seeds { " as first seeds" } else { "" },
             self.couriers,
             self.zones,
             self.losses,
--- a/crates/rookpulley-drill/src/net.rs
+++ b/crates/rookpulley-drill/src/net.rs
@@ -3,6 +3,7 @@
 use crate::world::{What, World};
 use crate::{MS, Us};
 use rand::RngExt;
+use rookpulley_waybill::Frames;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -28,6 +29,13 @@
     held: Vec<Held>,
 }
 
+/// The one message in a frame.
+pub fn unframed<T: serde::de::DeserializeOwned>(bytes: &[u8]) -> Option<T> {
+    let mut frames = Frames::default();
+    frames.push(bytes);
+    frames.take().ok().flatten()
+}
+
 impl Net {
     pub fn cut(&self, from: Host, to: Host) -> bool {
         self.cuts.values().any(|(a, b)| a.contains(&from) && b.contains(&to))
--- a/crates/rookpulley-drill/src/offices.rs
+++ b/crates/rookpulley-drill/src/offices.rs
@@ -1,12 +1,13 @@
 //! An office's process: the clerk with a simulated store, lines and callers round it.
 
+use crate::net::unframed;
 use crate::world::{Core, Mutation, What, World};
 use crate::{MS, S, Us};
 use rand::RngExt;
 use rookpulley_chain::{Kept, Member};
 use rookpulley_clerk::{Content, Effect, Founding, Office, Path, Reply, Start, Wants, Word, read};
 use rookpulley_ledger::{Answer, Ask, Update};
-use rookpulley_waybill::{Frames, Up};
+use rookpulley_waybill::Up;
 use std::collections::{BTreeMap, HashMap};
 use std::net::{Ipv4Addr, SocketAddrV4};
 use tinyjson::JsonValue;
@@ -42,36 +43,11 @@
     deaf: bool,
 }
 
-/// The one message in a frame.
-fn unframed<T>(bytes: &[u8]) -> Option<T>
-where
-    Frames: Take<T>,
-{
-    let mut frames = Frames::default();
-    frames.push(bytes);
-    frames.one()
-}
-
-trait Take<T> {
-    fn one(&mut self) -> Option<T>;
-}
-
-impl Take<Word> for Frames {
-    fn one(&mut self) -> Option<Word> {
-        self.take().ok().flatten()
-    }
-}
-
-impl Take<Up> for Frames {
-    fn one(&mut self) -> Option<Up> {
-        self.take().ok().flatten()
-    }
-}
-
 impl World {
-    fn seeds(&self) -> Vec<SocketAddrV4> {
+    pub fn seeds(&self) -> Vec<SocketAddrV4> {
+        let annexes = self.machines.iter().filter(|machine| machine.annex && self.day.annex_seeds);
         let core = self.machines.iter().filter(|machine| machine.core && !machine.gone);
-        core.take(3).map(|machine| SocketAddrV4::new(machine.ip, 8_166)).collect()
+        annexes.chain(core).take(3).map(|machine| SocketAddrV4::new(machine.ip, 8_166)).collect()
     }
 
     pub fn start_office(&mut self, machine: usize, first: bool) {
@@ -124,7 +100,7 @@
     fn office(&mut self, process: usize) -> Option<&mut OfficeProcess> {
         match self.processes.get_mut(process)?.core.as_mut()? {
             Core::Office(office) => Some(office),
-            Core::Courier(_) => None,
+            _ => None,
         }
     }
 
@@ -289,7 +265,7 @@
 
     fn office_hears(&mut self, process: usize, line: u64, bytes: &[u8]) {
         let Some(of) = self.lines.get(&line) else { return };
-        if self.processes[of.ends[0].0].is_office {
+        if self.keeps_control(of.ends[0].0) {
             let Some(word) = unframed::<Word>(bytes) else { return };
             let mut who = of.who;
             self.with_office(process, |office, now| office.word(now, &mut who, word));
@@ -309,6 +285,16 @@
                     office.courier_in(now, number, (&node, &zone), home, (config, tables), &gone);
                 });
             }
+            (Up::Annex { address, offices }, None) => {
+                let Some(number) = self.with_office(process, |office, _| office.number()) else { return };
+                self.office(process).into_iter().for_each(|office| _ = office.couriers.insert(number, line));
+                let name = Some((address.ip().to_string(), number));
+                self.lines.get_mut(&line).into_iter().for_each(|of| of.courier = name.clone());
+                self.with_office(process, |office, now| office.annex_in(now, number, address, &offices));
+            }
+            (up @ (Up::Annex { .. } | Up::Found { .. }), Some((_, number))) => {
+                self.with_office(process, |office, now| office.annex_said(now, number, &up));
+            }
             (up, Some((node, number))) => {
                 self.with_office(process, |office, now| office.courier_said(now, &node, number, up));
             }
@@ -331,7 +317,10 @@
         }
         if let Some((node, number)) = courier {
             self.office(process).into_iter().for_each(|office| _ = office.couriers.remove(&number));
-            self.with_office(process, |office, now| office.courier_out(now, &node, number));
+            self.with_office(process, |office, now| {
+                office.courier_out(now, &node, number);
+                office.annex_out(now, number);
+            });
         } else if let Some(id) = who {
             self.with_office(process, |office, now| office.line_ended(now, id));
         }
@@ -398,6 +387,9 @@
 
     pub fn term_office(&mut self, process: usize) {
         let (me, now) = (self.address(process), self.now);
+        if self.machines[self.processes[process].machine].annex {
+            return self.after(LOOK_AGAIN, me, What::Leaving);
+        }
         if let Some(office) = self.office(process)
             && office.leaves.is_none()
         {
--- a/crates/rookpulley-drill/src/troubles.rs
+++ b/crates/rookpulley-drill/src/troubles.rs
@@ -60,7 +60,7 @@
                 self.heals_in(ms, number, Heals::Lossy);
             }
             Happens::Herd { power, down_ms } => {
-                let core = self.callable();
+                let core = self.core();
                 core.into_iter().for_each(|machine| self.kill(machine, (true, true), power, down_ms));
             }
             Happens::Dark { down_ms } => self.dark(down_ms),
@@ -146,7 +146,7 @@
                 (0..self.machines.len()).for_each(|machine| self.kill(machine, (true, true), false, 700));
             }
             Closing::Disks { others } => {
-                let mut core = self.callable();
+                let mut core = self.core();
                 for _ in 0..self.day.losses {
                     let machine = core.swap_remove(self.rng.random_range(0..core.len()));
                     self.kill(machine, (true, true), true, 900);
@@ -228,6 +228,9 @@
         if core {
             self.start_office(machine, false);
         }
+        if self.machines[machine].annex && office {
+            self.start_annex(machine, false);
+        }
         if courier {
             self.start_courier(machine);
         }
--- a/crates/rookpulley-drill/src/world.rs
+++ b/crates/rookpulley-drill/src/world.rs
@@ -1,5 +1,6 @@
 //! The day's clock and all that stands on it.
 
+use crate::annexes::AnnexProcess;
 use crate::apps::{App, Watcher};
 use crate::callers::Call;
 use crate::clients::Clients;
@@ -110,38 +111,114 @@
     // To an office or a courier.
     Tick,
     Dial(Ipv4Addr),
-    Dialed { ip: Ipv4Addr, up: bool },
-    Line { line: u64, side: usize, bytes: Vec<u8> },
-    LineEnd { line: u64, side: usize },
-    LineCheck { line: u64, side: usize },
+    Dialed {
+        ip: Ipv4Addr,
+        up: bool,
+    },
+    Line {
+        line: u64,
+        side: usize,
+        bytes: Vec<u8>,
+    },
+    LineEnd {
+        line: u64,
+        side: usize,
+    },
+    LineCheck {
+        line: u64,
+        side: usize,
+    },
     // To an office.
     Synced,
-    Lied { of_chain: bool, ticket: u64 },
+    Lied {
+        of_chain: bool,
+        ticket: u64,
+    },
     Leaving,
-    Call { call: u64, attempt: u32 },
+    Call {
+        call: u64,
+        attempt: u32,
+    },
     // To a courier.
     Request(usize),
     ClientClosed(usize),
-    WireUp { request: usize, attempt: u32, wire: u64, up: bool },
-    Turn { request: usize, attempt: u32 },
-    Over { request: usize, attempt: u32 },
-    Answer { request: usize, attempt: u32, wire: u64, answer: crate::tasks::Answer },
+    WireUp {
+        request: usize,
+        attempt: u32,
+        wire: u64,
+        up: bool,
+    },
+    Turn {
+        request: usize,
+        attempt: u32,
+    },
+    Over {
+        request: usize,
+        attempt: u32,
+    },
+    Answer {
+        request: usize,
+        attempt: u32,
+        wire: u64,
+        answer: crate::tasks::Answer,
+    },
     // To those outside.
     Arrive(crate::tasks::Errand),
-    Dropped { task: usize, wire: u64, request: usize, attempt: u32 },
-    TaskDone { task: usize, request: usize, attempt: u32 },
-    TaskBeat { task: usize, life: u64 },
-    TaskLeaves { task: usize, life: u64 },
-    TaskEnds { task: usize, life: u64, crash: Option<bool> },
-    TaskStarts { task: usize },
+    Dropped {
+        task: usize,
+        wire: u64,
+        request: usize,
+        attempt: u32,
+    },
+    TaskDone {
+        task: usize,
+        request: usize,
+        attempt: u32,
+    },
+    TaskBeat {
+        task: usize,
+        life: u64,
+    },
+    TaskLeaves {
+        task: usize,
+        life: u64,
+    },
+    TaskEnds {
+        task: usize,
+        life: u64,
+        crash: Option<bool>,
+    },
+    TaskStarts {
+        task: usize,
+    },
     Client,
     Send(usize),
-    ClientAnswer { try_: usize, answer: crate::clients::Told },
-    ClientLate { try_: usize },
+    ClientAnswer {
+        try_: usize,
+        answer: crate::clients::Told,
+    },
+    ClientLate {
+        try_: usize,
+    },
     Readiness,
-    Replied { call: u64, attempt: u32, reply: Option<rookpulley_clerk::Reply> },
-    CallLate { call: u64, attempt: u32 },
-    CallAgain { call: u64 },
+    /// The caller is sent to this machine.
+    Redirected {
+        call: u64,
+        attempt: u32,
+        machine: usize,
+    },
+    Replied {
+        call: u64,
+        attempt: u32,
+        reply: Option<rookpulley_clerk::Reply>,
+    },
+    CallLate {
+        call: u64,
+        attempt: u32,
+    },
+    CallAgain {
+        call: u64,
+    },
     App(usize),
     Watch(usize),
     Operate(usize),
@@ -149,12 +226,28 @@
     AppsEnd,
     Happens(usize),
     Heal(u64),
-    Start { machine: usize, office: bool, courier: bool },
-    Wake { process: usize },
-    Roll { machine: usize, pause_ms: u64 },
-    Retire { machine: usize },
-    Gone { machine: usize },
-    Kill { process: usize, life: u32 },
+    Start {
+        machine: usize,
+        office: bool,
+        courier: bool,
+    },
+    Wake {
+        process: usize,
+    },
+    Roll {
+        machine: usize,
+        pause_ms: u64,
+    },
+    Retire {
+        machine: usize,
+    },
+    Gone {
+        machine: usize,
+    },
+    Kill {
+        process: usize,
+        life: u32,
+    },
     Held,
 }
 
@@ -168,6 +261,7 @@
 #[allow(clippy::large_enum_variant)]
 pub enum Core {
     Office(OfficeProcess),
+    Annex(AnnexProcess),
     Courier(CourierProcess),
 }
 
@@ -187,6 +281,8 @@
     pub ip: Ipv4Addr,
     pub zone: usize,
     pub core: bool,
+    /// Its office has no disk.
+    pub annex: bool,
     pub power: bool,
     pub gone: bool,
     /// It is to go once its processes have ended.
@@ -267,6 +363,7 @@
         };
         for machine in 0..day.couriers.max(day.offices) {
             world.add_machine(machine < day.offices);
+            world.machines[machine].annex = (day.offices..day.offices + day.annexes).contains(&machine);
         }
         for machine in 0..world.machines.len() {
             world.start_machine(machine, true);
@@ -336,6 +433,7 @@
             ip,
             zone: machine % self.day.zones,
             core,
+            annex: false,
             power: true,
             gone: false,
             leaves: false,
@@ -365,6 +463,12 @@
         2 * machine + usize::from(!office)
     }
 
+    /// An office with a disk.
+    pub fn keeps_control(&self, process: usize) -> bool {
+        let process = &self.processes[process];
+        process.is_office && !self.machines[process.machine].annex
+    }
+
     pub fn running(&self, process: usize) -> bool {
         self.processes.get(process).is_some_and(|p| p.core.is_some())
     }
@@ -390,6 +494,9 @@
         if self.machines[machine].core {
             self.start_office(machine, first);
         }
+        if self.machines[machine].annex {
+            self.start_annex(machine, first);
+        }
         self.start_courier(machine);
         self.record.started(self.now, machine, self.machines[machine].core);
     }
@@ -416,6 +523,7 @@
                 self.machines[machine].disk.ends(&mut self.rng);
                 self.office_ended(machine, office, quiet);
             }
+            Core::Annex(_) => {}
             Core::Courier(courier) => self.courier_ended(process, life, courier, quiet),
         }
         self.ended_in_order(process);
@@ -432,6 +540,9 @@
             return;
         }
         match at.is_office {
+            true if self.machines[at.machine].annex => {
+                self.annex_takes(process, event.what);
+            }
             true => self.office_takes(process, event.what),
             false => self.courier_takes(process, event.what),
         }
@@ -468,6 +579,7 @@
             What::ClientAnswer { try_, answer } => self.client_hears(try_, answer),
             What::ClientLate { try_ } => self.client_late(try_),
             What::Readiness => self.ask_readiness(),
+            What::Redirected { call, attempt, machine } => self.redirected(call, attempt, machine),
             What::Replied { call, attempt, reply } => self.replied(call, attempt, reply),
             What::CallLate { call, attempt } => self.call_late(call, attempt),
             What::CallAgain { call } => self.send_call(call),
--- a/crates/rookpulley-drill/tests/days.rs
+++ b/crates/rookpulley-drill/tests/days.rs
@@ -31,6 +31,19 @@
     assert!(hunted.served * 10 > hunted.requests * 7 && hunted.calls > 24 * 200, "{hunted:?}");
 }
 
+#[test]
+fn where_no_seed_has_a_disk_one_is_named_and_days_go_as_others_do() {
+    for seed in 0..4 {
+        let mut day = Day::draw(seed);
+        (day.offices, day.annexes, day.couriers, day.annex_seeds) = (3, 3, day.couriers.max(6), true);
+        day.losses = 1;
+        day.happens.retain(|(at, _)| *at > 9_000);
+        let played = play(&day, None);
+        assert_eq!(played.breaches, [], "{day}");
+        assert!(played.served * 2 > played.requests && played.calls > 200, "{day}");
+    }
+}
+
 #[test]
 fn a_day_that_fails_is_shrunk_to_what_it_needs() {
     let mutation = Some(Mutation::SyncLeftOut);
