--- a/crates/rookpulley-chain/src/chain.rs
+++ b/crates/rookpulley-chain/src/chain.rs
@@ -175,6 +175,7 @@
             }
             Input::Call { token, kind, body } => self.call(now, token, kind, body),
         }
+        self.compact();
         std::mem::take(&mut self.out)
     }
 
--- a/crates/rookpulley-chain/src/fill.rs
+++ b/crates/rookpulley-chain/src/fill.rs
@@ -251,7 +251,6 @@
     pub(crate) fn tend_fill(&mut self, now: u64) {
         self.filling.frozen.take_if(|f| now > f.used_ms + FROZEN_MS);
         self.fetch(now);
-        self.compact();
     }
 
     // ---- copies compared --------------------------------------------------------------------
--- a/crates/rookpulley-chain/src/flow.rs
+++ b/crates/rookpulley-chain/src/flow.rs
@@ -49,6 +49,7 @@
     time: (u64, u64),
     /// The entries that the disk may hold, by their places.
     disk: (u64, u64),
+    /// Of what is applied, behind the state on the disk.
     disk_bytes: usize,
     waiting_bytes: usize,
 }
@@ -103,7 +104,6 @@
     pub fn add(&mut self, entry: Entry) {
         (self.last, self.last_at) = (entry.seq, entry.at_ms);
         self.disk.1 = self.disk.1.max(entry.seq);
-        self.disk_bytes += entry.body.len() + 64;
         self.waiting_bytes += entry.body.len();
         self.log.push_back(entry);
     }
@@ -114,6 +114,7 @@
         self.waiting_bytes = self.waiting_bytes.saturating_sub(entry.body.len());
         self.committed = entry.seq;
         self.past_bytes += entry.body.len() + 64;
+        self.disk_bytes += entry.body.len() + 64;
         self.past.push_back(entry);
         while self.past.len() > PAST_ENTRIES || self.past_bytes > PAST_BYTES {
             let Some(old) = self.past.pop_front() else { break };
@@ -311,7 +312,8 @@
         }
     }
 
-    /// Writes the state anew where much stands behind it on the disk.
+    /// Writes the state anew where much that is applied stands behind it on the disk. What is long goes at once: else the
+    /// disk has to hold all that comes meanwhile.
     pub(crate) fn compact(&mut self) {
         let Flow { committed, disk: (from, _), disk_bytes, .. } = self.flow;
         if committed < from || (committed - from < COMPACT_ENTRIES && disk_bytes < COMPACT_BYTES) {
--- a/crates/rookpulley-chain/src/kept.rs
+++ b/crates/rookpulley-chain/src/kept.rs
@@ -13,8 +13,8 @@
     Delete { key: Vec<u8> },
 }
 
-/// No value is longer: larger ones would go to files of their own.
-const PIECE: usize = 32 << 10;
+/// A row of the snapshot is so long. The fewer of them, the fewer borders that move what stands behind a change.
+const PIECE: usize = 1 << 20;
 /// Decided views that are remembered. One that never came to work can only be passed over while it is.
 pub const VIEWS: usize = 32;
 
--- a/crates/rookpulley-chain/src/message.rs
+++ b/crates/rookpulley-chain/src/message.rs
@@ -2,13 +2,19 @@
 
 use crate::CallKind;
 use crate::view::{Ballot, Member, View};
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Serialize, Serializer};
+
+/// As a whole, not one by one: the same on the wire and on the disk, and a body may have some MB.
+fn whole<S: Serializer>(bytes: &[u8], to: S) -> Result<S::Ok, S::Error> {
+    to.serialize_bytes(bytes)
+}
 
 /// An update in its place.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Entry {
     pub seq: u64,
     pub at_ms: u64,
+    #[serde(serialize_with = "whole")]
     pub body: Vec<u8>,
     /// Which office it was asked of, by which token and which of its tries.
     pub from: Asked,
--- a/crates/rookpulley-ledger/src/ledger.rs
+++ b/crates/rookpulley-ledger/src/ledger.rs
@@ -115,7 +115,7 @@
         }
     }
 
-    fn standing_bytes(&self) -> usize {
+    pub(crate) fn standing_bytes(&self) -> usize {
         self.locks.bytes() + self.numbers.bytes() + self.cells.standing_bytes()
     }
 
--- a/crates/rookpulley-ledger/src/snapshot.rs
+++ b/crates/rookpulley-ledger/src/snapshot.rs
@@ -4,6 +4,7 @@
 use crate::ledger::Ledger;
 use crate::locks::{Hold, Locks};
 use crate::numbers::Numbers;
+use serde::{Serialize, Serializer};
 use std::collections::BTreeMap;
 use twox_hash::XxHash64;
 
@@ -39,20 +40,32 @@
     BTreeMap<String, Group>,
 );
 
+/// Written as a whole, not one by one: the bytes are the same, and a configuration may have some MB.
+struct Whole<'a>(&'a [u8]);
+
+impl Serialize for Whole<'_> {
+    fn serialize<S: Serializer>(&self, to: S) -> Result<S::Ok, S::Error> {
+        to.serialize_bytes(self.0)
+    }
+}
+
 impl Ledger {
     /// Everything but the bounds: history for watches and repeats as well, and the last fence.
     pub fn snapshot(&self) -> Vec<u8> {
         let parts = (
             self.at_ms,
             self.swept_ms,
-            &self.configuration,
+            self.configuration().map(|(version, body)| (version, Whole(body))),
             self.locks.fences(),
             self.locks.all(),
             self.numbers.all(),
             self.cells.all(),
         );
+        let length = self.configuration().map_or(0, |(_, body)| body.len());
         // Writing into memory can't fail; empty bytes would be refused by `restore`.
-        postcard::to_extend(&parts, vec![FORMAT]).unwrap_or_default()
+        let mut bytes = Vec::with_capacity(self.standing_bytes() + self.cells.history_bytes() + length);
+        bytes.push(FORMAT);
+        postcard::to_extend(&parts, bytes).unwrap_or_default()
     }
 
     /// Takes the place of what was here. On an error nothing changes.
--- a/crates/rookpulley-strongroom/examples/disk_use.rs
+++ b/crates/rookpulley-strongroom/examples/disk_use.rs
@@ -1,6 +1,6 @@
 //! What an office's store takes on the disk, and how long it takes to open: `cargo run --release -p
-//! rookpulley-strongroom --example disk_use [FOLDER]`. An office alone, with its chain, its ledger and its store, takes
-//! one update every 20 ms of its clock; each waits for its sync.
+//! rookpulley-strongroom --example disk_use [FOLDER [LOAD]]`, for all loads or those with this in their name. An office
+//! alone, with its chain, its ledger and its store, takes one update every 20 ms of its clock; each waits for its sync.
 
 mod load;
 
@@ -106,6 +106,9 @@
 }
 
 fn plays(at: &Path, name: &str, load: &Load, updates: u64) {
+    if std::env::args().nth(2).is_some_and(|wanted| !name.contains(&wanted)) {
+        return;
+    }
     let folder = tempfile::tempdir_in(at).unwrap();
     let (mut office, _) = Office::open(folder.path(), 1);
     let (mut highest, mut most_files, began) = (0, 0, Instant::now());
@@ -156,5 +159,6 @@
     for routes in [6_000, 12_000, 24_000] {
         plays(&at, &format!("configurations of {routes} routes"), &Load::Routes(routes), 200);
     }
+    plays(&at, "configurations of 24000 routes, all changed", &Load::All(24_000), 400);
     plays(&at, "the most that a ledger holds", &Load::Longest, 40_000);
 }
--- a/crates/rookpulley-strongroom/examples/load/mod.rs
+++ b/crates/rookpulley-strongroom/examples/load/mod.rs
@@ -15,6 +15,8 @@
 pub enum Load {
     /// Configurations of so many routes, each with one route changed.
     Routes(u64),
+    /// The same, each with all routes changed.
+    All(u64),
     /// Puts into so many cells of a hundred groups, with values of 16 to 200 bytes.
     Cells(u64),
     /// A configuration close to the longest after each 99 puts into cells that fill what may stand.
@@ -25,6 +27,9 @@
     pub fn update(&self, n: u64) -> Update {
         match self {
             Load::Routes(routes) => Update::PutConfiguration { version: n, body: configuration(*routes, n) },
+            Load::All(routes) => {
+                Update::PutConfiguration { version: n, body: configuration(*routes, n * routes) }
+            }
             Load::Cells(cells) => {
                 let cell = drawn(n) % cells;
                 let value = format!("{:016x}", drawn(!n)).repeat(1 + (drawn(n << 1) % 12) as usize);
--- a/crates/rookpulley-strongroom/src/rows.rs
+++ b/crates/rookpulley-strongroom/src/rows.rs
@@ -1,61 +1,226 @@
-//! Rows of any length, kept as short ones.
+//! Rows of any length, kept as short ones, and what several of them hold kept once.
 //!
 //! `sled` writes a page whole, and a page holds up to seventeen rows. One that grows over a quarter of a segment
 //! (128 KiB) goes to a file of its own, which nobody syncs: after a loss of power the store names a file that isn't
-//! there, and can't be read any more. So no row is long: what is, goes on under further keys, in the same batch.
+//! there, and can't be read any more. So no row is long. What is goes into chunks, in the same batch, and the row is a
+//! list of them. A chunk ends where its own bytes say so, wherever they stand: a configuration that differs in a line
+//! from the one before, and a state that holds it, name the chunks that are there, and only what differs is written.
 
 use rookpulley_chain::Record;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 pub(crate) type Rows = Vec<(Vec<u8>, Vec<u8>)>;
 
 /// Seventeen of these and their keys are far below what makes a page too long.
 const PIECE: usize = 4 << 10;
-/// Begins the key of what follows a first piece; no other key does.
+/// A chunk has so many bytes at least, and a KiB more on average, up to a piece. No byte of the least is looked at but the
+/// last ones.
+const LEAST: usize = 2 << 10;
+const MEAN_BITS: u32 = 10;
+/// No store has so many chunks.
+const MOST: u64 = 1 << 22;
+/// Begins the key of a list of chunks, before the key of its row; of a chunk, before its number; of what follows the
+/// first piece of a long list, or of a long row that an older build wrote. No other key begins so.
+const LIST: u8 = 0xfd;
+const CHUNK: u8 = 0xfe;
 const MORE: u8 = 0xff;
 
+/// Chunks by their numbers: how many from which on.
+type List = Vec<(u64, u32)>;
+
+fn list_of(key: &[u8]) -> Vec<u8> {
+    [&[LIST], key].concat()
+}
+
+fn chunk(number: u64) -> Vec<u8> {
+    [&[CHUNK][..], &number.to_be_bytes()].concat()
+}
+
 fn more(key: &[u8], piece: u32) -> Vec<u8> {
     [&[MORE], key, &piece.to_be_bytes()[..]].concat()
 }
 
-/// How many further pieces there are, by the key of the first.
+fn numbers(list: &[(u64, u32)]) -> impl Iterator<Item = u64> {
+    list.iter().flat_map(|(from, count)| *from..from.saturating_add(u64::from(*count)))
+}
+
+/// Drawn by the mixer of SplitMix64: with which weight a byte counts for the end of a chunk.
+const WEIGHTS: [u64; 256] = {
+    let (mut all, mut at) = ([0; 256], 0);
+    while at < 256 {
+        let seed = (at as u64 + 1).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+        let mixed = (seed ^ (seed >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        let mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+        all[at] = mixed ^ (mixed >> 31);
+        at += 1;
+    }
+    all
+};
+
+/// Where the first chunk ends: by the bytes before, at most 64, so that what was put in or taken out further ahead moves
+/// few of the ends behind it.
+fn end(bytes: &[u8]) -> usize {
+    let bytes = &bytes[..bytes.len().min(PIECE)];
+    let (Some(before), Some(behind)) = (bytes.get(LEAST - 64..LEAST), bytes.get(LEAST..)) else {
+        return bytes.len();
+    };
+    let add = |sum: u64, byte: &u8| (sum << 1).wrapping_add(WEIGHTS[usize::from(*byte)]);
+    let mut sum = before.iter().fold(0, add);
+    for (at, byte) in behind.iter().enumerate() {
+        if sum < 1 << (64 - MEAN_BITS) {
+            return LEAST + at;
+        }
+        sum = add(sum, byte);
+    }
+    bytes.len()
+}
+
+/// What chunks there are, and how often they are named.
 #[derive(Default)]
-pub(crate) struct Long(BTreeMap<Vec<u8>, u32>);
+struct Chunks {
+    /// By the digest of what they hold.
+    numbers: HashMap<[u8; 32], u64>,
+    named: HashMap<u64, (u32, [u8; 32])>,
+    /// Numbers below `next` that nothing has. A row that is written over costs less than one that goes and one that comes.
+    free: BTreeSet<u64>,
+    next: u64,
+}
+
+impl Chunks {
+    /// Names all that a value is made of, and writes what isn't there yet.
+    fn take(&mut self, value: &[u8], batch: &mut sled::Batch) -> List {
+        let (mut list, mut rest) = (List::new(), value);
+        while !rest.is_empty() {
+            let (bytes, behind) = rest.split_at(end(rest));
+            rest = behind;
+            let digest = *blake3::hash(bytes).as_bytes();
+            let number = self.numbers.get(&digest).copied().unwrap_or_else(|| {
+                let number = self.free.first().copied().unwrap_or(self.next);
+                batch.insert(chunk(number), bytes);
+                number
+            });
+            self.name(number, digest);
+            match list.last_mut() {
+                Some((from, count)) if *from + u64::from(*count) == number => *count += 1,
+                _ => list.push((number, 1)),
+            }
+        }
+        list
+    }
+
+    fn name(&mut self, number: u64, digest: [u8; 32]) {
+        self.numbers.insert(digest, number);
+        self.named.entry(number).or_insert((0, digest)).0 += 1;
+        self.free.remove(&number);
+        self.next = self.next.max(number.saturating_add(1));
+    }
+
+    /// What nothing names any more goes.
+    fn let_go(&mut self, list: &[(u64, u32)], batch: &mut sled::Batch) {
+        for number in numbers(list) {
+            let Some((named, digest)) = self.named.get_mut(&number) else { continue };
+            *named -= 1;
+            if *named == 0 {
+                self.numbers.remove(digest);
+                self.named.remove(&number);
+                self.free.insert(number);
+                batch.remove(chunk(number));
+            }
+        }
+    }
+}
+
+/// What a tree holds of long rows.
+#[derive(Default)]
+pub(crate) struct Long {
+    /// How many further pieces there are, by the key of the first.
+    pieces: BTreeMap<Vec<u8>, u32>,
+    lists: BTreeMap<Vec<u8>, List>,
+    chunks: Chunks,
+}
 
 impl Long {
-    /// Puts a record into a batch, piece by piece, and takes away what the one before had beyond.
+    /// Puts a record into a batch, with what it needs beside its row, and takes away what the one before had.
     pub fn write(&mut self, record: Record, batch: &mut sled::Batch) {
-        let (key, pieces) = match &record {
-            Record::Put { key, value } => (key, value.len().div_ceil(PIECE).saturating_sub(1) as u32),
-            Record::Delete { key } => (key, 0),
+        let (key, value) = match record {
+            Record::Put { key, value } => (key, Some(value)),
+            Record::Delete { key } => (key, None),
         };
-        let before = if pieces > 0 { self.0.insert(key.clone(), pieces) } else { self.0.remove(key) };
-        (pieces..before.unwrap_or(0)).for_each(|piece| batch.remove(more(key, piece)));
-        match record {
-            Record::Put { key, value } if pieces > 0 => {
+        let list = value.as_ref().filter(|value| value.len() > PIECE).map(|v| self.chunks.take(v, batch));
+        let before = self.lists.remove(&key);
+        match list {
+            Some(list) => {
+                if before.is_none() {
+                    self.put(key.clone(), None, batch);
+                }
+                self.put(list_of(&key), postcard::to_allocvec(&list).ok(), batch);
+                self.lists.insert(key, list);
+            }
+            None => {
+                if before.is_some() {
+                    self.put(list_of(&key), None, batch);
+                }
+                self.put(key, value, batch);
+            }
+        }
+        // Behind the naming: what both name stays.
+        before.iter().for_each(|list| self.chunks.let_go(list, batch));
+    }
+
+    /// Piece by piece.
+    fn put(&mut self, key: Vec<u8>, value: Option<Vec<u8>>, batch: &mut sled::Batch) {
+        let pieces = value.as_ref().map_or(0, |v| v.len().div_ceil(PIECE).saturating_sub(1) as u32);
+        let before =
+            if pieces > 0 { self.pieces.insert(key.clone(), pieces) } else { self.pieces.remove(&key) };
+        (pieces..before.unwrap_or(0)).for_each(|piece| batch.remove(more(&key, piece)));
+        match value {
+            Some(value) if pieces > 0 => {
                 let mut all = value.chunks(PIECE);
                 batch.insert(key.as_slice(), all.next().unwrap_or_default());
                 (0..).zip(all).for_each(|(piece, bytes)| batch.insert(more(&key, piece), bytes));
             }
-            Record::Put { key, value } => batch.insert(key, value),
-            Record::Delete { key } => batch.remove(key),
+            Some(value) => batch.insert(key, value),
+            None => batch.remove(key),
         }
     }
 
     /// The rows of a tree as they were before they were cut.
     pub fn read(tree: &sled::Tree) -> Result<(Rows, Self), sled::Error> {
         let (mut rows, mut long) = (BTreeMap::<Vec<u8>, Vec<u8>>::new(), Self::default());
+        let mut chunks = HashMap::new();
         // All first pieces come before all others, and those of one row in their order.
         for row in tree.iter() {
             let (key, value) = row?;
+            if let Some(number) = key.strip_prefix(&[CHUNK]).and_then(|rest| rest.try_into().ok()) {
+                chunks.insert(u64::from_be_bytes(number), (*blake3::hash(&value).as_bytes(), value));
+                continue;
+            }
             match key.strip_prefix(&[MORE]).and_then(|rest| rest.split_last_chunk::<4>()) {
                 Some((first, _)) => {
-                    *long.0.entry(first.to_vec()).or_default() += 1;
+                    *long.pieces.entry(first.to_vec()).or_default() += 1;
                     rows.entry(first.to_vec()).or_default().extend_from_slice(&value);
                 }
                 None => _ = rows.insert(key.to_vec(), value.to_vec()),
             }
         }
+        let torn = || sled::Error::ReportableBug("a long row is torn".into());
+        for (key, list) in rows.split_off(&vec![LIST]) {
+            let list: List = postcard::from_bytes(&list).map_err(|_| torn())?;
+            let mut value = Vec::new();
+            for number in numbers(&list) {
+                let (digest, bytes) = chunks.get(&number).ok_or_else(torn)?;
+                value.extend_from_slice(bytes);
+                long.chunks.name(number, *digest);
+            }
+            rows.insert(key[1..].to_vec(), value);
+            long.lists.insert(key[1..].to_vec(), list);
+        }
+        let named = &long.chunks.named;
+        // The lowest that is free is taken, so none is above the most chunks that there ever were.
+        if long.chunks.next > MOST {
+            return Err(torn());
+        }
+        long.chunks.free = (0..long.chunks.next).filter(|number| !named.contains_key(number)).collect();
         Ok((rows.into_iter().collect(), long))
     }
 }
