A store's pages are moved as chunks are written; what a power loss leaves is compared with a copy in memory

sled moves pages out of segments of little use only where it writes a page anew, every tenth change of it, or in a thread with a timer, which the store has switched off. Seeded runs put, change and drop rows that share chunks, and lose power at any write of an office; what an older build wrote is read.

--- a/crates/rookpulley-strongroom/src/rows.rs
+++ b/crates/rookpulley-strongroom/src/rows.rs
@@ -84,6 +84,8 @@
     /// Numbers below `next` that nothing has. A row that is written over costs less than one that goes and one that comes.
     free: BTreeSet<u64>,
     next: u64,
+    /// Bytes of chunks that were written since they were last asked for.
+    written: usize,
 }
 
 impl Chunks {
@@ -97,6 +99,7 @@
             let number = self.numbers.get(&digest).copied().unwrap_or_else(|| {
                 let number = self.free.first().copied().unwrap_or(self.next);
                 batch.insert(chunk(number), bytes);
+                self.written += bytes.len();
                 number
             });
             self.name(number, digest);
@@ -167,6 +170,11 @@
         before.iter().for_each(|list| self.chunks.let_go(list, batch));
     }
 
+    /// Bytes of chunks that were written since this was last asked.
+    pub fn written(&mut self) -> usize {
+        std::mem::take(&mut self.chunks.written)
+    }
+
     /// Piece by piece.
     fn put(&mut self, key: Vec<u8>, value: Option<Vec<u8>>, batch: &mut sled::Batch) {
         let pieces = value.as_ref().map_or(0, |v| v.len().div_ceil(PIECE).saturating_sub(1) as u32);
@@ -255,4 +263,112 @@
         db.apply_batch(batch).unwrap();
         assert!(db.is_empty());
     }
+
+    fn keys(db: &sled::Db, kind: u8) -> usize {
+        db.scan_prefix([kind]).count()
+    }
+
+    /// Bytes that repeat themselves nowhere.
+    fn drawn(length: usize, seed: u64) -> Vec<u8> {
+        let words =
+            (0..length.div_ceil(8) as u64).map(|n| (n + seed).wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 3);
+        words
+            .flat_map(|word| (word ^ (word >> 31)).wrapping_mul(0xbf58_476d_1ce4_e5b9).to_le_bytes())
+            .take(length)
+            .collect()
+    }
+
+    #[test]
+    fn a_change_in_a_long_row_and_its_second_copy_write_little() {
+        let (db, mut long) = (sled::Config::new().temporary(true).open().unwrap(), Long::default());
+        let mut put = |key: &[u8], value: &[u8]| {
+            let mut batch = sled::Batch::default();
+            long.write(Record::Put { key: key.to_vec(), value: value.to_vec() }, &mut batch);
+            db.apply_batch(batch).unwrap();
+            long.written()
+        };
+        let mut value = drawn(1 << 20, 7);
+        assert_eq!(put(b"e1", &value), 1 << 20);
+        value.splice(0..10, *b"another number");
+        value.insert(600_000, 7);
+        assert!(put(b"e2", &value) <= 8 * PIECE);
+        // As a part of the state: with other bytes around it.
+        assert!(put(b"s1", &[b"before", value.as_slice(), b"behind"].concat()) <= 4 * PIECE);
+        let bytes: usize = db.iter().map(|row| row.unwrap().1.len()).sum();
+        assert!(bytes < (1 << 20) + 20 * PIECE, "{bytes} bytes");
+    }
+
+    /// Rows that are put, changed and dropped, read back now and then: they are what was put, and nothing else is kept.
+    #[test]
+    fn rows_that_share_what_they_hold_come_back_as_they_were_put() {
+        arbtest::arbtest(|u| {
+            let (db, mut long) = (sled::Config::new().temporary(true).open().unwrap(), Long::default());
+            let (mut rows, mut value) = (BTreeMap::new(), drawn(40 << 10, 7));
+            for _ in 0..u.int_in_range(1..=24)? {
+                let mut batch = sled::Batch::default();
+                for _ in 0..u.int_in_range(1..=3)? {
+                    let key = vec![b'e', u.int_in_range(0..=4)?];
+                    let at = u.choose_index(value.len())?;
+                    let record = match u.int_in_range(0..=4)? {
+                        0 => Record::Delete { key },
+                        1 => Record::Put {
+                            key,
+                            value: value[..u.choose_index(2 * PIECE)?.min(value.len())].to_vec(),
+                        },
+                        2 => {
+                            value
+                                .splice(at..(at + 100).min(value.len()), drawn(at % 300 + 1, u.arbitrary()?));
+                            Record::Put { key, value: value.clone() }
+                        }
+                        3 => Record::Put { key, value: [&value[at..], &value[..at]].concat() },
+                        _ => Record::Put { key, value: value.clone() },
+                    };
+                    match record.clone() {
+                        Record::Put { key, value } => _ = rows.insert(key, value),
+                        Record::Delete { key } => _ = rows.remove(&key),
+                    }
+                    long.write(record, &mut batch);
+                }
+                db.apply_batch(batch).unwrap();
+                if u.ratio(1, 3)? {
+                    let (read, again) = Long::read(&db).unwrap();
+                    assert_eq!(read, rows.clone().into_iter().collect::<Rows>());
+                    assert_eq!(
+                        (keys(&db, LIST), keys(&db, CHUNK)),
+                        (again.lists.len(), again.chunks.named.len())
+                    );
+                    long = again;
+                }
+            }
+            for key in rows.into_keys() {
+                let mut batch = sled::Batch::default();
+                long.write(Record::Delete { key }, &mut batch);
+                db.apply_batch(batch).unwrap();
+            }
+            assert!(db.is_empty());
+            Ok(())
+        })
+        .budget_ms(1_500);
+    }
+
+    #[test]
+    fn what_an_older_build_wrote_is_read_and_taken_away_and_a_list_without_its_chunk_is_not() {
+        let (db, mut older) = (sled::Config::new().temporary(true).open().unwrap(), Long::default());
+        let value = drawn(9 * PIECE, 7);
+        let mut batch = sled::Batch::default();
+        older.put(b"e1".to_vec(), Some(value.clone()), &mut batch);
+        older.put(b"e2".to_vec(), Some(value.clone()), &mut batch);
+        db.apply_batch(batch).unwrap();
+        assert_eq!(keys(&db, MORE), 16);
+        let (rows, mut long) = Long::read(&db).unwrap();
+        assert_eq!(rows, vec![(b"e1".to_vec(), value.clone()), (b"e2".to_vec(), value.clone())]);
+        let mut batch = sled::Batch::default();
+        long.write(Record::Put { key: b"e1".to_vec(), value: value.clone() }, &mut batch);
+        long.write(Record::Delete { key: b"e2".to_vec() }, &mut batch);
+        db.apply_batch(batch).unwrap();
+        assert_eq!(keys(&db, MORE), 0);
+        assert_eq!(Long::read(&db).unwrap().0, vec![(b"e1".to_vec(), value)]);
+        db.remove(chunk(3)).unwrap();
+        assert!(Long::read(&db).is_err());
+    }
 }
--- a/crates/rookpulley-strongroom/src/store.rs
+++ b/crates/rookpulley-strongroom/src/store.rs
@@ -70,6 +70,12 @@
 pub(crate) const FOLDER: &str = "store";
 pub(crate) const CHAIN: &str = "chain";
 pub(crate) const LIVES: &str = "lives";
+/// Of this tree only that it is written to matters, see `sweep`.
+const SWEEP: &str = "sweep";
+/// One page is moved for so many bytes of chunks.
+const SWEEP_EACH: usize = 4 << 10;
+/// No more of them are moved with one write.
+const SWEEP_MOST: usize = 64;
 
 /// Another process has the store. `sled` tells it in words only.
 pub(crate) fn in_use(why: &sled::Error) -> bool {
@@ -107,6 +113,16 @@
     caught(open)
 }
 
+/// Has `sled` move pages out of segments of which little is in use: so many of them. It does so where it writes a page
+/// anew, once for each, which is after ten changes of that page; that is too seldom where few rows of each page change.
+/// What it has for that apart is a thread with a timer and syncs of its own.
+fn sweep(tree: &sled::Tree, pages: usize) -> Result<(), sled::Error> {
+    for change in 0..10 * pages as u64 {
+        tree.insert(SWEEP, &change.to_le_bytes())?;
+    }
+    Ok(())
+}
+
 impl Store {
     /// Opens the store in a folder. One that can't be opened is an empty disk: it is begun anew. `founder`: a new one
     /// is to found the first view.
@@ -193,6 +209,7 @@
         File::open(folder).and_then(|f| f.sync_all()).map_err(troubled)?;
         let file = File::open(at.join("db")).map_err(troubled)?;
         let (chain_tree, lives_tree) = (db.open_tree(CHAIN)?, db.open_tree(LIVES)?);
+        let sweep_tree = db.open_tree(SWEEP)?;
         let (jobs, queue) = mpsc::channel::<Job>();
         let work = move || {
             while let Ok(first) = queue.recv() {
@@ -214,6 +231,8 @@
                 let [of_chain, of_lives] = batches;
                 let applied =
                     chain_tree.apply_batch(of_chain).and_then(|()| lives_tree.apply_batch(of_lives));
+                let pages = (long.written() + long_lives.written()) / SWEEP_EACH;
+                let applied = applied.and_then(|()| sweep(&sweep_tree, pages.min(SWEEP_MOST)));
                 let done = applied.and_then(|()| db.flush()).map_err(|e| e.to_string());
                 let done = done.and_then(|_| file.sync_data().map_err(|e| e.to_string()));
                 let [chain, lives] = tickets;
@@ -274,14 +293,23 @@
         let (store, mut heard) = opened(folder.path(), 7);
         // Configurations of many routes as they come, and the state with them in pieces, again and again.
         for n in 0..60u64 {
+            // Nothing is there twice, so each is written whole.
+            let drawn = |at: u64, length: u64| -> Vec<u8> {
+                let words = (0..length / 8)
+                    .map(|word| (n << 40 | at << 32 | word).wrapping_mul(0x9e37_79b9_7f4a_7c15));
+                words
+                    .flat_map(|word| (word ^ word >> 29).wrapping_mul(0xbf58_476d_1ce4_e5b9).to_be_bytes())
+                    .collect()
+            };
             let mut records: Vec<Record> = (0..4u64)
                 .map(|at| Record::Put {
                     key: (10 * n + at).to_be_bytes().to_vec(),
-                    value: vec![n as u8; 90 << 10],
+                    value: drawn(at, 90 << 10),
                 })
                 .collect();
             records.extend(
-                (0..20u8).map(|at| Record::Put { key: vec![b's', at], value: vec![n as u8; 32 << 10] }),
+                (0..20u8)
+                    .map(|at| Record::Put { key: vec![b's', at], value: drawn(9 + u64::from(at), 32 << 10) }),
             );
             if n % 8 == 7 {
                 let old = 10 * (n - 7)..10 * (n + 1);
--- a/crates/rookpulley-strongroom/tests/torn.rs
+++ b/crates/rookpulley-strongroom/tests/torn.rs
@@ -15,6 +15,7 @@
     now: u64,
     all: Vec<(Chain<Kept>, Batches)>,
     token: u64,
+    losses: usize,
 }
 
 impl Offices {
@@ -25,7 +26,7 @@
     fn start(&mut self) {
         let at = self.all.len();
         let me = Self::member(at);
-        let boot = Boot { me, founder: at == 0, losses: 1, seed: 7 + at as u64, kept: None };
+        let boot = Boot { me, founder: at == 0, losses: self.losses, seed: 7 + at as u64, kept: None };
         self.all.push((Chain::start(self.now, boot, Kept::default()), Vec::new()));
         for other in 0..at {
             self.give(other, Input::Met { member: me });
@@ -72,13 +73,24 @@
 
     fn configure(&mut self, length: usize) {
         let version = self.token + 1;
-        self.update(&Update::PutConfiguration { version, body: vec![version as u8; length] });
+        self.update(&Update::PutConfiguration { version, body: configuration(version, length) });
     }
 }
 
+/// Most of it as in the version before.
+fn configuration(version: u64, length: usize) -> Vec<u8> {
+    let mut coins = Coins(7);
+    let mut body: Vec<u8> =
+        (0..length.div_ceil(8)).flat_map(|_| coins.draw(u64::MAX).to_be_bytes()).collect();
+    let at = Coins(version).draw(length as u64) as usize;
+    body.splice(at..at + 1, version.to_string().into_bytes());
+    body.truncate(length);
+    body
+}
+
 /// What the founder writes in its first seconds, and what one writes that is filled by pieces and then takes updates.
 fn written() -> [Batches; 2] {
-    let mut offices = Offices::default();
+    let mut offices = Offices { losses: 1, ..Offices::default() };
     offices.start();
     offices.start();
     (0..6).for_each(|n| offices.configure(300 + 9_000 * (n % 2)));
@@ -235,6 +247,66 @@
     assert!(whole > 4 * empty, "{whole} whole, {empty} empty");
 }
 
+/// An office alone that takes configurations, each much like the one before, puts and numbers; it loses its power at any
+/// write. The office that starts on what is left shows, once it is at work, what a copy in memory shows after all updates
+/// that were answered, or after the one more that was being written.
+#[test]
+fn an_office_that_lost_its_power_at_any_write_has_all_that_it_answered() {
+    arbtest::arbtest(|u| {
+        let mut office = Offices { losses: 0, ..Offices::default() };
+        office.start();
+        let (length, mut copies) = (u.int_in_range(20_000..=1_200_000)?, Vec::new());
+        for _ in 0..u.int_in_range(1..=8)? {
+            match u.int_in_range(0..=3)? {
+                0 => office.update(&Update::NextNumber { name: "n".into() }),
+                1 => office.update(&Update::PutCell {
+                    name: format!("g.{}", u.int_in_range(0..=3)?),
+                    value: "v".repeat(u.int_in_range(1..=9_000)?) + &office.token.to_string(),
+                    active: None,
+                }),
+                _ => office.configure(length),
+            }
+            copies.push((office.all[0].1.len(), office.all[0].0.state().ledger.digest()));
+        }
+        let (_, batches) = office.all.remove(0);
+        let cut = u.choose_index(batches.len())?;
+        let (folder, mut coins) = (tempfile::tempdir().unwrap(), Coins(u.arbitrary()?));
+        let (store, mut heard) = open(folder.path(), 1);
+        let mut before = image(folder.path());
+        for (n, records) in (1..).zip(&batches[..=cut]) {
+            before = image(folder.path());
+            assert!(store.write(Part::Chain, n, records.clone()));
+            while !matches!(heard.blocking_recv(), Some(Said::Synced { chain, .. }) if chain == Some(n)) {}
+        }
+        let after = image(folder.path());
+        close((store, heard));
+        let left = if u.ratio(1, 4)? { after } else { torn(&before, &after, &mut coins) };
+        let Some(rows) = found(&left, 8) else { return Ok(()) };
+        let answered = copies.iter().filter(|(written, _)| *written <= cut).count();
+        let kept = rookpulley_chain::Kept::read(rows);
+        let boot = Boot {
+            me: Member { life: 78, ..Offices::member(0) },
+            founder: true,
+            losses: 0,
+            seed: 9,
+            kept: Some(kept),
+        };
+        office.all.push((Chain::start(office.now, boot, Kept::default()), Vec::new()));
+        office.play(3_000);
+        let (now, chain) = (office.now, &office.all[0].0);
+        assert!(chain.serving(now));
+        let digest = chain.state().ledger.digest();
+        let shown = match answered {
+            0 => Kept::default().ledger.digest(),
+            _ => copies[answered - 1].1,
+        };
+        let next = copies.get(answered).map(|(_, digest)| *digest);
+        assert!(digest == shown || Some(digest) == next, "{answered} of {}, write {cut}", copies.len());
+        Ok(())
+    })
+    .budget_ms(4_000);
+}
+
 /// Another store is in its place once it is whole on the disk, and not before.
 #[test]
 fn whatever_there_is_of_a_store_that_is_founded_anew_the_old_one_stays() {
