Chunks that change are written over, and pages are moved a few at a time

Pages are moved 8 at most with a write, for every 2 KiB of chunks, so that no write is held up by it.

--- a/crates/rookpulley-strongroom/src/rows.rs
+++ b/crates/rookpulley-strongroom/src/rows.rs
@@ -88,21 +88,36 @@
     written: usize,
 }
 
+/// The chunks that a value is made of, with their digests.
+fn cut(value: &[u8]) -> Vec<([u8; 32], &[u8])> {
+    let mut rest = value;
+    let first = || {
+        let (bytes, behind) = rest.split_at(end(rest));
+        rest = behind;
+        (!bytes.is_empty()).then(|| (*blake3::hash(bytes).as_bytes(), bytes))
+    };
+    std::iter::from_fn(first).collect()
+}
+
 impl Chunks {
-    /// Names all that a value is made of, and writes what isn't there yet.
-    fn take(&mut self, value: &[u8], batch: &mut sled::Batch) -> List {
-        let (mut list, mut rest) = (List::new(), value);
-        while !rest.is_empty() {
-            let (bytes, behind) = rest.split_at(end(rest));
-            rest = behind;
-            let digest = *blake3::hash(bytes).as_bytes();
-            let number = self.numbers.get(&digest).copied().unwrap_or_else(|| {
+    /// Names those that are there.
+    fn hold(&mut self, chunks: &[([u8; 32], &[u8])]) -> List {
+        let held: Vec<_> = chunks.iter().filter_map(|(d, _)| Some((*self.numbers.get(d)?, *d))).collect();
+        held.iter().for_each(|(number, digest)| self.name(*number, *digest));
+        held.into_iter().map(|(number, _)| (number, 1)).collect()
+    }
+
+    /// Names all of them, and writes what isn't there yet.
+    fn take(&mut self, chunks: &[([u8; 32], &[u8])], batch: &mut sled::Batch) -> List {
+        let mut list = List::new();
+        for (digest, bytes) in chunks {
+            let number = self.numbers.get(digest).copied().unwrap_or_else(|| {
                 let number = self.free.first().copied().unwrap_or(self.next);
-                batch.insert(chunk(number), bytes);
+                batch.insert(chunk(number), *bytes);
                 self.written += bytes.len();
                 number
             });
-            self.name(number, digest);
+            self.name(number, *digest);
             match list.last_mut() {
                 Some((from, count)) if *from + u64::from(*count) == number => *count += 1,
                 _ => list.push((number, 1)),
@@ -149,8 +164,13 @@
             Record::Put { key, value } => (key, Some(value)),
             Record::Delete { key } => (key, None),
         };
-        let list = value.as_ref().filter(|value| value.len() > PIECE).map(|v| self.chunks.take(v, batch));
+        let chunks = value.as_deref().filter(|value| value.len() > PIECE).map(cut);
         let before = self.lists.remove(&key);
+        // What both name stays; the rest gives way before its numbers are taken again.
+        let held = chunks.as_ref().map(|chunks| self.chunks.hold(chunks));
+        before.iter().for_each(|list| self.chunks.let_go(list, batch));
+        let list = chunks.map(|chunks| self.chunks.take(&chunks, batch));
+        held.iter().for_each(|list| self.chunks.let_go(list, batch));
         match list {
             Some(list) => {
                 if before.is_none() {
@@ -166,8 +186,6 @@
                 self.put(key, value, batch);
             }
         }
-        // Behind the naming: what both name stays.
-        before.iter().for_each(|list| self.chunks.let_go(list, batch));
     }
 
     /// Bytes of chunks that were written since this was last asked.
--- a/crates/rookpulley-strongroom/src/store.rs
+++ b/crates/rookpulley-strongroom/src/store.rs
@@ -72,10 +72,11 @@
 pub(crate) const LIVES: &str = "lives";
 /// Of this tree only that it is written to matters, see `sweep`.
 const SWEEP: &str = "sweep";
-/// One page is moved for so many bytes of chunks.
-const SWEEP_EACH: usize = 4 << 10;
-/// No more of them are moved with one write.
-const SWEEP_MOST: usize = 64;
+/// A page is moved for so many bytes of chunks; so many of them with one write, so that none of them takes long; and what
+/// is owed beyond this is forgotten, as sled moves pages by itself where many are written anew.
+const SWEEP_EACH: usize = 2 << 10;
+const SWEEP_AT_ONCE: usize = 8;
+const SWEEP_OWED: usize = 1024;
 
 /// Another process has the store. `sled` tells it in words only.
 pub(crate) fn in_use(why: &sled::Error) -> bool {
@@ -211,6 +212,7 @@
         let (chain_tree, lives_tree) = (db.open_tree(CHAIN)?, db.open_tree(LIVES)?);
         let sweep_tree = db.open_tree(SWEEP)?;
         let (jobs, queue) = mpsc::channel::<Job>();
+        let mut owed = 0;
         let work = move || {
             while let Ok(first) = queue.recv() {
                 let mut batches = [sled::Batch::default(), sled::Batch::default()];
@@ -231,8 +233,11 @@
                 let [of_chain, of_lives] = batches;
                 let applied =
                     chain_tree.apply_batch(of_chain).and_then(|()| lives_tree.apply_batch(of_lives));
-                let pages = (long.written() + long_lives.written()) / SWEEP_EACH;
-                let applied = applied.and_then(|()| sweep(&sweep_tree, pages.min(SWEEP_MOST)));
+                let written = long.written() + long_lives.written();
+                owed = (owed + written / SWEEP_EACH).min(SWEEP_OWED);
+                let pages = owed.min(SWEEP_AT_ONCE);
+                owed -= pages;
+                let applied = applied.and_then(|()| sweep(&sweep_tree, pages));
                 let done = applied.and_then(|()| db.flush()).map_err(|e| e.to_string());
                 let done = done.and_then(|_| file.sync_data().map_err(|e| e.to_string()));
                 let [chain, lives] = tickets;
