--- a/crates/rookpulley-strongroom/tests/room.rs
+++ b/crates/rookpulley-strongroom/tests/room.rs
@@ -97,10 +97,8 @@
     let state = 1 << 20;
     // One route of 6,000 changed, and all of them.
     let (longest, each) = plays(&Load::Routes(6_000), 20);
-    println!("{longest} {each}");
     assert!(longest < 6 * state && each < state / 8, "{longest} bytes, {each} for an update");
     let (longest, each) = plays(&Load::All(6_000), 10);
-    println!("{longest} {each}");
     assert!(longest < 18 * state && each < 7 * state, "{longest} bytes, {each} for an update");
 
     // A little changed all over: no page is written anew for that.
@@ -118,6 +116,5 @@
         longest = longest.max(length(folder.path()));
     }
     let each = (written() - from) / 150;
-    println!("{longest} {each}");
     assert!(longest < 6 * state && each < state / 2, "{longest} bytes, {each} for a write");
 }
