No cold server gets more than its share, and arcs keep their reach while one is cold

Cause, by what tables send each second: cut_tables. Arcs that were narrowed while connections were refused hold little but new servers, so a part, which is a weight within a table, spares none of them; and arcs that pass over servers that left begin together at the next ones.

A test fails without it.

--- a/crates/rookpulley-cli/tests/gateway.rs
+++ b/crates/rookpulley-cli/tests/gateway.rs
@@ -175,7 +175,11 @@
             "2 roles (courier, office); can be used; on a machine without a disk, office only passes calls on\n",
         ),
         ("configuration", CONFIGURATION, "version 7, 2 services, 1 host, 3 routes; can be taken\n"),
-        ("deploy", deployed, "2 roles (courier, office); can be used\n"),
+        (
+            "deploy",
+            deployed,
+            "2 roles (courier, office); can be used; on a machine without a disk, office only passes calls on\n",
+        ),
     ] {
         let file = written(folder.path(), what, text);
         assert_eq!(run(&["check", what, &file]), (0, format!("{file}: {wanted}"), String::new()));
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,4 +7,5 @@
 pub mod facts;
 pub mod ring;
 pub mod rules;
+mod shares;
 pub mod state;
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -8,7 +8,7 @@
 mod demand;
 mod gate;
 mod health;
-mod levels;
+pub(crate) mod levels;
 mod parts;
 mod queue;
 mod revisions;
--- a/src/rules/arcs.rs
+++ b/src/rules/arcs.rs
@@ -1,6 +1,6 @@
 //! All arcs are cut from the list, the health and the demand: which servers a proxy is sent to, and how many.
 
-use crate::{facts::*, state::*};
+use crate::{facts::*, rules::parts, shares::*, state::*};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// A mean proxy's arc reaches over as many servers as spread it so that laying it loads none by over this
@@ -19,24 +19,6 @@
     (x * STEPS).round() / STEPS
 }
 
-/// Says which part of a zone's demand goes where, in so many steps: home first, the rest by room. All are shares of the
-/// whole.
-fn flows_of(zone: ZoneId, demand: &Shares, room: &Shares, slack: f64, steps: f64) -> Shares {
-    let in_steps = |x: f64| (x * steps).round() / steps;
-    let room_of = |z: &ZoneId| room.get(z).copied().unwrap_or(0.0) * (1.0 + slack);
-    let wanted = |z: &ZoneId| demand.get(z).copied().unwrap_or(0.0);
-    let home = (room_of(&zone) / wanted(&zone).max(1e-9)).min(1.0);
-    if home > 1.0 - 0.5 / steps {
-        return Shares::from([(zone, 1.0)]);
-    }
-    let left: Vec<_> = room.keys().map(|z| (*z, (room_of(z) - wanted(z)).max(0.0))).collect();
-    let all_left: f64 = left.iter().map(|l| l.1).sum::<f64>().max(1e-9);
-    let mut flows: Shares = left.iter().map(|(z, l)| (*z, in_steps((1.0 - home) * l / all_left))).collect();
-    *flows.entry(zone).or_insert(0.0) += in_steps(home);
-    flows.retain(|_, part| *part > 0.0);
-    flows
-}
-
 /// How many servers a mean proxy's arc reaches over, in coarse steps so that it holds still.
 fn lines_for(ring: f64, own: f64, by_conns: f64, pace: &ChannelFacts) -> f64 {
     let by_queue = WRITE_PART * pace.backlog_lines / own - pace.head_lines;
@@ -44,27 +26,6 @@
     ((most.log2() * 2.0).round() / 2.0).exp2()
 }
 
-/// Where a new arc starts: at the server that the arcs laid so far load least.
-fn least_loaded(ring: &[&Listed], loads: &Lines) -> ServerId {
-    let load = |l: &Listed| loads.get(&l.server).copied().unwrap_or(0.0);
-    ring.iter().min_by(|a, b| load(a).total_cmp(&load(b))).map_or_else(ServerId::default, |l| l.server)
-}
-
-/// One arc: so many mean servers of a ring, from a place on it onwards, at their listed weights.
-fn cut_arc(ring: &[&Listed], from: ServerId, lines: f64) -> Lines {
-    let wanted = lines * ring.iter().map(|l| l.weight).sum::<f64>() / ring.len() as f64;
-    let first = ring.partition_point(|l| l.server < from);
-    let (mut reached, mut arc) = (0.0, Lines::new());
-    for listed in ring[first..].iter().chain(&ring[..first]) {
-        if reached + listed.weight / 2.0 > wanted && reached > 0.0 {
-            break;
-        }
-        reached += listed.weight;
-        arc.insert(listed.server, listed.weight);
-    }
-    arc
-}
-
 impl Controller {
     pub(super) fn cut_tables(&mut self, now: f64) {
         let near = self.means.cross_zone_price > NEAR_PRICE;
@@ -80,7 +41,10 @@
         let (servers, own) = (ready.len() as f64, self.proxies / self.controllers);
         let by_conns = CONNS_PART * self.means.conns_least * servers / self.proxies;
         let mean_lines = lines_for(servers / zones.len().max(1) as f64, own, by_conns, &self.pace);
-        let mean_lines = (mean_lines * self.valves.reach).max(LINES_LEAST / 2.0);
+        // Narrow arcs that hold only cold servers push them over.
+        let cold = ready.iter().any(|s| parts::is_cold(now, s, &self.bounds));
+        let reach = if cold { 1.0 } else { self.valves.reach };
+        let mean_lines = (mean_lines * reach).max(LINES_LEAST / 2.0);
         let least_lines = LINES_LEAST.min(mean_lines);
         let parts: &Lines = &ready.iter().map(|s| (s.listed.server, s.part)).collect();
         let all: f64 = ready.iter().map(|s| s.part * s.listed.weight).sum::<f64>().max(1e-9);
@@ -102,7 +66,7 @@
             let mut laid: Vec<_> = self.demand.proxies.iter_mut().filter(|(_, p)| p.joined).collect();
             laid.sort_by(|a, b| b.1.sized_per_s.total_cmp(&a.1.sized_per_s));
             laid.sort_by_key(|(_, p)| p.places.is_empty());
-            let mut loads = Lines::new();
+            let (mut loads, mut ids, mut cut) = (Lines::new(), Vec::new(), Vec::new());
             for (id, p) in laid {
                 let flows = match group.like.own_zone {
                     true => Shares::from([(p.zone, 1.0)]),
@@ -124,9 +88,14 @@
                     let scale = in_steps(density / most).max(1.0 / STEPS);
                     arc.into_iter().map(move |(server, weight)| (server, weight * scale * parts[&server]))
                 });
+                ids.push(*id);
+                cut.push((p.sized_per_s * share, lines.collect()));
+            }
+            parts::spare_cold(now, &self.fleet, mean_per_s * self.proxies / all, &self.bounds, &mut cut);
+            for (id, (_, lines)) in ids.into_iter().zip(cut) {
                 let id_of_new = self.tables.len() as TableId;
                 let fresh = || Table { id: id_of_new, ..Table::default() };
-                self.tables.entry((*id, g)).or_insert_with(fresh).propose(lines.collect());
+                self.tables.entry((id, g)).or_insert_with(fresh).propose(lines);
             }
         }
     }
--- a/src/rules/levels.rs
+++ b/src/rules/levels.rs
@@ -1,6 +1,6 @@
 //! Whether the fleet jams, and what is let in then: the kinds of the most value first.
 
-use crate::{facts::*, rules::demand::LEVEL_SPAN_MS, rules::health::DEAD_SHARE, state::*};
+use crate::{facts::*, rules::demand::LEVEL_SPAN_MS, rules::health::DEAD_SHARE, shares::level_for, state::*};
 
 const LEVELS: &[(Mode, Flow, Mode, Valve)] = &[
     (Mode::Open, Flow::Jams, Mode::Tight, Valve::Cut),
@@ -36,7 +36,7 @@
 const SLACK_OVER: f64 = 1.2;
 /// Of each kind so much is let in whatever its value.
 const LEAST_PART: f64 = 0.05;
-pub(super) const EVERYTHING: f64 = 1e6;
+pub(crate) const EVERYTHING: f64 = 1e6;
 
 impl Valves {
     fn step(&mut self, now: f64, met: Met, held: Option<f64>, target_ms: f64, came: f64) -> Option<String> {
@@ -94,19 +94,6 @@
     }
 }
 
-/// The level at each proxy by which so much of their reqs is let in: it shaves the heaviest.
-fn level_for(mut rates: Vec<f64>, allowed: f64) -> f64 {
-    rates.sort_by(f64::total_cmp);
-    let (mut left, mut others) = (allowed, rates.len() as f64);
-    for rate in rates {
-        if rate >= left / others {
-            return left / others;
-        }
-        (left, others) = (left - rate, others - 1.0);
-    }
-    EVERYTHING
-}
-
 impl Controller {
     pub(super) fn step_valves(&mut self, now: f64) {
         let used = self.fleet.servers.iter().filter(|(_, s)| s.part > 0.0).map(|(id, _)| *id);
--- a/src/rules/parts.rs
+++ b/src/rules/parts.rs
@@ -1,6 +1,6 @@
 //! The part of its listed weight that a server may have now.
 
-use crate::{facts::*, rules::arcs::STEPS, state::*};
+use crate::{facts::*, rules::arcs::STEPS, shares::spared, state::*};
 
 pub(super) const RAMP_MS: f64 = 30_000.0;
 pub(super) const ENTRY_PART: f64 = 0.25;
@@ -18,13 +18,42 @@
     }
 }
 
+/// What it is sure to do of its full work.
+fn sure_of(now: f64, server: &Server, bounds: &RuleBounds) -> f64 {
+    let age = now - server.listed.started_ms;
+    bounds.cold_share + (1.0 - bounds.cold_share) * (age / bounds.cold_ms).clamp(0.0, 1.0)
+}
+
+pub(super) fn is_cold(now: f64, server: &Server, bounds: &RuleBounds) -> bool {
+    server.phase == Phase::Ramping && sure_of(now, server, bounds) < 1.0
+}
+
+/// Arcs pass over what is out of use and crowd the servers behind it: in a zone full of new, failing ones a
+/// cold one got five times its share. From our tables none gets more than its share of all reqs; where a
+/// table has only cold ones, they share. Harm: the warm ones of these tables have more to do.
+pub(super) fn spare_cold(
+    now: f64,
+    fleet: &Fleet,
+    per_weight: f64,
+    by: &RuleBounds,
+    cut: &mut [(f64, Lines)],
+) {
+    let cold = |s: &&Server| is_cold(now, s, by);
+    let fair = |s: &Server| (s.listed.server, s.part * s.listed.weight * per_weight);
+    let fair: Lines = fleet.servers.values().filter(cold).map(fair).collect();
+    let less = spared(cut, &fair);
+    // In steps, lest a change at one line changes them all.
+    for (id, w) in cut.iter_mut().flat_map(|(_, lines)| lines) {
+        *w *= less.get(id).map_or(1.0, |l| (l * STEPS).round().max(1.0) / STEPS);
+    }
+}
+
 pub(super) fn part_of(now: f64, server: &Server, sure_multiple: f64, bounds: &RuleBounds) -> f64 {
     let Phase::Ramping = server.phase else {
         return if server.phase == Phase::Warm { 1.0 } else { 0.0 };
     };
     // In a jam proxies crowd whichever server does not fail them. Harm: a cold zone is used later.
-    let age = now - server.listed.started_ms;
-    let sure = bounds.cold_share + (1.0 - bounds.cold_share) * (age / bounds.cold_ms).clamp(0.0, 1.0);
+    let sure = sure_of(now, server, bounds);
     if sure < 1.0 && sure * bounds.fall_multiple < sure_multiple {
         return 0.0;
     }
--- /dev/null
+++ b/src/shares.rs
@@ -0,0 +1,76 @@
+//! How a whole is shared out, as plain sums: arcs of a ring, flows between zones, loads evened, levels that shave.
+
+use crate::{facts::*, rules::levels::EVERYTHING, state::*};
+
+/// Where a new arc starts: at the server that the arcs laid so far load least.
+pub fn least_loaded(ring: &[&Listed], loads: &Lines) -> ServerId {
+    let load = |l: &Listed| loads.get(&l.server).copied().unwrap_or(0.0);
+    ring.iter().min_by(|a, b| load(a).total_cmp(&load(b))).map_or_else(ServerId::default, |l| l.server)
+}
+
+/// One arc: so many mean servers of a ring, from a place on it onwards, at their listed weights.
+pub fn cut_arc(ring: &[&Listed], from: ServerId, lines: f64) -> Lines {
+    let wanted = lines * ring.iter().map(|l| l.weight).sum::<f64>() / ring.len() as f64;
+    let first = ring.partition_point(|l| l.server < from);
+    let (mut reached, mut arc) = (0.0, Lines::new());
+    for listed in ring[first..].iter().chain(&ring[..first]) {
+        if reached + listed.weight / 2.0 > wanted && reached > 0.0 {
+            break;
+        }
+        reached += listed.weight;
+        arc.insert(listed.server, listed.weight);
+    }
+    arc
+}
+
+/// Says which part of a zone's demand goes where, in so many steps: home first, the rest by room. All are shares of the
+/// whole.
+pub fn flows_of(zone: ZoneId, demand: &Shares, room: &Shares, slack: f64, steps: f64) -> Shares {
+    let in_steps = |x: f64| (x * steps).round() / steps;
+    let room_of = |z: &ZoneId| room.get(z).copied().unwrap_or(0.0) * (1.0 + slack);
+    let wanted = |z: &ZoneId| demand.get(z).copied().unwrap_or(0.0);
+    let home = (room_of(&zone) / wanted(&zone).max(1e-9)).min(1.0);
+    if home > 1.0 - 0.5 / steps {
+        return Shares::from([(zone, 1.0)]);
+    }
+    let left: Vec<_> = room.keys().map(|z| (*z, (room_of(z) - wanted(z)).max(0.0))).collect();
+    let all_left: f64 = left.iter().map(|l| l.1).sum::<f64>().max(1e-9);
+    let mut flows: Shares = left.iter().map(|(z, l)| (*z, in_steps((1.0 - home) * l / all_left))).collect();
+    *flows.entry(zone).or_insert(0.0) += in_steps(home);
+    flows.retain(|_, part| *part > 0.0);
+    flows
+}
+
+/// Sparing one server loads its neighbours, so it is done over again.
+const PASSES: usize = 3;
+
+/// By how much the lines of these servers are to be less, so that none of them gets more than its fair share of what
+/// the tables bring. A table splits what it brings by its lines' weights.
+pub fn spared(tables: &[(f64, Lines)], fair: &Lines) -> Lines {
+    let mut less: Lines = fair.keys().map(|id| (*id, 1.0)).collect();
+    for _ in 0..if fair.is_empty() { 0 } else { PASSES } {
+        let mut loads = Lines::new();
+        for (per_s, lines) in tables {
+            let now_at = |(id, w): (&ServerId, &f64)| w * less.get(id).unwrap_or(&1.0);
+            let sum: f64 = lines.iter().map(now_at).sum();
+            for line in lines.iter().filter(|(id, _)| less.contains_key(*id)) {
+                *loads.entry(*line.0).or_insert(0.0) += per_s * now_at(line) / sum.max(1e-9);
+            }
+        }
+        loads.iter().for_each(|(id, load)| *less.entry(*id).or_insert(1.0) *= (fair[id] / load).min(1.0));
+    }
+    less
+}
+
+/// The level at each proxy by which so much of their reqs is let in: it shaves the heaviest.
+pub fn level_for(mut rates: Vec<f64>, allowed: f64) -> f64 {
+    rates.sort_by(f64::total_cmp);
+    let (mut left, mut others) = (allowed, rates.len() as f64);
+    for rate in rates {
+        if rate >= left / others {
+            return left / others;
+        }
+        (left, others) = (left - rate, others - 1.0);
+    }
+    EVERYTHING
+}
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -428,6 +428,37 @@
     assert_snapshot!(only(&desk.trace, "t0:"));
 }
 
+/// A release in a fleet whose connections are refused: arcs are narrow, and some begin where many servers have left and
+/// the next ones are new.
+#[test]
+fn no_cold_server_gets_more_than_its_share_of_what_all_bring() {
+    let mut many = start();
+    (many.place.proxies, many.place.controllers) = (60, 1);
+    many.load_fields = vec![LoadField::Held];
+    (many.channel.backlog_lines, many.channel.lines_per_s) = (1e6, 1e6);
+    (many.bounds.cold_share, many.bounds.cold_ms, many.bounds.fall_multiple) = (0.5, 60_000.0, 6.0);
+    let mut desk = Desk::new(many, (1..=40).map(|k| listed(3 * k, 0)).collect());
+    (0..60).for_each(|p| desk.join(p, 0));
+    let hear = |d: &mut Desk, bad: f64| {
+        (3..=120).for_each(|n| d.hear(n, 10.0, bad, 100.0));
+        d.answer();
+    };
+    desk.pass(7_000.0, |d| hear(d, 0.0));
+    desk.pass(9_000.0, |d| hear(d, 5.0));
+    let started = desk.now();
+    for last in [6, 14, 22, 30, 38] {
+        (last - 4..=last).for_each(|k| desk.change(3 * k, Stage::Draining, 0.0));
+        [1, 2].into_iter().for_each(|beside| desk.change(3 * last + beside, Stage::Ready, started));
+    }
+    desk.pass(6_000.0, |d| hear(d, 5.0));
+    // 15 warm ones and 10 that may have half: so much of all is a cold one's share.
+    let (fair, sent) = (60.0 * 0.5 / 20.0, desk.sent());
+    let cold: Vec<f64> = sent.iter().filter(|(n, _)| *n % 3 > 0).map(|(_, load)| *load).collect();
+    let most = cold.iter().copied().fold(0.0, f64::max);
+    assert!(most < 1.25 * fair && cold.len() == 10, "{fair}: {sent:?}");
+    assert!(cold.iter().sum::<f64>() > 5.0 * fair, "{fair}: {sent:?}");
+}
+
 #[test]
 fn levels_go_with_the_joined_proxies() {
     let mut desk = settled(start());
--- a/tests/desk/mod.rs
+++ b/tests/desk/mod.rs
@@ -12,6 +12,8 @@
     marks: BTreeMap<ProxyId, u64>,
     reached: Vec<ProxyId>,
     bound: BTreeMap<TableId, ProxyId>,
+    /// What the tables hold by the orders.
+    lines: BTreeMap<TableId, BTreeMap<u8, f64>>,
     pub trace: String,
 }
 
@@ -66,7 +68,12 @@
         },
         habits: ProxyHabits { levels: Levels::Rate, usual_retry: Retry::IfUnrun, ..ProxyHabits::default() },
         list: ListFacts::default(),
-        means: Means { report_period_ms: 1_000.0, conns_least: f64::INFINITY, ..Means::default() },
+        means: Means {
+            report_period_ms: 1_000.0,
+            conns_least: f64::INFINITY,
+            flow_steps: 8.0,
+            ..Means::default()
+        },
         load_fields: vec![],
     }
 }
@@ -78,7 +85,7 @@
         let controller = Controller::new(now, start);
         let (marks, bound) = (BTreeMap::new(), BTreeMap::new());
         let (alarms, reached, trace) = (vec![], vec![], String::new());
-        let mut desk = Self { controller, now, alarms, marks, reached, bound, trace };
+        let mut desk = Self { controller, now, alarms, marks, reached, bound, lines: BTreeMap::new(), trace };
         desk.give(vec![Input::List { scope: ListScope::Cached, version: 1, lines }]);
         desk
     }
@@ -98,6 +105,7 @@
                 Effect::Line { table, server, weight } => {
                     self.reached.extend(self.bound.get(&table));
                     lines.entry(table).or_default().push(format!("s{}={weight}", server[3]));
+                    self.lines.entry(table).or_default().insert(server[3], weight);
                 }
                 Effect::Bind { proxy, table, kinds } => {
                     self.bound.insert(table, proxy);
@@ -166,6 +174,16 @@
         self.give(vec![Input::Usage { proxy, kind, came, bad: 0.0, span_ms: 1_000.0 }]);
     }
 
+    /// What each server is sent where each proxy brings 1 and splits it by the weights of its table.
+    pub fn sent(&self) -> BTreeMap<u8, f64> {
+        let mut sent = BTreeMap::new();
+        for lines in self.bound.keys().filter_map(|table| self.lines.get(table)) {
+            let all: f64 = lines.values().sum();
+            lines.iter().for_each(|(n, weight)| *sent.entry(*n).or_insert(0.0) += weight / all);
+        }
+        sent
+    }
+
     pub fn known(&self) -> Vec<u8> {
         (1..=u8::MAX).filter(|n| self.controller.knows(&server(*n))).collect()
     }
