--- a/src/facts.rs
+++ b/src/facts.rs
@@ -144,6 +144,8 @@
     pub peers: bool,
     pub probes: bool,
     pub cross_zone_price: f64,
+    /// What goes to which zone is settled in so many steps: few, where tables are dear to write anew.
+    pub flow_steps: f64,
     pub report_period_ms: f64,
     pub report_lines_per_s: f64,
     /// The fewest connections that a server accepts; infinite where that is not told.
@@ -151,6 +153,8 @@
     /// 0: no slices; otherwise every slice is a table of its own.
     pub slices: u32,
     pub single_owner: bool,
+    /// Revisions that followed each other faster than any could be judged are judged together.
+    pub verdicts_shared: bool,
 }
 
 /// What the figures of a load report mean, in their order.
