--- a/crates/rookpulley-drill/src/offices.rs
+++ b/crates/rookpulley-drill/src/offices.rs
@@ -1,12 +1,13 @@
 //! An office's process: the clerk with a simulated store, lines and callers round it.
 
+use crate::net::unframed;
 use crate::world::{Core, Mutation, What, World};
 use crate::{MS, S, Us};
 use rand::RngExt;
 use rookpulley_chain::{Kept, Member};
-use rookpulley_clerk::{Content, Effect, Office, Path, Reply, Start, Wants, Word, read};
+use rookpulley_clerk::{Content, Effect, Founding, Office, Path, Reply, Start, Wants, Word, read};
 use rookpulley_ledger::{Answer, Ask, Update};
-use rookpulley_waybill::{Frames, Up};
+use rookpulley_waybill::Up;
 use std::collections::{BTreeMap, HashMap};
 use std::net::{Ipv4Addr, SocketAddrV4};
 use tinyjson::JsonValue;
@@ -42,36 +43,11 @@
     deaf: bool,
 }
 
-/// The one message in a frame.
-fn unframed<T>(bytes: &[u8]) -> Option<T>
-where
-    Frames: Take<T>,
-{
-    let mut frames = Frames::default();
-    frames.push(bytes);
-    frames.one()
-}
-
-trait Take<T> {
-    fn one(&mut self) -> Option<T>;
-}
-
-impl Take<Word> for Frames {
-    fn one(&mut self) -> Option<Word> {
-        self.take().ok().flatten()
-    }
-}
-
-impl Take<Up> for Frames {
-    fn one(&mut self) -> Option<Up> {
-        self.take().ok().flatten()
-    }
-}
-
 impl World {
-    fn seeds(&self) -> Vec<SocketAddrV4> {
+    pub fn seeds(&self) -> Vec<SocketAddrV4> {
+        let annexes = self.machines.iter().filter(|machine| machine.annex && self.day.annex_seeds);
         let core = self.machines.iter().filter(|machine| machine.core && !machine.gone);
-        core.take(3).map(|machine| SocketAddrV4::new(machine.ip, 8_166)).collect()
+        annexes.chain(core).take(3).map(|machine| SocketAddrV4::new(machine.ip, 8_166)).collect()
     }
 
     pub fn start_office(&mut self, machine: usize, first: bool) {
@@ -81,7 +57,6 @@
         }
         let (life, mint): (u64, u64) = (self.rng.random(), self.rng.random());
         let seeds = self.seeds();
-        let founder = first && seeds.first().is_some_and(|seed| *seed.ip() == self.machines[machine].ip);
         let at = &mut self.machines[machine];
         let torn = at.disk.identity.is_some() && !Kept::read(at.disk.chain.clone()).sound();
         if torn {
@@ -89,14 +64,17 @@
         }
         let fresh = at.disk.identity.is_none();
         let identity = *at.disk.identity.get_or_insert(mint);
-        at.disk.founder |= fresh && founder;
+        if fresh && first {
+            at.disk.founding = Some(Founding::new(at.ip, &seeds));
+        }
         let start = Start {
             me: Member { id: identity, life, address: SocketAddrV4::new(at.ip, 7_721) },
             seeds,
             losses: self.day.losses,
             heartbeat_ms: HEARTBEAT_MS,
             drain_ms: DRAIN_MS,
-            founder: at.disk.founder,
+            zone: at.zone.to_string(),
+            founding: at.disk.founding.clone(),
             held: (!fresh).then(|| at.disk.chain.clone().into_iter().collect()),
             lives: at.disk.lives.clone().into_iter().collect(),
         };
@@ -122,7 +100,7 @@
     fn office(&mut self, process: usize) -> Option<&mut OfficeProcess> {
         match self.processes.get_mut(process)?.core.as_mut()? {
             Core::Office(office) => Some(office),
-            Core::Courier(_) => None,
+            _ => None,
         }
     }
 
@@ -287,7 +265,7 @@
 
     fn office_hears(&mut self, process: usize, line: u64, bytes: &[u8]) {
         let Some(of) = self.lines.get(&line) else { return };
-        if self.processes[of.ends[0].0].is_office {
+        if self.keeps_control(of.ends[0].0) {
             let Some(word) = unframed::<Word>(bytes) else { return };
             let mut who = of.who;
             self.with_office(process, |office, now| office.word(now, &mut who, word));
@@ -307,6 +285,16 @@
                     office.courier_in(now, number, (&node, &zone), home, (config, tables), &gone);
                 });
             }
+            (Up::Annex { address, offices }, None) => {
+                let Some(number) = self.with_office(process, |office, _| office.number()) else { return };
+                self.office(process).into_iter().for_each(|office| _ = office.couriers.insert(number, line));
+                let name = Some((address.ip().to_string(), number));
+                self.lines.get_mut(&line).into_iter().for_each(|of| of.courier = name.clone());
+                self.with_office(process, |office, now| office.annex_in(now, number, address, &offices));
+            }
+            (up @ (Up::Annex { .. } | Up::Found { .. }), Some((_, number))) => {
+                self.with_office(process, |office, now| office.annex_said(now, number, &up));
+            }
             (up, Some((node, number))) => {
                 self.with_office(process, |office, now| office.courier_said(now, &node, number, up));
             }
@@ -329,7 +317,10 @@
         }
         if let Some((node, number)) = courier {
             self.office(process).into_iter().for_each(|office| _ = office.couriers.remove(&number));
-            self.with_office(process, |office, now| office.courier_out(now, &node, number));
+            self.with_office(process, |office, now| {
+                office.courier_out(now, &node, number);
+                office.annex_out(now, number);
+            });
         } else if let Some(id) = who {
             self.with_office(process, |office, now| office.line_ended(now, id));
         }
@@ -396,6 +387,9 @@
 
     pub fn term_office(&mut self, process: usize) {
         let (me, now) = (self.address(process), self.now);
+        if self.machines[self.processes[process].machine].annex {
+            return self.after(LOOK_AGAIN, me, What::Leaving);
+        }
         if let Some(office) = self.office(process)
             && office.leaves.is_none()
         {
