--- a/crates/rookpulley-strongroom/tests/room.rs
+++ b/crates/rookpulley-strongroom/tests/room.rs
@@ -22,7 +22,7 @@
 impl Office {
     fn begin(folder: &Path) -> Self {
         let (said, heard) = tokio::sync::mpsc::unbounded_channel();
-        let store = Store::open(folder, 7, true, said).unwrap();
+        let store = Store::open(folder, 7, Some(&[]), said).unwrap();
         let me = Member { id: 7, life: 1, address: "127.0.0.1:7".parse().unwrap() };
         let boot = Boot { me, founder: true, losses: 0, seed: 7, kept: None };
         let mut new = Self { now: 0, chain: Chain::start(0, boot, Kept::default()), store, heard };
