The steps in which flows are settled where tables are dear are named by the module, not by its front

A tuned value stood in the front that reads settings, and again in the tests' desk. Both take it from facts.rs; what is decided is the same, and the tests of the module, the front and the desk pass.

--- a/crates/rookpulley-sorting/src/module.rs
+++ b/crates/rookpulley-sorting/src/module.rs
@@ -16,8 +16,8 @@
 /// that it knows nothing of it, and opens a connection for nearly every request. The module has a bound for it by what
 /// may wait for all proxies: a fifth of it, less one line each.
 const LINES_MOST: f64 = 32.0;
-/// What a request that goes to another zone costs: a part of its worth. The module keeps arcs in their couriers' zone as far as
-/// it has room.
+/// What a request that goes to another zone costs: a part of its worth. The module keeps arcs in their couriers' zone as
+/// far as it has room.
 const CROSS_ZONE_PRICE: f64 = 0.03;
 /// In eighths, as where tables are dear, a zone with a tenth more than it has room for keeps all of it.
 const FLOW_STEPS: f64 = 32.0;
--- a/crates/rookpulley-start/src/lib.rs
+++ b/crates/rookpulley-start/src/lib.rs
@@ -1,8 +1,8 @@
 //! The settings text of a start, read into the records of the interface. Unknown keys are ignored.
 
 use rookpulley::facts::{
-    ChannelFacts, Group, Levels, ListFacts, LoadField, Means, Place, ProxyHabits, Repeat, ReqKind, Retry,
-    RuleBounds, Start,
+    ChannelFacts, DEAR_STEPS, Group, Levels, ListFacts, LoadField, Means, Place, ProxyHabits, Repeat,
+    ReqKind, Retry, RuleBounds, Start,
 };
 use serde_json::Value;
 
@@ -189,7 +189,7 @@
             peers: limits.flag("peers"),
             probes: limits.flag("probing"),
             cross_zone_price: charges.num_or("cross_zone", 0.0),
-            flow_steps: 8.0,
+            flow_steps: DEAR_STEPS,
             report_period_ms: family.num_or("period_us", 1e6) / 1000.0,
             report_lines_per_s: family.num_or("reports_per_s", 0.0),
             conns_least: family.num_or("min_conn_cap", f64::INFINITY),
--- a/src/facts.rs
+++ b/src/facts.rs
@@ -138,13 +138,15 @@
     pub live_weights: bool,
 }
 
+pub const DEAR_STEPS: f64 = 8.0;
+
 /// What may be used beside orders, and its prices.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Means {
     pub peers: bool,
     pub probes: bool,
     pub cross_zone_price: f64,
-    /// What goes to which zone is settled in so many steps: few, where tables are dear to write anew.
+    /// What goes to which zone is settled in so many steps: `DEAR_STEPS` where tables are dear to write anew.
     pub flow_steps: f64,
     pub report_period_ms: f64,
     pub report_lines_per_s: f64,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! [`rules::Controller`] decides; everything else here is the plain interface it is reached by:
 //! [`facts`] holds what a controller is told and what it orders, [`ring`] the fixed time buckets
-//! that measurements are kept in, [`state`] what a controller keeps between inputs. The core knows nothing of the front that carries its orders.
+//! that measurements are kept in, [`state`] what a controller keeps between inputs, and `shares` how sums are shared out. The core knows nothing of the front that carries its orders.
 
 pub mod facts;
 pub mod ring;
--- a/tests/desk/mod.rs
+++ b/tests/desk/mod.rs
@@ -71,7 +71,7 @@
         means: Means {
             report_period_ms: 1_000.0,
             conns_least: f64::INFINITY,
-            flow_steps: 8.0,
+            flow_steps: DEAR_STEPS,
             ..Means::default()
         },
         load_fields: vec![],
