--- a/crates/rookpulley-settings/src/deploy.rs
+++ b/crates/rookpulley-settings/src/deploy.rs
@@ -24,6 +24,8 @@
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Deploy {
     pub build: String,
+    /// System packages that a clean build needs, by the names under which the package manager knows them.
+    pub packages: Vec<String>,
     pub roles: BTreeMap<String, Role>,
 }
 
@@ -71,8 +73,9 @@
 }
 
 fn deploy(file: &Table) -> Deploy {
-    file.only(&["build", "roles"]);
+    file.only(&["build", "packages", "roles"]);
     let build = file.text_needed("build", "the line that builds it, such as \"cargo build --release\"");
+    let packages = packages(file);
     let table = file.table("roles");
     let tables = table.names().into_iter().map(|name| (name.to_string(), table.table(name)));
     let tables: BTreeMap<String, Table> = tables.filter(|(_, table)| table.is_there()).collect();
@@ -83,7 +86,24 @@
         serve_each_once(file, &tables, &roles);
     }
     fit_machines(file, &roles);
-    Deploy { build, roles }
+    Deploy { build, packages, roles }
+}
+
+fn packages(file: &Table) -> Vec<String> {
+    let named = |item: &JsonValue| item.get::<String>().filter(|name| is_package_name(name)).cloned();
+    let packages = file.list("packages", "names of system packages, such as \"gcc\"", named);
+    for (at, name) in packages.iter().enumerate() {
+        if packages.iter().take(at).any(|before| before == name) {
+            file.note("packages", &format!("a list that has {name:?} twice"), "each once");
+        }
+    }
+    packages
+}
+
+/// Whether this may be a package's name: two or more small letters, digits and `+-.`, the first a letter or digit.
+fn is_package_name(name: &str) -> bool {
+    let fits = |c: char| c.is_ascii_lowercase() || c.is_ascii_digit();
+    name.len() >= 2 && name.starts_with(fits) && name.chars().all(|c| fits(c) || "+-.".contains(c))
 }
 
 fn role(table: &Table) -> Role {
--- a/crates/rookpulley-settings/tests/deploy.rs
+++ b/crates/rookpulley-settings/tests/deploy.rs
@@ -4,6 +4,7 @@
 
 const GOOD: &str = r#"
 build = "cargo build --release"
+packages = ["gcc", "libc6-dev"]
 [roles.carrier]
 run = "target/release/gate carry --quiet"
 on = "edge"
@@ -28,6 +29,7 @@
 fn a_deploy_file_is_read_role_by_role() {
     let deploy = Deploy::parse(GOOD).unwrap();
     let (carrier, keeper) = (&deploy.roles["carrier"], &deploy.roles["keeper"]);
+    assert_eq!(deploy.packages, ["gcc", "libc6-dev"]);
     assert_eq!(carrier.run, ["target/release/gate", "carry", "--quiet"]);
     assert_eq!((carrier.amount, keeper.amount), (Amount::Share(1.0), Amount::Count(1)));
     assert_eq!((keeper.apart, &keeper.serves[..]), (false, &["control_plane".to_string()][..]));
@@ -37,7 +39,10 @@
 fn each_fault_has_its_place_what_was_found_and_what_to_write() {
     for (was, is, said) in [
         ("build = \"cargo build --release\"", "", "build is missing; write the line that builds it"),
-        ("build =", "rebuild = 1\nbuild =", "rebuild is no field of this file; write one of build, roles"),
+        ("build =", "rebuild = 1\nbuild =", "rebuild is no field of this file; write one of build, packages, roles"),
+        ("\"libc6-dev\"", "\"libc6 dev\"", "packages[1] is \"libc6 dev\"; write names of system packages"),
+        ("\"libc6-dev\"", "7", "packages[1] is 7; write names of system packages"),
+        ("\"libc6-dev\"", "\"gcc\"", "packages is a list that has \"gcc\" twice; write each once"),
         ("share = 1.0", "share = 0", "roles.carrier.share is 0; write a number over 0 and up to 1"),
         ("share = 1.0", "share = 1.5", "roles.carrier.share is 1.5; write a number over 0 and up to 1"),
         ("share = 1.0", "", "roles.carrier.share is missing, and so is count"),
