A controller whose disk refuses goes on without its store instead of ending

Cause: a write that failed, a store given up and one that could not be opened ended the process (code 1), again and again while a disk was full; each such end is an own end, and a caller met a closed port. Change: an incarnation of a controller is a function of its own with its own set of tasks. To the others it is one that is down: it must not say that it has no disk, since the founding of the first view goes by that. Signals are taken once for the whole process.

--- a/crates/rookpulley-office/src/annex.rs
+++ b/crates/rookpulley-office/src/annex.rs
@@ -1,7 +1,7 @@
 //! The office of a machine without a disk on sockets and clock: it passes calls on, and keeps nothing.
 
 use crate::calls::{Asked, tree};
-use crate::ending;
+use crate::ending::{self, Signals};
 use miette::IntoDiagnostic;
 use rookpulley_clerk::{Annex, AnnexEffect, AnnexStart, Word};
 use rookpulley_counter::{Bounds, Call, Match, Reply, Tree};
@@ -45,15 +45,20 @@
     refused: Cell<u64>,
 }
 
-pub async fn run(node: Node, control: SocketAddrV4, path: PathBuf) -> miette::Result<()> {
-    let [counter, for_couriers, for_peers] = crate::listen(&node, control)?;
+pub async fn run(
+    node: &Node,
+    control: SocketAddrV4,
+    path: PathBuf,
+    signals: &mut Signals,
+) -> miette::Result<()> {
+    let [counter, for_couriers, for_peers] = crate::controller::listen(node, control)?;
     tracing::info!("office: {} begins, without a disk: calls are passed on", node.name);
     if !node.seeds.iter().any(|seed| *seed.ip() != node.ip) {
         tracing::warn!(
             "office: seedNodes names nobody else, so calls get 503 until an office dials this one"
         );
     }
-    let shell = Shell::new(&node, control).into_diagnostic()?;
+    let shell = Shell::new(node, control).into_diagnostic()?;
     let (stop, stopped) = watch::channel(false);
     let calls = shell.clone();
     let handler = Rc::new(move |call: Call| std::future::ready(calls.answer(&call)));
@@ -61,9 +66,9 @@
         tokio::task::spawn_local(rookpulley_counter::serve(counter, Bounds::default(), stopped, handler));
     shell.begin(for_couriers, for_peers);
     let of = shell.clone();
-    ending::wait(File::new(path), |seeds| of.with(|annex, now| annex.set_seeds(now, seeds))).await;
+    signals.wait(File::new(path), |seeds| of.with(|annex, now| annex.set_seeds(now, seeds))).await;
     tracing::info!("ending: {}", shell.status());
-    ending::close(&node, stop, counter).await;
+    ending::close(node, stop, counter).await;
     Ok(())
 }
 
--- a/crates/rookpulley-office/src/ending.rs
+++ b/crates/rookpulley-office/src/ending.rs
@@ -6,23 +6,31 @@
 use std::net::SocketAddrV4;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::signal::unix::{Signal, SignalKind, signal};
 
 const LOOK_EVERY: Duration = Duration::from_secs(2);
 
-/// Returns when the process is to end.
-pub async fn wait(mut file: File, take_seeds: impl Fn(&[SocketAddrV4])) {
-    let (Ok(mut term), Ok(mut hup)) = (signal(SignalKind::terminate()), signal(SignalKind::hangup())) else {
-        tracing::error!("ending: signals can't be heard");
-        return;
-    };
-    loop {
-        let node = tokio::select! {
-            _ = term.recv() => return,
-            _ = hup.recv() => file.read(),
-            () = tokio::time::sleep(LOOK_EVERY) => file.look(),
-        };
-        node.into_iter().for_each(|node| take_seeds(&node.seeds));
+/// The signals of this process. They are taken once: one that comes between two waits is not lost.
+pub struct Signals {
+    terminate: Signal,
+    hang_up: Signal,
+}
+
+impl Signals {
+    pub fn new() -> std::io::Result<Self> {
+        Ok(Self { terminate: signal(SignalKind::terminate())?, hang_up: signal(SignalKind::hangup())? })
+    }
+
+    /// Returns when the process is to end.
+    pub async fn wait(&mut self, mut file: File, take_seeds: impl Fn(&[SocketAddrV4])) {
+        loop {
+            let node = tokio::select! {
+                _ = self.terminate.recv() => return,
+                _ = self.hang_up.recv() => file.read(),
+                () = tokio::time::sleep(LOOK_EVERY) => file.look(),
+            };
+            node.into_iter().for_each(|node| take_seeds(&node.seeds));
+        }
     }
 }
 
--- a/crates/rookpulley-office/src/hub.rs
+++ b/crates/rookpulley-office/src/hub.rs
@@ -1,11 +1,11 @@
 //! The office on sockets, disk and clock: what comes in goes to the clerk, what the clerk wants is carried out.
 
 use crate::show::Counts;
-use crate::store::{Part, Said, Store};
 use rookpulley_chain::Member;
 use rookpulley_clerk::{Effect, Founding, Office, Reply, Start, Wants, Word};
 use rookpulley_mailroom::line::Outbox;
 use rookpulley_settings::Node;
+use rookpulley_strongroom::{Part, Said, Store};
 use rookpulley_waybill::Up;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
@@ -30,6 +30,14 @@
     calls: BTreeMap<u64, oneshot::Sender<Reply>>,
 }
 
+/// Why the store can't be used any more.
+#[derive(Debug, PartialEq)]
+pub enum StoreFailure {
+    Write(String),
+    /// It differs from what all others hold, and begins anew.
+    GivenUp,
+}
+
 pub struct Hub {
     pub node: Node,
     me: Member,
@@ -39,6 +47,8 @@
     /// Asks the main loop to dial what became known.
     pub dial: Notify,
     pub counts: Counts,
+    failure: RefCell<Option<StoreFailure>>,
+    failed: Notify,
 }
 
 impl Hub {
@@ -74,6 +84,8 @@
             lines: RefCell::new(lines),
             dial: Notify::new(),
             counts: Counts::default(),
+            failure: RefCell::default(),
+            failed: Notify::new(),
         });
         hub.with(|_, _| ());
         hub
@@ -191,11 +203,37 @@
 
     // ---- the disk, and calls ----------------------------------------------------------------
 
-    /// The others keep something else: what is kept here is given up, and the next start is filled by them.
+    /// The others keep something else: what is kept here is given up, and the next incarnation is filled by them.
     fn begin_anew(&self) {
-        let given_up = self.node.data.as_deref().map(Store::give_up);
-        tracing::error!("store: differs from all others; given up {given_up:?}, this process ends");
-        std::process::exit(1);
+        let given_up = self.node.data.as_deref().map_or(Ok(()), Store::give_up);
+        tracing::error!("store: differs from all others; given up {given_up:?}");
+        self.fail(match given_up {
+            Ok(()) => StoreFailure::GivenUp,
+            Err(why) => StoreFailure::Write(why.to_string()),
+        });
+    }
+
+    fn fail(&self, failure: StoreFailure) {
+        self.failure.borrow_mut().get_or_insert(failure);
+        self.failed.notify_one();
+    }
+
+    /// Returns once the store can't be used any more. Nothing is acknowledged on its behalf after that.
+    pub async fn store_failure(&self) -> StoreFailure {
+        loop {
+            if let Some(failure) = self.failure.borrow_mut().take() {
+                return failure;
+            }
+            self.failed.notified().await;
+        }
+    }
+
+    /// The other members of the newest view that is known.
+    pub fn other_members(&self) -> Vec<SocketAddrV4> {
+        self.look(|office| {
+            let members = office.chain.view().map_or(&[][..], |view| &view.members);
+            members.iter().filter(|member| member.id != self.me.id).map(|member| member.address).collect()
+        })
     }
 
     /// Takes what the store says, for as long as it says anything.
@@ -214,12 +252,7 @@
                 let took_ms = took.as_secs_f64() * 1e3;
                 self.with(|office, now| office.stored(now, chain, lives, took_ms));
             }
-            Said::Failed(why) => {
-                tracing::error!(
-                    "store: a write failed ({why}); this process ends, to begin with what the disk holds"
-                );
-                std::process::exit(1);
-            }
+            Said::Failed(why) => self.fail(StoreFailure::Write(format!("a write failed ({why})"))),
         }
     }
 
@@ -304,3 +337,6 @@
         self.hub.office.borrow_mut().call_left(self.token);
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/rookpulley-settings/tests/deploy.rs
+++ b/crates/rookpulley-settings/tests/deploy.rs
@@ -39,7 +39,11 @@
 fn each_fault_has_its_place_what_was_found_and_what_to_write() {
     for (was, is, said) in [
         ("build = \"cargo build --release\"", "", "build is missing; write the line that builds it"),
-        ("build =", "rebuild = 1\nbuild =", "rebuild is no field of this file; write one of build, packages, roles"),
+        (
+            "build =",
+            "rebuild = 1\nbuild =",
+            "rebuild is no field of this file; write one of build, packages, roles",
+        ),
         ("\"libc6-dev\"", "\"libc6 dev\"", "packages[1] is \"libc6 dev\"; write names of system packages"),
         ("\"libc6-dev\"", "7", "packages[1] is 7; write names of system packages"),
         ("\"libc6-dev\"", "\"gcc\"", "packages is a list that has \"gcc\" twice; write each once"),
--- a/crates/rookpulley-strongroom/src/store.rs
+++ b/crates/rookpulley-strongroom/src/store.rs
@@ -58,8 +58,10 @@
     pub lives: Rows,
 }
 
-/// A disk that refuses is asked again so often, after such a pause.
+/// A store that another process is letting go of is asked for so often, after such a pause.
 pub(crate) const PATIENCE: u32 = 100;
+/// The same at the opening of an office's own store. Who opens it goes on without it meanwhile, and asks again.
+const OPEN_PATIENCE: u32 = 10;
 pub(crate) const AGAIN: Duration = Duration::from_millis(100);
 pub(crate) const IDENTITY: &[u8] = b"identity";
 const FOUNDER: &[u8] = b"founder";
@@ -133,7 +135,7 @@
         founding: Option<&[u8]>,
         said: UnboundedSender<Said>,
     ) -> Result<Self, StoreError> {
-        Self::open_with(folder, mint, founding, said, PATIENCE)
+        Self::open_with(folder, mint, founding, said, OPEN_PATIENCE)
     }
 
     /// Has the store in a folder begun anew at the next opening, whatever happens till then.
