--- a/crates/rookpulley-drill/src/callers.rs
+++ b/crates/rookpulley-drill/src/callers.rs
@@ -41,6 +41,8 @@
 }
 
 const SECOND: Us = S;
+/// While answers are lost, one of so many comes through.
+const LOST_ANSWERS: u32 = 4;
 
 impl World {
     pub fn call(
@@ -152,7 +154,9 @@
     }
 
     pub fn replied(&mut self, call: u64, attempt: u32, reply: Option<Reply>) {
-        if self.calls.get(&call).is_none_or(|of| of.attempt != attempt) {
+        let Some(of) = self.calls.get(&call).filter(|of| of.attempt == attempt) else { return };
+        let answer_lost = matches!(of.who, Who::Operator(_)) && self.now < self.answers_lost_until;
+        if answer_lost && !self.chance(LOST_ANSWERS) {
             return;
         }
         match reply {
--- a/crates/rookpulley-drill/src/couriers.rs
+++ b/crates/rookpulley-drill/src/couriers.rs
@@ -316,7 +316,7 @@
                 _ => {}
             }
         }
-        let missed = match (&down, self.mutation) {
+        let missed = match (&mut down, self.mutation) {
             (Down::Table { .. }, Some(Mutation::TablesMissed)) => {
                 self.now > 5 * S && self.courier(process).is_some_and(|courier| courier.satchel.ready())
             }
@@ -333,6 +333,13 @@
                     courier.gone_back
                 })
             }
+            (_, Some(Mutation::HomePresumedInTouch)) => {
+                if let Down::Pulse { in_touch, .. } = &mut down {
+                    *in_touch = true;
+                }
+                let home = self.courier(process).and_then(|courier| courier.satchel.home());
+                home.is_some_and(|home| home != ip)
+            }
             _ => false,
         };
         if !missed {
--- a/crates/rookpulley-drill/src/day.rs
+++ b/crates/rookpulley-drill/src/day.rs
@@ -129,6 +129,15 @@
         machines: Vec<usize>,
         ms: u64,
     },
+    /// These machines of the core and its others don't hear each other; all other machines, tasks and clients they reach.
+    CutCore {
+        machines: Vec<usize>,
+        ms: u64,
+    },
+    /// Most answers to operators are lost: the same order is sent again to another controller.
+    LoseAnswers {
+        ms: u64,
+    },
     /// Clients come that much more often.
     Burst {
         times: u32,
@@ -405,7 +414,9 @@
             Happens::Cut { machines, .. } | Happens::Deaf { machines, .. } => {
                 machines.iter().any(|machine| *machine < offices)
             }
-            Happens::Herd { .. } | Happens::Dark { .. } | Happens::Roll { .. } => true,
+            Happens::Herd { .. } | Happens::Dark { .. } | Happens::Roll { .. } | Happens::CutCore { .. } => {
+                true
+            }
             _ => false,
         }
     }
--- a/crates/rookpulley-drill/src/offices.rs
+++ b/crates/rookpulley-drill/src/offices.rs
@@ -70,7 +70,7 @@
         let start = Start {
             me: Member { id: identity, life, address: SocketAddrV4::new(at.ip, 7_721) },
             seeds,
-            losses: self.day.losses,
+            losses: if self.mutation == Some(Mutation::LossesIgnored) { 0 } else { self.day.losses },
             heartbeat_ms: HEARTBEAT_MS,
             drain_ms: DRAIN_MS,
             zone: at.zone.to_string(),
@@ -345,6 +345,10 @@
             }
             Err(reply) => return self.reply(process, call, attempt, reply),
         };
+        if self.mutation == Some(Mutation::RepeatRefused) && self.repeats(process, &wants) {
+            let refused = Reply { status: 409, retry_after: None, content: Content::Nothing };
+            return self.reply(process, call, attempt, refused);
+        }
         if self.mutation == Some(Mutation::ReadsAlone)
             && let Wants::Ask(Ask::Cell { name }) = &wants
         {
@@ -367,6 +371,12 @@
         }
     }
 
+    fn repeats(&mut self, process: usize, wants: &Wants) -> bool {
+        let Wants::Update(Update::PutConfiguration { version, .. }) = wants else { return false };
+        let held = self.office(process).map_or(0, |of| of.office.chain.state().ledger.version());
+        *version <= held
+    }
+
     fn read_alone(&mut self, process: usize, name: &str) -> Reply {
         let ask = Ask::Cell { name: name.into() };
         let answer = self.office(process).map(|office| office.office.chain.state().ledger.read(&ask));
--- a/crates/rookpulley-drill/src/troubles.rs
+++ b/crates/rookpulley-drill/src/troubles.rs
@@ -125,6 +125,14 @@
                 self.cut(&these, &others, ms);
                 self.cut(&others, &these, ms);
             }
+            Happens::CutCore { machines, ms } => {
+                let others = self.core().into_iter().filter(|machine| !machines.contains(machine));
+                let others: BTreeSet<Host> = others.map(Host::Machine).collect();
+                let these = machines.into_iter().map(Host::Machine).collect();
+                self.cut(&these, &others, ms);
+                self.cut(&others, &these, ms);
+            }
+            Happens::LoseAnswers { ms } => self.answers_lost_until = self.now + ms * MS,
             Happens::Burst { times, ms } => {
                 self.unplanned(ms + 5_000);
                 self.burst = (times, self.now + ms * MS);
--- a/crates/rookpulley-drill/src/world.rs
+++ b/crates/rookpulley-drill/src/world.rs
@@ -75,6 +75,14 @@
     TaintedBare,
     /// Couriers take no table after their first ones.
     TablesMissed,
+
+    // What `tests/worst_days.rs` must find.
+    /// A courier hears its home alone, and takes it to be in touch whatever it says.
+    HomePresumedInTouch,
+    /// A configuration whose version is not above the one held is refused.
+    RepeatRefused,
+    /// Offices are told that no machine may be lost.
+    LossesIgnored,
 }
 
 impl Mutation {
@@ -343,6 +351,8 @@
     pub next: u64,
     pub steps: u64,
     pub burst: (u32, Us),
+    /// Until then most answers to operators are lost.
+    pub answers_lost_until: Us,
     pub log: VecDeque<String>,
     pub heals: BTreeMap<u64, crate::troubles::Heals>,
     /// What strikes as soon as this put is acknowledged.
@@ -389,6 +399,7 @@
             next: 0,
             steps: 0,
             burst: (1, 0),
+            answers_lost_until: 0,
             log: VecDeque::new(),
             heals: BTreeMap::new(),
             closing: None,
--- a/crates/rookpulley-drill/tests/round.rs
+++ b/crates/rookpulley-drill/tests/round.rs
@@ -2,33 +2,12 @@
 //! steers the requests. Each is a scripted day, played for several seeds and judged like any other day; beside that
 //! something must be seen that a broken mechanism misses. The mutations of a case show that it can fail.
 
+mod common;
+
+use common::case;
 use rookpulley_addressbook::RouteKind;
 use rookpulley_drill::{Arrived, BadTask, Day, Happens, Mutation, Played, Seen, play};
 
-const SEEDS: std::ops::Range<u64> = 0..4;
-
-/// What is wrong with a day that broke no rule; None: nothing.
-type Wrong = fn(&Played) -> Option<String>;
-
-/// The case holds for all seeds, and each of these faults is found by one of them.
-fn case(day: fn(u64) -> Day, wrong: Wrong, mutations: &[Mutation]) {
-    let failed = |seed: u64, mutation| {
-        let played = play(&day(seed), mutation);
-        let rules: Vec<String> = played.breaches.iter().map(ToString::to_string).collect();
-        if rules.is_empty() { wrong(&played) } else { Some(rules.join("; ")) }
-    };
-    for seed in SEEDS {
-        if let Some(wrong) = failed(seed, None) {
-            panic!("seed {seed}: {wrong}\n{}", day(seed));
-        }
-    }
-    for mutation in mutations {
-        let found = SEEDS.into_iter().find_map(|seed| failed(seed, Some(*mutation)));
-        println!("{mutation:?}: {}", found.as_deref().unwrap_or("not found"));
-        assert!(found.is_some(), "{mutation:?} is not found");
-    }
-}
-
 /// Complains of the first of these that isn't so.
 fn unless<const N: usize>(all: [(bool, String); N]) -> Option<String> {
     all.into_iter().find_map(|(so, what)| (!so).then_some(what))
