A test holds the deploy file against the disks and losses of the deployments

Change: the number of machines that share or count come to is a function; a test asks that more than two times the losses have a controller with a disk, for four deployments, with spare machines and without. Result: with count = 1 it fails at once: 3 zones of 25: 3 stores for 2 losses.

--- a/crates/rookpulley-settings/src/deploy.rs
+++ b/crates/rookpulley-settings/src/deploy.rs
@@ -48,6 +48,16 @@
     Count(u32),
 }
 
+impl Amount {
+    /// How many of a zone's machines that is.
+    pub fn of(self, machines: u32) -> u32 {
+        match self {
+            Amount::Share(share) => (share * f64::from(machines)).ceil() as u32,
+            Amount::Count(count) => count.min(machines),
+        }
+    }
+}
+
 impl Role {
     fn serves(&self, whom: &str) -> bool {
         self.serves.iter().any(|one| one == whom)
--- a/crates/rookpulley-settings/tests/deploy.rs
+++ b/crates/rookpulley-settings/tests/deploy.rs
@@ -95,6 +95,34 @@
     assert!(told[0].contains("first machine"), "{told:?}");
 }
 
+/// A deployment: in each zone so many machines, the first of which have a disk, and what it must bear.
+struct Site {
+    zones: u32,
+    machines: std::ops::RangeInclusive<u32>,
+    disks: u32,
+    losses: u32,
+}
+
+#[test]
+fn the_deploy_file_gives_the_deployments_as_many_controllers_with_a_disk_as_their_losses_need() {
+    let file = std::path::Path::new(env!("CARGO_MANIFEST_DIR")).join("../../deploy/system.toml");
+    let deploy = Deploy::read(&file).unwrap();
+    let control = deploy.roles.values().find(|role| role.serves == ["control_plane"]).unwrap();
+    // The small ones, and the grown ones with spare machines for a zone or without.
+    for Site { zones, machines, disks, losses } in [
+        Site { zones: 4, machines: 3..=4, disks: 1, losses: 1 },
+        Site { zones: 3, machines: 4..=5, disks: 1, losses: 1 },
+        Site { zones: 5, machines: 17..=20, disks: 1, losses: 2 },
+        Site { zones: 3, machines: 25..=28, disks: 2, losses: 2 },
+    ] {
+        for in_zone in machines {
+            let stores = zones * control.amount.of(in_zone).min(disks);
+            // A majority of them must be left once so many are lost.
+            assert!(stores > 2 * losses, "{zones} zones of {in_zone}: {stores} stores for {losses} losses");
+        }
+    }
+}
+
 #[test]
 fn a_spoilt_deploy_file_never_panics_and_what_is_taken_keeps_the_bounds() {
     let lines: Vec<&str> = GOOD.lines().collect();
