A configuration costs what it changes: rules are read apart and shared

One of 35,000 routes was refused (over 250,000 values). The shortest aim of each service was searched among all routes. In a storm every version was read everywhere. Change: the text is cut into rules and the rest without building a value; a rule whose bytes stood under the same host in the version before is taken over from it; the others are read apart. What is faulty is read whole as before, to be told of with all its places.

--- a/crates/rookpulley-addressbook/src/book.rs
+++ b/crates/rookpulley-addressbook/src/book.rs
@@ -4,6 +4,7 @@
 use std::borrow::Cow;
 use std::collections::HashMap;
 use std::ops::Range;
+use std::sync::Arc;
 
 /// A configuration. It never changes: a newer one is a new value, swapped in whole.
 #[derive(Clone, Debug)]
@@ -13,8 +14,12 @@
     pub services: Vec<Service>,
     places: HashMap<String, usize>,
     /// Sorted by host, then by prefix.
-    routes: Vec<Route>,
+    routes: Vec<Arc<Route>>,
     hosts: HashMap<String, Host>,
+    /// By service: the shortest aim of its routes.
+    least_aims_ms: Vec<Option<f64>>,
+    /// Where rules stand in the bytes that it was read from, and the routes that came of them.
+    pub(crate) rules: Vec<(Range<usize>, Arc<Route>)>,
 }
 
 #[derive(Clone, Debug, PartialEq)]
@@ -55,21 +60,27 @@
         limits: Limits,
         services: Vec<Service>,
         places: HashMap<String, usize>,
-        routes: Vec<Route>,
+        routes: Vec<Arc<Route>>,
     ) -> Self {
-        let mut hosts: HashMap<String, Host> = HashMap::new();
-        for (at, route) in routes.iter().enumerate() {
-            let host = hosts.entry(route.host.clone()).or_insert_with(|| Host { routes: at..at, longest: 0 });
-            host.routes.end = at + 1;
-            host.longest = host.longest.max(route.prefix.len());
+        let (mut hosts, mut from) = (HashMap::new(), 0);
+        for of_host in routes.chunk_by(|one, next| one.host == next.host) {
+            let Some(first) = of_host.first() else { continue };
+            let longest = of_host.iter().map(|route| route.prefix.len()).max().unwrap_or(0);
+            hosts.insert(first.host.clone(), Host { routes: from..from + of_host.len(), longest });
+            from += of_host.len();
         }
-        Self { version, limits, services, places, routes, hosts }
+        let mut least_aims_ms = vec![None; services.len()];
+        for (service, aim_ms) in routes.iter().flat_map(|r| r.targets.iter().map(|(at, _)| (*at, r.aim_ms))) {
+            if let Some(least) = least_aims_ms.get_mut(service) {
+                *least = Some(least.map_or(aim_ms, |least: f64| least.min(aim_ms)));
+            }
+        }
+        Self { version, limits, services, places, routes, hosts, least_aims_ms, rules: Vec::new() }
     }
 
     /// The shortest aim of the routes that may go to this service; none: no route does.
     pub fn least_aim_ms(&self, service: usize) -> Option<f64> {
-        let its = self.routes.iter().filter(|route| route.targets.iter().any(|(at, _)| *at == service));
-        its.map(|route| route.aim_ms).min_by(f64::total_cmp)
+        self.least_aims_ms.get(service).copied().flatten()
     }
 
     /// The route of a request: of the host's routes, the one with the longest prefix that begins the path. The
@@ -87,7 +98,7 @@
         while let Some(slash) = bytes.get(..end)?.iter().rposition(|byte| *byte == b'/') {
             let beginning = bytes.get(..=slash)?;
             if let Ok(at) = routes.binary_search_by(|route| route.prefix.as_bytes().cmp(beginning)) {
-                return routes.get(at);
+                return routes.get(at).map(Arc::as_ref);
             }
             end = slash;
         }
@@ -95,8 +106,8 @@
     }
 
     /// All routes, sorted by host and prefix.
-    pub fn routes(&self) -> &[Route] {
-        &self.routes
+    pub fn routes(&self) -> impl ExactSizeIterator<Item = &Route> {
+        self.routes.iter().map(Arc::as_ref)
     }
 
     pub fn service(&self, place: usize) -> Option<&Service> {
--- a/crates/rookpulley-addressbook/src/json.rs
+++ b/crates/rookpulley-addressbook/src/json.rs
@@ -5,20 +5,28 @@
 use std::fmt::Display;
 use tinyjson::{JsonParseError, JsonValue};
 
-/// A configuration of 3,000 routes takes about a megabyte.
+/// A configuration of 3,000 routes takes about half a megabyte, one of 35,000 six.
 pub const BYTES_MOST: usize = 8 << 20;
 pub const DEPTH_MOST: usize = 64;
+/// In what is built at once: all but the rules, or one rule, or the whole where it must be told what is wrong with it.
 pub const VALUES_MOST: usize = 250_000;
+/// So many brackets stand open round a rule.
+const ROUND_RULE: usize = 4;
 
 const BOUNDS: Bounds =
     Bounds { bytes: BYTES_MOST, nesting: Nesting::Levels(DEPTH_MOST), values: VALUES_MOST };
 
-pub(crate) fn parse(bytes: &[u8]) -> Result<JsonValue, Faults> {
-    read(bytes, BOUNDS).map_err(|why| unread(bytes, why))
+/// A rule alone; none where it is faulty.
+pub(crate) fn parse_rule(bytes: &[u8]) -> Option<JsonValue> {
+    read(bytes, Bounds { nesting: Nesting::Levels(DEPTH_MOST - ROUND_RULE), ..BOUNDS }).ok()
+}
+
+pub(crate) fn parse(bytes: &[u8]) -> Result<JsonValue, Unread> {
+    read(bytes, BOUNDS)
 }
 
 /// Bytes that are no text are told of as such, whatever else was found in them.
-fn unread(bytes: &[u8], why: Unread) -> Faults {
+pub(crate) fn unread(bytes: &[u8], why: Unread) -> Faults {
     let after = |end: usize| Place::after(bytes.get(..end).unwrap_or(bytes));
     match (why, std::str::from_utf8(bytes)) {
         (Unread::Long, _) => {
--- a/crates/rookpulley-addressbook/src/lib.rs
+++ b/crates/rookpulley-addressbook/src/lib.rs
@@ -1,6 +1,6 @@
 //! The operator's configuration, checked and turned into a snapshot that routes.
 //!
-//! `json` turns bytes into values within bounds, `values` takes fields out of them, `read` checks what they say,
+//! `split` cuts the bytes into rules and the rest, `json` turns bytes into values within bounds, `values` takes fields out of them, `read` checks what they say,
 //! `book` and `route` are the snapshot, `faults` says how what is wrong with it is told.
 
 mod book;
@@ -8,6 +8,7 @@
 mod json;
 mod read;
 mod route;
+mod split;
 mod values;
 
 pub use book::{Book, Limits, Service};
--- a/crates/rookpulley-addressbook/src/read.rs
+++ b/crates/rookpulley-addressbook/src/read.rs
@@ -2,13 +2,16 @@
 
 use crate::book::{Book, Limits, Service};
 use crate::faults::CONFIGURATION;
-use crate::json::parse;
+use crate::json::{BYTES_MOST, parse, parse_rule, unread};
 use crate::route::{Route, RouteKind};
+use crate::split::split;
 use crate::values::Value;
-use rookpulley_returns::Faults;
+use rookpulley_returns::{Faults, Unread};
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::collections::hash_map::Entry;
+use std::ops::Range;
+use std::sync::Arc;
 
 /// No request is held longer, whatever a route says.
 const DAY_MS: f64 = 86_400_000.0;
@@ -18,16 +21,115 @@
 impl Book {
     /// The operator's configuration as it was sent. Nothing of the bytes is kept.
     pub fn read(bytes: &[u8]) -> Result<Self, Faults> {
-        let (json, faults) = (parse(bytes)?, RefCell::new(Faults::none(&CONFIGURATION)));
-        let book = book(Value::top(&json, &faults));
-        let faults = faults.into_inner();
-        match book {
-            Some(book) if faults.is_empty() => Ok(book),
-            _ => Err(faults),
+        Self::read_after(bytes, None)
+    }
+
+    /// The same after an earlier one, with the bytes that it was read from: routes whose rules have not changed are
+    /// shared with it, so that a change costs what it changes.
+    pub fn read_after(bytes: &[u8], earlier: Option<(&[u8], &Book)>) -> Result<Self, Faults> {
+        // What is faulty is read whole, to be told of with all that is wrong with it.
+        match read_by_rule(bytes, earlier) {
+            Ok(book) => Ok(book),
+            Err(found) => read_whole(bytes, found),
         }
     }
 }
 
+/// `found`: what is known to be wrong with it, where it is too much to be built at once.
+fn read_whole(bytes: &[u8], found: Faults) -> Result<Book, Faults> {
+    let json = match parse(bytes) {
+        Ok(json) => json,
+        Err(Unread::Many { .. }) if !found.is_empty() => return Err(found),
+        Err(why) => return Err(unread(bytes, why)),
+    };
+    let faults = RefCell::new(Faults::none(&CONFIGURATION));
+    let book = book(Value::top(&json, &faults));
+    let faults = faults.into_inner();
+    match book {
+        Some(book) if faults.is_empty() => Ok(book),
+        _ => Err(faults),
+    }
+}
+
+/// Rules of an earlier configuration with their hosts, and the routes that came of them.
+type KnownRules<'a> = HashMap<(&'a str, &'a [u8]), &'a Arc<Route>>;
+
+fn known_rules<'a>(services: &[Service], earlier: Option<(&'a [u8], &'a Book)>) -> KnownRules<'a> {
+    let Some((bytes, book)) = earlier else { return KnownRules::new() };
+    // Routes name services by their places.
+    let names = |services: &'a [Service]| services.iter().map(|service| service.name.as_str());
+    if !names(&book.services).eq(services.iter().map(|service| service.name.as_str())) {
+        return KnownRules::new();
+    }
+    let known = book.rules.iter().filter_map(|(at, route)| {
+        let rule = bytes.get(at.clone())?;
+        Some(((route.host.as_str(), rule), route))
+    });
+    known.collect()
+}
+
+/// What is wrong with it as far as that was found: nothing, where it must be read whole to tell.
+fn read_by_rule(bytes: &[u8], earlier: Option<(&[u8], &Book)>) -> Result<Book, Faults> {
+    let faults = RefCell::new(Faults::none(&CONFIGURATION));
+    let short = Some(bytes).filter(|bytes| bytes.len() <= BYTES_MOST);
+    let rest = short.and_then(split).and_then(|split| Some((parse(&split.rest).ok()?, split.rules)));
+    let book = rest.and_then(|(json, rules)| {
+        let text = RuleText { bytes, rules };
+        book_by_rule(Value::top(&json, &faults), &text, earlier)
+    });
+    let faults = faults.into_inner();
+    book.filter(|_| faults.is_empty()).ok_or(faults)
+}
+
+struct RuleText<'a> {
+    bytes: &'a [u8],
+    rules: Vec<Range<usize>>,
+}
+
+impl RuleText<'_> {
+    /// The rule that this value stands in for.
+    fn of(&self, stand_in: &Value) -> Option<(Range<usize>, &[u8])> {
+        let number = stand_in.field("").whole(0, "a number")?;
+        let at = self.rules.get(usize::try_from(number).ok()?)?;
+        Some((at.clone(), self.bytes.get(at.clone())?))
+    }
+}
+
+fn book_by_rule(top: Value, rules: &RuleText, earlier: Option<(&[u8], &Book)>) -> Option<Book> {
+    if !top.is_object() {
+        return None;
+    }
+    let version = top.field("configVersion").whole_needed(1, "a whole number from 1 to 9007199254740991")?;
+    let limits = limits(top.field("limits"));
+    let (services, places) = services(top.field("services"));
+    let known = known_rules(&services, earlier);
+    let (mut routes, mut read) = (Vec::new(), Vec::with_capacity(rules.rules.len()));
+    for host in top.field("hostnames").items() {
+        let name = host.field("hostname").text_needed("the host that these rules are for")?;
+        let name = name.to_ascii_lowercase();
+        for rule in host.field("pathRules").items() {
+            let Some((at, text)) = rules.of(&rule) else {
+                routes.push(Arc::new(route(rule, &name, &places)?));
+                continue;
+            };
+            let route = match known.get(&(name.as_str(), text)) {
+                Some(route) => Arc::clone(route),
+                None => Arc::new(route(rule.with(&parse_rule(text)?), &name, &places)?),
+            };
+            read.push((at, route.clone()));
+            routes.push(route);
+        }
+    }
+    routes.sort_by(|one, other| (&one.host, &one.prefix).cmp(&(&other.host, &other.prefix)));
+    let alike = |pair: &[Arc<Route>]| matches!(pair, [one, next] if (&one.host, &one.prefix) == (&next.host, &next.prefix));
+    if routes.windows(2).any(alike) {
+        return None;
+    }
+    let mut book = Book::bound(version, limits, services, places, routes);
+    book.rules = read;
+    Some(book)
+}
+
 /// Goes on after a fault, so that all are noted.
 fn book(top: Value) -> Option<Book> {
     if !top.is_object() {
@@ -42,6 +144,7 @@
     }
     let mut routes = routes.routes;
     routes.sort_by(|one, other| (&one.host, &one.prefix).cmp(&(&other.host, &other.prefix)));
+    let routes = routes.into_iter().map(Arc::new).collect();
     Some(Book::bound(version?, limits, services, places, routes))
 }
 
--- a/crates/rookpulley-addressbook/src/values.rs
+++ b/crates/rookpulley-addressbook/src/values.rs
@@ -42,6 +42,14 @@
         Self { json: Some(json), way: Way::Top, faults }
     }
 
+    /// Another value at the same place.
+    pub fn with<'b>(&self, json: &'b JsonValue) -> Value<'b>
+    where
+        'a: 'b,
+    {
+        Value { json: Some(json), way: self.way, faults: self.faults }
+    }
+
     pub fn present(&self) -> bool {
         self.json.is_some()
     }
--- a/crates/rookpulley-clerk/src/calls.rs
+++ b/crates/rookpulley-clerk/src/calls.rs
@@ -115,13 +115,14 @@
     Reply::error(504, "no answer in time: it may or may not have taken effect; send the same call again")
 }
 
-/// Reads a call. `name`: what its path ends with, `query`: the value that its query has under a name. What can't be
-/// used is answered at once.
+/// Reads a call. `name`: what its path ends with, `query`: the value that its query has under a name, `held`: the
+/// configuration that a new one is likely to differ little from, with its bytes. What can't be used is answered at once.
 pub fn read<'a>(
     path: Path,
     name: &str,
     body: Vec<u8>,
     query: impl Fn(&str) -> Option<&'a str>,
+    held: Option<(&[u8], &Book)>,
 ) -> Result<Wants, Reply> {
     let name = name.to_string();
     let update = |update| Ok(Wants::Update(update));
@@ -132,7 +133,7 @@
         }
         Path::Leave => Ok(Wants::Leave(name)),
         Path::PutConfiguration => {
-            let book = Book::read(&body).map_err(|why| Reply::error(400, &why.to_string()))?;
+            let book = Book::read_after(&body, held).map_err(|why| Reply::error(400, &why.to_string()))?;
             update(Update::PutConfiguration { version: book.version, body })
         }
         Path::GetConfiguration => Ok(Wants::Ask(Ask::Configuration)),
--- a/crates/rookpulley-clerk/src/lib.rs
+++ b/crates/rookpulley-clerk/src/lib.rs
@@ -9,6 +9,7 @@
 mod calls;
 mod founding;
 mod office;
+mod pace;
 mod state;
 mod tally;
 mod watches;
--- a/crates/rookpulley-clerk/src/office.rs
+++ b/crates/rookpulley-clerk/src/office.rs
@@ -3,6 +3,7 @@
 
 use crate::calls::{Kind, Reply, Taken, Wants, later, taken, told};
 use crate::founding::Founding;
+use crate::pace::Pace;
 use crate::state::Kept;
 use crate::tally::Tally;
 use crate::watches::Watches;
@@ -156,8 +157,11 @@
     notes: u64,
     noting: Vec<(u64, Noted)>,
     next: u64,
-    /// The configurations that couriers are told of.
+    /// The configurations that couriers are told of, and the newest of them as it was read.
     editions: Editions,
+    book: Option<Book>,
+    /// When the newest was told, and whether a newer one waits for its turn.
+    pace: Pace,
     pub disk: Disk,
     pub tally: Tally,
     ending: bool,
@@ -205,6 +209,8 @@
             noting: Vec::new(),
             next: 0,
             editions: Editions::default(),
+            book: None,
+            pace: Pace::default(),
             disk: Disk::default(),
             tally: Tally::default(),
             ending: false,
@@ -468,28 +474,26 @@
 
     // ---- the configuration, told to couriers --------------------------------------------------
 
+    /// The configuration that couriers are told of, with its bytes.
+    pub fn configuration(&self) -> Option<(&[u8], &Book)> {
+        self.editions.newest_body().zip(self.book.as_ref())
+    }
+
+    /// What holds here is remembered at once, and told when its turn has come.
     fn tell_configuration(&mut self, now: f64) {
         let version = self.ledger().version();
         if version <= self.editions.newest() {
             return;
         }
-        let Some(body) = self.ledger().configuration().map(|(_, body)| body.to_vec()) else { return };
-        match Book::read(&body) {
-            Ok(book) => {
-                let services = book.services.iter().enumerate().map(|(at, s)| Service {
-                    name: s.name.clone(),
-                    max_connections: s.max_connections,
-                    aim_ms: book.least_aim_ms(at).unwrap_or(0.0),
-                });
-                let services: Vec<Service> = services.collect();
-                self.desk.set_services(&services);
-            }
-            Err(why) => {
-                self.out
-                    .push(Effect::Complain(format!("ledger: the configuration held can't be read: {why}")));
-            }
-        }
+        let Some((_, body)) = self.chain.state().ledger.configuration() else { return };
         self.editions.take(version, body);
+        if !self.pace.is_due(now) {
+            return;
+        }
+        let body = body.to_vec();
+        self.pace.told(now, body.len());
+        self.set_services(&body);
+        self.editions.tell();
         let pulse = frame(&self.pulse(now));
         for courier in self.couriers.values_mut() {
             if courier.home {
@@ -502,6 +506,23 @@
         self.tables(now);
     }
 
+    fn set_services(&mut self, body: &[u8]) {
+        let book = match Book::read_after(body, self.configuration()) {
+            Ok(book) => book,
+            Err(why) => {
+                let line = format!("ledger: the configuration held can't be read: {why}");
+                return self.out.push(Effect::Complain(line));
+            }
+        };
+        let services = book.services.iter().enumerate().map(|(at, service)| Service {
+            name: service.name.clone(),
+            max_connections: service.max_connections,
+            aim_ms: book.least_aim_ms(at).unwrap_or(0.0),
+        });
+        self.desk.set_services(&services.collect::<Vec<_>>());
+        self.book = Some(book);
+    }
+
     fn pulse(&self, now: f64) -> Down {
         let in_touch = self.in_touch(now) && !self.ending;
         let port = self.me.address.port();
@@ -815,6 +836,7 @@
         self.watch_disk(now);
         self.unconfirmed(now);
         self.look_at_watches(now, false);
+        self.tell_configuration(now);
         let addresses: Vec<Ipv4Addr> = self
             .chain
             .view()
--- a/crates/rookpulley-cli/src/gateway/check.rs
+++ b/crates/rookpulley-cli/src/gateway/check.rs
@@ -125,7 +125,7 @@
 
 pub fn configuration(file: &Path) -> Checked {
     let verdict = read(file).map(|book| {
-        let mut hosts: Vec<&str> = book.routes().iter().map(|route| route.host.as_str()).collect();
+        let mut hosts: Vec<&str> = book.routes().map(|route| route.host.as_str()).collect();
         hosts.dedup();
         format!(
             "version {}, {}, {}, {}; can be taken",
--- a/crates/rookpulley-cli/src/gateway/explain.rs
+++ b/crates/rookpulley-cli/src/gateway/explain.rs
@@ -19,7 +19,7 @@
 fn found<'a>(book: &'a Book, host: &str, path: &str) -> Found<'a> {
     let taken = book.route(host, path);
     let begins = |route: &&Route| route.host.eq_ignore_ascii_case(host) && path.starts_with(&route.prefix);
-    let mut lost: Vec<&Route> = book.routes().iter().filter(begins).collect();
+    let mut lost: Vec<&Route> = book.routes().filter(begins).collect();
     lost.retain(|route| taken.is_none_or(|taken| taken.prefix != route.prefix));
     lost.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
     Found { taken, lost }
@@ -51,9 +51,9 @@
 
 /// Why no route takes a request, and what there is.
 fn why_none(book: &Book, host: &str, path: &str) -> (String, Vec<String>) {
-    let of_host: Vec<&Route> = book.routes().iter().filter(|r| r.host.eq_ignore_ascii_case(host)).collect();
+    let of_host: Vec<&Route> = book.routes().filter(|r| r.host.eq_ignore_ascii_case(host)).collect();
     if of_host.is_empty() {
-        let mut hosts: Vec<String> = book.routes().iter().map(|route| route.host.clone()).collect();
+        let mut hosts: Vec<String> = book.routes().map(|route| route.host.clone()).collect();
         hosts.dedup();
         return (format!("no host is named {host}; there are"), hosts);
     }
--- a/crates/rookpulley-drill/src/offices.rs
+++ b/crates/rookpulley-drill/src/offices.rs
@@ -335,9 +335,10 @@
         let Some(of) = self.calls.get(&call) else { return };
         let (path, name, body) = (of.path, of.name.clone(), of.body.clone());
         let query = of.query.clone();
-        let wants = read(path, &name, body.clone(), |wanted| {
-            query.iter().find(|(name, _)| *name == wanted).map(|(_, value)| value.as_str())
-        });
+        let value =
+            |wanted: &str| query.iter().find(|(name, _)| *name == wanted).map(|(_, value)| value.as_str());
+        let held = self.office(process).and_then(|of| of.office.configuration());
+        let wants = read(path, &name, body.clone(), value, held);
         let wants = match wants {
             Ok(wants) => self.mutated(wants),
             Err(_) if self.mutation == Some(Mutation::TakesInvalid) && path == Path::PutConfiguration => {
--- a/crates/rookpulley-office/src/calls.rs
+++ b/crates/rookpulley-office/src/calls.rs
@@ -86,7 +86,10 @@
             Asked::Call(path) => path,
             Asked::Show(part) => return show::answer(&self.hub, part, name),
         };
-        match clerk::read(path, name, call.body, |of| query(&call.query, of)) {
+        let wants = self.hub.look(|office| {
+            clerk::read(path, name, call.body, |of| query(&call.query, of), office.configuration())
+        });
+        match wants {
             Ok(wants) => match self.hub.call(wants).await {
                 Some(reply) => written(reply),
                 None => Reply::error(504, "no answer: it may or may not have taken effect"),
--- a/crates/rookpulley-satchel/src/satchel.rs
+++ b/crates/rookpulley-satchel/src/satchel.rs
@@ -225,7 +225,8 @@
                 return (base != 0).then_some(0);
             }
         };
-        match Book::read(&body) {
+        let earlier = self.book.as_ref().map(|book| (self.edition.as_slice(), book.as_ref()));
+        match Book::read_after(&body, earlier) {
             Ok(book) => self.take_book(book, body),
             Err(faults) => {
                 let line = format!("links: configuration {version} from {office} can't be used: {faults}");
--- a/crates/rookpulley-sorting/src/editions.rs
+++ b/crates/rookpulley-sorting/src/editions.rs
@@ -3,46 +3,69 @@
 use rookpulley_waybill::{Down, frame, pack};
 use std::collections::{BTreeMap, VecDeque};
 
-/// So many versions are remembered as what others differ from, and so many of their bytes.
-const VERSIONS: usize = 6;
+/// So many versions are remembered as what others differ from, and so many of their bytes. In a storm offices tell of
+/// different ones: what a courier has from one is to be known to another.
+const VERSIONS: usize = 24;
 const BYTES: usize = 4 << 20;
 
 #[derive(Default)]
 pub struct Editions {
     /// The newest last.
     held: VecDeque<(u64, Vec<u8>)>,
-    /// The newest as a frame, by the version that it is packed on.
+    /// The version that couriers are told of.
+    told: u64,
+    /// It as a frame, by the version that it is packed on.
     frames: BTreeMap<u64, Vec<u8>>,
 }
 
 impl Editions {
-    /// The newest version; 0: there is none.
+    /// The version that couriers are told of; 0: there is none.
     pub fn newest(&self) -> u64 {
-        self.held.back().map_or(0, |(version, _)| *version)
+        self.told
     }
 
-    /// A newer one than those held.
-    pub fn take(&mut self, version: u64, body: Vec<u8>) {
-        if version <= self.newest() {
+    /// Its bytes.
+    pub fn newest_body(&self) -> Option<&[u8]> {
+        self.body(self.told)
+    }
+
+    fn body(&self, version: u64) -> Option<&[u8]> {
+        self.held.iter().find(|(held, _)| *held == version).map(|(_, body)| body.as_slice())
+    }
+
+    /// A newer one than those held. Couriers aren't told of it yet.
+    pub fn take(&mut self, version: u64, body: &[u8]) {
+        if self.held.back().is_some_and(|(newest, _)| version <= *newest) {
             return;
         }
-        self.frames.clear();
-        self.held.push_back((version, body));
+        self.held.push_back((version, body.to_vec()));
         let bytes = |held: &VecDeque<(u64, Vec<u8>)>| held.iter().map(|(_, body)| body.len()).sum::<usize>();
         while self.held.len() > VERSIONS || (self.held.len() > 1 && bytes(&self.held) > BYTES) {
-            self.held.pop_front();
+            self.drop_oldest();
         }
     }
 
+    /// The oldest that couriers aren't told of now.
+    fn drop_oldest(&mut self) {
+        let at = usize::from(self.held.front().is_some_and(|(version, _)| *version == self.told));
+        self.held.remove(at);
+    }
+
+    /// From now on couriers are told of the newest.
+    pub fn tell(&mut self) {
+        self.told = self.held.back().map_or(0, |(version, _)| *version);
+        self.frames.clear();
+    }
+
     /// The frame for a courier that holds this version; None: it holds the newest, or there is none.
     pub fn frame_for(&mut self, have: u64) -> Option<Vec<u8>> {
-        let (version, body) = self.held.back().filter(|(version, _)| *version > have)?;
-        let base = self.held.iter().find(|(held, _)| *held == have);
-        let (base, bytes) = base.map_or((0, &[][..]), |(version, body)| (*version, body.as_slice()));
+        let version = Some(self.told).filter(|told| *told > have)?;
+        let body = self.body(version)?;
+        let (base, bytes) = self.body(have).map_or((0, &[][..]), |body| (have, body));
         if let Some(frame) = self.frames.get(&base) {
             return Some(frame.clone());
         }
-        let (version, length) = (*version, body.len() as u32);
+        let length = body.len() as u32;
         let packed = pack(body, bytes).ok()?;
         let framed = frame(&Down::Config { version, base, length, packed });
         self.frames.insert(base, framed.clone());
@@ -75,10 +98,12 @@
     fn each_courier_gets_the_newest_on_what_it_holds_or_whole() {
         let (mut editions, mut all) = (Editions::default(), BTreeMap::new());
         assert!(editions.frame_for(0).is_none());
-        for version in 1..20u64 {
+        for version in 1..40u64 {
             all.insert(version, body(version));
-            editions.take(version, body(version));
-            editions.take(version - 1, body(3));
+            editions.take(version, &body(version));
+            editions.take(version - 1, &body(3));
+            assert_eq!(editions.newest(), version - 1);
+            editions.tell();
             for have in 0..version {
                 let remembered = have + VERSIONS as u64 > version;
                 let wanted = (version, if remembered { have } else { 0 }, body(version));
@@ -89,4 +114,18 @@
             assert!(editions.frame_for(version).is_none() && editions.frame_for(99).is_none());
         }
     }
+
+    #[test]
+    fn what_was_not_told_is_something_to_differ_from_and_what_is_told_stays() {
+        let mut editions = Editions::default();
+        editions.take(1, &body(1));
+        editions.tell();
+        (2..100u64).for_each(|version| editions.take(version, &body(version)));
+        let mut all = BTreeMap::new();
+        assert_eq!(read(&editions.frame_for(0).unwrap(), &all), (1, 0, body(1)));
+        editions.tell();
+        all.insert(90, body(90));
+        assert_eq!(read(&editions.frame_for(90).unwrap(), &all), (99, 90, body(99)));
+        assert_eq!(editions.newest_body(), Some(body(99).as_slice()));
+    }
 }
