However long configurations are, the newest is told, and on the one before

Cause: with two configurations of over 4 MB together the newest fell out of what is remembered before it was told, so no proxy got it. The scale run at 35,000 routes showed it: no change came to anybody. Change: at least two are kept whatever their length; what is told and what is newest never go. The scale run gives up an answer after 3 s and a change after 15 s, so that it ends by itself. Result: however_long_they_are_the_newest_is_told_on_the_one_before fails without it.

--- a/crates/rookpulley-scale/src/run.rs
+++ b/crates/rookpulley-scale/src/run.rs
@@ -8,10 +8,11 @@
 use crate::processes::{Process, Processes, Role, Usage, ZONES, address, zone};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 const READY_WITHIN: Duration = Duration::from_secs(180);
-const EVERYWHERE_WITHIN: Duration = Duration::from_secs(60);
+const EVERYWHERE_WITHIN: Duration = Duration::from_secs(15);
+const ANSWERED_WITHIN: Duration = Duration::from_secs(3);
 const LOOK_EVERY: Duration = Duration::from_millis(20);
 /// Before the rest is measured what the start has left over settles.
 const SETTLES: Duration = Duration::from_secs(6);
@@ -114,8 +115,9 @@
         let begun = Instant::now();
         for machine in (0..self.sizes.controllers).cycle() {
             if let Ok(mut connection) = Connection::open(self.processes.control(machine)).await {
-                let answer = connection.put("/rookpulley/configuration", body).await;
-                if answer.is_ok_and(|status| status == 200) {
+                let answer =
+                    timeout(ANSWERED_WITHIN, connection.put("/rookpulley/configuration", body)).await;
+                if matches!(answer, Ok(Ok(200))) {
                     return Ok(());
                 }
             }
--- a/crates/rookpulley-sorting/src/editions.rs
+++ b/crates/rookpulley-sorting/src/editions.rs
@@ -7,6 +7,8 @@
 /// different ones: what a courier has from one is to be known to another.
 const VERSIONS: usize = 24;
 const BYTES: usize = 4 << 20;
+/// So many are remembered however long they are: what is told, and what is to be told next.
+const FEWEST: usize = 2;
 
 #[derive(Default)]
 pub struct Editions {
@@ -39,16 +41,15 @@
             return;
         }
         self.held.push_back((version, body.to_vec()));
-        let bytes = |held: &VecDeque<(u64, Vec<u8>)>| held.iter().map(|(_, body)| body.len()).sum::<usize>();
-        while self.held.len() > VERSIONS || (self.held.len() > 1 && bytes(&self.held) > BYTES) {
-            self.drop_oldest();
+        while self.held.len() > FEWEST && (self.held.len() > VERSIONS || self.bytes() > BYTES) {
+            // Neither the one that couriers are told of now nor the newest.
+            let told = self.held.front().is_some_and(|(version, _)| *version == self.told);
+            self.held.remove(usize::from(told));
         }
     }
 
-    /// The oldest that couriers aren't told of now.
-    fn drop_oldest(&mut self) {
-        let at = usize::from(self.held.front().is_some_and(|(version, _)| *version == self.told));
-        self.held.remove(at);
+    fn bytes(&self) -> usize {
+        self.held.iter().map(|(_, body)| body.len()).sum()
     }
 
     /// From now on couriers are told of the newest.
@@ -128,4 +129,23 @@
         assert_eq!(read(&editions.frame_for(90).unwrap(), &all), (99, 90, body(99)));
         assert_eq!(editions.newest_body(), Some(body(99).as_slice()));
     }
+
+    #[test]
+    fn however_long_they_are_the_newest_is_told_on_the_one_before() {
+        let long = |version: u64| [version.to_le_bytes().to_vec(), vec![7; BYTES - 8]].concat();
+        let mut editions = Editions::default();
+        for version in 1..6 {
+            editions.take(version, &long(version));
+            assert_eq!(editions.newest(), version - 1);
+            editions.tell();
+            assert_eq!(editions.newest_body(), Some(long(version).as_slice()));
+            let Some(frame) = editions.frame_for(version - 1) else {
+                panic!("version {version} goes nowhere")
+            };
+            let mut frames = Frames::default();
+            frames.push(&frame);
+            let Ok(Some(Down::Config { base, .. })) = frames.take() else { panic!("no configuration") };
+            assert_eq!(base, version - 1);
+        }
+    }
 }
