--- a/crates/rookpulley-settings/tests/deploy.rs
+++ b/crates/rookpulley-settings/tests/deploy.rs
@@ -4,6 +4,7 @@
 
 const GOOD: &str = r#"
 build = "cargo build --release"
+packages = ["gcc", "libc6-dev"]
 [roles.carrier]
 run = "target/release/gate carry --quiet"
 on = "edge"
@@ -28,6 +29,7 @@
 fn a_deploy_file_is_read_role_by_role() {
     let deploy = Deploy::parse(GOOD).unwrap();
     let (carrier, keeper) = (&deploy.roles["carrier"], &deploy.roles["keeper"]);
+    assert_eq!(deploy.packages, ["gcc", "libc6-dev"]);
     assert_eq!(carrier.run, ["target/release/gate", "carry", "--quiet"]);
     assert_eq!((carrier.amount, keeper.amount), (Amount::Share(1.0), Amount::Count(1)));
     assert_eq!((keeper.apart, &keeper.serves[..]), (false, &["control_plane".to_string()][..]));
@@ -37,7 +39,14 @@
 fn each_fault_has_its_place_what_was_found_and_what_to_write() {
     for (was, is, said) in [
         ("build = \"cargo build --release\"", "", "build is missing; write the line that builds it"),
-        ("build =", "rebuild = 1\nbuild =", "rebuild is no field of this file; write one of build, roles"),
+        (
+            "build =",
+            "rebuild = 1\nbuild =",
+            "rebuild is no field of this file; write one of build, packages, roles",
+        ),
+        ("\"libc6-dev\"", "\"libc6 dev\"", "packages[1] is \"libc6 dev\"; write names of system packages"),
+        ("\"libc6-dev\"", "7", "packages[1] is 7; write names of system packages"),
+        ("\"libc6-dev\"", "\"gcc\"", "packages is a list that has \"gcc\" twice; write each once"),
         ("share = 1.0", "share = 0", "roles.carrier.share is 0; write a number over 0 and up to 1"),
         ("share = 1.0", "share = 1.5", "roles.carrier.share is 1.5; write a number over 0 and up to 1"),
         ("share = 1.0", "", "roles.carrier.share is missing, and so is count"),
@@ -86,6 +95,34 @@
     assert!(told[0].contains("first machine"), "{told:?}");
 }
 
+/// A deployment: in each zone so many machines, the first of which have a disk, and what it must bear.
+struct Site {
+    zones: u32,
+    machines: std::ops::RangeInclusive<u32>,
+    disks: u32,
+    losses: u32,
+}
+
+#[test]
+fn the_deploy_file_gives_the_deployments_as_many_controllers_with_a_disk_as_their_losses_need() {
+    let file = std::path::Path::new(env!("CARGO_MANIFEST_DIR")).join("../../deploy/system.toml");
+    let deploy = Deploy::read(&file).unwrap();
+    let control = deploy.roles.values().find(|role| role.serves == ["control_plane"]).unwrap();
+    // The small ones, and the grown ones with spare machines for a zone or without.
+    for Site { zones, machines, disks, losses } in [
+        Site { zones: 4, machines: 3..=4, disks: 1, losses: 1 },
+        Site { zones: 3, machines: 4..=5, disks: 1, losses: 1 },
+        Site { zones: 5, machines: 17..=20, disks: 1, losses: 2 },
+        Site { zones: 3, machines: 25..=28, disks: 2, losses: 2 },
+    ] {
+        for in_zone in machines {
+            let stores = zones * control.amount.of(in_zone).min(disks);
+            // A majority of them must be left once so many are lost.
+            assert!(stores > 2 * losses, "{zones} zones of {in_zone}: {stores} stores for {losses} losses");
+        }
+    }
+}
+
 #[test]
 fn a_spoilt_deploy_file_never_panics_and_what_is_taken_keeps_the_bounds() {
     let lines: Vec<&str> = GOOD.lines().collect();
