What differs of a configuration of megabytes is short, too

The packer's window and tables are those of its level: what lies early in a base of several megabytes is not found again. Change: above two megabytes of base and body the window holds both, and the tables have places for them. The test fails without the change. Shorter configurations are packed as before.

--- a/crates/rookpulley-waybill/src/pack.rs
+++ b/crates/rookpulley-waybill/src/pack.rs
@@ -6,6 +6,12 @@
 
 /// Higher levels cost an office more time than the bytes they save are worth.
 const LEVEL: i32 = 3;
+/// The window of that level.
+const LEVEL_WINDOW: usize = 1 << 21;
+/// Enough places for a base of several megabytes: where places are too few, what stands early in it is not found again.
+const HASH_LOG: u32 = 22;
+/// What both sides can do.
+const WINDOW_LOGS: (u32, u32) = (10, 26);
 
 #[derive(Debug, thiserror::Error, miette::Diagnostic)]
 pub enum PackError {
@@ -25,9 +31,21 @@
     let mut packer = Compressor::with_dictionary(LEVEL, base)?;
     // On another base something else would come of it.
     packer.set_parameter(CParameter::ChecksumFlag(true))?;
+    if base.len() + body.len() > LEVEL_WINDOW {
+        // What lies further back than the window is not found again.
+        let window_log = window_log(base.len() + body.len());
+        packer.set_parameter(CParameter::WindowLog(window_log))?;
+        packer.set_parameter(CParameter::HashLog(window_log.min(HASH_LOG)))?;
+        packer.set_parameter(CParameter::ChainLog(window_log.min(HASH_LOG)))?;
+    }
     Ok(packer.compress(body)?)
 }
 
+/// The smallest power of two that holds so many bytes.
+fn window_log(bytes: usize) -> u32 {
+    bytes.next_power_of_two().trailing_zeros().clamp(WINDOW_LOGS.0, WINDOW_LOGS.1)
+}
+
 /// What was packed on the same base, and is so long.
 pub fn unpack(packed: &[u8], base: &[u8], length: usize, most: usize) -> Result<Vec<u8>, PackError> {
     if length > most {
@@ -65,6 +83,14 @@
         assert_eq!(unpack(&whole, &[], body.len(), 16 << 20).unwrap(), body);
     }
 
+    #[test]
+    fn what_differs_of_a_long_one_is_short() {
+        let (base, body) = (configuration(35_000, 0), configuration(35_000, 17_000));
+        let packed = pack(&body, &base).unwrap();
+        assert!(packed.len() * 1_000 < body.len(), "{} of {} bytes", packed.len(), body.len());
+        assert_eq!(unpack(&packed, &base, body.len(), 16 << 20).unwrap(), body);
+    }
+
     #[test]
     fn what_is_cut_changed_or_too_long_is_refused() {
         let (base, body) = (configuration(40, 0), configuration(41, 7));
