Rename the package rookpulley-courier to rookpulley-proxy

Change: the package, its program, its folder, and its name in sources, manifests and pages. No behaviour changes. The role in the deploy file keeps its name: the folder of a role's data is named by it. Result: cargo check of the whole workspace with all targets.

--- a/crates/rookpulley-depot/tests/trial.rs
+++ b/crates/rookpulley-depot/tests/trial.rs
@@ -24,7 +24,7 @@
         };
         let mut cargo = Command::new(env!("CARGO"));
         cargo.current_dir(env!("CARGO_MANIFEST_DIR")).args(["build", "--quiet", "--locked"]);
-        cargo.args(["-p", "rookpulley-office", "-p", "rookpulley-courier", "--profile", profile]);
+        cargo.args(["-p", "rookpulley-office", "-p", "rookpulley-proxy", "--profile", profile]);
         let done = cargo.arg("--target-dir").arg(folder.parent().unwrap()).status().unwrap();
         assert!(done.success(), "the office and the courier can't be built");
     });
--- a/crates/rookpulley-courier/src/main.rs
+++ b/crates/rookpulley-proxy/src/main.rs
@@ -1,13 +1,13 @@
 //! The program that carries traffic.
 
-use rookpulley_courier::{Bound, CannotRun, Courier, Signals, run};
 use rookpulley_mailroom::log;
+use rookpulley_proxy::{Bound, CannotRun, Courier, Signals, run};
 use rookpulley_settings::Node;
 use std::io::Write;
 
 xflags::xflags! {
     /// The program of rookpulley that carries traffic. Its settings are read from the file that ROOKPULLEY_BOOT names.
-    cmd rookpulley-courier {
+    cmd rookpulley-proxy {
         /// Reads the settings, prints them and ends.
         optional --check
         /// Prints lines of the ordinary path, too.
@@ -16,7 +16,7 @@
 }
 
 fn main() -> miette::Result<()> {
-    let flags = RookpulleyCourier::from_env_or_exit();
+    let flags = RookpulleyProxy::from_env_or_exit();
     _ = miette::set_hook(Box::new(|_| Box::new(miette::NarratableReportHandler::new())));
     let path = rookpulley_settings::boot_path()?;
     let node = Node::read(&path)?;
--- a/crates/rookpulley-courier/tests/courier/requests.rs
+++ b/crates/rookpulley-proxy/tests/courier/requests.rs
@@ -244,7 +244,7 @@
         let mut chunk = vec![0; 4_096];
         let read = stream.read(&mut chunk).await.unwrap();
         assert_eq!(status(&String::from_utf8_lossy(&chunk[..read])), 200);
-        scene.tell.send(rookpulley_courier::Signal::End).await.unwrap();
+        scene.tell.send(rookpulley_proxy::Signal::End).await.unwrap();
         while TcpStream::connect(scene.front).await.is_ok() {
             stream.write_all(request).await.unwrap();
             let mut rest = String::new();
@@ -269,7 +269,7 @@
         early.say(request("POST", "/m/x", "early", "")).await;
         let mut first = Talk::new(listener.accept().await.unwrap().0);
         let asked = first.message().await.unwrap();
-        scene.tell.send(rookpulley_courier::Signal::End).await.unwrap();
+        scene.tell.send(rookpulley_proxy::Signal::End).await.unwrap();
         late.say(request("GET", "/r/x", "late", "")).await;
         let mut second = Talk::new(listener.accept().await.unwrap().0);
         let also = second.message().await.unwrap();
