--- a/crates/rookpulley-office/src/main.rs
+++ b/crates/rookpulley-controller/src/main.rs
@@ -21,7 +21,7 @@
 
 xflags::xflags! {
     /// The control program of rookpulley. Its settings are read from the file that ROOKPULLEY_BOOT names.
-    cmd rookpulley-office {
+    cmd rookpulley-controller {
         /// Reads the settings, prints them and ends.
         optional --check
         /// Prints lines of the ordinary path, too.
@@ -30,7 +30,7 @@
 }
 
 fn main() -> miette::Result<()> {
-    let flags = RookpulleyOffice::from_env_or_exit();
+    let flags = RookpulleyController::from_env_or_exit();
     let path = rookpulley_settings::boot_path()?;
     let node = Node::read(&path)?;
     if flags.check {
--- a/crates/rookpulley-depot/src/faults.rs
+++ b/crates/rookpulley-depot/src/faults.rs
@@ -7,7 +7,7 @@
 pub enum DepotError {
     #[error("depot: {} isn't there", .0.display())]
     #[diagnostic(help(
-        "build it into the same folder: cargo build -p rookpulley-office -p rookpulley-proxy"
+        "build it into the same folder: cargo build -p rookpulley-controller -p rookpulley-proxy"
     ))]
     NotBuilt(PathBuf),
     #[error("depot: no ports are free on 127.0.0.1, 127.0.0.2 and 127.0.0.3 alike")]
--- a/crates/rookpulley-depot/src/processes.rs
+++ b/crates/rookpulley-depot/src/processes.rs
@@ -45,7 +45,7 @@
 
 impl Processes {
     pub fn find(verbose: bool) -> Result<Self, DepotError> {
-        let (offices, couriers) = (sibling("rookpulley-office")?, sibling("rookpulley-proxy")?);
+        let (offices, couriers) = (sibling("rookpulley-controller")?, sibling("rookpulley-proxy")?);
         let all = places().map(|(role, machine)| {
             let name = role.name(machine);
             Process { name, role, machine, child: None }
--- a/crates/rookpulley-depot/tests/trial.rs
+++ b/crates/rookpulley-depot/tests/trial.rs
@@ -24,7 +24,7 @@
         };
         let mut cargo = Command::new(env!("CARGO"));
         cargo.current_dir(env!("CARGO_MANIFEST_DIR")).args(["build", "--quiet", "--locked"]);
-        cargo.args(["-p", "rookpulley-office", "-p", "rookpulley-proxy", "--profile", profile]);
+        cargo.args(["-p", "rookpulley-controller", "-p", "rookpulley-proxy", "--profile", profile]);
         let done = cargo.arg("--target-dir").arg(folder.parent().unwrap()).status().unwrap();
         assert!(done.success(), "the office and the courier can't be built");
     });
@@ -93,5 +93,8 @@
     let out = Command::new(&copy).arg("--trial").output().unwrap();
     let faults = String::from_utf8_lossy(&out.stderr);
     assert!(!out.status.success());
-    assert!(faults.contains("rookpulley-office isn't there") && faults.contains("cargo build"), "{faults}");
+    assert!(
+        faults.contains("rookpulley-controller isn't there") && faults.contains("cargo build"),
+        "{faults}"
+    );
 }
--- a/crates/rookpulley-scale/src/processes.rs
+++ b/crates/rookpulley-scale/src/processes.rs
@@ -73,7 +73,7 @@
 
 impl Processes {
     pub fn start(sizes: &Sizes) -> miette::Result<Self> {
-        let (controllers, proxies) = (sibling("rookpulley-office")?, sibling("rookpulley-proxy")?);
+        let (controllers, proxies) = (sibling("rookpulley-controller")?, sibling("rookpulley-proxy")?);
         let folder = tempfile::Builder::new().prefix("rookpulley-scale-").tempdir().into_diagnostic()?;
         let mut processes = Self { all: Vec::new(), folder, first_port: free_block()? };
         let seeds: Vec<SocketAddrV4> =
