Rename the package rookpulley-depot to rookpulley-devcluster

Change: the package, its program, its folder, and its name in sources, manifests and pages. No behaviour changes. Result: cargo check of the whole workspace with all targets.

--- a/crates/rookpulley-depot/src/ground.rs
+++ b/crates/rookpulley-devcluster/src/ground.rs
@@ -76,7 +76,7 @@
 impl Ground {
     pub fn find(keep: bool) -> Result<Self, DepotError> {
         let ports = Ports::find()?;
-        let folder = tempfile::Builder::new().prefix("rookpulley-depot-").tempdir();
+        let folder = tempfile::Builder::new().prefix("rookpulley-devcluster-").tempdir();
         let mut folder = folder.map_err(DepotError::system("no temporary folder can be made"))?;
         folder.disable_cleanup(keep);
         Ok(Self { ports, folder })
--- a/crates/rookpulley-depot/src/main.rs
+++ b/crates/rookpulley-devcluster/src/main.rs
@@ -43,7 +43,7 @@
 xflags::xflags! {
     /// Starts a gateway of three couriers and three offices on 127.0.0.1, 127.0.0.2 and 127.0.0.3, with stand-in
     /// tasks, and serves until Ctrl-C.
-    cmd rookpulley-depot {
+    cmd rookpulley-devcluster {
         /// Sends requests and calls itself, makes some trouble, checks what comes of it, prints a table, and ends with 0 or 1.
         optional --trial
         /// Ends after so many seconds; --for means the same. A trial that isn't through by then has failed.
@@ -66,7 +66,7 @@
     // `for` is a word of the language, so the parser can't have a flag of that name.
     let said =
         std::env::args_os().skip(1).map(|word| if word == "--for" { "--seconds".into() } else { word });
-    let flags = RookpulleyDepot::from_vec(said.collect()).unwrap_or_else(|fault| fault.exit());
+    let flags = RookpulleyDevcluster::from_vec(said.collect()).unwrap_or_else(|fault| fault.exit());
     _ = miette::set_hook(Box::new(|_| Box::new(miette::NarratableReportHandler::new())));
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(DepotError::system("the runtime can't be made"))?;
@@ -98,7 +98,7 @@
     Over,
 }
 
-async fn run(flags: RookpulleyDepot) -> Result<ExitCode, DepotError> {
+async fn run(flags: RookpulleyDevcluster) -> Result<ExitCode, DepotError> {
     let mut stop = Stop::hear()?;
     let mut depot = Depot::new(flags.keep, flags.verbose)?;
     let limit = flags.seconds.or(flags.trial.then_some(TRIAL_S));
--- a/crates/rookpulley-depot/tests/trial.rs
+++ b/crates/rookpulley-devcluster/tests/trial.rs
@@ -8,7 +8,7 @@
 use std::sync::OnceLock;
 use std::time::Duration;
 
-const DEPOT: &str = env!("CARGO_BIN_EXE_rookpulley-depot");
+const DEPOT: &str = env!("CARGO_BIN_EXE_rookpulley-devcluster");
 
 /// Builds the programs of the other packages beside the depot, which `cargo test` doesn't. Where they are built
 /// already this takes a moment.
@@ -88,7 +88,7 @@
 fn without_its_programs_it_says_what_to_build() {
     // A link, as a copy may still be open for writing in another test's child when it is to be started.
     let alone = tempfile::tempdir_in(Path::new(DEPOT).parent().unwrap()).unwrap();
-    let copy = alone.path().join("rookpulley-depot");
+    let copy = alone.path().join("rookpulley-devcluster");
     std::fs::hard_link(DEPOT, &copy).unwrap();
     let out = Command::new(&copy).arg("--trial").output().unwrap();
     let faults = String::from_utf8_lossy(&out.stderr);
