Rename the package rookpulley-drill to rookpulley-simulator

Change: the package, its folder, and its name in sources, manifests and pages. No behaviour changes.

--- a/crates/rookpulley-cli/src/gateway/hunt.rs
+++ b/crates/rookpulley-cli/src/gateway/hunt.rs
@@ -1,6 +1,6 @@
 //! Plays days of whole gateways in this process, and shows the first that breaks a rule, shrunk.
 
-use rookpulley_drill::{Breach, Day, Hunted, hunt, play, shrink};
+use rookpulley_simulator::{Breach, Day, Hunted, hunt, play, shrink};
 use serde_json::{Value, json};
 use std::fmt::Write;
 
--- a/crates/rookpulley-drill/tests/common/mod.rs
+++ b/crates/rookpulley-simulator/tests/common/mod.rs
@@ -1,6 +1,6 @@
 //! A scripted day, played for several seeds, and the mutations that it must find.
 
-use rookpulley_drill::{Day, Mutation, Played, play};
+use rookpulley_simulator::{Day, Mutation, Played, play};
 
 pub const SEEDS: std::ops::Range<u64> = 0..4;
 
--- a/crates/rookpulley-drill/tests/days.rs
+++ b/crates/rookpulley-simulator/tests/days.rs
@@ -1,10 +1,10 @@
 //! Days of whole gateways, drawn from seeds.
 
-use rookpulley_drill::{Day, Happens, Mutation, hunt, play, shrink};
+use rookpulley_simulator::{Day, Happens, Mutation, hunt, play, shrink};
 use std::path::{Path, PathBuf};
 
 #[test]
-#[ignore = "long: DRILL_SEEDS=0..2000 cargo test --release -p rookpulley-drill -- --ignored --nocapture many_days"]
+#[ignore = "long: DRILL_SEEDS=0..2000 cargo test --release -p rookpulley-simulator -- --ignored --nocapture many_days"]
 fn many_days_break_no_rule() {
     let text = std::env::var("DRILL_SEEDS").unwrap_or_default();
     let (from, to) = text.split_once("..").unwrap_or(("0", "200"));
--- a/crates/rookpulley-drill/tests/round.rs
+++ b/crates/rookpulley-simulator/tests/round.rs
@@ -6,7 +6,7 @@
 
 use common::case;
 use rookpulley_addressbook::RouteKind;
-use rookpulley_drill::{Arrived, BadTask, Day, Happens, Mutation, Played, Seen};
+use rookpulley_simulator::{Arrived, BadTask, Day, Happens, Mutation, Played, Seen};
 
 /// Complains of the first of these that isn't so.
 fn unless<const N: usize>(all: [(bool, String); N]) -> Option<String> {
--- a/crates/rookpulley-drill/tests/worst_days.rs
+++ b/crates/rookpulley-simulator/tests/worst_days.rs
@@ -4,7 +4,7 @@
 mod common;
 
 use common::case;
-use rookpulley_drill::{BadTask, Closing, Day, Happens, Mutation, Played, play};
+use rookpulley_simulator::{BadTask, Closing, Day, Happens, Mutation, Played, play};
 
 /// Five controllers of which two may be lost, with applications, and changes and drains all the while.
 fn five(seed: u64) -> Day {
@@ -182,7 +182,7 @@
 }
 
 #[test]
-#[ignore = "long: WORST_SEEDS=0..200 cargo test --release -p rookpulley-drill --test worst_days -- --ignored --nocapture"]
+#[ignore = "long: WORST_SEEDS=0..200 cargo test --release -p rookpulley-simulator --test worst_days -- --ignored --nocapture"]
 fn six_controllers_before_ninety_couriers_bear_the_loss_of_two_again_and_again() {
     let text = std::env::var("WORST_SEEDS").unwrap_or_default();
     let (from, to) = text.split_once("..").unwrap_or(("0", "4"));
