Rename the package rookpulley-strongroom to rookpulley-store

Change: the package, its folder, and its name in sources, manifests and pages. No behaviour changes.

--- a/crates/rookpulley-cli/src/call.rs
+++ b/crates/rookpulley-cli/src/call.rs
@@ -5,7 +5,7 @@
 use hyper::header::{AUTHORIZATION, CONTENT_TYPE, HOST};
 use hyper_util::rt::TokioIo;
 use rookpulley_operators::asks::Refusal;
-use rookpulley_strongroom::LookError;
+use rookpulley_store::LookError;
 use serde_json::Value;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
--- a/crates/rookpulley-cli/src/gateway/store.rs
+++ b/crates/rookpulley-cli/src/gateway/store.rs
@@ -9,7 +9,7 @@
 use rookpulley_ledger::{Ledger, Update};
 use rookpulley_returns::counted;
 use rookpulley_sorting::News;
-use rookpulley_strongroom::{Contents, look};
+use rookpulley_store::{Contents, look};
 use serde_json::{Value, json};
 use std::path::Path;
 
--- a/crates/rookpulley-cli/src/gateway/store/check.rs
+++ b/crates/rookpulley-cli/src/gateway/store/check.rs
@@ -7,7 +7,7 @@
 use rookpulley_ledger::{Ledger, Update};
 use rookpulley_returns::{Faults, Manner, counted};
 use rookpulley_sorting::News;
-use rookpulley_strongroom::{Contents, LookError, look};
+use rookpulley_store::{Contents, LookError, look};
 use serde_json::{Value, json};
 use std::path::Path;
 
--- a/crates/rookpulley-cli/src/gateway/store/refound.rs
+++ b/crates/rookpulley-cli/src/gateway/store/refound.rs
@@ -5,7 +5,7 @@
 use crate::call::CannotAsk;
 use crate::show::table;
 use rookpulley_chain::{Record, View};
-use rookpulley_strongroom::{before, replace};
+use rookpulley_store::{before, replace};
 use serde_json::{Value, json};
 use std::hash::{BuildHasher, RandomState};
 use std::path::Path;
--- a/crates/rookpulley-cli/tests/gateway.rs
+++ b/crates/rookpulley-cli/tests/gateway.rs
@@ -5,7 +5,7 @@
 use rookpulley_clerk::Kept as Held;
 use rookpulley_ledger::Update;
 use rookpulley_sorting::News;
-use rookpulley_strongroom::{Part, Said, Store};
+use rookpulley_store::{Part, Said, Store};
 use serde_json::Value;
 use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader, Write};
--- a/crates/rookpulley-controller/src/annex/tests.rs
+++ b/crates/rookpulley-controller/src/annex/tests.rs
@@ -2,7 +2,7 @@
 use crate::couriers;
 use crate::hub::Hub;
 use rookpulley_clerk::Founding;
-use rookpulley_strongroom::Store;
+use rookpulley_store::Store;
 use std::thread::JoinHandle;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::sync::oneshot;
--- a/crates/rookpulley-controller/src/controller.rs
+++ b/crates/rookpulley-controller/src/controller.rs
@@ -8,7 +8,7 @@
 use rookpulley_clerk::Founding;
 use rookpulley_mailroom::{File, line};
 use rookpulley_settings::Node;
-use rookpulley_strongroom::{Store, StoreError};
+use rookpulley_store::{Store, StoreError};
 use std::net::{SocketAddr, SocketAddrV4};
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
--- a/crates/rookpulley-controller/src/hub.rs
+++ b/crates/rookpulley-controller/src/hub.rs
@@ -5,7 +5,7 @@
 use rookpulley_clerk::{Effect, Founding, Office, Reply, Start, Wants, Word};
 use rookpulley_mailroom::line::Outbox;
 use rookpulley_settings::Node;
-use rookpulley_strongroom::{Part, Said, Store};
+use rookpulley_store::{Part, Said, Store};
 use rookpulley_waybill::Up;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
--- a/crates/rookpulley-controller/src/show/tests.rs
+++ b/crates/rookpulley-controller/src/show/tests.rs
@@ -4,7 +4,7 @@
 use rookpulley_counter::{Bounds, Call, Reply};
 use rookpulley_mailroom::line;
 use rookpulley_settings::Node;
-use rookpulley_strongroom::Store;
+use rookpulley_store::Store;
 use rookpulley_waybill::Up;
 use std::cell::RefCell;
 use std::collections::BTreeSet;
--- a/crates/rookpulley-strongroom/examples/call_cost.rs
+++ b/crates/rookpulley-store/examples/call_cost.rs
@@ -1,4 +1,4 @@
-//! What a call of the chain takes in all its offices together: `cargo run --release -p rookpulley-strongroom --example
+//! What a call of the chain takes in all its offices together: `cargo run --release -p rookpulley-store --example
 //! call_cost [OFFICES KIND CALLS]`, the kind one of `update`, `read` and `idle`. Offices with their ledgers on one
 //! thread, messages framed and read back, disks that take no time; a call every 20 ms of their clock, asked of each
 //! office in turn. For instructions: `valgrind --tool=callgrind`, the difference to `idle` of as many calls.
--- a/crates/rookpulley-strongroom/examples/disk_use.rs
+++ b/crates/rookpulley-store/examples/disk_use.rs
@@ -1,5 +1,5 @@
 //! What an office's store takes on the disk, and how long it takes to open: `cargo run --release -p
-//! rookpulley-strongroom --example disk_use [FOLDER [LOAD]]`, for all loads or those with this in their name. An office
+//! rookpulley-store --example disk_use [FOLDER [LOAD]]`, for all loads or those with this in their name. An office
 //! alone, with its chain, its ledger and its store, takes one update every 20 ms of its clock; each waits for its sync.
 
 mod load;
@@ -8,7 +8,7 @@
 use rookpulley_chain::{Boot, CallKind, Chain, Effect, Input, Member, Outcome};
 use rookpulley_clerk::Kept;
 use rookpulley_ledger::Answer;
-use rookpulley_strongroom::{Part, Said, Store};
+use rookpulley_store::{Part, Said, Store};
 use std::collections::VecDeque;
 use std::path::Path;
 use std::time::Instant;
--- a/crates/rookpulley-strongroom/examples/fill_time.rs
+++ b/crates/rookpulley-store/examples/fill_time.rs
@@ -1,5 +1,5 @@
 //! How long an empty office takes to be filled, and how long updates pause meanwhile: `cargo run --release -p
-//! rookpulley-strongroom --example fill_time [FOLDER]`. Three offices, a thread and a store each, lines over loopback;
+//! rookpulley-store --example fill_time [FOLDER]`. Three offices, a thread and a store each, lines over loopback;
 //! an update every 5 ms as long as the one before is answered.
 
 mod load;
@@ -8,7 +8,7 @@
 use rookpulley_chain::{Boot, CallKind, Chain, Effect, Input, Member, Message, Outcome};
 use rookpulley_clerk::Kept;
 use rookpulley_ledger::Update;
-use rookpulley_strongroom::{Part, Said, Store};
+use rookpulley_store::{Part, Said, Store};
 use rookpulley_waybill::{Frames, frame};
 use std::collections::{BTreeMap, VecDeque};
 use std::io::{Read, Write};
--- a/crates/rookpulley-strongroom/tests/room.rs
+++ b/crates/rookpulley-store/tests/room.rs
@@ -7,7 +7,7 @@
 use load::Load;
 use rookpulley_chain::{Boot, CallKind, Chain, Effect, Input, Member, Outcome, Record};
 use rookpulley_clerk::Kept;
-use rookpulley_strongroom::{Part, Said, Store};
+use rookpulley_store::{Part, Said, Store};
 use std::collections::VecDeque;
 use std::path::Path;
 use tokio::sync::mpsc::UnboundedReceiver;
