--- a/crates/rookpulley-controller/src/annex.rs
+++ b/crates/rookpulley-controller/src/annex.rs
@@ -5,7 +5,7 @@
 use miette::IntoDiagnostic;
 use rookpulley_clerk::{Annex, AnnexEffect, AnnexStart, Word};
 use rookpulley_counter::{Bounds, Call, Match, Reply, Tree};
-use rookpulley_mailroom::{File, line};
+use rookpulley_runtime::{File, line};
 use rookpulley_settings::Node;
 use rookpulley_waybill::{Down, Up};
 use std::cell::{Cell, RefCell};
--- a/crates/rookpulley-controller/src/controller.rs
+++ b/crates/rookpulley-controller/src/controller.rs
@@ -6,7 +6,7 @@
 use crate::{calls, couriers, peers};
 use miette::{IntoDiagnostic, WrapErr};
 use rookpulley_clerk::Founding;
-use rookpulley_mailroom::{File, line};
+use rookpulley_runtime::{File, line};
 use rookpulley_settings::Node;
 use rookpulley_store::{Store, StoreError};
 use std::net::{SocketAddr, SocketAddrV4};
--- a/crates/rookpulley-controller/src/couriers.rs
+++ b/crates/rookpulley-controller/src/couriers.rs
@@ -2,7 +2,7 @@
 //! long; that it is there shows in what is told to it.
 
 use crate::hub::Hub;
-use rookpulley_mailroom::line;
+use rookpulley_runtime::line;
 use rookpulley_waybill::Up;
 use std::cell::RefCell;
 use std::rc::Rc;
--- a/crates/rookpulley-controller/src/ending.rs
+++ b/crates/rookpulley-controller/src/ending.rs
@@ -1,7 +1,7 @@
 //! Signals: SIGHUP and a changed file bring new seeds; SIGTERM ends in order.
 
 use crate::hub::Hub;
-use rookpulley_mailroom::File;
+use rookpulley_runtime::File;
 use rookpulley_settings::Node;
 use std::net::SocketAddrV4;
 use std::rc::Rc;
--- a/crates/rookpulley-controller/src/hub.rs
+++ b/crates/rookpulley-controller/src/hub.rs
@@ -3,7 +3,7 @@
 use crate::show::Counts;
 use rookpulley_chain::Member;
 use rookpulley_clerk::{Effect, Founding, Office, Reply, Start, Wants, Word};
-use rookpulley_mailroom::line::Outbox;
+use rookpulley_runtime::line::Outbox;
 use rookpulley_settings::Node;
 use rookpulley_store::{Part, Said, Store};
 use rookpulley_waybill::Up;
--- a/crates/rookpulley-controller/src/main.rs
+++ b/crates/rookpulley-controller/src/main.rs
@@ -13,7 +13,7 @@
 use controller::Ended;
 use ending::Signals;
 use miette::{IntoDiagnostic, WrapErr};
-use rookpulley_mailroom::log;
+use rookpulley_runtime::log;
 use rookpulley_settings::Node;
 use standby::Standby;
 use std::path::PathBuf;
--- a/crates/rookpulley-controller/src/peers.rs
+++ b/crates/rookpulley-controller/src/peers.rs
@@ -2,7 +2,7 @@
 
 use crate::hub::Hub;
 use rookpulley_clerk::Word;
-use rookpulley_mailroom::line;
+use rookpulley_runtime::line;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::rc::Rc;
 use std::time::Duration;
--- a/crates/rookpulley-controller/src/show/tests.rs
+++ b/crates/rookpulley-controller/src/show/tests.rs
@@ -2,7 +2,7 @@
 use crate::couriers;
 use crate::hub::Hub;
 use rookpulley_counter::{Bounds, Call, Reply};
-use rookpulley_mailroom::line;
+use rookpulley_runtime::line;
 use rookpulley_settings::Node;
 use rookpulley_store::Store;
 use rookpulley_waybill::Up;
--- a/crates/rookpulley-controller/src/standby.rs
+++ b/crates/rookpulley-controller/src/standby.rs
@@ -10,7 +10,7 @@
 use crate::ending::{self, Signals};
 use miette::IntoDiagnostic;
 use rookpulley_counter::{Bounds, Call, Match, Reply, Tree};
-use rookpulley_mailroom::File;
+use rookpulley_runtime::File;
 use rookpulley_settings::Node;
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::{Ipv4Addr, SocketAddrV4};
--- a/crates/rookpulley-counter/src/serve.rs
+++ b/crates/rookpulley-counter/src/serve.rs
@@ -6,7 +6,7 @@
 use crate::hall::{Guest, Hall};
 use crate::letter;
 use crate::refusal::Refusal;
-use rookpulley_mailroom::line;
+use rookpulley_runtime::line;
 use std::io::ErrorKind;
 use std::rc::Rc;
 use std::time::Duration;
--- a/crates/rookpulley-proxy/src/ending.rs
+++ b/crates/rookpulley-proxy/src/ending.rs
@@ -2,7 +2,7 @@
 
 use crate::state::Courier;
 use rookpulley_addressbook::Limits;
-use rookpulley_mailroom::File;
+use rookpulley_runtime::File;
 use rookpulley_satchel::Satchel;
 use rookpulley_settings::Node;
 use std::path::PathBuf;
--- a/crates/rookpulley-proxy/src/lib.rs
+++ b/crates/rookpulley-proxy/src/lib.rs
@@ -24,7 +24,7 @@
 pub use ending::{Signal, Signals};
 pub use state::Courier;
 
-use rookpulley_mailroom::line;
+use rookpulley_runtime::line;
 use rookpulley_satchel::Satchel;
 use rookpulley_settings::Node;
 use std::net::{SocketAddr, SocketAddrV4};
--- a/crates/rookpulley-proxy/src/links.rs
+++ b/crates/rookpulley-proxy/src/links.rs
@@ -1,7 +1,7 @@
 //! The lines to all offices: each is heard, one of them is this courier's home.
 
 use crate::state::Courier;
-use rookpulley_mailroom::line;
+use rookpulley_runtime::line;
 use rookpulley_waybill::Up;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
--- a/crates/rookpulley-proxy/src/listener.rs
+++ b/crates/rookpulley-proxy/src/listener.rs
@@ -7,7 +7,7 @@
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use rookpulley_addressbook::Limits;
-use rookpulley_mailroom::line;
+use rookpulley_runtime::line;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::convert::Infallible;
--- a/crates/rookpulley-proxy/src/main.rs
+++ b/crates/rookpulley-proxy/src/main.rs
@@ -1,7 +1,7 @@
 //! The program that carries traffic.
 
-use rookpulley_mailroom::log;
 use rookpulley_proxy::{Bound, CannotRun, Courier, Signals, run};
+use rookpulley_runtime::log;
 use rookpulley_settings::Node;
 use std::io::Write;
 
--- a/crates/rookpulley-proxy/src/wires.rs
+++ b/crates/rookpulley-proxy/src/wires.rs
@@ -5,7 +5,7 @@
 use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper::header::{CONNECTION, HeaderMap, HeaderValue};
 use hyper_util::rt::TokioIo;
-use rookpulley_mailroom::line;
+use rookpulley_runtime::line;
 use rookpulley_waybill::{Life, Line};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
--- a/crates/rookpulley-proxy/tests/courier/scene/mod.rs
+++ b/crates/rookpulley-proxy/tests/courier/scene/mod.rs
@@ -1,7 +1,7 @@
 //! A courier on loopback between a stand-in office, stand-in tasks and a client that sends bytes.
 
-use rookpulley_mailroom::line;
 use rookpulley_proxy::{Bound, Courier, Signal, Signals, run};
+use rookpulley_runtime::line;
 use rookpulley_settings::Node;
 use rookpulley_waybill::{Down, Line, Report, Up, pack};
 use std::cell::RefCell;
