--- a/crates/rookpulley-addressbook/src/faults.rs
+++ b/crates/rookpulley-addressbook/src/faults.rs
@@ -1,6 +1,6 @@
 //! How the faults of a configuration are told. They go into an answer.
 
-use rookpulley_returns::Manner;
+use rookpulley_diagnostics::Manner;
 
 pub(crate) static CONFIGURATION: Manner = Manner {
     told: 16,
--- a/crates/rookpulley-addressbook/src/json.rs
+++ b/crates/rookpulley-addressbook/src/json.rs
@@ -1,7 +1,7 @@
 //! Bytes become JSON values within bounds, and what is wrong with them a fault of the configuration.
 
 use crate::faults::CONFIGURATION;
-use rookpulley_returns::{Bounds, Faults, Nesting, Place, Unread, read};
+use rookpulley_diagnostics::{Bounds, Faults, Nesting, Place, Unread, read};
 use std::fmt::Display;
 use tinyjson::{JsonParseError, JsonValue};
 
--- a/crates/rookpulley-addressbook/src/lib.rs
+++ b/crates/rookpulley-addressbook/src/lib.rs
@@ -13,5 +13,5 @@
 
 pub use book::{Book, Limits, Service};
 pub use json::{BYTES_MOST, DEPTH_MOST, VALUES_MOST};
-pub use rookpulley_returns::{Fault, Faults};
+pub use rookpulley_diagnostics::{Fault, Faults};
 pub use route::{Route, RouteKind};
--- a/crates/rookpulley-addressbook/src/read.rs
+++ b/crates/rookpulley-addressbook/src/read.rs
@@ -6,7 +6,7 @@
 use crate::route::{Route, RouteKind};
 use crate::split::split;
 use crate::values::Value;
-use rookpulley_returns::{Faults, Unread};
+use rookpulley_diagnostics::{Faults, Unread};
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::collections::hash_map::Entry;
--- a/crates/rookpulley-addressbook/src/values.rs
+++ b/crates/rookpulley-addressbook/src/values.rs
@@ -1,7 +1,7 @@
 //! Takes fields out of a JSON value by name, and notes each that can't be used, with the way to it.
 
 use crate::faults::CONFIGURATION;
-use rookpulley_returns::{Faults, said};
+use rookpulley_diagnostics::{Faults, said};
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::fmt::{self, Display, Formatter};
--- a/crates/rookpulley-cli/src/gateway/explain.rs
+++ b/crates/rookpulley-cli/src/gateway/explain.rs
@@ -3,7 +3,7 @@
 use super::check::{read, refused};
 use crate::show::table;
 use rookpulley_addressbook::{Book, Route, RouteKind};
-use rookpulley_returns::counted;
+use rookpulley_diagnostics::counted;
 use serde_json::{Value, json};
 use std::path::Path;
 
--- a/crates/rookpulley-counter/src/call.rs
+++ b/crates/rookpulley-counter/src/call.rs
@@ -1,6 +1,6 @@
 //! What a handler is given and what it gives back.
 
-use rookpulley_returns::{Bounds, Nesting, Unread, read};
+use rookpulley_diagnostics::{Bounds, Nesting, Unread, read};
 use tinyjson::JsonValue;
 
 /// Deeper values are refused. How long a body may be is seen to before there is a call.
--- a/crates/rookpulley-settings/src/deploy.rs
+++ b/crates/rookpulley-settings/src/deploy.rs
@@ -3,7 +3,7 @@
 use crate::faults::{SETTINGS, SettingsError};
 use crate::fields::Table;
 use crate::read::{CLIENTS, CONTROL, text, values};
-use rookpulley_returns::Faults;
+use rookpulley_diagnostics::Faults;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::path::Path;
--- a/crates/rookpulley-settings/src/faults.rs
+++ b/crates/rookpulley-settings/src/faults.rs
@@ -1,6 +1,6 @@
 //! Why a settings file is not taken. All that is wrong with it is told at once.
 
-use rookpulley_returns::{Faults, Manner, counted};
+use rookpulley_diagnostics::{Faults, Manner, counted};
 use std::path::PathBuf;
 
 #[derive(Debug, thiserror::Error, miette::Diagnostic)]
--- a/crates/rookpulley-settings/src/fields.rs
+++ b/crates/rookpulley-settings/src/fields.rs
@@ -1,7 +1,7 @@
 //! One table of the file: takes fields out by name, and notes each that can't be used and what to write instead.
 
 use crate::faults::SETTINGS;
-use rookpulley_returns::{Faults, said};
+use rookpulley_diagnostics::{Faults, said};
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::net::{Ipv4Addr, SocketAddrV4};
--- a/crates/rookpulley-settings/src/lib.rs
+++ b/crates/rookpulley-settings/src/lib.rs
@@ -14,4 +14,4 @@
 pub use faults::SettingsError;
 pub use node::{Bounds, Limits, Listen, Node, Tolerance};
 pub use read::{BOOT, boot_path};
-pub use rookpulley_returns::{Fault, Faults};
+pub use rookpulley_diagnostics::{Fault, Faults};
--- a/crates/rookpulley-settings/src/read.rs
+++ b/crates/rookpulley-settings/src/read.rs
@@ -3,7 +3,7 @@
 use crate::faults::{SETTINGS, SettingsError};
 use crate::fields::Table;
 use crate::node::{Bounds, Limits, Listen, Node, Tolerance};
-use rookpulley_returns::{Faults, Place};
+use rookpulley_diagnostics::{Faults, Place};
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::fs::File;
--- a/crates/rookpulley-sorting/src/beat.rs
+++ b/crates/rookpulley-sorting/src/beat.rs
@@ -1,6 +1,6 @@
 //! A task's beat, read from the body of its call.
 
-use rookpulley_returns::{Bounds, Nesting, Unread, read};
+use rookpulley_diagnostics::{Bounds, Nesting, Unread, read};
 use rookpulley_waybill::Life;
 use serde::{Deserialize, Serialize};
 use std::collections::HashMap;
