--- a/crates/rookpulley-counter/tests/guarded.rs
+++ b/crates/rookpulley-api/tests/guarded.rs
@@ -1,9 +1,9 @@
 //! What the guard takes and what it turns away, on streams in memory.
 
 use arbtest::arbitrary::{Result, Unstructured};
-use rookpulley_counter::bounds::{Bounds, Room};
-use rookpulley_counter::guard::{Guard, Message};
-use rookpulley_counter::refusal::Refusal;
+use rookpulley_api::bounds::{Bounds, Room};
+use rookpulley_api::guard::{Guard, Message};
+use rookpulley_api::refusal::Refusal;
 use rookpulley_samples::plays;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
--- a/crates/rookpulley-counter/tests/served.rs
+++ b/crates/rookpulley-api/tests/served.rs
@@ -1,6 +1,6 @@
 //! The whole of it on loopback sockets: the guard, `async-h1`, the handler, and what comes back.
 
-use rookpulley_counter::{Bounds, Call, Reply, serve};
+use rookpulley_api::{Bounds, Call, Reply, serve};
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
--- a/crates/rookpulley-controller/src/annex.rs
+++ b/crates/rookpulley-controller/src/annex.rs
@@ -3,8 +3,8 @@
 use crate::calls::{Asked, tree};
 use crate::ending::{self, Signals};
 use miette::IntoDiagnostic;
+use rookpulley_api::{Bounds, Call, Match, Reply, Tree};
 use rookpulley_clerk::{Annex, AnnexEffect, AnnexStart, Word};
-use rookpulley_counter::{Bounds, Call, Match, Reply, Tree};
 use rookpulley_runtime::{File, line};
 use rookpulley_settings::Node;
 use rookpulley_waybill::{Down, Up};
@@ -63,7 +63,7 @@
     let calls = shell.clone();
     let handler = Rc::new(move |call: Call| std::future::ready(calls.answer(&call)));
     let counter =
-        tokio::task::spawn_local(rookpulley_counter::serve(counter, Bounds::default(), stopped, handler));
+        tokio::task::spawn_local(rookpulley_api::serve(counter, Bounds::default(), stopped, handler));
     shell.begin(for_couriers, for_peers);
     let of = shell.clone();
     signals.wait(File::new(path), |seeds| of.with(|annex, now| annex.set_seeds(now, seeds))).await;
@@ -73,7 +73,7 @@
 }
 
 impl Shell {
-    fn new(node: &Node, control: SocketAddrV4) -> Result<Rc<Shell>, rookpulley_counter::TreeError> {
+    fn new(node: &Node, control: SocketAddrV4) -> Result<Rc<Shell>, rookpulley_api::TreeError> {
         let start = AnnexStart {
             address: SocketAddrV4::new(node.ip, node.inner_ports.0 + 1),
             zone: node.zone.clone(),
--- a/crates/rookpulley-controller/src/annex/tests.rs
+++ b/crates/rookpulley-controller/src/annex/tests.rs
@@ -91,7 +91,7 @@
         let (_stop, stopped) = watch::channel(false);
         let calls = shell.clone();
         let handler = Rc::new(move |call: Call| std::future::ready(calls.answer(&call)));
-        tokio::task::spawn_local(rookpulley_counter::serve(counter, Bounds::default(), stopped, handler));
+        tokio::task::spawn_local(rookpulley_api::serve(counter, Bounds::default(), stopped, handler));
 
         let call = "PUT /rookpulley/cells/g1.%2Fa?x=1&y HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\nConnection: close\r\n\r\n{}";
         let none = until(to, call, "503", "nothing was done").await;
--- a/crates/rookpulley-controller/src/calls.rs
+++ b/crates/rookpulley-controller/src/calls.rs
@@ -2,8 +2,8 @@
 
 use crate::hub::Hub;
 use crate::show::{self, Part};
+use rookpulley_api::{Bounds, Call, Match, Reply, Tree, query};
 use rookpulley_clerk::{self as clerk, Content, Path};
-use rookpulley_counter::{Bounds, Call, Match, Reply, Tree, query};
 use std::rc::Rc;
 use tinyjson::JsonValue;
 use tokio::net::TcpListener;
@@ -17,7 +17,7 @@
     Show(Part),
 }
 
-pub fn tree() -> Result<Tree<Asked>, rookpulley_counter::TreeError> {
+pub fn tree() -> Result<Tree<Asked>, rookpulley_api::TreeError> {
     let call = Asked::Call;
     let show = Asked::Show;
     Tree::new(&[
@@ -57,7 +57,7 @@
 }
 
 impl Calls {
-    pub fn new(hub: Rc<Hub>) -> Result<Rc<Calls>, rookpulley_counter::TreeError> {
+    pub fn new(hub: Rc<Hub>) -> Result<Rc<Calls>, rookpulley_api::TreeError> {
         Ok(Rc::new(Calls { hub, tree: tree()? }))
     }
 
@@ -68,7 +68,7 @@
             let calls = calls.clone();
             async move { calls.answer(call).await }
         });
-        tokio::task::spawn_local(rookpulley_counter::serve(listener, Bounds::default(), stopped, handler))
+        tokio::task::spawn_local(rookpulley_api::serve(listener, Bounds::default(), stopped, handler))
     }
 
     pub async fn answer(&self, call: Call) -> Reply {
--- a/crates/rookpulley-controller/src/show.rs
+++ b/crates/rookpulley-controller/src/show.rs
@@ -6,8 +6,8 @@
 use crate::calls::{number, object};
 use crate::hub::Hub;
 pub use counts::Counts;
+use rookpulley_api::Reply;
 use rookpulley_clerk::Office;
-use rookpulley_counter::Reply;
 use rookpulley_sorting::Standing;
 use tinyjson::JsonValue;
 
--- a/crates/rookpulley-controller/src/show/tests.rs
+++ b/crates/rookpulley-controller/src/show/tests.rs
@@ -1,7 +1,7 @@
 use crate::calls::Calls;
 use crate::couriers;
 use crate::hub::Hub;
-use rookpulley_counter::{Bounds, Call, Reply};
+use rookpulley_api::{Bounds, Call, Reply};
 use rookpulley_runtime::line;
 use rookpulley_settings::Node;
 use rookpulley_store::Store;
@@ -104,12 +104,7 @@
         let calls = calls.clone();
         async move { calls.answer(call).await }
     };
-    tokio::task::spawn_local(rookpulley_counter::serve(
-        listener,
-        Bounds::default(),
-        stopped,
-        Rc::new(handler),
-    ));
+    tokio::task::spawn_local(rookpulley_api::serve(listener, Bounds::default(), stopped, Rc::new(handler)));
     stream.write_all(format!("{line}\r\nHost: a\r\nConnection: close\r\n\r\n").as_bytes()).await.unwrap();
     let mut answer = String::new();
     stream.read_to_string(&mut answer).await.unwrap();
--- a/crates/rookpulley-controller/src/standby.rs
+++ b/crates/rookpulley-controller/src/standby.rs
@@ -9,7 +9,7 @@
 use crate::controller::{StoreLoss, listen_at};
 use crate::ending::{self, Signals};
 use miette::IntoDiagnostic;
-use rookpulley_counter::{Bounds, Call, Match, Reply, Tree};
+use rookpulley_api::{Bounds, Call, Match, Reply, Tree};
 use rookpulley_runtime::File;
 use rookpulley_settings::Node;
 use std::hash::{DefaultHasher, Hash, Hasher};
@@ -49,7 +49,7 @@
     let handler = Rc::new(move |call: Call| std::future::ready(calls.answer(&call)));
     let listener = listen_at(control)?;
     let server =
-        tokio::task::spawn_local(rookpulley_counter::serve(listener, Bounds::default(), stopped, handler));
+        tokio::task::spawn_local(rookpulley_api::serve(listener, Bounds::default(), stopped, handler));
     tokio::select! {
         () = signals.wait(File::new(path), |_| ()) => {
             ending::close(node, stop, server).await;
@@ -88,11 +88,7 @@
 }
 
 impl Redirect {
-    fn new(
-        node: &Node,
-        control: SocketAddrV4,
-        loss: &StoreLoss,
-    ) -> Result<Self, rookpulley_counter::TreeError> {
+    fn new(node: &Node, control: SocketAddrV4, loss: &StoreLoss) -> Result<Self, rookpulley_api::TreeError> {
         let known = if loss.others.is_empty() { &node.seeds } else { &loss.others };
         let others = known.iter().map(|other| *other.ip()).filter(|ip| *ip != node.ip).collect();
         Ok(Self { tree: tree()?, others, control_port: control.port() })
--- a/crates/rookpulley-proxy/src/readiness.rs
+++ b/crates/rookpulley-proxy/src/readiness.rs
@@ -1,7 +1,7 @@
 //! Tells the platform whether clients should come here.
 
 use crate::state::Courier;
-use rookpulley_counter::{Bounds, Call, Reply};
+use rookpulley_api::{Bounds, Call, Reply};
 use std::future::ready;
 use std::rc::Rc;
 use tokio::net::TcpListener;
@@ -17,5 +17,5 @@
         Bounds { connections: CONNECTIONS, body_bytes: BODY, bodies_bytes: BODY, ..Bounds::default() };
     // It answers until the program ends: that the end has begun is what the platform asks for.
     let (_stop, stopped) = watch::channel(false);
-    rookpulley_counter::serve(listener, bounds, stopped, Rc::new(answer)).await;
+    rookpulley_api::serve(listener, bounds, stopped, Rc::new(answer)).await;
 }
