--- a/crates/rookpulley-clerk/src/annex.rs
+++ b/crates/rookpulley-clerk/src/annex.rs
@@ -2,8 +2,8 @@
 //! call on to one of them; it tells couriers and offices that have its address of the others.
 
 use rookpulley_chain::Member;
+use rookpulley_protocol::{Down, Up, frame};
 use rookpulley_round::Offices;
-use rookpulley_waybill::{Down, Up, frame};
 use std::collections::{BTreeMap, BTreeSet};
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::{Ipv4Addr, SocketAddrV4};
--- a/crates/rookpulley-clerk/src/calls.rs
+++ b/crates/rookpulley-clerk/src/calls.rs
@@ -4,8 +4,8 @@
 use rookpulley_chain::Outcome;
 use rookpulley_diagnostics::{Bounds, Nesting, Unread, read as read_json};
 use rookpulley_ledger::{Answer, Ask, Update};
+use rookpulley_protocol::Life;
 use rookpulley_sorting::Beat;
-use rookpulley_waybill::Life;
 use std::collections::HashMap;
 use tinyjson::JsonValue;
 
--- a/crates/rookpulley-controller/src/couriers.rs
+++ b/crates/rookpulley-controller/src/couriers.rs
@@ -2,8 +2,8 @@
 //! long; that it is there shows in what is told to it.
 
 use crate::hub::Hub;
+use rookpulley_protocol::Up;
 use rookpulley_runtime::line;
-use rookpulley_waybill::Up;
 use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
--- a/crates/rookpulley-controller/src/hub.rs
+++ b/crates/rookpulley-controller/src/hub.rs
@@ -3,10 +3,10 @@
 use crate::show::Counts;
 use rookpulley_chain::Member;
 use rookpulley_clerk::{Effect, Founding, Office, Reply, Start, Wants, Word};
+use rookpulley_protocol::Up;
 use rookpulley_runtime::line::Outbox;
 use rookpulley_settings::Node;
 use rookpulley_store::{Part, Said, Store};
-use rookpulley_waybill::Up;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::net::{Ipv4Addr, SocketAddrV4};
--- a/crates/rookpulley-controller/src/show/tests.rs
+++ b/crates/rookpulley-controller/src/show/tests.rs
@@ -2,10 +2,10 @@
 use crate::couriers;
 use crate::hub::Hub;
 use rookpulley_api::{Bounds, Call, Reply};
+use rookpulley_protocol::Up;
 use rookpulley_runtime::line;
 use rookpulley_settings::Node;
 use rookpulley_store::Store;
-use rookpulley_waybill::Up;
 use std::cell::RefCell;
 use std::collections::BTreeSet;
 use std::rc::Rc;
@@ -86,7 +86,7 @@
             assert!(to.send(&hello));
             *held.borrow_mut() = Some(to);
         };
-        tokio::task::spawn_local(line::run::<rookpulley_waybill::Down>(stream, None, open, |_| ()));
+        tokio::task::spawn_local(line::run::<rookpulley_protocol::Down>(stream, None, open, |_| ()));
         while hub.look(|office| office.couriers.is_empty() || office.desk.shown().is_empty()) {
             tokio::task::yield_now().await;
         }
--- a/crates/rookpulley-proxy/src/links.rs
+++ b/crates/rookpulley-proxy/src/links.rs
@@ -1,8 +1,8 @@
 //! The lines to all offices: each is heard, one of them is this courier's home.
 
 use crate::state::Courier;
+use rookpulley_protocol::Up;
 use rookpulley_runtime::line;
-use rookpulley_waybill::Up;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::net::{Ipv4Addr, SocketAddr};
--- a/crates/rookpulley-proxy/tests/courier/homes.rs
+++ b/crates/rookpulley-proxy/tests/courier/homes.rs
@@ -1,10 +1,10 @@
 //! Which office a courier calls home.
 
 use crate::scene::{Scene, good, play, request, status};
+use rookpulley_protocol::{Down, Line, Up};
 use rookpulley_proxy::{Bound, Courier, Signals, run};
 use rookpulley_runtime::line::{self, Outbox};
 use rookpulley_settings::Node;
-use rookpulley_waybill::{Down, Line, Up};
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
--- a/crates/rookpulley-proxy/tests/courier/scene/mod.rs
+++ b/crates/rookpulley-proxy/tests/courier/scene/mod.rs
@@ -1,9 +1,9 @@
 //! A courier on loopback between a stand-in office, stand-in tasks and a client that sends bytes.
 
+use rookpulley_protocol::{Down, Line, Report, Up, pack};
 use rookpulley_proxy::{Bound, Courier, Signal, Signals, run};
 use rookpulley_runtime::line;
 use rookpulley_settings::Node;
-use rookpulley_waybill::{Down, Line, Report, Up, pack};
 use std::cell::RefCell;
 use std::net::{SocketAddr, SocketAddrV4};
 use std::rc::Rc;
--- a/crates/rookpulley-round/src/post.rs
+++ b/crates/rookpulley-round/src/post.rs
@@ -5,7 +5,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use rookpulley_addressbook::RouteKind;
-use rookpulley_waybill::{Life, Line};
+use rookpulley_protocol::{Life, Line};
 use std::collections::{HashMap, VecDeque};
 use std::rc::Rc;
 
--- a/crates/rookpulley-round/src/round.rs
+++ b/crates/rookpulley-round/src/round.rs
@@ -2,7 +2,7 @@
 
 use crate::Budget;
 use rookpulley_addressbook::RouteKind;
-use rookpulley_waybill::Life;
+use rookpulley_protocol::Life;
 
 /// How one try ended.
 #[derive(Clone, Copy, Debug, PartialEq)]
--- a/crates/rookpulley-round/src/spot.rs
+++ b/crates/rookpulley-round/src/spot.rs
@@ -1,7 +1,7 @@
 //! What this courier knows of one task from the tries that it sent there.
 
 use crate::Fate;
-use rookpulley_waybill::Line;
+use rookpulley_protocol::Line;
 use std::rc::Rc;
 
 /// The first pause after a failure, and the longest.
--- a/crates/rookpulley-round/tests/picks.rs
+++ b/crates/rookpulley-round/tests/picks.rs
@@ -1,9 +1,9 @@
 //! Which task a request goes to.
 
 use rookpulley_addressbook::RouteKind;
+use rookpulley_protocol::Line;
 use rookpulley_round::{Fate, Pick, Post, Round};
 use rookpulley_samples::plays;
-use rookpulley_waybill::Line;
 use std::collections::BTreeSet;
 
 fn line(life: &str, zone: &str) -> Line {
--- a/crates/rookpulley-runtime/src/line.rs
+++ b/crates/rookpulley-runtime/src/line.rs
@@ -1,6 +1,6 @@
 //! A connection between two of our programs: bounded in what waits, ended when the other side falls silent.
 
-use rookpulley_waybill::{Frames, frame};
+use rookpulley_protocol::{Frames, frame};
 use serde::{Serialize, de::DeserializeOwned};
 use std::net::SocketAddr;
 use std::os::fd::AsFd;
--- a/crates/rookpulley-satchel/src/satchel.rs
+++ b/crates/rookpulley-satchel/src/satchel.rs
@@ -2,9 +2,9 @@
 
 use crate::tally::Tally;
 use rookpulley_addressbook::Book;
+use rookpulley_protocol::frame::LONGEST;
+use rookpulley_protocol::{Down, Life, Up, unpack};
 use rookpulley_round::{Budget, Fleet, Move, Offices, Post};
-use rookpulley_waybill::frame::LONGEST;
-use rookpulley_waybill::{Down, Life, Up, unpack};
 use std::collections::HashMap;
 use std::net::Ipv4Addr;
 use std::rc::Rc;
--- a/crates/rookpulley-simulator/src/net.rs
+++ b/crates/rookpulley-simulator/src/net.rs
@@ -3,7 +3,7 @@
 use crate::world::{What, World};
 use crate::{MS, Us};
 use rand::RngExt;
-use rookpulley_waybill::Frames;
+use rookpulley_protocol::Frames;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
--- a/crates/rookpulley-simulator/src/offices.rs
+++ b/crates/rookpulley-simulator/src/offices.rs
@@ -7,7 +7,7 @@
 use rookpulley_chain::{Kept, Member};
 use rookpulley_clerk::{Content, Effect, Founding, Office, Path, Reply, Start, Wants, Word, read};
 use rookpulley_ledger::{Answer, Ask, Update};
-use rookpulley_waybill::Up;
+use rookpulley_protocol::Up;
 use std::collections::{BTreeMap, HashMap};
 use std::net::{Ipv4Addr, SocketAddrV4};
 use tinyjson::JsonValue;
--- a/crates/rookpulley-sorting/examples/pick_cost.rs
+++ b/crates/rookpulley-sorting/examples/pick_cost.rs
@@ -9,9 +9,9 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use rookpulley_addressbook::RouteKind;
+use rookpulley_protocol::Line;
 use rookpulley_round::{Fate, Post, Round};
 use rookpulley_sorting::{Beat, Desk, Out, Registry, Service};
-use rookpulley_waybill::Line;
 use stats_alloc::{INSTRUMENTED_SYSTEM, Region, StatsAlloc};
 use std::alloc::System;
 use std::collections::{BTreeMap, VecDeque};
--- a/crates/rookpulley-sorting/src/beat.rs
+++ b/crates/rookpulley-sorting/src/beat.rs
@@ -1,7 +1,7 @@
 //! A task's beat, read from the body of its call.
 
 use rookpulley_diagnostics::{Bounds, Nesting, Unread, read};
-use rookpulley_waybill::Life;
+use rookpulley_protocol::Life;
 use serde::{Deserialize, Serialize};
 use std::collections::HashMap;
 use std::net::SocketAddrV4;
--- a/crates/rookpulley-sorting/src/desk.rs
+++ b/crates/rookpulley-sorting/src/desk.rs
@@ -4,7 +4,7 @@
 use crate::posted::hash_of;
 use crate::registry::{Registry, Task};
 use rookpulley::facts::{ProxyId, ZoneId};
-use rookpulley_waybill::{Line, Report};
+use rookpulley_protocol::{Line, Report};
 use std::collections::BTreeMap;
 
 /// So many couriers are remembered by their ids; beyond that the id of one that has long been out is passed on.
--- a/crates/rookpulley-sorting/src/drains.rs
+++ b/crates/rookpulley-sorting/src/drains.rs
@@ -1,6 +1,6 @@
 //! Drains that are to be acknowledged, and who else knows of them.
 
-use rookpulley_waybill::Life;
+use rookpulley_protocol::Life;
 use std::collections::{BTreeMap, BTreeSet};
 
 /// A confirmed drain is remembered so long.
--- a/crates/rookpulley-sorting/src/editions.rs
+++ b/crates/rookpulley-sorting/src/editions.rs
@@ -1,6 +1,6 @@
 //! The configuration as it goes out to couriers: to each what differs from the one that it holds.
 
-use rookpulley_waybill::{Down, frame, pack};
+use rookpulley_protocol::{Down, frame, pack};
 use std::collections::{BTreeMap, VecDeque};
 
 /// So many versions are remembered as what others differ from, and so many of their bytes. In a storm offices tell of
@@ -77,7 +77,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use rookpulley_waybill::{Frames, unpack};
+    use rookpulley_protocol::{Frames, unpack};
 
     fn body(version: u64) -> Vec<u8> {
         (0..4_000u64).map(|n| n * version % 251).flat_map(u64::to_le_bytes).collect()
--- a/crates/rookpulley-sorting/src/hosted.rs
+++ b/crates/rookpulley-sorting/src/hosted.rs
@@ -5,7 +5,7 @@
 use crate::module::{Facts, Module};
 use crate::posted::{Next, Posted};
 use rookpulley::facts::*;
-use rookpulley_waybill::{Line, ServiceReport};
+use rookpulley_protocol::{Line, ServiceReport};
 use std::collections::BTreeMap;
 
 /// The number of couriers that arcs are sized for is held until there are so many times more, or less, for so
--- a/crates/rookpulley-sorting/src/list.rs
+++ b/crates/rookpulley-sorting/src/list.rs
@@ -2,7 +2,7 @@
 
 use crate::registry::{Standing, Task};
 use rookpulley::facts::{Listed, ServerId, Stage, ZoneId};
-use rookpulley_waybill::{Life, Line};
+use rookpulley_protocol::{Life, Line};
 use std::collections::BTreeMap;
 use std::net::SocketAddrV4;
 
--- a/crates/rookpulley-sorting/src/news.rs
+++ b/crates/rookpulley-sorting/src/news.rs
@@ -1,7 +1,7 @@
 //! What offices tell each other of tasks.
 
 use crate::beat::Beat;
-use rookpulley_waybill::Life;
+use rookpulley_protocol::Life;
 use serde::{Deserialize, Serialize};
 
 /// Ages instead of times: offices share no clock.
--- a/crates/rookpulley-sorting/src/posted.rs
+++ b/crates/rookpulley-sorting/src/posted.rs
@@ -3,7 +3,7 @@
 use crate::list::{Fate, List, server_id};
 use crate::module::{Module, name_as_sent};
 use rookpulley::facts::ProxyId;
-use rookpulley_waybill::Line;
+use rookpulley_protocol::Line;
 
 /// A courier gets another table so often, drains aside.
 const PACE_MS: f64 = 1_000.0;
--- a/crates/rookpulley-sorting/src/registry.rs
+++ b/crates/rookpulley-sorting/src/registry.rs
@@ -5,7 +5,7 @@
 
 use crate::beat::{Beat, names_a_life};
 use crate::news::{News, Outcome, Still, Word};
-use rookpulley_waybill::Life;
+use rookpulley_protocol::Life;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddrV4;
 
--- a/crates/rookpulley-sorting/tests/desk.rs
+++ b/crates/rookpulley-sorting/tests/desk.rs
@@ -1,9 +1,9 @@
 //! A registry and a desk with tasks and couriers of chance.
 
 use arbtest::arbitrary::{Result, Unstructured};
+use rookpulley_protocol::{Line, Report, ServiceReport, TaskReport};
 use rookpulley_samples::plays_of;
 use rookpulley_sorting::{Beat, Desk, Out, Registry, Service, Standing};
-use rookpulley_waybill::{Line, Report, ServiceReport, TaskReport};
 use std::collections::{BTreeMap, BTreeSet};
 
 const HEARTBEAT_MS: f64 = 1_500.0;
--- a/crates/rookpulley-store/examples/call_cost.rs
+++ b/crates/rookpulley-store/examples/call_cost.rs
@@ -9,7 +9,7 @@
 use rookpulley_chain::{Boot, CallKind, Chain, Effect, Input, Member, Message, Outcome};
 use rookpulley_clerk::Kept;
 use rookpulley_ledger::{Answer, Ask};
-use rookpulley_waybill::{Frames, frame};
+use rookpulley_protocol::{Frames, frame};
 use std::collections::VecDeque;
 use std::time::Instant;
 
