Rename the package rookpulley-ledger to rookpulley-state

Change: the package, its folder, and its name in sources, manifests and pages. No behaviour changes.

--- a/crates/rookpulley-clerk/src/calls.rs
+++ b/crates/rookpulley-clerk/src/calls.rs
@@ -3,9 +3,9 @@
 use rookpulley_addressbook::Book;
 use rookpulley_chain::Outcome;
 use rookpulley_diagnostics::{Bounds, Nesting, Unread, read as read_json};
-use rookpulley_ledger::{Answer, Ask, Update};
 use rookpulley_protocol::Life;
 use rookpulley_sorting::Beat;
+use rookpulley_state::{Answer, Ask, Update};
 use std::collections::HashMap;
 use tinyjson::JsonValue;
 
@@ -236,8 +236,8 @@
 }
 
 /// What a watch shows.
-pub(crate) fn shown(events: Vec<rookpulley_ledger::Event>, revision: u64) -> Reply {
-    let show = |e: rookpulley_ledger::Event| {
+pub(crate) fn shown(events: Vec<rookpulley_state::Event>, revision: u64) -> Reply {
+    let show = |e: rookpulley_state::Event| {
         JsonValue::Object(HashMap::from([
             ("name".into(), JsonValue::String(e.name)),
             ("value".into(), JsonValue::String(e.value)),
--- a/crates/rookpulley-clerk/src/office.rs
+++ b/crates/rookpulley-clerk/src/office.rs
@@ -10,12 +10,12 @@
 use crate::word::Word;
 use rookpulley_addressbook::Book;
 use rookpulley_chain::{Boot, CallKind, Chain, Disk, Effect as Order, Input, Member, Record};
-use rookpulley_ledger::Ledger;
 use rookpulley_protocol::{Down, Up, frame};
 use rookpulley_sorting::{
     Beat, Desk, Drains, Editions, News, Out, Outcome as Sorted, Registry, Roll, Service, Standing,
     Word as Spread,
 };
+use rookpulley_state::Ledger;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::{Ipv4Addr, SocketAddrV4};
 
--- a/crates/rookpulley-clerk/src/state.rs
+++ b/crates/rookpulley-clerk/src/state.rs
@@ -1,6 +1,6 @@
 //! The ledger as the state that the chain keeps.
 
-use rookpulley_ledger::Ledger;
+use rookpulley_state::Ledger;
 
 #[derive(Default)]
 pub struct Kept {
--- a/crates/rookpulley-clerk/src/watches.rs
+++ b/crates/rookpulley-clerk/src/watches.rs
@@ -1,7 +1,7 @@
 //! Those who wait for a put in a group.
 
 use crate::calls::{Reply, later, shown, too_old};
-use rookpulley_ledger::{Ledger, Watched};
+use rookpulley_state::{Ledger, Watched};
 use std::collections::BTreeMap;
 
 const EVENTS: usize = 1_000;
--- a/crates/rookpulley-ledger/tests/ledger/bounds.rs
+++ b/crates/rookpulley-state/tests/ledger/bounds.rs
@@ -1,7 +1,7 @@
 //! Whatever is asked, a ledger stays small enough for one frame, and says so before it breaks a promise.
 
 use super::{configure, give_back, number, put, renew, take};
-use rookpulley_ledger::{Answer, Bounds, Ledger, Sizes, Watched};
+use rookpulley_state::{Answer, Bounds, Ledger, Sizes, Watched};
 
 #[test]
 fn ten_thousand_updates_of_a_day_leave_only_what_stands_and_two_minutes_of_history() {
--- a/crates/rookpulley-ledger/tests/ledger/callers.rs
+++ b/crates/rookpulley-state/tests/ledger/callers.rs
@@ -2,7 +2,7 @@
 
 use super::{moved, plays};
 use arbtest::arbitrary::{Result, Unstructured};
-use rookpulley_ledger::{Answer, Ledger, Update};
+use rookpulley_state::{Answer, Ledger, Update};
 
 /// How late a call may take effect after it was sent, and how long a caller waits for an answer.
 const LATE_MS: u64 = 900;
--- a/crates/rookpulley-ledger/tests/ledger/main.rs
+++ b/crates/rookpulley-state/tests/ledger/main.rs
@@ -5,8 +5,8 @@
 mod model;
 mod named;
 
-use rookpulley_ledger::{Answer, Ledger, Update};
 use rookpulley_samples::plays;
+use rookpulley_state::{Answer, Ledger, Update};
 
 fn take(ledger: &mut Ledger, at_ms: u64, name: &str, holder: &str, hold_ms: u64) -> Answer {
     ledger.apply(at_ms, &Update::TakeLock { name: name.into(), holder: holder.into(), hold_ms })
--- a/crates/rookpulley-ledger/tests/ledger/model.rs
+++ b/crates/rookpulley-state/tests/ledger/model.rs
@@ -2,7 +2,7 @@
 
 use super::{moved, plays};
 use arbtest::arbitrary::{Result, Unstructured};
-use rookpulley_ledger::{Answer, Ask, Bounds, Ledger, Update, Watched};
+use rookpulley_state::{Answer, Ask, Bounds, Ledger, Update, Watched};
 use std::collections::BTreeMap;
 
 /// Small, so that runs reach every bound.
--- a/crates/rookpulley-ledger/tests/ledger/named.rs
+++ b/crates/rookpulley-state/tests/ledger/named.rs
@@ -1,7 +1,7 @@
 //! Single sequences that once were, or easily would be, got wrong.
 
 use super::{give_back, moved, number, put, renew, take};
-use rookpulley_ledger::{Answer, Ask, Ledger, Update, Watched};
+use rookpulley_state::{Answer, Ask, Ledger, Update, Watched};
 
 #[test]
 fn a_lock_goes_to_another_only_after_the_hold_and_its_spare_time_and_under_a_higher_fence() {
--- a/crates/rookpulley-store/examples/call_cost.rs
+++ b/crates/rookpulley-store/examples/call_cost.rs
@@ -8,8 +8,8 @@
 use load::Load;
 use rookpulley_chain::{Boot, CallKind, Chain, Effect, Input, Member, Message, Outcome};
 use rookpulley_clerk::Kept;
-use rookpulley_ledger::{Answer, Ask};
 use rookpulley_protocol::{Frames, frame};
+use rookpulley_state::{Answer, Ask};
 use std::collections::VecDeque;
 use std::time::Instant;
 
--- a/crates/rookpulley-store/examples/disk_use.rs
+++ b/crates/rookpulley-store/examples/disk_use.rs
@@ -7,7 +7,7 @@
 use load::Load;
 use rookpulley_chain::{Boot, CallKind, Chain, Effect, Input, Member, Outcome};
 use rookpulley_clerk::Kept;
-use rookpulley_ledger::Answer;
+use rookpulley_state::Answer;
 use rookpulley_store::{Part, Said, Store};
 use std::collections::VecDeque;
 use std::path::Path;
--- a/crates/rookpulley-store/examples/load/mod.rs
+++ b/crates/rookpulley-store/examples/load/mod.rs
@@ -2,7 +2,7 @@
 
 #![allow(dead_code)]
 
-use rookpulley_ledger::{Answer, Update};
+use rookpulley_state::{Answer, Update};
 use std::fmt::Write;
 
 /// Drawn by a seed, spread by the mixer of SplitMix64.
--- a/crates/rookpulley-store/tests/torn.rs
+++ b/crates/rookpulley-store/tests/torn.rs
@@ -2,7 +2,7 @@
 
 use rookpulley_chain::{Boot, CallKind, Chain, Effect, Input, Member, Outcome, Record};
 use rookpulley_clerk::Kept;
-use rookpulley_ledger::Update;
+use rookpulley_state::Update;
 use rookpulley_store::{Part, Said, Store, look, replace};
 use std::collections::{BTreeMap, VecDeque};
 use std::path::Path;
