Rename the package rookpulley-addressbook to rookpulley-routes

Change: the package, its folder, and its name in sources, manifests and pages. No behaviour changes.

--- a/crates/rookpulley-clerk/src/calls.rs
+++ b/crates/rookpulley-clerk/src/calls.rs
@@ -1,9 +1,9 @@
 //! The calls of tasks, the operator and applications: what is asked by them, and what they are told.
 
-use rookpulley_addressbook::Book;
 use rookpulley_chain::Outcome;
 use rookpulley_diagnostics::{Bounds, Nesting, Unread, read as read_json};
 use rookpulley_protocol::Life;
+use rookpulley_routes::Book;
 use rookpulley_sorting::Beat;
 use rookpulley_state::{Answer, Ask, Update};
 use std::collections::HashMap;
--- a/crates/rookpulley-clerk/src/office.rs
+++ b/crates/rookpulley-clerk/src/office.rs
@@ -8,9 +8,9 @@
 use crate::tally::Tally;
 use crate::watches::Watches;
 use crate::word::Word;
-use rookpulley_addressbook::Book;
 use rookpulley_chain::{Boot, CallKind, Chain, Disk, Effect as Order, Input, Member, Record};
 use rookpulley_protocol::{Down, Up, frame};
+use rookpulley_routes::Book;
 use rookpulley_sorting::{
     Beat, Desk, Drains, Editions, News, Out, Outcome as Sorted, Registry, Roll, Service, Standing,
     Word as Spread,
--- a/crates/rookpulley-cli/src/gateway/check.rs
+++ b/crates/rookpulley-cli/src/gateway/check.rs
@@ -1,7 +1,7 @@
 //! What is wrong with a file: the place, what was found there, what to write instead.
 
-use rookpulley_addressbook::{BYTES_MOST, Book};
 use rookpulley_diagnostics::{Fault, Faults, Manner, Place, counted};
+use rookpulley_routes::{BYTES_MOST, Book};
 use rookpulley_settings::{Amount, Deploy, Node, Role, SettingsError};
 use serde_json::{Value, json};
 use std::fmt::Display;
--- a/crates/rookpulley-cli/src/gateway/explain.rs
+++ b/crates/rookpulley-cli/src/gateway/explain.rs
@@ -2,8 +2,8 @@
 
 use super::check::{read, refused};
 use crate::show::table;
-use rookpulley_addressbook::{Book, Route, RouteKind};
 use rookpulley_diagnostics::counted;
+use rookpulley_routes::{Book, Route, RouteKind};
 use serde_json::{Value, json};
 use std::path::Path;
 
--- a/crates/rookpulley-cli/src/gateway/store/check.rs
+++ b/crates/rookpulley-cli/src/gateway/store/check.rs
@@ -2,9 +2,9 @@
 
 use crate::call::CannotAsk;
 use crate::gateway::check::Checked;
-use rookpulley_addressbook::Book;
 use rookpulley_chain::{Kept, flaws};
 use rookpulley_diagnostics::{Faults, Manner, counted};
+use rookpulley_routes::Book;
 use rookpulley_sorting::News;
 use rookpulley_state::{Ledger, Update};
 use rookpulley_store::{Contents, LookError, look};
--- a/crates/rookpulley-proxy/src/carry.rs
+++ b/crates/rookpulley-proxy/src/carry.rs
@@ -11,7 +11,7 @@
 use hyper::body::{Body, Incoming};
 use hyper::header::{CONNECTION, EXPECT, HeaderValue};
 use hyper::{Request, Response};
-use rookpulley_addressbook::Limits;
+use rookpulley_routes::Limits;
 use rookpulley_satchel::{Go, How, Journey, Tell, Then};
 use std::cell::Cell;
 use std::collections::VecDeque;
--- a/crates/rookpulley-proxy/src/check.rs
+++ b/crates/rookpulley-proxy/src/check.rs
@@ -8,7 +8,7 @@
 use hyper::http::HeaderValue;
 use hyper::http::request::Parts;
 use hyper::{Method, Version};
-use rookpulley_addressbook::Limits;
+use rookpulley_routes::Limits;
 
 /// What was read from a proper head.
 #[derive(Debug)]
--- a/crates/rookpulley-proxy/src/ear.rs
+++ b/crates/rookpulley-proxy/src/ear.rs
@@ -2,7 +2,7 @@
 
 use crate::span::Span;
 use bytes::{Buf, BytesMut};
-use rookpulley_addressbook::Limits;
+use rookpulley_routes::Limits;
 use std::cell::{Cell, RefCell};
 use std::pin::Pin;
 use std::rc::Rc;
--- a/crates/rookpulley-proxy/src/ending.rs
+++ b/crates/rookpulley-proxy/src/ending.rs
@@ -1,7 +1,7 @@
 //! What the platform says by signals, and all that is due from time to time.
 
 use crate::state::Courier;
-use rookpulley_addressbook::Limits;
+use rookpulley_routes::Limits;
 use rookpulley_runtime::File;
 use rookpulley_satchel::Satchel;
 use rookpulley_settings::Node;
--- a/crates/rookpulley-proxy/src/listener.rs
+++ b/crates/rookpulley-proxy/src/listener.rs
@@ -6,7 +6,7 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
-use rookpulley_addressbook::Limits;
+use rookpulley_routes::Limits;
 use rookpulley_runtime::line;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
--- a/crates/rookpulley-proxy/src/state.rs
+++ b/crates/rookpulley-proxy/src/state.rs
@@ -4,7 +4,7 @@
 use crate::listener::Clients;
 use crate::wires::Wires;
 use bytes::Bytes;
-use rookpulley_addressbook::Book;
+use rookpulley_routes::Book;
 use rookpulley_satchel::{Effect, Satchel};
 use rookpulley_settings::Node;
 use std::cell::{Cell, RefCell};
--- a/crates/rookpulley-round/src/post.rs
+++ b/crates/rookpulley-round/src/post.rs
@@ -4,8 +4,8 @@
 use crate::{Fate, Round};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use rookpulley_addressbook::RouteKind;
 use rookpulley_protocol::{Life, Line};
+use rookpulley_routes::RouteKind;
 use std::collections::{HashMap, VecDeque};
 use std::rc::Rc;
 
--- a/crates/rookpulley-round/src/round.rs
+++ b/crates/rookpulley-round/src/round.rs
@@ -1,8 +1,8 @@
 //! What may still be done for one request, and what its client is told in the end.
 
 use crate::Budget;
-use rookpulley_addressbook::RouteKind;
 use rookpulley_protocol::Life;
+use rookpulley_routes::RouteKind;
 
 /// How one try ended.
 #[derive(Clone, Copy, Debug, PartialEq)]
--- a/crates/rookpulley-round/tests/rounds.rs
+++ b/crates/rookpulley-round/tests/rounds.rs
@@ -1,8 +1,8 @@
 //! What requests may suffer, whatever happens to their tries.
 
 use arbtest::arbitrary::{Result, Unstructured};
-use rookpulley_addressbook::RouteKind;
 use rookpulley_round::{Budget, Fate, Next, Round};
+use rookpulley_routes::RouteKind;
 use rookpulley_samples::plays;
 
 fn kind(u: &mut Unstructured) -> Result<RouteKind> {
--- a/crates/rookpulley-addressbook/examples/read_cost.rs
+++ b/crates/rookpulley-routes/examples/read_cost.rs
@@ -1,6 +1,6 @@
-//! What it costs to read a configuration by its number of routes: `cargo run --release -p rookpulley-addressbook --example read_cost`.
+//! What it costs to read a configuration by its number of routes: `cargo run --release -p rookpulley-routes --example read_cost`.
 
-use rookpulley_addressbook::Book;
+use rookpulley_routes::Book;
 use std::fmt::Write;
 use std::time::Instant;
 
--- a/crates/rookpulley-addressbook/tests/book.rs
+++ b/crates/rookpulley-routes/tests/book.rs
@@ -1,7 +1,7 @@
 //! Configurations printed, cut, spoilt and read back.
 
 use arbtest::arbitrary::{Result, Unstructured};
-use rookpulley_addressbook::{Book, Faults, Limits, RouteKind};
+use rookpulley_routes::{Book, Faults, Limits, RouteKind};
 use rookpulley_samples::plays;
 
 /// A small configuration with something of everything.
--- a/crates/rookpulley-addressbook/tests/changes.rs
+++ b/crates/rookpulley-routes/tests/changes.rs
@@ -1,7 +1,7 @@
 //! A configuration read after an earlier one is what it is when it is read alone and whole.
 
 use arbtest::arbitrary::{Result, Unstructured};
-use rookpulley_addressbook::{Book, Route};
+use rookpulley_routes::{Book, Route};
 use rookpulley_samples::plays;
 use std::cell::Cell;
 use std::fmt::Write;
@@ -47,7 +47,7 @@
 }
 
 /// All that a configuration says, or all that is wrong with it.
-fn said(book: std::result::Result<Book, rookpulley_addressbook::Faults>) -> String {
+fn said(book: std::result::Result<Book, rookpulley_routes::Faults>) -> String {
     match book {
         Ok(book) => {
             let routes: Vec<&Route> = book.routes().collect();
--- a/crates/rookpulley-satchel/src/journey.rs
+++ b/crates/rookpulley-satchel/src/journey.rs
@@ -2,9 +2,9 @@
 
 use crate::Worth;
 use crate::satchel::Satchel;
-use rookpulley_addressbook::RouteKind;
 use rookpulley_protocol::{Life, Line};
 use rookpulley_round::{Fate, Next, Pick, Round};
+use rookpulley_routes::RouteKind;
 use std::rc::Rc;
 
 /// When clients are to come again before a configuration is known.
--- a/crates/rookpulley-simulator/src/clients.rs
+++ b/crates/rookpulley-simulator/src/clients.rs
@@ -5,7 +5,7 @@
 use crate::world::{What, World};
 use crate::{MS, S, Us};
 use rand::RngExt;
-use rookpulley_addressbook::RouteKind;
+use rookpulley_routes::RouteKind;
 
 /// What a client hears.
 #[derive(Clone, Debug)]
--- a/crates/rookpulley-simulator/src/day.rs
+++ b/crates/rookpulley-simulator/src/day.rs
@@ -2,7 +2,7 @@
 
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use rookpulley_addressbook::RouteKind;
+use rookpulley_routes::RouteKind;
 use std::fmt;
 
 /// The first configuration and the tasks' first beats are given so long before traffic; after the last trouble the
--- a/crates/rookpulley-simulator/src/operator.rs
+++ b/crates/rookpulley-simulator/src/operator.rs
@@ -7,8 +7,8 @@
 use crate::{MS, S, Us};
 use rand::RngExt;
 use rand_chacha::ChaCha8Rng;
-use rookpulley_addressbook::RouteKind;
 use rookpulley_clerk::{Content, Path, Reply};
+use rookpulley_routes::RouteKind;
 use std::fmt::Write;
 
 #[derive(Default)]
--- a/crates/rookpulley-simulator/src/record.rs
+++ b/crates/rookpulley-simulator/src/record.rs
@@ -2,7 +2,7 @@
 
 use crate::Us;
 use crate::clients::Told;
-use rookpulley_addressbook::RouteKind;
+use rookpulley_routes::RouteKind;
 use std::collections::BTreeMap;
 
 /// How a client's try ended.
--- a/crates/rookpulley-simulator/src/seen.rs
+++ b/crates/rookpulley-simulator/src/seen.rs
@@ -2,7 +2,7 @@
 
 use crate::MS;
 use crate::record::{Ended, Record};
-use rookpulley_addressbook::RouteKind;
+use rookpulley_routes::RouteKind;
 use std::collections::BTreeMap;
 
 /// A client's request with all its tries.
--- a/crates/rookpulley-simulator/tests/round.rs
+++ b/crates/rookpulley-simulator/tests/round.rs
@@ -5,7 +5,7 @@
 mod common;
 
 use common::case;
-use rookpulley_addressbook::RouteKind;
+use rookpulley_routes::RouteKind;
 use rookpulley_simulator::{Arrived, BadTask, Day, Happens, Mutation, Played, Seen};
 
 /// Complains of the first of these that isn't so.
