--- a/crates/rookpulley-clerk/src/calls.rs
+++ b/crates/rookpulley-clerk/src/calls.rs
@@ -3,8 +3,8 @@
 use rookpulley_chain::Outcome;
 use rookpulley_diagnostics::{Bounds, Nesting, Unread, read as read_json};
 use rookpulley_protocol::Life;
+use rookpulley_registry::Beat;
 use rookpulley_routes::Book;
-use rookpulley_sorting::Beat;
 use rookpulley_state::{Answer, Ask, Update};
 use std::collections::HashMap;
 use tinyjson::JsonValue;
--- a/crates/rookpulley-clerk/src/office.rs
+++ b/crates/rookpulley-clerk/src/office.rs
@@ -10,11 +10,11 @@
 use crate::word::Word;
 use rookpulley_chain::{Boot, CallKind, Chain, Disk, Effect as Order, Input, Member, Record};
 use rookpulley_protocol::{Down, Up, frame};
-use rookpulley_routes::Book;
-use rookpulley_sorting::{
+use rookpulley_registry::{
     Beat, Desk, Drains, Editions, News, Out, Outcome as Sorted, Registry, Roll, Service, Standing,
     Word as Spread,
 };
+use rookpulley_routes::Book;
 use rookpulley_state::Ledger;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::{Ipv4Addr, SocketAddrV4};
--- a/crates/rookpulley-clerk/src/word.rs
+++ b/crates/rookpulley-clerk/src/word.rs
@@ -1,7 +1,7 @@
 //! What offices say to each other.
 
 use rookpulley_chain::{Member, Message};
-use rookpulley_sorting::News;
+use rookpulley_registry::News;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddrV4;
 
--- a/crates/rookpulley-cli/src/gateway/store.rs
+++ b/crates/rookpulley-cli/src/gateway/store.rs
@@ -7,7 +7,7 @@
 use crate::show::table;
 use rookpulley_chain::{Kept, View};
 use rookpulley_diagnostics::counted;
-use rookpulley_sorting::News;
+use rookpulley_registry::News;
 use rookpulley_state::{Ledger, Update};
 use rookpulley_store::{Contents, look};
 use serde_json::{Value, json};
--- a/crates/rookpulley-controller/src/show.rs
+++ b/crates/rookpulley-controller/src/show.rs
@@ -8,7 +8,7 @@
 pub use counts::Counts;
 use rookpulley_api::Reply;
 use rookpulley_clerk::Office;
-use rookpulley_sorting::Standing;
+use rookpulley_registry::Standing;
 use tinyjson::JsonValue;
 
 /// One of the parts that can be shown.
--- a/crates/rookpulley-sorting/examples/pick_cost.rs
+++ b/crates/rookpulley-registry/examples/pick_cost.rs
@@ -1,6 +1,6 @@
 //! What a pick and a revision cost by the size of the fleet: microseconds and allocations, medians of rounds.
 //!
-//!     cargo run --release -p rookpulley-sorting --example pick_cost
+//!     cargo run --release -p rookpulley-registry --example pick_cost
 //!
 //! A pick is measured with its end, on the tables that a desk cuts for one courier; beside it, in the same rounds, the
 //! least busy of two tasks drawn from the whole fleet. A revision is what one task more and one less cost the desk,
@@ -9,9 +9,9 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use rookpulley_protocol::Line;
+use rookpulley_registry::{Beat, Desk, Out, Registry, Service};
 use rookpulley_round::{Fate, Post, Round};
 use rookpulley_routes::RouteKind;
-use rookpulley_sorting::{Beat, Desk, Out, Registry, Service};
 use stats_alloc::{INSTRUMENTED_SYSTEM, Region, StatsAlloc};
 use std::alloc::System;
 use std::collections::{BTreeMap, VecDeque};
--- a/crates/rookpulley-sorting/tests/desk.rs
+++ b/crates/rookpulley-registry/tests/desk.rs
@@ -2,8 +2,8 @@
 
 use arbtest::arbitrary::{Result, Unstructured};
 use rookpulley_protocol::{Line, Report, ServiceReport, TaskReport};
+use rookpulley_registry::{Beat, Desk, Out, Registry, Service, Standing};
 use rookpulley_samples::plays_of;
-use rookpulley_sorting::{Beat, Desk, Out, Registry, Service, Standing};
 use std::collections::{BTreeMap, BTreeSet};
 
 const HEARTBEAT_MS: f64 = 1_500.0;
--- a/crates/rookpulley-sorting/tests/registry.rs
+++ b/crates/rookpulley-registry/tests/registry.rs
@@ -1,7 +1,7 @@
 //! Several registries, each told a part, in orders of chance.
 
+use rookpulley_registry::{Beat, News, Outcome, Registry, Standing, Word};
 use rookpulley_samples::plays_of;
-use rookpulley_sorting::{Beat, News, Outcome, Registry, Standing, Word};
 use std::collections::BTreeSet;
 
 const HEARTBEAT_MS: f64 = 1_500.0;
