Rename the package rookpulley-round to rookpulley-balancer

Change: the package, its folder, and its name in sources, manifests and pages. No behaviour changes.

--- a/crates/rookpulley-round/tests/picks.rs
+++ b/crates/rookpulley-balancer/tests/picks.rs
@@ -1,7 +1,7 @@
 //! Which task a request goes to.
 
+use rookpulley_balancer::{Fate, Pick, Post, Round};
 use rookpulley_protocol::Line;
-use rookpulley_round::{Fate, Pick, Post, Round};
 use rookpulley_routes::RouteKind;
 use rookpulley_samples::plays;
 use std::collections::BTreeSet;
--- a/crates/rookpulley-round/tests/rounds.rs
+++ b/crates/rookpulley-balancer/tests/rounds.rs
@@ -1,7 +1,7 @@
 //! What requests may suffer, whatever happens to their tries.
 
 use arbtest::arbitrary::{Result, Unstructured};
-use rookpulley_round::{Budget, Fate, Next, Round};
+use rookpulley_balancer::{Budget, Fate, Next, Round};
 use rookpulley_routes::RouteKind;
 use rookpulley_samples::plays;
 
--- a/crates/rookpulley-clerk/src/annex.rs
+++ b/crates/rookpulley-clerk/src/annex.rs
@@ -1,9 +1,9 @@
 //! An office without a disk. It keeps nothing and decides nothing: it knows which offices are in touch and passes each
 //! call on to one of them; it tells couriers and offices that have its address of the others.
 
+use rookpulley_balancer::Offices;
 use rookpulley_chain::Member;
 use rookpulley_protocol::{Down, Up, frame};
-use rookpulley_round::Offices;
 use std::collections::{BTreeMap, BTreeSet};
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::{Ipv4Addr, SocketAddrV4};
--- a/crates/rookpulley-proxy/src/bodies.rs
+++ b/crates/rookpulley-proxy/src/bodies.rs
@@ -5,7 +5,7 @@
 use crate::wires::Wire;
 use bytes::{Bytes, BytesMut};
 use hyper::body::{Body, Frame, Incoming, SizeHint};
-use rookpulley_round::Fate;
+use rookpulley_balancer::Fate;
 use std::cell::Cell;
 use std::collections::VecDeque;
 use std::pin::Pin;
--- a/crates/rookpulley-registry/examples/pick_cost.rs
+++ b/crates/rookpulley-registry/examples/pick_cost.rs
@@ -8,9 +8,9 @@
 
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
+use rookpulley_balancer::{Fate, Post, Round};
 use rookpulley_protocol::Line;
 use rookpulley_registry::{Beat, Desk, Out, Registry, Service};
-use rookpulley_round::{Fate, Post, Round};
 use rookpulley_routes::RouteKind;
 use stats_alloc::{INSTRUMENTED_SYSTEM, Region, StatsAlloc};
 use std::alloc::System;
--- a/crates/rookpulley-satchel/src/journey.rs
+++ b/crates/rookpulley-satchel/src/journey.rs
@@ -2,8 +2,8 @@
 
 use crate::Worth;
 use crate::satchel::Satchel;
+use rookpulley_balancer::{Fate, Next, Pick, Round};
 use rookpulley_protocol::{Life, Line};
-use rookpulley_round::{Fate, Next, Pick, Round};
 use rookpulley_routes::RouteKind;
 use std::rc::Rc;
 
--- a/crates/rookpulley-satchel/src/satchel.rs
+++ b/crates/rookpulley-satchel/src/satchel.rs
@@ -1,9 +1,9 @@
 //! What a courier holds: the configuration, tables and drains as offices tell them, and what pays for further tries.
 
 use crate::tally::Tally;
+use rookpulley_balancer::{Budget, Fleet, Move, Offices, Post};
 use rookpulley_protocol::frame::LONGEST;
 use rookpulley_protocol::{Down, Life, Up, unpack};
-use rookpulley_round::{Budget, Fleet, Move, Offices, Post};
 use rookpulley_routes::Book;
 use std::collections::HashMap;
 use std::net::Ipv4Addr;
--- a/crates/rookpulley-satchel/src/tally.rs
+++ b/crates/rookpulley-satchel/src/tally.rs
@@ -1,7 +1,7 @@
 //! What is counted for the home's next report.
 
+use rookpulley_balancer::Fate;
 use rookpulley_protocol::{Life, Report, ServiceReport, TaskReport};
-use rookpulley_round::Fate;
 use std::collections::HashMap;
 
 #[derive(Default)]
--- a/crates/rookpulley-scale/src/hollow_proxy.rs
+++ b/crates/rookpulley-scale/src/hollow_proxy.rs
@@ -1,8 +1,8 @@
 //! Proxies that carry nothing: each keeps a line to every controller, chooses its primary, takes tables, drains and
 //! configurations and acknowledges and reports as a real one does. What it is sent is counted, and then dropped.
 
+use rookpulley_balancer::Offices;
 use rookpulley_protocol::{Down, Frames, Report, ServiceReport, Up, frame};
-use rookpulley_round::Offices;
 use rookpulley_runtime::line;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
