--- a/crates/rookpulley-proxy/src/attempt.rs
+++ b/crates/rookpulley-proxy/src/attempt.rs
@@ -11,7 +11,7 @@
 use hyper::{Method, Request, Response, Uri, Version};
 use rookpulley_balancer::{Fate, Pick};
 use rookpulley_protocol::Line;
-use rookpulley_satchel::{Back, How, Leaving, Way};
+use rookpulley_proxy_core::{Back, How, Leaving, Way};
 use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
--- a/crates/rookpulley-proxy/src/ending.rs
+++ b/crates/rookpulley-proxy/src/ending.rs
@@ -1,9 +1,9 @@
 //! What the platform says by signals, and all that is due from time to time.
 
 use crate::state::Courier;
+use rookpulley_proxy_core::Satchel;
 use rookpulley_routes::Limits;
 use rookpulley_runtime::File;
-use rookpulley_satchel::Satchel;
 use rookpulley_settings::Node;
 use std::path::PathBuf;
 use std::rc::Rc;
--- a/crates/rookpulley-proxy/src/head.rs
+++ b/crates/rookpulley-proxy/src/head.rs
@@ -4,7 +4,7 @@
 use hyper::Method;
 use hyper::header::{CONTENT_ENCODING, CONTENT_LENGTH, HeaderValue, TRANSFER_ENCODING};
 use hyper::http::response::Parts;
-use rookpulley_satchel::{Head, Worth};
+use rookpulley_proxy_core::{Head, Worth};
 
 pub fn worth(head: &Parts, id: &HeaderValue, method: &Method) -> Worth {
     // A body that only the connection's end delimits can't be told from one that was cut off; what is stated in
@@ -16,7 +16,7 @@
         (false, false) => method == Method::HEAD || matches!(head.status.as_u16(), 204 | 304),
         (true, true) => false,
     };
-    rookpulley_satchel::worth(Head {
+    rookpulley_proxy_core::worth(Head {
         status: head.status.as_u16(),
         own: one(&head.headers, &REQUEST_ID) == Some(id),
         not_executed: head.headers.contains_key("not-executed"),
--- a/crates/rookpulley-proxy/src/lib.rs
+++ b/crates/rookpulley-proxy/src/lib.rs
@@ -24,8 +24,8 @@
 pub use ending::{Signal, Signals};
 pub use state::Courier;
 
+use rookpulley_proxy_core::Satchel;
 use rookpulley_runtime::line;
-use rookpulley_satchel::Satchel;
 use rookpulley_settings::Node;
 use std::net::{SocketAddr, SocketAddrV4};
 use std::path::PathBuf;
--- a/crates/rookpulley-simulator/src/couriers.rs
+++ b/crates/rookpulley-simulator/src/couriers.rs
@@ -8,7 +8,7 @@
 use rand::RngExt;
 use rookpulley_balancer::{Fate, Pick};
 use rookpulley_protocol::{Down, Line as TableLine, Report, TaskReport, Up, frame};
-use rookpulley_satchel::{Back, Effect, Go, Head, How, Journey, Leaving, Satchel, Then, Way, worth};
+use rookpulley_proxy_core::{Back, Effect, Go, Head, How, Journey, Leaving, Satchel, Then, Way, worth};
 use std::collections::{BTreeMap, HashMap};
 use std::net::Ipv4Addr;
 use std::rc::Rc;
