--- a/crates/rookpulley-cli/tests/gateway.rs
+++ b/crates/rookpulley-cli/tests/gateway.rs
@@ -2,7 +2,7 @@
 
 use assert_cmd::Command;
 use rookpulley_chain::{Boot, CallKind, Chain, Effect, Input, Kept, Member, Outcome, Record};
-use rookpulley_clerk::Kept as Held;
+use rookpulley_control::Kept as Held;
 use rookpulley_registry::News;
 use rookpulley_state::Update;
 use rookpulley_store::{Part, Said, Store};
--- a/crates/rookpulley-clerk/tests/founding.rs
+++ b/crates/rookpulley-control/tests/founding.rs
@@ -4,7 +4,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use rookpulley_chain::{Member, Record};
-use rookpulley_clerk::{Annex, AnnexEffect, AnnexStart, Effect, Founding, Office, Start, Word};
+use rookpulley_control::{Annex, AnnexEffect, AnnexStart, Effect, Founding, Office, Start, Word};
 use rookpulley_protocol::{Down, Frames, Up, frame};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::{Ipv4Addr, SocketAddrV4};
--- a/crates/rookpulley-controller/src/annex.rs
+++ b/crates/rookpulley-controller/src/annex.rs
@@ -4,7 +4,7 @@
 use crate::ending::{self, Signals};
 use miette::IntoDiagnostic;
 use rookpulley_api::{Bounds, Call, Match, Reply, Tree};
-use rookpulley_clerk::{Annex, AnnexEffect, AnnexStart, Word};
+use rookpulley_control::{Annex, AnnexEffect, AnnexStart, Word};
 use rookpulley_protocol::{Down, Up};
 use rookpulley_runtime::{File, line};
 use rookpulley_settings::Node;
--- a/crates/rookpulley-controller/src/annex/tests.rs
+++ b/crates/rookpulley-controller/src/annex/tests.rs
@@ -1,7 +1,7 @@
 use super::*;
 use crate::couriers;
 use crate::hub::Hub;
-use rookpulley_clerk::Founding;
+use rookpulley_control::Founding;
 use rookpulley_store::Store;
 use std::thread::JoinHandle;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
--- a/crates/rookpulley-controller/src/calls.rs
+++ b/crates/rookpulley-controller/src/calls.rs
@@ -3,7 +3,7 @@
 use crate::hub::Hub;
 use crate::show::{self, Part};
 use rookpulley_api::{Bounds, Call, Match, Reply, Tree, query};
-use rookpulley_clerk::{self as clerk, Content, Path};
+use rookpulley_control::{self as clerk, Content, Path};
 use std::rc::Rc;
 use tinyjson::JsonValue;
 use tokio::net::TcpListener;
--- a/crates/rookpulley-controller/src/controller.rs
+++ b/crates/rookpulley-controller/src/controller.rs
@@ -5,7 +5,7 @@
 use crate::hub::{Hub, StoreFailure};
 use crate::{calls, couriers, peers};
 use miette::{IntoDiagnostic, WrapErr};
-use rookpulley_clerk::Founding;
+use rookpulley_control::Founding;
 use rookpulley_runtime::{File, line};
 use rookpulley_settings::Node;
 use rookpulley_store::{Store, StoreError};
--- a/crates/rookpulley-controller/src/hub.rs
+++ b/crates/rookpulley-controller/src/hub.rs
@@ -2,7 +2,7 @@
 
 use crate::show::Counts;
 use rookpulley_chain::Member;
-use rookpulley_clerk::{Effect, Founding, Office, Reply, Start, Wants, Word};
+use rookpulley_control::{Effect, Founding, Office, Reply, Start, Wants, Word};
 use rookpulley_protocol::Up;
 use rookpulley_runtime::line::Outbox;
 use rookpulley_settings::Node;
--- a/crates/rookpulley-controller/src/peers.rs
+++ b/crates/rookpulley-controller/src/peers.rs
@@ -1,7 +1,7 @@
 //! Lines between offices. Each office dials every other; what it says goes on the line that it dialed.
 
 use crate::hub::Hub;
-use rookpulley_clerk::Word;
+use rookpulley_control::Word;
 use rookpulley_runtime::line;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::rc::Rc;
--- a/crates/rookpulley-controller/src/show.rs
+++ b/crates/rookpulley-controller/src/show.rs
@@ -7,7 +7,7 @@
 use crate::hub::Hub;
 pub use counts::Counts;
 use rookpulley_api::Reply;
-use rookpulley_clerk::Office;
+use rookpulley_control::Office;
 use rookpulley_registry::Standing;
 use tinyjson::JsonValue;
 
--- a/crates/rookpulley-controller/src/show/counts.rs
+++ b/crates/rookpulley-controller/src/show/counts.rs
@@ -2,7 +2,7 @@
 
 use crate::calls::Asked;
 use crate::hub::Hub;
-use rookpulley_clerk::{Office, Path};
+use rookpulley_control::{Office, Path};
 use rookpulley_registry::Standing;
 use std::cell::Cell;
 use std::fmt::Write;
--- a/crates/rookpulley-simulator/src/annexes.rs
+++ b/crates/rookpulley-simulator/src/annexes.rs
@@ -3,7 +3,7 @@
 use crate::net::unframed;
 use crate::world::{Core, What, World};
 use crate::{MS, S, Us};
-use rookpulley_clerk::{Annex, AnnexEffect, AnnexStart, Content, Reply, Word};
+use rookpulley_control::{Annex, AnnexEffect, AnnexStart, Content, Reply, Word};
 use rookpulley_protocol::{Down, Up, frame};
 use std::collections::BTreeMap;
 use std::net::{Ipv4Addr, SocketAddrV4};
--- a/crates/rookpulley-simulator/src/apps.rs
+++ b/crates/rookpulley-simulator/src/apps.rs
@@ -5,7 +5,7 @@
 use crate::world::{What, World};
 use crate::{MS, S, Us};
 use rand::RngExt;
-use rookpulley_clerk::{Content, Path, Reply};
+use rookpulley_control::{Content, Path, Reply};
 use std::collections::HashMap;
 use tinyjson::JsonValue;
 
--- a/crates/rookpulley-simulator/src/callers.rs
+++ b/crates/rookpulley-simulator/src/callers.rs
@@ -4,7 +4,7 @@
 use crate::world::{What, World};
 use crate::{MS, S, Us};
 use rand::RngExt;
-use rookpulley_clerk::{Path, Reply};
+use rookpulley_control::{Path, Reply};
 
 #[derive(Clone, Debug, PartialEq)]
 pub enum Who {
--- a/crates/rookpulley-simulator/src/disk.rs
+++ b/crates/rookpulley-simulator/src/disk.rs
@@ -30,7 +30,7 @@
 #[derive(Default)]
 pub struct Disk {
     pub identity: Option<u64>,
-    pub founding: Option<rookpulley_clerk::Founding>,
+    pub founding: Option<rookpulley_control::Founding>,
     pub chain: Rows,
     pub lives: Rows,
     pub trouble: Option<DiskTrouble>,
--- a/crates/rookpulley-simulator/src/offices.rs
+++ b/crates/rookpulley-simulator/src/offices.rs
@@ -5,7 +5,7 @@
 use crate::{MS, S, Us};
 use rand::RngExt;
 use rookpulley_chain::{Kept, Member};
-use rookpulley_clerk::{Content, Effect, Founding, Office, Path, Reply, Start, Wants, Word, read};
+use rookpulley_control::{Content, Effect, Founding, Office, Path, Reply, Start, Wants, Word, read};
 use rookpulley_protocol::Up;
 use rookpulley_state::{Answer, Ask, Update};
 use std::collections::{BTreeMap, HashMap};
--- a/crates/rookpulley-simulator/src/operator.rs
+++ b/crates/rookpulley-simulator/src/operator.rs
@@ -7,7 +7,7 @@
 use crate::{MS, S, Us};
 use rand::RngExt;
 use rand_chacha::ChaCha8Rng;
-use rookpulley_clerk::{Content, Path, Reply};
+use rookpulley_control::{Content, Path, Reply};
 use rookpulley_routes::RouteKind;
 use std::fmt::Write;
 
--- a/crates/rookpulley-simulator/src/tasks.rs
+++ b/crates/rookpulley-simulator/src/tasks.rs
@@ -10,7 +10,7 @@
 use crate::world::{What, World};
 use crate::{MS, S, Us};
 use rand::RngExt;
-use rookpulley_clerk::{Path, Reply};
+use rookpulley_control::{Path, Reply};
 use std::collections::{BTreeMap, VecDeque};
 use std::net::{Ipv4Addr, SocketAddrV4};
 
--- a/crates/rookpulley-simulator/src/world.rs
+++ b/crates/rookpulley-simulator/src/world.rs
@@ -248,7 +248,7 @@
     Replied {
         call: u64,
         attempt: u32,
-        reply: Option<rookpulley_clerk::Reply>,
+        reply: Option<rookpulley_control::Reply>,
     },
     CallLate {
         call: u64,
--- a/crates/rookpulley-store/examples/call_cost.rs
+++ b/crates/rookpulley-store/examples/call_cost.rs
@@ -7,7 +7,7 @@
 
 use load::Load;
 use rookpulley_chain::{Boot, CallKind, Chain, Effect, Input, Member, Message, Outcome};
-use rookpulley_clerk::Kept;
+use rookpulley_control::Kept;
 use rookpulley_protocol::{Frames, frame};
 use rookpulley_state::{Answer, Ask};
 use std::collections::VecDeque;
--- a/crates/rookpulley-store/examples/disk_use.rs
+++ b/crates/rookpulley-store/examples/disk_use.rs
@@ -6,7 +6,7 @@
 
 use load::Load;
 use rookpulley_chain::{Boot, CallKind, Chain, Effect, Input, Member, Outcome};
-use rookpulley_clerk::Kept;
+use rookpulley_control::Kept;
 use rookpulley_state::Answer;
 use rookpulley_store::{Part, Said, Store};
 use std::collections::VecDeque;
--- a/crates/rookpulley-store/examples/fill_time.rs
+++ b/crates/rookpulley-store/examples/fill_time.rs
@@ -6,7 +6,7 @@
 
 use load::configuration;
 use rookpulley_chain::{Boot, CallKind, Chain, Effect, Input, Member, Message, Outcome};
-use rookpulley_clerk::Kept;
+use rookpulley_control::Kept;
 use rookpulley_protocol::{Frames, frame};
 use rookpulley_state::Update;
 use rookpulley_store::{Part, Said, Store};
--- a/crates/rookpulley-store/tests/room.rs
+++ b/crates/rookpulley-store/tests/room.rs
@@ -6,7 +6,7 @@
 
 use load::Load;
 use rookpulley_chain::{Boot, CallKind, Chain, Effect, Input, Member, Outcome, Record};
-use rookpulley_clerk::Kept;
+use rookpulley_control::Kept;
 use rookpulley_store::{Part, Said, Store};
 use std::collections::VecDeque;
 use std::path::Path;
--- a/crates/rookpulley-store/tests/torn.rs
+++ b/crates/rookpulley-store/tests/torn.rs
@@ -1,7 +1,7 @@
 //! Power lost while an office's store is written: of what isn't synced any part may have reached the disk, cut anywhere.
 
 use rookpulley_chain::{Boot, CallKind, Chain, Effect, Input, Member, Outcome, Record};
-use rookpulley_clerk::Kept;
+use rookpulley_control::Kept;
 use rookpulley_state::Update;
 use rookpulley_store::{Part, Said, Store, look, replace};
 use std::collections::{BTreeMap, VecDeque};
