--- /dev/null
+++ b/crates/rookpulley-control/src/controller/proxies.rs
@@ -0,0 +1,117 @@
+//! The lines of proxies: what they say, and the tables and drains that they are told.
+
+use super::{Controller, Courier, Effect};
+use crate::word::Word;
+use rookpulley_protocol::{Down, Up, frame};
+use rookpulley_registry::{News, Out};
+
+impl Controller {
+    /// A courier says hello on a line, which `number` gave.
+    pub fn courier_in(
+        &mut self,
+        now: f64,
+        line: u64,
+        (node, zone): (&str, &str),
+        home: bool,
+        (config, tables): (u64, bool),
+        gone: &[String],
+    ) {
+        self.roll.came(node);
+        self.couriers.insert(node.into(), Courier { line, zone: zone.into(), home, config });
+        self.desk.courier_out(now, node);
+        if home {
+            self.desk.courier_in(now, node, zone, 1.0, tables);
+        }
+        let news = self.registry.take_gone(now, gone);
+        if !news.is_empty() {
+            let told = news.iter().map(|life| News::Gone { life: life.clone(), age_ms: 0.0 }).collect();
+            self.send_all(&Word::News { ask: 0, news: told });
+            self.tell_gone(now, news);
+        }
+        for down in [self.pulse(now), Down::Gone { lives: self.registry.gone_lives() }] {
+            self.out.push(Effect::Down { line, frame: frame(&down) });
+        }
+        if home {
+            self.send_configuration(now, node);
+            self.tables(now);
+        }
+        self.log(format!("couriers: {node} of {zone} is here{}", if home { ", at home" } else { "" }));
+    }
+
+    pub fn serving(&self, now: f64) -> bool {
+        self.chain.serving(now as u64)
+    }
+
+    pub(super) fn send_configuration(&mut self, now: f64, node: &str) {
+        // One that isn't part of the chain may hold an old one: a courier that has none would begin with it.
+        if !self.serving(now) {
+            return;
+        }
+        if let Some(courier) = self.couriers.get_mut(node) {
+            courier.send_newer(&mut self.editions, &mut self.out);
+        }
+    }
+
+    pub fn courier_said(&mut self, now: f64, node: &str, line: u64, up: Up) {
+        let serving = self.serving(now);
+        let Some(courier) = self.couriers.get_mut(node).filter(|c| c.line == line) else { return };
+        match up {
+            Up::Home { home, config, tables } => {
+                (courier.home, courier.config) = (home, config);
+                self.desk.courier_out(now, node);
+                if home {
+                    self.desk.courier_in(now, node, &courier.zone, 1.0, tables);
+                    if serving {
+                        courier.send_newer(&mut self.editions, &mut self.out);
+                    }
+                }
+            }
+            Up::WantConfig { have } if serving => {
+                courier.config = have;
+                courier.send_newer(&mut self.editions, &mut self.out);
+            }
+            Up::Report(report) => self.desk.report(node, &report),
+            Up::Took { mark } => self.desk.took(node, mark),
+            Up::Hello { .. } | Up::WantConfig { .. } | Up::Annex { .. } | Up::Found { .. } => {}
+        }
+    }
+
+    pub fn courier_out(&mut self, now: f64, node: &str, line: u64) {
+        if self.couriers.get(node).is_some_and(|c| c.line == line) {
+            self.couriers.remove(node);
+            self.desk.courier_out(now, node);
+            self.roll.went(now, node);
+        }
+    }
+
+    pub(super) fn tell_couriers(&mut self, down: &Down) {
+        let bytes = frame(down);
+        let each = |courier: &Courier| Effect::Down { line: courier.line, frame: bytes.clone() };
+        self.out.extend(self.couriers.values().map(each));
+    }
+
+    pub(super) fn tell_gone(&mut self, now: f64, lives: Vec<String>) {
+        if lives.is_empty() {
+            return;
+        }
+        self.log(format!("registry: {} drain or have left", lives.join(" ")));
+        self.tally.drains += lives.len() as u64;
+        self.tell_couriers(&Down::Gone { lives });
+        self.tables(now);
+    }
+
+    pub(super) fn tables(&mut self, now: f64) {
+        self.desk.sync(now, &self.registry);
+        for out in self.desk.tick(now) {
+            match out {
+                Out::Table { courier, service, name, mark, lines } => {
+                    if let Some(to) = self.couriers.get(&courier) {
+                        let frame = frame(&Down::Table { service, name, mark, lines });
+                        self.out.push(Effect::Down { line: to.line, frame });
+                    }
+                }
+                Out::Log { service, text } => self.log(format!("desk: {service}: {text}")),
+            }
+        }
+    }
+}
--- a/crates/rookpulley-control/src/lib.rs
+++ b/crates/rookpulley-control/src/lib.rs
@@ -1,14 +1,14 @@
 //! All that an office decides and keeps, put together. No sockets, files or clocks.
 //!
-//! `office` is where its parts meet: each input comes with the time, and what is to be done about it is taken from
-//! `Office::effects` afterwards. `calls` reads what callers ask and writes what they are told, `watches` are those who
+//! `controller` is where its parts meet: each input comes with the time, and what is to be done about it is taken from
+//! `Controller::effects` afterwards. `calls` reads what callers ask and writes what they are told, `watches` are those who
 //! wait for a put, `word` is what offices say to each other, `state` the ledger as the chain keeps it, `tally` counts.
 //! `founding` is who makes the first view, `annex` an office without a disk.
 
 mod annex;
 mod calls;
+mod controller;
 mod founding;
-mod office;
 mod pace;
 mod state;
 mod tally;
@@ -17,8 +17,8 @@
 
 pub use annex::{Annex, AnnexEffect, AnnexStart};
 pub use calls::{Content, Path, Reply, Wants, read};
+pub use controller::{Controller, Courier, Effect, Rows, Start};
 pub use founding::Founding;
-pub use office::{Courier, Effect, Office, Rows, Start};
 pub use state::Kept;
 pub use tally::Tally;
 pub use word::Word;
--- a/crates/rookpulley-control/tests/founding.rs
+++ b/crates/rookpulley-control/tests/founding.rs
@@ -4,7 +4,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use rookpulley_chain::{Member, Record};
-use rookpulley_control::{Annex, AnnexEffect, AnnexStart, Effect, Founding, Office, Start, Word};
+use rookpulley_control::{Annex, AnnexEffect, AnnexStart, Controller, Effect, Founding, Start, Word};
 use rookpulley_protocol::{Down, Frames, Up, frame};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::{Ipv4Addr, SocketAddrV4};
@@ -15,7 +15,7 @@
 
 #[allow(clippy::large_enum_variant)]
 enum Process {
-    Office { office: Office, round: u64 },
+    Controller { office: Controller, round: u64 },
     Annex(Annex),
 }
 
@@ -178,7 +178,7 @@
                 if fresh {
                     disk.mark = first.then(|| Founding::new(machine.ip, &seeds).mark());
                 }
-                let office = Office::new(Start {
+                let office = Controller::new(Start {
                     me: Member { id: *disk.id.get_or_insert(id), life, address },
                     seeds,
                     losses: 0,
@@ -189,7 +189,7 @@
                     held: (!fresh).then(|| disk.rows.clone().into_iter().collect()),
                     lives: Vec::new(),
                 });
-                Process::Office { office, round: 0 }
+                Process::Controller { office, round: 0 }
             }
         };
         machine.process = Some(process);
@@ -242,7 +242,7 @@
         let by = (at, self.machines[at].life);
         match &mut self.machines[at].process {
             None => {}
-            Some(Process::Office { office, .. }) => {
+            Some(Process::Controller { office, .. }) => {
                 let effects = office.effects();
                 let view = office.chain.view().filter(|view| view.number == 1);
                 self.founders.extend(view.map(|view| view.members[0].id));
@@ -304,16 +304,16 @@
             self.machines.iter().position(|m| m.ip == ip).filter(|to| self.machines[*to].process.is_some());
         let Some(to) = to else { return self.dial_again(by, ip) };
         let ends = [by, (to, self.machines[to].life)];
-        let of_offices = matches!(self.machines[by.0].process, Some(Process::Office { .. }));
+        let of_offices = matches!(self.machines[by.0].process, Some(Process::Controller { .. }));
         let number = match self.machines[to].process.as_mut().unwrap() {
-            Process::Office { office, .. } => office.number(),
+            Process::Controller { office, .. } => office.number(),
             Process::Annex(_) => 1_000_000 + self.count,
         };
         self.count += 1;
         let line = Line { ends, of_offices, number, who: None, greeted: false, last_ms: [self.now; 2] };
         self.lines.insert(self.count, line);
         match self.machines[by.0].process.as_mut().unwrap() {
-            Process::Office { office, .. } => office.dialed(now, ip),
+            Process::Controller { office, .. } => office.dialed(now, ip),
             Process::Annex(annex) => annex.opened(now, ip),
         }
         self.carry_out(by.0);
@@ -322,7 +322,7 @@
     fn dial_again(&mut self, by: Place, ip: Ipv4Addr) {
         let now = self.now as f64;
         let over = match self.machines[by.0].process.as_mut().unwrap() {
-            Process::Office { office, .. } => {
+            Process::Controller { office, .. } => {
                 let over = !office.still_known(now, ip);
                 if over {
                     office.forget(ip);
@@ -346,10 +346,10 @@
             return;
         }
         match (machine.process.as_mut(), side, of.of_offices) {
-            (Some(Process::Office { office, .. }), 1, true) => {
+            (Some(Process::Controller { office, .. }), 1, true) => {
                 office.word(now, &mut of.who, one::<Word>(bytes));
             }
-            (Some(Process::Office { office, .. }), 1, false) => match one::<Up>(bytes) {
+            (Some(Process::Controller { office, .. }), 1, false) => match one::<Up>(bytes) {
                 Up::Annex { address, offices } if !std::mem::replace(&mut of.greeted, true) => {
                     office.annex_in(now, of.number, address, &offices);
                 }
@@ -375,11 +375,11 @@
             return;
         }
         match (self.machines[end.0].process.as_mut().unwrap(), side) {
-            (Process::Office { office, .. }, 0) => office.hung_up(ip),
-            (Process::Office { office, .. }, _) if of.of_offices => {
+            (Process::Controller { office, .. }, 0) => office.hung_up(ip),
+            (Process::Controller { office, .. }, _) if of.of_offices => {
                 of.who.into_iter().for_each(|id| office.line_ended(now, id));
             }
-            (Process::Office { office, .. }, _) => office.annex_out(now, of.number),
+            (Process::Controller { office, .. }, _) => office.annex_out(now, of.number),
             (Process::Annex(annex), 0) => annex.lost(ip),
             (Process::Annex(annex), _) => annex.guest_out(of.number),
         }
@@ -400,7 +400,7 @@
                 Event::Tick(by) if self.lives(by) => {
                     let now = self.now as f64;
                     match self.machines[by.0].process.as_mut().unwrap() {
-                        Process::Office { office, round } => {
+                        Process::Controller { office, round } => {
                             office.tick(now, *round);
                             *round += 1;
                             self.after(50, Event::Tick(by));
@@ -424,7 +424,7 @@
                         }
                     }
                     let now = self.now as f64;
-                    if let Some(Process::Office { office, .. }) = &mut self.machines[by.0].process {
+                    if let Some(Process::Controller { office, .. }) = &mut self.machines[by.0].process {
                         office.stored(now, Some(ticket), None, 1.0);
                     }
                     self.carry_out(by.0);
@@ -437,7 +437,7 @@
 
     fn all_have_a_view(&self) -> bool {
         self.machines.iter().all(|m| match &m.process {
-            Some(Process::Office { office, .. }) => office.chain.view().is_some(),
+            Some(Process::Controller { office, .. }) => office.chain.view().is_some(),
             _ => true,
         })
     }
--- a/crates/rookpulley-controller/src/hub.rs
+++ b/crates/rookpulley-controller/src/hub.rs
@@ -2,7 +2,7 @@
 
 use crate::show::Counts;
 use rookpulley_chain::Member;
-use rookpulley_control::{Effect, Founding, Office, Reply, Start, Wants, Word};
+use rookpulley_control::{Controller, Effect, Founding, Reply, Start, Wants, Word};
 use rookpulley_protocol::Up;
 use rookpulley_runtime::line::Outbox;
 use rookpulley_settings::Node;
@@ -42,7 +42,7 @@
     pub node: Node,
     me: Member,
     born: Instant,
-    office: RefCell<Office>,
+    office: RefCell<Controller>,
     lines: RefCell<Lines>,
     /// Asks the main loop to dial what became known.
     pub dial: Notify,
@@ -80,7 +80,7 @@
             node,
             me,
             born: Instant::now(),
-            office: RefCell::new(Office::new(start)),
+            office: RefCell::new(Controller::new(start)),
             lines: RefCell::new(lines),
             dial: Notify::new(),
             counts: Counts::default(),
@@ -100,16 +100,16 @@
     }
 
     pub fn status(&self) -> String {
-        self.look(Office::status)
+        self.look(Controller::status)
     }
 
     /// For `show`.
-    pub fn look<T>(&self, look: impl FnOnce(&Office) -> T) -> T {
+    pub fn look<T>(&self, look: impl FnOnce(&Controller) -> T) -> T {
         look(&self.office.borrow())
     }
 
     /// Something comes in; what the clerk wants is carried out.
-    fn with<T>(&self, input: impl FnOnce(&mut Office, f64) -> T) -> T {
+    fn with<T>(&self, input: impl FnOnce(&mut Controller, f64) -> T) -> T {
         let (came, effects) = {
             let mut office = self.office.borrow_mut();
             (input(&mut office, self.now_ms()), office.effects())
@@ -316,7 +316,7 @@
 
     /// Asks the others to go on without this office; true once they do.
     pub fn left_the_chain(&self) -> bool {
-        self.with(Office::left_the_chain)
+        self.with(Controller::left_the_chain)
     }
 
     /// Every 50 ms.
--- a/crates/rookpulley-controller/src/show.rs
+++ b/crates/rookpulley-controller/src/show.rs
@@ -7,7 +7,7 @@
 use crate::hub::Hub;
 pub use counts::Counts;
 use rookpulley_api::Reply;
-use rookpulley_control::Office;
+use rookpulley_control::Controller;
 use rookpulley_registry::Standing;
 use tinyjson::JsonValue;
 
@@ -65,7 +65,7 @@
     (JsonValue::Array(kept), number(more))
 }
 
-fn view(hub: &Hub, office: &Office, now: f64) -> JsonValue {
+fn view(hub: &Hub, office: &Controller, now: f64) -> JsonValue {
     let shown = office.chain.shown(now as u64);
     let last = shown.members.len().saturating_sub(1);
     let members = shown.members.iter().enumerate().map(|(at, one)| {
@@ -115,7 +115,7 @@
     }
 }
 
-fn tasks(office: &Office, now: f64, service: &str) -> JsonValue {
+fn tasks(office: &Controller, now: f64, service: &str) -> JsonValue {
     let tasks = office.registry.tasks().filter(|t| service.is_empty() || t.beat.service == service);
     let rows = tasks.map(|task| {
         object([
@@ -132,7 +132,7 @@
     object([("settling", office.registry.settling(now).into()), ("tasks", rows), ("more", more)])
 }
 
-fn tables(office: &Office, service: &str) -> JsonValue {
+fn tables(office: &Controller, service: &str) -> JsonValue {
     let tables = office.desk.shown().into_iter().filter(|t| service.is_empty() || t.service == service);
     let rows = tables.map(|table| {
         object([
@@ -148,7 +148,7 @@
     object([("tables", rows), ("more", more)])
 }
 
-fn couriers(office: &Office) -> JsonValue {
+fn couriers(office: &Controller) -> JsonValue {
     let rows = office.couriers.iter().map(|(name, courier)| {
         object([
             ("name", text(name)),
@@ -161,7 +161,7 @@
     object([("couriers", rows), ("more", more)])
 }
 
-fn ledger(office: &Office) -> JsonValue {
+fn ledger(office: &Controller) -> JsonValue {
     let ledger = &office.chain.state().ledger;
     let sizes = ledger.sizes();
     let size = |n: usize| number(n as u64);
--- a/crates/rookpulley-controller/src/show/counts.rs
+++ b/crates/rookpulley-controller/src/show/counts.rs
@@ -2,7 +2,7 @@
 
 use crate::calls::Asked;
 use crate::hub::Hub;
-use rookpulley_control::{Office, Path};
+use rookpulley_control::{Controller, Path};
 use rookpulley_registry::Standing;
 use std::cell::Cell;
 use std::fmt::Write;
@@ -92,7 +92,7 @@
 }
 
 /// All of them, as a collector reads it.
-pub fn page(hub: &Hub, office: &Office, now: f64) -> String {
+pub fn page(hub: &Hub, office: &Controller, now: f64) -> String {
     let counts = &hub.counts;
     let mut page = Page(String::with_capacity(12 << 10));
     let calls = "rookpulley_office_calls_total";
--- a/crates/rookpulley-simulator/src/offices.rs
+++ b/crates/rookpulley-simulator/src/offices.rs
@@ -5,7 +5,7 @@
 use crate::{MS, S, Us};
 use rand::RngExt;
 use rookpulley_chain::{Kept, Member};
-use rookpulley_control::{Content, Effect, Founding, Office, Path, Reply, Start, Wants, Word, read};
+use rookpulley_control::{Content, Controller, Effect, Founding, Path, Reply, Start, Wants, Word, read};
 use rookpulley_protocol::Up;
 use rookpulley_state::{Answer, Ask, Update};
 use std::collections::{BTreeMap, HashMap};
@@ -31,7 +31,7 @@
 }
 
 pub struct OfficeProcess {
-    office: Office,
+    office: Controller,
     round: u64,
     dialers: BTreeMap<Ipv4Addr, Dialer>,
     /// Lines of couriers by the office's number for them.
@@ -83,7 +83,7 @@
             self.record.fault(format!("the disk of office {machine} is torn"));
         }
         let office = OfficeProcess {
-            office: Office::new(start),
+            office: Controller::new(start),
             round: 0,
             dialers: BTreeMap::new(),
             couriers: BTreeMap::new(),
@@ -105,7 +105,7 @@
     }
 
     /// Something comes in; what the clerk wants is carried out.
-    fn with_office<T>(&mut self, process: usize, input: impl FnOnce(&mut Office, f64) -> T) -> Option<T> {
+    fn with_office<T>(&mut self, process: usize, input: impl FnOnce(&mut Controller, f64) -> T) -> Option<T> {
         let clock = self.clock(process);
         let office = self.office(process)?;
         let came = input(&mut office.office, clock);
@@ -416,7 +416,7 @@
         let Some(since) = self.office(process).and_then(|office| office.leaves) else { return };
         let deaf = self.office(process).is_some_and(|office| office.deaf);
         if !deaf {
-            let left = self.with_office(process, Office::left_the_chain) == Some(true);
+            let left = self.with_office(process, Controller::left_the_chain) == Some(true);
             if left || now - since >= LEAVE_WITHIN {
                 self.office(process).into_iter().for_each(|office| office.deaf = true);
             }
