What a controller held at its start is handed out only once it serves

Cause, read beside the storm's pace: on each tick a controller that had just started would have told proxies the configuration of its disk before it was in touch with the others. Change: a configuration is told once something was applied in this life, or this controller serves. Result: tests/configuration.rs. Without the gate its test of one that is not in touch fails. Its other test, that one that serves hands out what it holds though nothing new comes, passes with and without the look at each tick: the new view after a start applies something by itself.

--- a/crates/rookpulley-control/src/controller.rs
+++ b/crates/rookpulley-control/src/controller.rs
@@ -165,6 +165,8 @@
     book: Option<Book>,
     /// When the newest was told, and whether a newer one waits for its turn.
     pace: Pace,
+    /// Something was applied in this life: it was agreed on.
+    applied: bool,
     pub disk: Disk,
     pub tally: Tally,
     ending: bool,
@@ -204,6 +206,7 @@
             editions: Editions::default(),
             book: None,
             pace: Pace::default(),
+            applied: false,
             disk: Disk::default(),
             tally: Tally::default(),
             ending: false,
@@ -271,6 +274,7 @@
         }
         self.tally.view(self.chain.view().map_or(0, |v| v.number));
         if moved {
+            self.applied = true;
             self.look_at_watches(now, true);
             self.tell_configuration(now);
         }
--- a/crates/rookpulley-control/src/controller/publication.rs
+++ b/crates/rookpulley-control/src/controller/publication.rs
@@ -12,7 +12,8 @@
         self.editions.newest_body().zip(self.book.as_ref())
     }
 
-    /// What holds here is remembered at once, and told when its turn has come.
+    /// What holds here is remembered at once, and told when its turn has come. What was held at the start is told once
+    /// this controller serves: the others may hold a newer one, and a proxy that has none would begin with it.
     pub(super) fn tell_configuration(&mut self, now: f64) {
         let version = self.ledger().version();
         if version <= self.editions.newest() {
@@ -20,7 +21,7 @@
         }
         let Some((_, body)) = self.chain.state().ledger.configuration() else { return };
         self.editions.take(version, body);
-        if !self.pace.is_due(now) {
+        if !self.pace.is_due(now) || !(self.applied || self.serving(now)) {
             return;
         }
         let body = body.to_vec();
