--- a/crates/rookpulley-cli/src/gateway/store.rs
+++ b/crates/rookpulley-cli/src/gateway/store.rs
@@ -6,10 +6,10 @@
 use crate::call::CannotAsk;
 use crate::show::table;
 use rookpulley_chain::{Kept, View};
-use rookpulley_ledger::{Ledger, Update};
-use rookpulley_returns::counted;
-use rookpulley_sorting::News;
-use rookpulley_strongroom::{Contents, look};
+use rookpulley_diagnostics::counted;
+use rookpulley_registry::News;
+use rookpulley_state::{Ledger, Update};
+use rookpulley_store::{Contents, look};
 use serde_json::{Value, json};
 use std::path::Path;
 
--- a/crates/rookpulley-cli/src/gateway/store/check.rs
+++ b/crates/rookpulley-cli/src/gateway/store/check.rs
@@ -2,12 +2,12 @@
 
 use crate::call::CannotAsk;
 use crate::gateway::check::Checked;
-use rookpulley_addressbook::Book;
 use rookpulley_chain::{Kept, flaws};
-use rookpulley_ledger::{Ledger, Update};
-use rookpulley_returns::{Faults, Manner, counted};
-use rookpulley_sorting::News;
-use rookpulley_strongroom::{Contents, LookError, look};
+use rookpulley_diagnostics::{Faults, Manner, counted};
+use rookpulley_registry::News;
+use rookpulley_routes::Book;
+use rookpulley_state::{Ledger, Update};
+use rookpulley_store::{Contents, LookError, look};
 use serde_json::{Value, json};
 use std::path::Path;
 
--- a/crates/rookpulley-clerk/src/calls.rs
+++ b/crates/rookpulley-control/src/calls.rs
@@ -1,11 +1,11 @@
 //! The calls of tasks, the operator and applications: what is asked by them, and what they are told.
 
-use rookpulley_addressbook::Book;
 use rookpulley_chain::Outcome;
-use rookpulley_ledger::{Answer, Ask, Update};
-use rookpulley_returns::{Bounds, Nesting, Unread, read as read_json};
-use rookpulley_sorting::Beat;
-use rookpulley_waybill::Life;
+use rookpulley_diagnostics::{Bounds, Nesting, Unread, read as read_json};
+use rookpulley_protocol::Life;
+use rookpulley_registry::Beat;
+use rookpulley_routes::Book;
+use rookpulley_state::{Answer, Ask, Update};
 use std::collections::HashMap;
 use tinyjson::JsonValue;
 
@@ -236,8 +236,8 @@
 }
 
 /// What a watch shows.
-pub(crate) fn shown(events: Vec<rookpulley_ledger::Event>, revision: u64) -> Reply {
-    let show = |e: rookpulley_ledger::Event| {
+pub(crate) fn shown(events: Vec<rookpulley_state::Event>, revision: u64) -> Reply {
+    let show = |e: rookpulley_state::Event| {
         JsonValue::Object(HashMap::from([
             ("name".into(), JsonValue::String(e.name)),
             ("value".into(), JsonValue::String(e.value)),
--- a/crates/rookpulley-office/src/show/tests.rs
+++ b/crates/rookpulley-controller/src/show/tests.rs
@@ -1,11 +1,11 @@
 use crate::calls::Calls;
 use crate::couriers;
 use crate::hub::Hub;
-use rookpulley_counter::{Bounds, Call, Reply};
-use rookpulley_mailroom::line;
+use rookpulley_api::{Bounds, Call, Reply};
+use rookpulley_protocol::Up;
+use rookpulley_runtime::line;
 use rookpulley_settings::Node;
-use rookpulley_strongroom::Store;
-use rookpulley_waybill::Up;
+use rookpulley_store::Store;
 use std::cell::RefCell;
 use std::collections::BTreeSet;
 use std::rc::Rc;
@@ -86,7 +86,7 @@
             assert!(to.send(&hello));
             *held.borrow_mut() = Some(to);
         };
-        tokio::task::spawn_local(line::run::<rookpulley_waybill::Down>(stream, None, open, |_| ()));
+        tokio::task::spawn_local(line::run::<rookpulley_protocol::Down>(stream, None, open, |_| ()));
         while hub.look(|office| office.couriers.is_empty() || office.desk.shown().is_empty()) {
             tokio::task::yield_now().await;
         }
@@ -104,12 +104,7 @@
         let calls = calls.clone();
         async move { calls.answer(call).await }
     };
-    tokio::task::spawn_local(rookpulley_counter::serve(
-        listener,
-        Bounds::default(),
-        stopped,
-        Rc::new(handler),
-    ));
+    tokio::task::spawn_local(rookpulley_api::serve(listener, Bounds::default(), stopped, Rc::new(handler)));
     stream.write_all(format!("{line}\r\nHost: a\r\nConnection: close\r\n\r\n").as_bytes()).await.unwrap();
     let mut answer = String::new();
     stream.read_to_string(&mut answer).await.unwrap();
--- a/crates/rookpulley-depot/tests/trial.rs
+++ b/crates/rookpulley-devcluster/tests/trial.rs
@@ -8,7 +8,7 @@
 use std::sync::OnceLock;
 use std::time::Duration;
 
-const DEPOT: &str = env!("CARGO_BIN_EXE_rookpulley-depot");
+const DEPOT: &str = env!("CARGO_BIN_EXE_rookpulley-devcluster");
 
 /// Builds the programs of the other packages beside the depot, which `cargo test` doesn't. Where they are built
 /// already this takes a moment.
@@ -24,7 +24,7 @@
         };
         let mut cargo = Command::new(env!("CARGO"));
         cargo.current_dir(env!("CARGO_MANIFEST_DIR")).args(["build", "--quiet", "--locked"]);
-        cargo.args(["-p", "rookpulley-office", "-p", "rookpulley-courier", "--profile", profile]);
+        cargo.args(["-p", "rookpulley-controller", "-p", "rookpulley-proxy", "--profile", profile]);
         let done = cargo.arg("--target-dir").arg(folder.parent().unwrap()).status().unwrap();
         assert!(done.success(), "the office and the courier can't be built");
     });
@@ -88,10 +88,13 @@
 fn without_its_programs_it_says_what_to_build() {
     // A link, as a copy may still be open for writing in another test's child when it is to be started.
     let alone = tempfile::tempdir_in(Path::new(DEPOT).parent().unwrap()).unwrap();
-    let copy = alone.path().join("rookpulley-depot");
+    let copy = alone.path().join("rookpulley-devcluster");
     std::fs::hard_link(DEPOT, &copy).unwrap();
     let out = Command::new(&copy).arg("--trial").output().unwrap();
     let faults = String::from_utf8_lossy(&out.stderr);
     assert!(!out.status.success());
-    assert!(faults.contains("rookpulley-office isn't there") && faults.contains("cargo build"), "{faults}");
+    assert!(
+        faults.contains("rookpulley-controller isn't there") && faults.contains("cargo build"),
+        "{faults}"
+    );
 }
--- a/crates/rookpulley-strongroom/examples/call_cost.rs
+++ b/crates/rookpulley-store/examples/call_cost.rs
@@ -1,4 +1,4 @@
-//! What a call of the chain takes in all its offices together: `cargo run --release -p rookpulley-strongroom --example
+//! What a call of the chain takes in all its offices together: `cargo run --release -p rookpulley-store --example
 //! call_cost [OFFICES KIND CALLS]`, the kind one of `update`, `read` and `idle`. Offices with their ledgers on one
 //! thread, messages framed and read back, disks that take no time; a call every 20 ms of their clock, asked of each
 //! office in turn. For instructions: `valgrind --tool=callgrind`, the difference to `idle` of as many calls.
@@ -7,9 +7,9 @@
 
 use load::Load;
 use rookpulley_chain::{Boot, CallKind, Chain, Effect, Input, Member, Message, Outcome};
-use rookpulley_clerk::Kept;
-use rookpulley_ledger::{Answer, Ask};
-use rookpulley_waybill::{Frames, frame};
+use rookpulley_control::Kept;
+use rookpulley_protocol::{Frames, frame};
+use rookpulley_state::{Answer, Ask};
 use std::collections::VecDeque;
 use std::time::Instant;
 
--- a/crates/rookpulley-strongroom/examples/fill_time.rs
+++ b/crates/rookpulley-store/examples/fill_time.rs
@@ -1,15 +1,15 @@
 //! How long an empty office takes to be filled, and how long updates pause meanwhile: `cargo run --release -p
-//! rookpulley-strongroom --example fill_time [FOLDER]`. Three offices, a thread and a store each, lines over loopback;
+//! rookpulley-store --example fill_time [FOLDER]`. Three offices, a thread and a store each, lines over loopback;
 //! an update every 5 ms as long as the one before is answered.
 
 mod load;
 
 use load::configuration;
 use rookpulley_chain::{Boot, CallKind, Chain, Effect, Input, Member, Message, Outcome};
-use rookpulley_clerk::Kept;
-use rookpulley_ledger::Update;
-use rookpulley_strongroom::{Part, Said, Store};
-use rookpulley_waybill::{Frames, frame};
+use rookpulley_control::Kept;
+use rookpulley_protocol::{Frames, frame};
+use rookpulley_state::Update;
+use rookpulley_store::{Part, Said, Store};
 use std::collections::{BTreeMap, VecDeque};
 use std::io::{Read, Write};
 use std::net::{SocketAddrV4, TcpListener, TcpStream};
