The simulation's judge asks that routes added later are served as the first ones are

Change: by the newest version acknowledged long enough before, requests at machines in touch on routes that the first configuration had and on those that it had not; under a quarter of the first ones' share is a breach.

--- a/crates/rookpulley-simulator/src/couriers.rs
+++ b/crates/rookpulley-simulator/src/couriers.rs
@@ -406,10 +406,21 @@
         }
     }
 
+    fn on_later_route(&self, try_: usize) -> bool {
+        let of = &self.record.tries[try_];
+        let first = self.record.puts.first().and_then(|put| put.config.route(&of.host, &of.path));
+        let now = self.record.puts.last().and_then(|put| put.config.route(&of.host, &of.path));
+        now.is_some() && first.map(|route| route.name) != now.map(|route| route.name)
+    }
+
     fn tell(&mut self, process: usize, try_: usize, mut told: Told) {
         if self.mutation == Some(Mutation::PromisesAll) && matches!(told.status, 502 | 504) {
             told.status = 503;
         }
+        if self.mutation == Some(Mutation::LaterRoutesFail) && told.status == 200 && self.on_later_route(try_)
+        {
+            told.status = 502;
+        }
         if self.mutation == Some(Mutation::NoTimeTold) {
             told.retry_after_ms = None;
         }
--- a/crates/rookpulley-simulator/src/judge/requests.rs
+++ b/crates/rookpulley-simulator/src/judge/requests.rs
@@ -12,6 +12,15 @@
 /// Promises that nothing ran.
 const PROMISES: [u16; 4] = [408, 421, 429, 503];
 
+/// So many requests on routes that were added later tell something.
+const LATER_LEAST: usize = 20;
+
+#[derive(Debug, Default)]
+struct Served {
+    asked: usize,
+    served: usize,
+}
+
 impl<'a> Judge<'a> {
     fn by_request(&self) -> HashMap<usize, Vec<&'a Arrival>> {
         let mut by: HashMap<usize, Vec<&Arrival>> = HashMap::new();
@@ -182,9 +191,35 @@
         if denied > 5 + proper / 500 {
             self.breach(Rule::Denied, 0, || format!("{denied} proper requests get 404"));
         }
+        self.later_routes();
         self.orders();
     }
 
+    /// Routes that were added later are served about as often as the first ones, by machines in touch.
+    fn later_routes(&mut self) {
+        let Some(first) = self.valid().next() else { return };
+        let is_first = |name: u64| first.config.routes.iter().any(|route| route.name == name);
+        let (mut of_first, mut of_later) = (Served::default(), Served::default());
+        for try_ in self.record.tries.iter().filter(|try_| self.in_touch(try_.machine, try_.sent_us)) {
+            let holds =
+                self.valid().filter(|put| put.acked.is_some_and(|acked| acked + APPLY <= try_.sent_us));
+            let newest = holds.max_by_key(|put| put.config.version);
+            let Some(route) = newest.and_then(|put| put.config.route(&try_.host, &try_.path)) else {
+                continue;
+            };
+            let of = if is_first(route.name) { &mut of_first } else { &mut of_later };
+            of.asked += 1;
+            of.served += usize::from(try_.served());
+        }
+        let seldom = of_later.served * of_first.asked * 4 < of_first.served * of_later.asked;
+        if of_later.asked >= LATER_LEAST && seldom {
+            let end = self.record.end;
+            self.breach(Rule::Config, end, || {
+                format!("routes added later are served {of_later:?}, the first ones {of_first:?}")
+            });
+        }
+    }
+
     fn orders(&mut self) {
         for (number, put) in self.record.puts.iter().enumerate() {
             let version = put.config.version;
--- a/crates/rookpulley-simulator/src/world.rs
+++ b/crates/rookpulley-simulator/src/world.rs
@@ -81,6 +81,8 @@
     HomePresumedInTouch,
     /// A configuration whose version is not above the one held is refused.
     RepeatRefused,
+    /// Couriers fail what comes on routes that the first configuration didn't have.
+    LaterRoutesFail,
     /// Offices are told that no machine may be lost.
     LossesIgnored,
 }
--- a/crates/rookpulley-simulator/tests/worst_days.rs
+++ b/crates/rookpulley-simulator/tests/worst_days.rs
@@ -98,6 +98,18 @@
     case(day, wrong, &[Mutation::RepeatRefused, Mutation::SyncLeftOut, Mutation::TakesInvalid]);
 }
 
+#[test]
+fn routes_that_are_added_again_and_again_are_served_as_the_first_ones_are() {
+    fn day(seed: u64) -> Day {
+        let machine = two(seed)[0];
+        let mut day = with(five(seed), each(5_000, 36_000, 500, &Happens::Change));
+        day.rate = 240;
+        let killed = Happens::KillOne { machine, office: true, down_ms: 900 };
+        with(day, vec![(12_000, killed), (20_000, Happens::Freeze { machine, ms: 3_000 })])
+    }
+    case(day, little_served, &[Mutation::LaterRoutesFail, Mutation::ConfigurationsMissed]);
+}
+
 #[test]
 fn a_second_loss_after_a_repair_loses_nothing_that_was_acknowledged() {
     fn day(seed: u64) -> Day {
