The chain's model loses a second disk once the chain is mended

Change: bounds with two lost disks, the second only where the newest view at work is long enough, of disks that are there. Tried and not kept: a replacement that counts once its view is decided, before that is at work, breaks no rule of the model (it may only stand still); too few that acknowledge are not found within these bounds either, the test of a lonely one finds them.

--- a/crates/rookpulley-chain/tests/model/main.rs
+++ b/crates/rookpulley-chain/tests/model/main.rs
@@ -27,6 +27,8 @@
 const CRASH: Bounds = Bounds { crashes: 1, ..CALM };
 /// Two members and a newcomer, so that the one that is left when a disk is lost must decide alone.
 const LOST_DISK: Bounds = Bounds { first: 2, wipes: 1, reads: true, voters: true, ..CALM };
+/// The same, and once the chain is mended another disk.
+const SECOND_LOST_DISK: Bounds = Bounds { wipes: 2, reads: false, ..LOST_DISK };
 /// The agreement alone: several ballots for the second view, and nothing in it.
 const VOTES: Bounds = Bounds { ballots: [2, 0], updates: 0, crashes: 1, wipes: 1, one_each: true, ..CALM };
 const VOTES_OF_TWO: Bounds = Bounds { first: 2, ballots: [3, 0], ..VOTES };
@@ -77,6 +79,12 @@
     assert!(seen.read_in_a_later_view);
 }
 
+#[test]
+fn rules_hold_whichever_disk_is_lost_after_the_chain_is_mended() {
+    let seen = holds("a second lost disk", SECOND_LOST_DISK, true, 10_000);
+    assert!(seen.at_work_after_a_second_loss && seen.third_view_holds_what_the_first_acknowledged);
+}
+
 #[test]
 fn one_view_a_number_whoever_proposes_crashes_and_loses_its_disk() {
     let three = holds("two ballots of three", VOTES, true, 80_000);
@@ -93,6 +101,12 @@
     assert!(lonely.read_in_a_later_view);
 }
 
+#[test]
+fn a_wiped_office_under_its_old_identity_is_caught_where_a_second_disk_is_lost() {
+    let rule = Broken::ViewAtWorkWithoutWhatWasAcknowledged;
+    caught(Fault::WipedUnderItsOldIdentity, SECOND_LOST_DISK, rule);
+}
+
 #[test]
 fn votes_forgotten_at_a_restart_are_caught() {
     caught(Fault::VotesForgotten, Bounds { wipes: 0, ..VOTES }, Broken::TwoViewsOfANumber);
@@ -158,6 +172,8 @@
         decided_by_all_that_are_left: true,
         read_in_a_later_view: true,
         newcomer_at_work: true,
+        // One disk is lost here; `rules_hold_whichever_disk_is_lost_after_the_chain_is_mended` has two.
+        at_work_after_a_second_loss: false,
         view_at_work_after_a_later_one: true,
         higher_ballot_bound_by_a_lower: true,
     };
--- a/crates/rookpulley-chain/tests/model/rules.rs
+++ b/crates/rookpulley-chain/tests/model/rules.rs
@@ -99,6 +99,7 @@
     pub decided_by_all_that_are_left: bool,
     pub read_in_a_later_view: bool,
     pub newcomer_at_work: bool,
+    pub at_work_after_a_second_loss: bool,
     pub view_at_work_after_a_later_one: bool,
     pub higher_ballot_bound_by_a_lower: bool,
 }
@@ -416,6 +417,7 @@
                 seen.dead_view_passed_over |= number == 3 && state.is_dead(2) && before > 0;
                 seen.unfinished_update_carried_on |= state.order.count() > before;
                 seen.newcomer_at_work |= newcomer == Some(true);
+                seen.at_work_after_a_second_loss |= state.wipes > 1 && before > 0;
                 seen.view_at_work_after_a_later_one |= newest > number;
             });
         }
@@ -648,7 +650,7 @@
                 push(Step::Crash { place: place as u8, keeps }, after, Ok(()));
             }
         }
-        if state.wipes < self.bounds.wipes {
+        if state.wipes < self.bounds.wipes && (state.wipes == 0 || self.is_mended(state)) {
             // With it goes what it may have said: nothing, or the one vote that was not yet counted.
             let begun = |n: &u8| {
                 self.ballots(*n) == 1
@@ -678,6 +680,15 @@
         }
     }
 
+    /// After a loss the chain is as long as it must be again, of disks that are there: another one may be lost.
+    fn is_mended(&self, state: &State) -> bool {
+        self.with_view(state, state.at_work, |v| {
+            let kept = v.view.members.iter().all(|m| state.lost & bit(m.id as u8) == 0);
+            kept && v.length > self.bounds.losses
+        })
+        .unwrap_or(false)
+    }
+
     // ---- what is over -----------------------------------------------------------------------
 
     /// Whether this place among a view's members may yet take part in it.
