Show says how many members may be stopped now

Need: an operator who replaces machines must see how many losses the state bears at the moment. Change: of the members in contact, as many as are above what must hold all, and as many voices as are above a majority, the less of both; show view prints it, or that none may be stopped. An older controller doesn't tell, and nothing is printed. The expected line of the command's test grew by the new words.

--- a/crates/rookpulley-chain/src/shown.rs
+++ b/crates/rookpulley-chain/src/shown.rs
@@ -24,6 +24,9 @@
     pub swept: (u64, u64),
     /// So many machines may be lost at once with their disks: with no more members nothing is acknowledged.
     pub losses: usize,
+    /// So many more members may be lost now, before the chain is mended: enough hold all that is acknowledged, enough are
+    /// left to agree on the next view, and updates go on.
+    pub spare: usize,
     /// Head first, tail last.
     pub members: Vec<ShownMember>,
 }
@@ -72,11 +75,22 @@
             slow: self.slow,
             swept: self.stock.swept,
             losses: self.losses,
+            spare: self.spare(now),
             members: members.collect(),
         }
     }
 }
 
+impl<S: State> Chain<S> {
+    fn spare(&self, now: u64) -> usize {
+        let Some(view) = self.view().filter(|_| self.in_touch(now)) else { return 0 };
+        let here = |member: &&Member| self.in_contact(now, member.id);
+        let members = view.members.iter().filter(here).count();
+        let voices = view.acceptors().filter(here).count();
+        members.saturating_sub(self.losses + 1).min(voices.saturating_sub(view.majority()))
+    }
+}
+
 /// What a disk holds, as an office that starts with it takes it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ShownKept<'a> {
--- a/crates/rookpulley-cli/src/gateway/show.rs
+++ b/crates/rookpulley-cli/src/gateway/show.rs
@@ -86,7 +86,15 @@
     let head = ["part", "address", "id", "in contact", "update", "disk", "heard before"];
     let losses = told["lossesBorne"].as_u64().unwrap_or(0);
     let few = told["members"].as_array().is_none_or(|all| all.len() as u64 <= losses);
-    let few = if few { "; too few are left, nothing is acknowledged" } else { "" };
+    let few = match told["spareNow"].as_u64() {
+        _ if few => "; too few are left, nothing is acknowledged".to_string(),
+        // An older controller doesn't tell.
+        None => String::new(),
+        Some(0) => {
+            "; stop none of them now: with one less updates stand still until the chain is mended".to_string()
+        }
+        Some(spare) => format!("; now {spare} of them may be stopped"),
+    };
     format!(
         "{} of {}: view {}, {work}, {}, {}; update {} applied; the disk is {}\n{}losses borne: {losses}{few}\n",
         text(&told["office"]),
--- a/crates/rookpulley-cli/tests/gateway.rs
+++ b/crates/rookpulley-cli/tests/gateway.rs
@@ -69,7 +69,7 @@
                 "head    10.4.0.10:7731  5f0c1be2a9d47731  yes         1204    quick  here",
                 "middle  10.5.0.10:7731  90b2e7c4410fd8a6  yes         1204    slow   0.1 s",
                 "tail    10.6.0.10:7731  e3318a05c96b7f42  no          -       -      -",
-                "losses borne: 1\n",
+                "losses borne: 1; stop none of them now: with one less updates stand still until the chain is mended\n",
             ][..],
         ),
         (
--- a/crates/rookpulley-controller/src/show.rs
+++ b/crates/rookpulley-controller/src/show.rs
@@ -100,6 +100,7 @@
         ("applied", number(shown.applied)),
         ("diskSlow", office.disk.slow().into()),
         ("lossesBorne", number(shown.losses as u64)),
+        ("spareNow", number(shown.spare as u64)),
         ("members", JsonValue::Array(members.collect())),
     ])
 }
