A controller listens before it opens its store, as it did

When incarnations became functions of their own the store was opened before the ports: at the start of all, proxies that dialed meanwhile were refused, saw some controllers late, and did not all choose the same primary, so that no module saw the whole demand. Change: the ports first.

--- a/crates/rookpulley-controller/src/controller.rs
+++ b/crates/rookpulley-controller/src/controller.rs
@@ -55,6 +55,9 @@
     path: PathBuf,
     signals: &mut Signals,
 ) -> miette::Result<Ended> {
+    // Before the store is opened: who dials meanwhile waits, and isn't refused. At a start proxies that reach all
+    // controllers at once choose the same primary.
+    let [counter, for_couriers, for_peers] = listen(node, control)?;
     let (said, heard) = tokio::sync::mpsc::unbounded_channel();
     let founding = node.first_start.then(|| Founding::new(node.ip, &node.seeds).mark());
     let mut store = match Store::open(folder, rand::random(), founding.as_deref(), said) {
@@ -64,7 +67,6 @@
         }
         Err(why) => return Err(why.into()),
     };
-    let [counter, for_couriers, for_peers] = listen(node, control)?;
     let kept = std::mem::take(&mut store.held);
     let fresh = store.new;
     let hub = Hub::new(node.clone(), store, kept, rand::random());
