--- a/crates/rookpulley-controller/src/standby/tests.rs
+++ b/crates/rookpulley-controller/src/standby/tests.rs
@@ -4,6 +4,7 @@
 use tokio::net::TcpStream;
 
 const CONTROL: &str = "127.0.5.1:8166";
+const OTHER_CONTROL: &str = "127.0.5.3:8166";
 const PATIENCE: Duration = Duration::from_secs(30);
 
 fn settings(data: &Path) -> Node {
@@ -75,3 +76,34 @@
         }
     });
 }
+
+/// How long it took from now until a connection came up.
+fn connected(to: &str) -> Duration {
+    let begun = Instant::now();
+    while std::net::TcpStream::connect(to).is_err() {
+        assert!(begun.elapsed() < PATIENCE, "nobody listens at {to}");
+        std::thread::sleep(Duration::from_millis(5));
+    }
+    begun.elapsed()
+}
+
+#[test]
+fn who_dials_while_the_store_is_being_opened_is_not_refused() {
+    let base = tempfile::tempdir().unwrap();
+    let data = base.path().join("data");
+    std::fs::create_dir_all(&data).unwrap();
+    // Another process has the store: it is asked for again and again for a second.
+    let (said, _heard) = tokio::sync::mpsc::unbounded_channel();
+    let held = rookpulley_store::Store::open(&data, 7, None, said).unwrap();
+    let mut node = settings(&data);
+    node.ip = Ipv4Addr::new(127, 0, 5, 3);
+    node.listen.control = Some(OTHER_CONTROL.parse().unwrap());
+    let file = base.path().join("node.toml");
+    std::thread::spawn(move || {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+        runtime.block_on(async { tokio::time::timeout(PATIENCE, crate::run(node, file)).await })
+    });
+    let took = connected(OTHER_CONTROL);
+    assert!(took < Duration::from_millis(800), "{took:?}");
+    drop(held);
+}
