A majority that is back after a loss of power proposes a view at once

Cause: the first controllers to come back asked for statuses without a quorum in contact, gave the proposal up and backed off for 250 to 378 ms, which still ran when the last one that was missing came. Now nothing is begun before a quorum is in contact; where nobody serves in the view any more and no disk in contact is slow there is nothing to confirm; replies that allow no proposal are asked for again after 20 ms while there is no service.

--- a/crates/rookpulley-chain/src/chain/proposer.rs
+++ b/crates/rookpulley-chain/src/chain/proposer.rs
@@ -22,7 +22,7 @@
             return;
         };
         let Ok(members) = self.choose_members(now, &view, &replies) else {
-            return self.back_off(now);
+            return self.retry_statuses(now);
         };
         let has_installed = |r: &StatusReply| {
             r.status.installed == view.number && members.contains(&r.status.member)
--- a/crates/rookpulley-chain/src/chain/reconfiguration.rs
+++ b/crates/rookpulley-chain/src/chain/reconfiguration.rs
@@ -33,6 +33,9 @@
 /// After a proposal came to nothing.
 pub(super) const RETRY_MS: u64 = 250;
 const RETRY_JITTER_MS: u64 = 128;
+/// After the replies allowed no proposal while the newest view serves nobody: those that have just come back are in
+/// contact with each other a few messages later. No ballot was begun, so nobody else's is disturbed.
+const RETRY_WITHOUT_VIEW_MS: u64 = 20;
 const DELAY_JITTER_MS: u64 = 50;
 
 impl<S: State> Chain<S> {
@@ -63,7 +66,8 @@
     }
 
     fn propose_if_due(&mut self, now: u64) {
-        let Some(delay_ms) = self.reconfiguration_delay(now) else {
+        let delay_ms = self.reconfiguration_delay(now);
+        let Some(delay_ms) = delay_ms.filter(|_| self.can_reach_quorum(now)) else {
             self.reconfiguration.needed_since_ms = None;
             return;
         };
@@ -79,6 +83,14 @@
         }
     }
 
+    /// Whether those in contact suffice to decide the next view. While they don't, a proposal would only be given up,
+    /// and the pause after it would still run when the last one that was missing comes into contact.
+    fn can_reach_quorum(&self, now: u64) -> bool {
+        let in_contact: BTreeSet<u64> = self.contacts(now).iter().map(|c| c.id).collect();
+        let view = self.view();
+        view.is_some_and(|view| view.is_quorum(&in_contact, &self.lost_disks(now)))
+    }
+
     /// How many members before this one in the chain may be expected to propose.
     fn rank(&self, now: u64) -> u64 {
         let members = self.view().map_or(&[][..], |view| &view.members);
@@ -93,6 +105,18 @@
         ((self.seed ^ now).wrapping_mul(MULTIPLIER) >> 32) % bound
     }
 
+    /// The replies allow no proposal: asks again after a while.
+    pub(super) fn retry_statuses(&mut self, now: u64) {
+        let is_urgent = self
+            .view()
+            .is_some_and(|view| self.is_out_of_service(now, view));
+        if !is_urgent {
+            return self.back_off(now);
+        }
+        self.reconfiguration.begin(now, Step::Idle);
+        self.reconfiguration.not_before_ms = now + RETRY_WITHOUT_VIEW_MS;
+    }
+
     /// Gives a proposal up, and waits before the next one.
     pub(super) fn back_off(&mut self, now: u64) {
         self.reconfiguration.begin(now, Step::Idle);
@@ -103,10 +127,17 @@
     fn reconfiguration_delay(&self, now: u64) -> Option<u64> {
         let view = self.view()?;
         if view.members.iter().any(|m| self.has_restarted(m)) {
-            // Where all are here again and healthy there is nothing to wait for.
-            let is_well = |m: &Member| self.in_contact(now, m.id) && !self.is_slow(m.id);
-            let all_well = view.members.iter().all(is_well);
-            return Some(if all_well { 0 } else { FAULT_CONFIRM_MS });
+            // Where all are here again and healthy there is nothing to wait for. Nor is there where nobody that is here
+            // serves in this view any more: each moment without a view is one without service.
+            let is_here = |m: &&Member| self.in_contact(now, m.id);
+            let all_here = view.members.iter().all(|m| is_here(&m));
+            let all_well = !view
+                .members
+                .iter()
+                .filter(is_here)
+                .any(|m| self.is_slow(m.id));
+            let is_urgent = all_well && (all_here || self.is_out_of_service(now, view));
+            return Some(if is_urgent { 0 } else { FAULT_CONFIRM_MS });
         }
         let install_failed = !self.is_view_active() && now >= self.learned_ms + INSTALL_TIMEOUT_MS;
         let has_lost_member = view.members.iter().any(|m| self.is_lost(now, m));
@@ -128,6 +159,12 @@
         None
     }
 
+    /// Whether nobody in contact serves in this view any more: all that are here have restarted since.
+    fn is_out_of_service(&self, now: u64, view: &View) -> bool {
+        let serves = |m: &Member| self.in_contact(now, m.id) && !self.has_restarted(m);
+        !view.members.iter().any(serves)
+    }
+
     /// Whether another incarnation than the one in the view is there.
     fn has_restarted(&self, member: &Member) -> bool {
         let present = if member.id == self.me.id {
--- a/crates/rookpulley-chain/tests/world/mod.rs
+++ b/crates/rookpulley-chain/tests/world/mod.rs
@@ -1073,6 +1073,13 @@
         }
     }
 
+    /// One of those that stopped starts again, with the disk that it had.
+    pub fn restart(&mut self, at: usize) {
+        if self.places[at].back.take().is_some() {
+            self.start(at, false);
+        }
+    }
+
     pub fn check(&self) {
         if let Err(why) = history::check(&self.calls) {
             panic!("{why}");
