Connections between our programs are attempted four times within their time-out

Cause: the first packet to a machine without power is lost and sent again only after a second, so proxies that began before the controllers reached the primary 180 to 390 ms after the view was at work. Attempts are now begun in steps, the first that succeeds is kept, and a controller that hears a peer connects to it at once.

--- a/crates/rookpulley-controller/src/peers.rs
+++ b/crates/rookpulley-controller/src/peers.rs
@@ -4,11 +4,12 @@
 use crate::proxy_sessions::ACCEPT_RETRY;
 use crate::server::Server;
 use rookpulley_control::PeerMessage;
-use rookpulley_runtime::connection;
+use rookpulley_runtime::{Backoff, connection};
 use std::net::{Ipv4Addr, SocketAddr};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Notify;
 
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 /// The pause before connecting again doubles with each failure.
@@ -20,22 +21,24 @@
 /// Keeps a connection to the controller at this address until it isn't wanted any more.
 pub async fn keep_connected(server: Rc<Server>, ip: Ipv4Addr) {
     let to = SocketAddr::from((ip, server.peer_port()));
-    let mut backoff = MIN_BACKOFF;
+    let mut backoff = Backoff::new(MIN_BACKOFF, MAX_BACKOFF);
     loop {
-        match connection::connect(to, CONNECT_TIMEOUT).await {
-            Ok(stream) => {
-                backoff = MIN_BACKOFF;
-                let open = |outbox| server.peer_connected(ip, outbox);
-                let why = connection::run::<()>(stream, None, open, |()| ()).await;
-                server.peer_disconnected(ip);
-                tracing::info!("peers: the connection to {ip} {why}");
-            }
-            Err(_) => backoff = (backoff * 2).min(MAX_BACKOFF),
-        }
         let is_alive = server.peer_is_alive(ip);
-        tokio::select! {
-            () = tokio::time::sleep(backoff) => {}
-            () = is_alive.notified() => backoff = MIN_BACKOFF,
+        let connecting = connection::connect(to, CONNECT_TIMEOUT);
+        let Some(connected) = unless_notified(connecting, &is_alive).await else {
+            backoff.reset();
+            continue;
+        };
+        if let Ok(stream) = connected {
+            backoff.reset();
+            let open = |outbox| server.peer_connected(ip, outbox);
+            let why = connection::run::<()>(stream, None, open, |()| ()).await;
+            server.peer_disconnected(ip);
+            tracing::info!("peers: the connection to {ip} {why}");
+        }
+        let pause = tokio::time::sleep(backoff.pause());
+        if unless_notified(pause, &is_alive).await.is_none() {
+            backoff.reset();
         }
         if !server.is_peer_wanted(ip) {
             server.forget_peer(ip);
@@ -44,6 +47,15 @@
     }
 }
 
+/// Waits for something. None: the peer has said something meanwhile, so a new attempt reaches it at once.
+async fn unless_notified<T>(future: impl Future<Output = T>, is_alive: &Notify) -> Option<T> {
+    tokio::select! {
+        biased;
+        output = future => Some(output),
+        () = is_alive.notified() => None,
+    }
+}
+
 /// Takes connections of other controllers.
 pub async fn listen(server: Rc<Server>, listener: TcpListener) {
     loop {
@@ -68,3 +80,6 @@
     }
     tracing::debug!("peers: the connection from {from} {why}");
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/rookpulley-controller/src/stateless.rs
+++ b/crates/rookpulley-controller/src/stateless.rs
@@ -9,7 +9,7 @@
 use rookpulley_api::{Bounds, Call, Match, Reply, Tree, TreeError};
 use rookpulley_control::{PeerMessage, StatelessController, StatelessEffect, StatelessStart};
 use rookpulley_protocol::{ControllerToProxy, ProxyToController};
-use rookpulley_runtime::{SettingsFile, connection};
+use rookpulley_runtime::{Backoff, SettingsFile, connection};
 use rookpulley_settings::Node;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -180,17 +180,16 @@
     /// Connects to one controller again and again for as long as somebody names it.
     async fn keep_connected(self: Rc<Self>, ip: Ipv4Addr) {
         let to = SocketAddr::from((ip, self.proxy_port));
-        let mut backoff = MIN_BACKOFF;
+        let mut backoff = Backoff::new(MIN_BACKOFF, MAX_BACKOFF);
         loop {
             if let Ok(stream) = connection::connect(to, CONNECT_TIMEOUT).await {
                 let begun = Instant::now();
                 self.serve_controller(stream, ip).await;
                 if begun.elapsed() > TICK {
-                    backoff = MIN_BACKOFF;
+                    backoff.reset();
                 }
             }
-            tokio::time::sleep(backoff).await;
-            backoff = (backoff * 2).min(MAX_BACKOFF);
+            tokio::time::sleep(backoff.pause()).await;
             if self.step(|controller, now| controller.is_forgotten(now, ip)) {
                 return;
             }
--- a/crates/rookpulley-proxy/src/controller_connections.rs
+++ b/crates/rookpulley-proxy/src/controller_connections.rs
@@ -3,7 +3,7 @@
 use crate::context::ProxyContext;
 use rookpulley_protocol::ProxyToController;
 use rookpulley_proxy_core::ProxyState;
-use rookpulley_runtime::connection;
+use rookpulley_runtime::{Backoff, connection};
 use std::net::{Ipv4Addr, SocketAddr};
 use std::rc::Rc;
 use std::time::Duration;
@@ -46,7 +46,7 @@
 /// Connects to a controller again and again for as long as somebody names it.
 async fn keep_connected(proxy: Rc<ProxyContext>, controller: Ipv4Addr) {
     let to = SocketAddr::from((controller, proxy.node.inner_ports.0));
-    let mut backoff = MIN_BACKOFF;
+    let mut backoff = Backoff::new(MIN_BACKOFF, MAX_BACKOFF);
     loop {
         if let Ok(stream) = connection::connect(to, CONNECT_TIMEOUT).await {
             let connected_ms = proxy.now_ms();
@@ -68,11 +68,10 @@
             proxy.controller_disconnected(controller);
             proxy.step(ProxyState::choose_primary);
             if proxy.now_ms() - connected_ms > GOOD_CONNECTION_MS {
-                backoff = MIN_BACKOFF;
+                backoff.reset();
             }
         }
-        tokio::time::sleep(backoff).await;
-        backoff = (backoff * 2).min(MAX_BACKOFF);
+        tokio::time::sleep(backoff.pause()).await;
         if proxy.step(|state, now| state.is_forgotten(now, controller)) {
             return;
         }
--- a/crates/rookpulley-runtime/src/connection.rs
+++ b/crates/rookpulley-runtime/src/connection.rs
@@ -10,9 +10,13 @@
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpSocket, TcpStream};
 use tokio::sync::mpsc;
+use tokio::task::JoinSet;
 
 /// Data that the other side hasn't acknowledged for so long ends the connection, however silent the network is.
 pub const UNACKNOWLEDGED: Duration = Duration::from_millis(2_500);
+/// Attempts of one `connect`. With more of them a machine that begins to listen is reached sooner, and each one costs a
+/// process a few system calls.
+const CONNECT_ATTEMPTS: u32 = 4;
 /// How many messages may wait for one peer. A peer that reads more slowly is disconnected and starts anew.
 const MAX_WAITING: usize = 1_024;
 /// Messages that wait are written together, up to so many bytes.
@@ -37,15 +41,46 @@
 
 /// Opens a connection within a time.
 pub async fn connect(to: SocketAddr, within: Duration) -> std::io::Result<TcpStream> {
-    let late = |_| std::io::Error::from(std::io::ErrorKind::TimedOut);
-    let connecting = TcpStream::connect(to);
-    let stream = tokio::time::timeout(within, connecting)
-        .await
-        .map_err(late)??;
+    let stream = first_to_succeed(within, || TcpStream::connect(to)).await?;
     configure(&stream, UNACKNOWLEDGED);
     Ok(stream)
 }
 
+/// Begins attempts one after the other, evenly spread over a time, until one succeeds. All that are left are dropped.
+///
+/// A single attempt is not enough after a loss of power: its first packet is lost where the other machine isn't running
+/// yet, and the system sends it again only after a second. One that is refused meets a process that is just starting.
+async fn first_to_succeed<T, F>(
+    within: Duration,
+    mut attempt: impl FnMut() -> F,
+) -> std::io::Result<T>
+where
+    T: Send + 'static,
+    F: Future<Output = std::io::Result<T>> + Send + 'static,
+{
+    let mut attempts = JoinSet::new();
+    let mut begun = 0;
+    let mut failure = std::io::Error::from(std::io::ErrorKind::TimedOut);
+    let mut begin = tokio::time::interval(within / CONNECT_ATTEMPTS);
+    let deadline = tokio::time::sleep(within);
+    tokio::pin!(deadline);
+    while begun < CONNECT_ATTEMPTS || !attempts.is_empty() {
+        tokio::select! {
+            _ = begin.tick(), if begun < CONNECT_ATTEMPTS => {
+                attempts.spawn(attempt());
+                begun += 1;
+            }
+            Some(ended) = attempts.join_next() => match ended {
+                Ok(Ok(connected)) => return Ok(connected),
+                Ok(Err(why)) => failure = why,
+                Err(why) => failure = why.into(),
+            },
+            () = &mut deadline => break,
+        }
+    }
+    Err(failure)
+}
+
 /// The writing end of a connection. Sending never waits: where too much waits already the connection ends.
 #[derive(Clone)]
 pub struct Outbox {
--- a/crates/rookpulley-runtime/src/connection/tests.rs
+++ b/crates/rookpulley-runtime/src/connection/tests.rs
@@ -23,3 +23,50 @@
     assert!(!ended_after(None, hour).await);
     assert!(ended_after(Some(Duration::from_secs(2)), hour).await);
 }
+
+const WITHIN: Duration = Duration::from_millis(400);
+
+#[tokio::test(start_paused = true)]
+async fn an_attempt_whose_first_packet_is_lost_does_not_keep_the_next_one_waiting() {
+    let begun = tokio::time::Instant::now();
+    let mut attempts = 0;
+    let connected = first_to_succeed(WITHIN, || {
+        attempts += 1;
+        let is_lost = attempts < 3;
+        async move {
+            if is_lost {
+                std::future::pending::<()>().await;
+            }
+            Ok(())
+        }
+    });
+    assert!(connected.await.is_ok());
+    assert_eq!(begun.elapsed(), WITHIN / 2);
+}
+
+#[tokio::test(start_paused = true)]
+async fn attempts_end_with_their_time_and_the_last_failure_is_named() {
+    let begun = tokio::time::Instant::now();
+    let silent = first_to_succeed(WITHIN, std::future::pending::<std::io::Result<()>>).await;
+    assert_eq!(silent.unwrap_err().kind(), std::io::ErrorKind::TimedOut);
+    assert_eq!(begun.elapsed(), WITHIN);
+    let refuse = || async { Err::<(), _>(std::io::ErrorKind::ConnectionRefused.into()) };
+    let refused = first_to_succeed(WITHIN, refuse).await;
+    assert_eq!(
+        refused.unwrap_err().kind(),
+        std::io::ErrorKind::ConnectionRefused
+    );
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_process_that_listens_only_after_the_first_attempt_is_reached() {
+    let reserved = TcpSocket::new_v4().unwrap();
+    reserved.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+    let address = reserved.local_addr().unwrap();
+    let listening = async {
+        tokio::time::sleep(WITHIN / 8).await;
+        reserved.listen(1).unwrap()
+    };
+    let (connected, _listener) = tokio::join!(connect(address, WITHIN), listening);
+    assert!(connected.is_ok());
+}
--- a/crates/rookpulley-runtime/src/lib.rs
+++ b/crates/rookpulley-runtime/src/lib.rs
@@ -2,8 +2,10 @@
 
 #![warn(missing_docs)]
 
+mod backoff;
 pub mod connection;
 pub mod log;
 mod settings;
 
+pub use backoff::Backoff;
 pub use settings::SettingsFile;
