--- a/crates/rookpulley-proxy-core/src/response.rs
+++ b/crates/rookpulley-proxy-core/src/response.rs
@@ -13,8 +13,8 @@
     pub is_signed: bool,
     /// Its body is encoded.
     pub is_encoded: bool,
-    /// It says in one way where its body ends.
-    pub has_length: bool,
+    /// It doesn't say in two ways where its body ends.
+    pub has_clear_end: bool,
 }
 
 /// What is to become of an answer.
@@ -58,7 +58,7 @@
         return Verdict::UnconfirmedRejection;
     }
     let is_signed_if_needed = head.is_signed || !is_success;
-    if is_signed_if_needed && !head.is_encoded && head.has_length {
+    if is_signed_if_needed && !head.is_encoded && head.has_clear_end {
         Verdict::Valid
     } else {
         Verdict::Invalid
--- a/crates/rookpulley-proxy/src/attempt.rs
+++ b/crates/rookpulley-proxy/src/attempt.rs
@@ -178,7 +178,7 @@
     ) -> EndedAttempt {
         let (mut head, body) = response.into_parts();
         let keep_alive = upstream_pool::keep_alive(&head.headers);
-        let verdict = response_check::check(&head, &self.id, &self.method);
+        let verdict = response_check::check(&head, &self.id);
         if let Some(end) = AttemptEnd::of_verdict(verdict) {
             if end == AttemptEnd::Outcome(AttemptOutcome::NotExecuted) {
                 drain(connection, body, keep_alive);
--- a/crates/rookpulley-proxy/src/response_check.rs
+++ b/crates/rookpulley-proxy/src/response_check.rs
@@ -1,13 +1,12 @@
 //! What matters of the head of an instance's response.
 
 use crate::headers::{NOT_EXECUTED, REQUEST_ID, SIGNATURE, is_chunked, single};
-use hyper::Method;
-use hyper::header::{CONTENT_ENCODING, CONTENT_LENGTH, HeaderValue, TRANSFER_ENCODING};
+use hyper::header::{CONTENT_ENCODING, CONTENT_LENGTH, HeaderMap, HeaderValue, TRANSFER_ENCODING};
 use hyper::http::response::Parts;
 use rookpulley_proxy_core::{ResponseHead, Verdict, evaluate};
 
-/// Judges the response to a request with this id and method.
-pub fn check(head: &Parts, id: &HeaderValue, method: &Method) -> Verdict {
+/// Judges the response to a request with this id.
+pub fn check(head: &Parts, id: &HeaderValue) -> Verdict {
     let headers = &head.headers;
     evaluate(ResponseHead {
         status: head.status.as_u16(),
@@ -15,19 +14,18 @@
         not_executed: headers.contains_key(&NOT_EXECUTED),
         is_signed: headers.contains_key(&SIGNATURE),
         is_encoded: headers.contains_key(CONTENT_ENCODING),
-        has_length: has_length(head, method),
+        has_clear_end: has_clear_end(headers),
     })
 }
 
-/// A body that only the connection's end delimits can't be told from one that was cut off; what is stated in two ways
-/// can be read in two.
-fn has_length(head: &Parts, method: &Method) -> bool {
-    let headers = &head.headers;
+/// What is stated in two ways can be read in two. Where nothing is stated the body ends with its connection, which an
+/// instance closes behind it and resets where it breaks off (NEWS-22, MIXED).
+fn has_clear_end(headers: &HeaderMap) -> bool {
     let has_content_length = headers.contains_key(CONTENT_LENGTH);
     match (has_content_length, headers.contains_key(TRANSFER_ENCODING)) {
         (true, false) => single(headers, &CONTENT_LENGTH).is_some(),
         (false, true) => is_chunked(headers),
-        (false, false) => method == Method::HEAD || matches!(head.status.as_u16(), 204 | 304),
+        (false, false) => true,
         (true, true) => false,
     }
 }
--- a/crates/rookpulley-proxy/tests/proxy/scene/talk.rs
+++ b/crates/rookpulley-proxy/tests/proxy/scene/talk.rs
@@ -3,6 +3,9 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
+/// Read at once, at least.
+const READ_BYTES: usize = 16 << 10;
+
 pub struct Talk {
     pub stream: TcpStream,
     bytes: Vec<u8>,
@@ -81,6 +84,26 @@
         self.bytes.is_empty() && ended.is_ok_and(|read| read == 0)
     }
 
+    /// Whether the other side ends the connection, in order or not, whatever it says before that.
+    pub async fn is_left(&mut self) -> bool {
+        while self.more().await {}
+        true
+    }
+
+    /// What has come, once there is some. Waits for ever where the connection has ended.
+    pub async fn some(&mut self) -> Vec<u8> {
+        if self.bytes.is_empty() && !self.more().await {
+            std::future::pending::<()>().await;
+        }
+        std::mem::take(&mut self.bytes)
+    }
+
+    /// Resets the connection.
+    pub fn reset(self) {
+        let socket = socket2::SockRef::from(&self.stream);
+        socket.set_linger(Some(std::time::Duration::ZERO)).unwrap();
+    }
+
     async fn chunks(&mut self) -> Option<Vec<u8>> {
         let mut body = Vec::new();
         loop {
@@ -108,6 +131,7 @@
     }
 
     async fn more(&mut self) -> bool {
+        self.bytes.reserve(READ_BYTES);
         self.stream.read_buf(&mut self.bytes).await.unwrap_or(0) > 0
     }
 }
--- a/crates/rookpulley-simulator/src/proxies/attempts.rs
+++ b/crates/rookpulley-simulator/src/proxies/attempts.rs
@@ -49,7 +49,7 @@
                     not_executed: *not_executed,
                     is_signed: *stamped,
                     is_encoded: false,
-                    has_length: *sized,
+                    has_clear_end: *sized,
                 };
                 let end = AttemptEnd::of_verdict(evaluate(head));
                 let end = end.unwrap_or(if *whole {
