An instance that sends DELETE first is tested, with heartbeats that come late

The test sends the calls of the API to a controller of its own: DELETE, then heartbeats with a lower, the next and a higher number, DELETE again, and another incarnation at the same address. It was not tried with a fault put in.

--- a/crates/rookpulley-controller/src/api.rs
+++ b/crates/rookpulley-controller/src/api.rs
@@ -109,3 +109,6 @@
         None => encoded,
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/rookpulley-controller/src/inspect/tests.rs
+++ b/crates/rookpulley-controller/src/inspect/tests.rs
@@ -30,7 +30,7 @@
     "currentStatus":{"lifecycleState":"available","callSequence":1,"coldRemainingMs":0}}"#;
 
 /// As callers do, it asks again where the answer is that nothing was done.
-async fn call(api: &Api, method: &str, path: &str, body: &str) -> Reply {
+pub async fn call(api: &Api, method: &str, path: &str, body: &str) -> Reply {
     loop {
         let (method, path) = (method.into(), format!("/rookpulley/{path}"));
         let reply = api
@@ -48,7 +48,7 @@
     }
 }
 
-async fn shown(api: &Api, part: &str) -> String {
+pub async fn shown(api: &Api, part: &str) -> String {
     let reply = call(api, "GET", &format!("show/{part}"), "").await;
     assert_eq!(reply.status, 200);
     String::from_utf8(reply.body).unwrap()
