--- a/crates/rookpulley-cli/src/gateway/hunt.rs
+++ b/crates/rookpulley-cli/src/gateway/hunt.rs
@@ -39,7 +39,7 @@
     let breaches = play(&day, None).breaches;
     Some(Shrunk {
         seed: found.day.seed,
-        drawn: found.day.happens.len(),
+        drawn: found.day.events.len(),
         breach,
         day,
         played,
@@ -57,13 +57,13 @@
     let well = found.is_none();
     if json {
         let found = found.map(|found| {
-            let happens: Vec<Value> = found
+            let events: Vec<Value> = found
                 .day
-                .happens
+                .events
                 .iter()
                 .map(|(at, it)| json!({"atMs": at, "what": format!("{it:?}")}))
                 .collect();
-            json!({"seed": found.seed, "first": found.breach.to_string(), "happens": happens,
+            json!({"seed": found.seed, "first": found.breach.to_string(), "happens": events,
                    "breaches": lines(&found.breaches)})
         });
         let value = json!({"days": hunted.days, "requests": hunted.requests, "served": hunted.served,
@@ -86,7 +86,7 @@
                 text,
                 "of {} things that happen it needs {} ({} days played to see that):\n",
                 found.drawn,
-                found.day.happens.len(),
+                found.day.events.len(),
                 found.played
             );
             _ = write!(text, "{}", found.day);
--- a/crates/rookpulley-simulator/src/callers.rs
+++ b/crates/rookpulley-simulator/src/callers.rs
@@ -1,6 +1,7 @@
 //! Calls from outside to controllers: who gets no clear answer goes to another one, with the same call.
 
 use crate::net::Host;
+use crate::operator::configuration_of;
 use crate::world::{What, World};
 use crate::{MS, S, Us};
 use rand::RngExt;
@@ -17,6 +18,8 @@
     /// Which put of the operator's.
     Operator(usize),
     ReadBack,
+    /// A read amid the day, with its number in the record.
+    Read(usize),
     App(usize),
     Watcher(usize),
     /// A read at the end of the day, with its number in the record.
@@ -254,6 +257,7 @@
             }
             Who::Operator(put) => self.put_ended(put, &call, reply.as_ref()),
             Who::ReadBack => self.read_back_ended(&call, reply.as_ref()),
+            Who::Read(read) => self.record.reads[read].body = configuration_of(reply.as_ref()),
             Who::App(app) => self.app_answered(app, &call, reply.as_ref()),
             Who::Watcher(watcher) => self.watcher_answered(watcher, &call, reply.as_ref()),
             Who::Last(index) => self.last_answered(index, &call, reply.as_ref()),
--- a/crates/rookpulley-simulator/src/controllers.rs
+++ b/crates/rookpulley-simulator/src/controllers.rs
@@ -522,9 +522,9 @@
             return self.reply(process, call, attempt, refused);
         }
         if self.mutation == Some(Mutation::ReadsAlone)
-            && let Operation::Read(Query::Key { name }) = &operation
+            && let Operation::Read(query @ (Query::Key { .. } | Query::Configuration)) = &operation
         {
-            let reply = self.read_alone(process, name);
+            let reply = self.read_alone(process, query);
             return self.reply(process, call, attempt, reply);
         }
         let Some(token) = self.with_controller(process, |controller, _| controller.next_number())
@@ -566,11 +566,10 @@
         *version <= held
     }
 
-    fn read_alone(&mut self, process: usize, name: &str) -> Reply {
-        let ask = Query::Key { name: name.into() };
+    fn read_alone(&mut self, process: usize, query: &Query) -> Reply {
         let answer = self
             .controller(process)
-            .map(|controller| controller.controller.chain.state().machine.read(&ask));
+            .map(|controller| controller.controller.chain.state().machine.read(query));
         let (status, content) = match answer {
             Some(Answer::Value { value, revision }) => {
                 let fields = HashMap::from([
@@ -579,6 +578,7 @@
                 ]);
                 (200, Content::Json(JsonValue::Object(fields)))
             }
+            Some(Answer::Configuration { body, .. }) => (200, Content::Bytes(body)),
             _ => (404, Content::Nothing),
         };
         Reply {
--- a/crates/rookpulley-simulator/src/disk.rs
+++ b/crates/rookpulley-simulator/src/disk.rs
@@ -9,7 +9,7 @@
 pub type Rows = BTreeMap<Vec<u8>, Vec<u8>>;
 
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub enum DiskTrouble {
+pub enum DiskFault {
     Slow,
     Hangs,
 }
@@ -33,7 +33,7 @@
     pub bootstrap: Option<rookpulley_control::Bootstrap>,
     pub chain: Rows,
     pub instances: Rows,
-    pub trouble: Option<DiskTrouble>,
+    pub fault: Option<DiskFault>,
     /// It says of everything at once that it is synced, long before it is.
     pub lies: bool,
     waiting: Vec<Job>,
@@ -71,9 +71,9 @@
             return None;
         }
         self.under_way = Some((now, std::mem::take(&mut self.waiting)));
-        Some(match self.trouble {
-            Some(DiskTrouble::Slow) => 150 * MS,
-            Some(DiskTrouble::Hangs) => 900 * MS,
+        Some(match self.fault {
+            Some(DiskFault::Slow) => 150 * MS,
+            Some(DiskFault::Hangs) => 900 * MS,
             None => 4 * MS,
         })
     }
--- a/crates/rookpulley-simulator/src/hunt.rs
+++ b/crates/rookpulley-simulator/src/hunt.rs
@@ -1,4 +1,4 @@
-//! Plays day after day until one breaks a rule, and shrinks that day to the fewest troubles that still do.
+//! Plays day after day until one breaks a rule, and shrinks that day to the fewest faults that still do.
 
 use crate::day::Day;
 use crate::judge::{Breach, Rule};
@@ -69,7 +69,7 @@
     all.into_inner().unwrap_or_default()
 }
 
-/// The fewest troubles of a day that still break the rule, as far as leaving out one or several at a time finds them.
+/// The fewest faults of a day that still break the rule, as far as leaving out one or several at a time finds them.
 /// Gives the day, and how often it was played.
 pub fn shrink(day: &Day, rule: Rule, mutation: Option<Mutation>) -> (Day, u64) {
     let mut played = 0;
@@ -81,13 +81,12 @@
             .any(|breach| breach.rule == rule)
     };
     let mut day = day.clone();
-    let mut size = day.happens.len().div_ceil(2);
+    let mut size = day.events.len().div_ceil(2);
     while size > 0 {
         let mut from = 0;
-        while from < day.happens.len() {
+        while from < day.events.len() {
             let mut less = day.clone();
-            less.happens
-                .drain(from..(from + size).min(day.happens.len()));
+            less.events.drain(from..(from + size).min(day.events.len()));
             if still(&less) {
                 day = less;
             } else {
--- a/crates/rookpulley-simulator/src/judge.rs
+++ b/crates/rookpulley-simulator/src/judge.rs
@@ -26,7 +26,7 @@
     Stale,
     /// An order of the operator that was never acknowledged, or a proper one refused.
     Acks,
-    /// After the last trouble requests are served again.
+    /// After the last fault requests are served again.
     Recover,
     Fault,
 }
@@ -60,7 +60,7 @@
 }
 
 pub fn judge(record: &Record, day: &Day) -> Vec<Breach> {
-    let mut core = record.trouble.core.clone();
+    let mut core = record.faults.core.clone();
     core.sort_unstable();
     let mut judge = Judge {
         record,
@@ -72,6 +72,7 @@
     judge.requests();
     judge.drains();
     judge.configurations();
+    judge.configuration_reads();
     judge.budget();
     judge.losses();
     judge.recovery();
@@ -79,7 +80,7 @@
     judge.numbers();
     judge.cells();
     judge.watches();
-    for fault in &record.faults {
+    for fault in &record.program_faults {
         judge.breach(Rule::Fault, 0, || fault.clone());
     }
     judge.breaches
@@ -119,7 +120,7 @@
     }
 
     fn cut(&self, a: usize, b: usize, since: Us, at: Us) -> bool {
-        self.record.trouble.cuts.iter().any(|(x, y, from, until)| {
+        self.record.faults.cuts.iter().any(|(x, y, from, until)| {
             ((*x, *y) == (a, b) || (*x, *y) == (b, a)) && *from <= at && *until >= since
         })
     }
@@ -128,7 +129,7 @@
         let since = at.saturating_sub(CONTACT);
         let calm = !self
             .record
-            .trouble
+            .faults
             .machine
             .iter()
             .any(|(of, from, until)| *of == machine && *from <= at && *until >= since);
--- a/crates/rookpulley-simulator/src/judge/requests.rs
+++ b/crates/rookpulley-simulator/src/judge/requests.rs
@@ -141,7 +141,7 @@
             };
             let held = self
                 .record
-                .trouble
+                .faults
                 .task_cuts
                 .iter()
                 .any(|(machine, task, from, until)| {
@@ -341,6 +341,27 @@
         }
     }
 
+    /// Any machine, in touch or not, answers a read with no older version than one that was acknowledged long enough
+    /// before it (NEWS-22, CONFIG).
+    pub fn configuration_reads(&mut self) {
+        for read in &self.record.reads {
+            let Some(body) = &read.body else {
+                continue;
+            };
+            let is_due = |put: &&Put| put.acked.is_some_and(|acked| acked + APPLY <= read.sent);
+            let version = |put: &Put| put.config.version;
+            let newest = self.valid().filter(is_due).map(version).max();
+            let held = self.valid().filter(|put| put.body == *body);
+            let held = held.map(version).max();
+            if held < newest {
+                self.breach(Rule::Config, read.sent, || {
+                    let machine = read.machine;
+                    format!("machine {machine} reads version {held:?}, {newest:?} was acknowledged")
+                });
+            }
+        }
+    }
+
     pub fn budget(&mut self) {
         let mut seen: HashMap<usize, u32> = HashMap::new();
         let mut extras: BTreeMap<usize, Vec<Us>> = BTreeMap::new();
@@ -404,7 +425,7 @@
                 }
                 let calm = !self
                     .record
-                    .trouble
+                    .faults
                     .unplanned
                     .iter()
                     .any(|(from, until)| *from <= ended && *until + CONTACT >= sent);
--- a/crates/rookpulley-simulator/src/lib.rs
+++ b/crates/rookpulley-simulator/src/lib.rs
@@ -1,10 +1,10 @@
 //! Whole gateways in one process, on a simulated network: controllers and proxies by the code that decides in the
 //! programs, everything round them by stand-ins. `docs/design/drill.md` says what is simulated and what isn't.
 //!
-//! `day` draws what happens on a day from a seed, `world` plays it: `net` carries what is said, `disk`, `controllers`, `stateless_controllers`
-//! and `proxies` stand in for the programs' shells, `tasks`, `clients`, `operator` and `apps` for those outside. What
-//! those outside saw stands in `record`; `judge` holds it against the rules and knows nothing else. `hunt` plays many
-//! days and shrinks one that fails.
+//! `day` draws a day from a seed, an `event` is what happens at a moment of it, `world` plays it and `faults` carries its
+//! events out: `net` carries what is said, `disk`, `controllers`, `stateless_controllers` and `proxies` stand in for the
+//! programs' shells, `tasks`, `clients`, `operator` and `apps` for those outside. What those outside saw stands in `record`;
+//! `judge` holds it against the rules and knows nothing else. `hunt` plays many days and shrinks one that fails.
 
 mod apps;
 mod callers;
@@ -12,6 +12,8 @@
 mod controllers;
 mod day;
 mod disk;
+mod event;
+mod faults;
 mod hunt;
 mod judge;
 mod net;
@@ -21,10 +23,10 @@
 mod seen;
 mod stateless_controllers;
 mod tasks;
-mod troubles;
 mod world;
 
-pub use day::{BadTask, Closing, Day, Happens, Shape};
+pub use day::{Day, Shape};
+pub use event::{BadTask, Closing, Event};
 pub use hunt::{Found, Hunted, hunt, shrink};
 pub use judge::{Breach, Rule};
 pub use seen::{Arrived, Asked, Refused, Seen};
--- a/crates/rookpulley-simulator/src/operator.rs
+++ b/crates/rookpulley-simulator/src/operator.rs
@@ -2,7 +2,7 @@
 
 use crate::callers::{Call, Who};
 use crate::clients::kind_name;
-use crate::record::{Config, Put, Route};
+use crate::record::{Config, ConfigurationRead, Put, Route};
 use crate::world::{What, World};
 use crate::{MS, S, Us};
 use rand::RngExt;
@@ -173,23 +173,18 @@
 
     /// The first configuration, and then what the day says.
     pub fn operate(&mut self, what: usize) {
-        use crate::day::Happens;
+        use crate::event::Event;
         let Some(index) = what.checked_sub(1) else {
             let config = self.change();
             return self.put(config, true, None);
         };
-        match self
-            .day
-            .happens
-            .get(index)
-            .map(|(_, happens)| happens.clone())
-        {
-            Some(Happens::Closing { how }) => {
+        match self.day.events.get(index).map(|(_, event)| event.clone()) {
+            Some(Event::Closing { how }) => {
                 self.closing = Some((self.record.puts.len(), how));
                 let config = self.change();
                 self.put(config, true, None);
             }
-            Some(Happens::Retarget { kind }) => {
+            Some(Event::Retarget { kind }) => {
                 for route in self
                     .operator
                     .routes
@@ -211,27 +206,27 @@
                     None,
                 );
             }
-            Some(Happens::Race) => {
+            Some(Event::Race) => {
                 let core = self.callable();
                 for machine in [core[0], core[core.len() - 1]] {
                     let config = self.change();
                     self.put(config, true, Some(machine));
                 }
             }
-            Some(Happens::Storm { count }) => {
+            Some(Event::Storm { count }) => {
                 for _ in 0..count {
                     let config = self.change();
                     self.put(config, true, None);
                 }
             }
-            Some(Happens::Invalid) => {
+            Some(Event::Invalid) => {
                 let mut config = self.change();
                 // Its number goes to nothing that holds.
                 config.version += 1;
                 self.operator.newest += 1;
                 self.put(config, false, None);
             }
-            Some(Happens::Again) => {
+            Some(Event::Again) => {
                 let valid: Vec<usize> = (0..self.record.puts.len())
                     .filter(|put| self.record.puts[*put].valid)
                     .collect();
@@ -287,10 +282,36 @@
     }
 
     pub fn read_back_ended(&mut self, _: &Call, reply: Option<&Reply>) {
-        self.record.read_back = match reply.map(|reply| &reply.content) {
-            Some(Content::Bytes(bytes)) => Some(bytes.clone()),
-            _ => None,
-        };
+        self.record.read_back = configuration_of(reply);
+    }
+
+    /// Asks each controller once for the configuration: what one of them can't answer no other one is asked for.
+    pub fn read_everywhere(&mut self) {
+        for machine in self.callable() {
+            let read = self.record.reads.len();
+            self.record.reads.push(ConfigurationRead {
+                sent: self.now,
+                machine,
+                body: None,
+            });
+            self.call_at(
+                Who::Read(read),
+                Endpoint::GetConfiguration,
+                "",
+                String::new(),
+                Vec::new(),
+                (0, 0),
+                machine,
+            );
+        }
+    }
+}
+
+/// The configuration in a reply; None: there is none.
+pub fn configuration_of(reply: Option<&Reply>) -> Option<Vec<u8>> {
+    match reply.map(|reply| &reply.content) {
+        Some(Content::Bytes(bytes)) => Some(bytes.clone()),
+        _ => None,
     }
 }
 
--- a/crates/rookpulley-simulator/src/record.rs
+++ b/crates/rookpulley-simulator/src/record.rs
@@ -1,4 +1,4 @@
-//! What those outside saw: clients, tasks, operators, applications, and the platform that made the trouble.
+//! What those outside saw: clients, tasks, operators, applications, and the platform that made the faults.
 
 use crate::Us;
 use crate::clients::Told;
@@ -189,9 +189,9 @@
     pub sent: Us,
 }
 
-/// Trouble that the platform made, as far as the rules ask for it.
+/// Faults that the platform made, as far as the rules ask for it.
 #[derive(Clone, Debug, Default)]
-pub struct Trouble {
+pub struct PlatformFaults {
     /// Moments that unsettle the core.
     pub core: Vec<Us>,
     /// On one machine, from when to when.
@@ -204,6 +204,15 @@
     pub unplanned: Vec<(Us, Us)>,
 }
 
+/// A read of the configuration amid the day, at one controller.
+pub struct ConfigurationRead {
+    pub sent: Us,
+    /// The machine that was asked.
+    pub machine: usize,
+    /// None: the answer names no configuration.
+    pub body: Option<Vec<u8>>,
+}
+
 #[derive(Default)]
 pub struct Record {
     pub tries: Vec<Try>,
@@ -212,16 +221,17 @@
     pub puts: Vec<Put>,
     pub read_back_asked: Option<Us>,
     pub read_back: Option<Vec<u8>>,
+    pub reads: Vec<ConfigurationRead>,
     pub calls: Vec<AppCall>,
     pub last: Vec<usize>,
     pub holds: Vec<Hold>,
     pub watches: Vec<WatchPart>,
-    pub trouble: Trouble,
+    pub faults: PlatformFaults,
     /// When a machine was told to end in order.
     pub terms: Vec<(usize, Us)>,
     pub incarnations: BTreeMap<String, usize>,
     /// Ends by themselves and what else must not happen.
-    pub faults: Vec<String>,
+    pub program_faults: Vec<String>,
     pub wires: crate::tasks::Wires,
     pub end: Us,
 }
@@ -232,14 +242,14 @@
     }
 
     pub fn fault(&mut self, fault: String) {
-        self.faults.push(fault);
+        self.program_faults.push(fault);
     }
 
     pub fn started(&mut self, now: Us, machine: usize, core: bool) {
         if now > 0 {
-            self.trouble.machine.push((machine, now, now));
+            self.faults.machine.push((machine, now, now));
             if core {
-                self.trouble.core.push(now);
+                self.faults.core.push(now);
             }
         }
     }
--- a/crates/rookpulley-simulator/src/tasks.rs
+++ b/crates/rookpulley-simulator/src/tasks.rs
@@ -4,7 +4,7 @@
 use crate::callers::{Call, Who};
 use crate::clients::hash;
 use crate::controllers::{DRAIN_MS, HEARTBEAT_MS};
-use crate::day::{BadTask, Happens};
+use crate::event::{BadTask, Event};
 use crate::net::Host;
 use crate::record::{Arrival, Drain, Run};
 use crate::world::{What, World};
@@ -163,13 +163,13 @@
         let place = self.add_place(service);
         self.tasks[place].bad = bad;
         self.after(0, None, What::TaskStarts { task: place });
-        let rest = Happens::Release {
+        let rest = Event::Release {
             service,
             count: count - 1,
             pause_ms,
             bad,
         };
-        self.after(pause_ms * MS, None, What::Goes(rest));
+        self.after(pause_ms * MS, None, What::Immediate(rest));
     }
 
     /// The incarnation at a place ends, and another service has its address at once.
--- a/crates/rookpulley-simulator/src/world.rs
+++ b/crates/rookpulley-simulator/src/world.rs
@@ -6,6 +6,8 @@
 use crate::controllers::ControllerProcess;
 use crate::day::{BEGINS_MS, Day};
 use crate::disk::Disk;
+use crate::event::{Closing, Event};
+use crate::faults::Recovery;
 use crate::judge::{self, Breach, Rule};
 use crate::net::{Host, Line, Net};
 use crate::operator::Operator;
@@ -137,6 +139,8 @@
     pub requests: usize,
     pub served: usize,
     pub calls: usize,
+    /// Reads amid the day that were answered with a configuration.
+    pub configurations_read: usize,
     /// What clients and tasks saw.
     pub seen: Seen,
     /// The last lines that were logged.
@@ -264,9 +268,11 @@
     Operate(usize),
     ReadBack,
     AppsEnd,
-    Happens(usize),
-    Goes(crate::day::Happens),
-    Heal(u64),
+    /// What the day has at this position.
+    Event(usize),
+    /// The rest of an event that goes on.
+    Immediate(Event),
+    Recover(u64),
     Start {
         machine: usize,
         controller: bool,
@@ -275,7 +281,7 @@
     Wake {
         process: usize,
     },
-    ProxyRoster {
+    RollingRestart {
         machine: usize,
         pause_ms: u64,
     },
@@ -293,7 +299,7 @@
 }
 
 #[derive(Debug)]
-pub struct Event {
+pub struct QueuedEvent {
     /// A process and its incarnation; none: somebody outside.
     pub to: Option<(usize, u32)>,
     pub what: What,
@@ -313,7 +319,7 @@
     pub core: Option<Core>,
     pub born: Us,
     pub asleep: bool,
-    pub inbox: VecDeque<Event>,
+    pub inbox: VecDeque<QueuedEvent>,
     /// It was told to end.
     pub termed: bool,
 }
@@ -337,7 +343,7 @@
     pub mutation: Option<Mutation>,
     pub now: Us,
     pub rng: ChaCha8Rng,
-    events: BTreeMap<(Us, u64), Event>,
+    events: BTreeMap<(Us, u64), QueuedEvent>,
     count: u64,
     pub machines: Vec<Machine>,
     pub processes: Vec<Process>,
@@ -356,9 +362,9 @@
     /// Until then most answers to operators are lost.
     pub answers_lost_until: Us,
     pub log: VecDeque<String>,
-    pub heals: BTreeMap<u64, crate::troubles::Heals>,
+    pub recoveries: BTreeMap<u64, Recovery>,
     /// What strikes as soon as this put is acknowledged.
-    pub closing: Option<(usize, crate::day::Closing)>,
+    pub closing: Option<(usize, Closing)>,
 }
 
 const LOGGED: usize = 4_000;
@@ -373,6 +379,12 @@
         requests: world.record.tries.len(),
         served: world.record.tries.iter().filter(|t| t.served()).count(),
         calls: world.record.calls.len(),
+        configurations_read: world
+            .record
+            .reads
+            .iter()
+            .filter(|r| r.body.is_some())
+            .count(),
         seen: Seen::of(&world.record),
         log: world.log,
     }
@@ -403,7 +415,7 @@
             burst: (1, 0),
             answers_lost_until: 0,
             log: VecDeque::new(),
-            heals: BTreeMap::new(),
+            recoveries: BTreeMap::new(),
             closing: None,
         };
         for machine in 0..day.proxies.max(day.controllers) {
@@ -419,9 +431,9 @@
         world.begin_apps();
         world.after(BEGINS_MS * MS, None, What::Client);
         world.after(S, None, What::Readiness);
-        let happens: Vec<u64> = day.happens.iter().map(|(at, _)| *at).collect();
-        for (index, at) in happens.into_iter().enumerate() {
-            world.after(at * MS, None, What::Happens(index));
+        let moments: Vec<u64> = day.events.iter().map(|(at, _)| *at).collect();
+        for (index, at) in moments.into_iter().enumerate() {
+            world.after(at * MS, None, What::Event(index));
         }
         if day.held_up {
             world.after(S, None, What::Held);
@@ -464,7 +476,7 @@
     pub fn after(&mut self, us: Us, to: Option<(usize, u32)>, what: What) {
         self.count += 1;
         self.events
-            .insert((self.now + us, self.count), Event { to, what });
+            .insert((self.now + us, self.count), QueuedEvent { to, what });
     }
 
     pub fn at(&mut self, at: Us, to: Option<(usize, u32)>, what: What) {
@@ -584,7 +596,7 @@
         self.ended_in_order(process);
     }
 
-    fn hand(&mut self, event: Event) {
+    fn hand(&mut self, event: QueuedEvent) {
         let Some((process, incarnation)) = event.to else {
             return self.outside(event.what);
         };
@@ -667,16 +679,16 @@
             What::Operate(index) => self.operate(index),
             What::ReadBack => self.read_back(),
             What::AppsEnd => self.apps_end(),
-            What::Happens(index) => self.happens(index),
-            What::Goes(happens) => self.goes(happens, usize::MAX),
-            What::Heal(number) => self.heal(number),
+            What::Event(index) => self.play_event(index),
+            What::Immediate(event) => self.apply_event(event, usize::MAX),
+            What::Recover(number) => self.recover(number),
             What::Start {
                 machine,
                 controller,
                 proxy,
             } => self.start_again(machine, controller, proxy),
             What::Wake { process } => self.wake(process),
-            What::ProxyRoster { machine, pause_ms } => self.roll(machine, pause_ms),
+            What::RollingRestart { machine, pause_ms } => self.roll(machine, pause_ms),
             What::Retire { machine } => self.retire(machine),
             What::Gone { machine } => self.retired(machine, false),
             What::Kill {
--- a/crates/rookpulley-simulator/tests/days.rs
+++ b/crates/rookpulley-simulator/tests/days.rs
@@ -1,6 +1,6 @@
 //! Days of whole gateways, drawn from seeds.
 
-use rookpulley_simulator::{Day, Happens, Mutation, hunt, play, shrink};
+use rookpulley_simulator::{Day, Event, Mutation, hunt, play, shrink};
 use std::path::{Path, PathBuf};
 
 #[test]
@@ -23,7 +23,7 @@
 }
 
 #[test]
-fn days_of_trouble_break_no_rule() {
+fn days_with_faults_break_no_rule() {
     let hunted = hunt(0..24, 4, None);
     if let Some(found) = &hunted.found {
         let told: Vec<String> = found.breaches.iter().map(ToString::to_string).collect();
@@ -53,7 +53,7 @@
             day.stateless_seeds,
         ) = (3, 3, day.proxies.max(6), true);
         day.losses = 1;
-        day.happens.retain(|(at, _)| *at > 9_000);
+        day.events.retain(|(at, _)| *at > 9_000);
         let played = play(&day, None);
         assert_eq!(played.breaches, [], "{day}");
         assert!(
@@ -71,16 +71,16 @@
     let much = |from: u64| {
         hunt(from..60, 4, mutation)
             .found
-            .filter(|found| found.day.happens.len() > 2)
+            .filter(|found| found.day.events.len() > 2)
     };
     let found = (0..60).step_by(4).find_map(much).unwrap();
     let (day, _) = shrink(&found.day, rule, mutation);
     // What was not synced is lost with the power, and nothing is left that could be left out.
     let told = day.to_string();
-    assert!(day.happens.len() < found.day.happens.len(), "{told}");
-    for at in 0..day.happens.len() {
+    assert!(day.events.len() < found.day.events.len(), "{told}");
+    for at in 0..day.events.len() {
         let mut without = day.clone();
-        without.happens.remove(at);
+        without.events.remove(at);
         let breaches = play(&without, mutation).breaches;
         assert!(
             breaches.iter().all(|breach| breach.rule != rule),
@@ -103,14 +103,14 @@
 #[test]
 fn a_step_of_the_time_of_day_changes_nothing() {
     let mut day = Day::draw(7);
-    day.happens
-        .retain(|(_, happens)| !matches!(happens, Happens::ClockStep { .. }));
+    day.events
+        .retain(|(_, event)| !matches!(event, Event::ClockStep { .. }));
     let calm = play(&day, None);
-    day.happens.insert(
+    day.events.insert(
         0,
         (
             5_000,
-            Happens::ClockStep {
+            Event::ClockStep {
                 machine: 0,
                 by_s: -7,
             },
--- a/crates/rookpulley-simulator/tests/round.rs
+++ b/crates/rookpulley-simulator/tests/round.rs
@@ -6,7 +6,7 @@
 
 use common::case;
 use rookpulley_routes::RouteKind;
-use rookpulley_simulator::{Arrived, BadTask, Day, Happens, Mutation, Played, Seen};
+use rookpulley_simulator::{Arrived, BadTask, Day, Event, Mutation, Played, Seen};
 
 /// Complains of the first of these that isn't so.
 fn unless<const N: usize>(all: [(bool, String); N]) -> Option<String> {
@@ -56,10 +56,10 @@
 fn quick_errors_of_one_task_dont_make_a_sound_revision_look_bad() {
     fn day(seed: u64) -> Day {
         let mut day = alike(seed);
-        day.happens = vec![
+        day.events = vec![
             (
                 6_000,
-                Happens::Release {
+                Event::Release {
                     service: 0,
                     count: 1,
                     pause_ms: 0,
@@ -68,7 +68,7 @@
             ),
             (
                 6_500,
-                Happens::BadPlaces {
+                Event::BadPlaces {
                     places: vec![3],
                     how: BadTask::Quick,
                     ms: 5_000,
@@ -106,13 +106,13 @@
     fn day(seed: u64) -> Day {
         let mut day = alike(seed);
         (day.tasks, day.length_ms, day.shape.warm) = (10, 24_000, true);
-        let release = |count, bad| Happens::Release {
+        let release = |count, bad| Event::Release {
             service: 0,
             count,
             pause_ms: 0,
             bad,
         };
-        day.happens = vec![
+        day.events = vec![
             (8_000, release(5, Some(BadTask::Errs))),
             (14_500, release(1, None)),
         ];
@@ -156,10 +156,10 @@
 fn with_all_revisions_tainted_the_newest_serves_on_until_new_lines_come() {
     fn day(seed: u64) -> Day {
         let mut day = alike(seed);
-        day.happens = vec![
+        day.events = vec![
             (
                 1_200,
-                Happens::BadTasks {
+                Event::BadTasks {
                     service: 0,
                     how: BadTask::Errs,
                     ms: 8_000,
@@ -167,7 +167,7 @@
             ),
             (
                 9_500,
-                Happens::Release {
+                Event::Release {
                     service: 0,
                     count: 1,
                     pause_ms: 0,
@@ -207,12 +207,12 @@
 fn answers_lost_at_half_of_the_tasks_are_mended_at_the_other_half() {
     fn day(seed: u64) -> Day {
         let mut day = alike(seed);
-        let bad = |places, how| Happens::BadPlaces {
+        let bad = |places, how| Event::BadPlaces {
             places,
             how,
             ms: 6_000,
         };
-        day.happens = vec![
+        day.events = vec![
             (6_000, bad(vec![0, 2], BadTask::Mute)),
             (6_000, bad(vec![4, 6], BadTask::Cuts)),
         ];
@@ -256,10 +256,10 @@
     fn day(seed: u64) -> Day {
         let mut day = alike(seed);
         (day.rate, day.length_ms) = (250, 22_000);
-        day.happens = vec![
+        day.events = vec![
             (
                 6_000,
-                Happens::Release {
+                Event::Release {
                     service: 0,
                     count: 8,
                     pause_ms: 900,
@@ -268,7 +268,7 @@
             ),
             (
                 8_000,
-                Happens::Burst {
+                Event::Burst {
                     times: 2,
                     ms: 10_000,
                 },
@@ -301,12 +301,12 @@
     fn day(seed: u64) -> Day {
         let mut day = alike(seed);
         (day.services, day.tasks) = (2, 16);
-        let passes = |turn: u64| Happens::PassOn {
+        let passes = |turn: u64| Event::PassOn {
             places: (0..16)
                 .filter(|p| (p + turn as usize).is_multiple_of(3))
                 .collect(),
         };
-        day.happens = (0..6)
+        day.events = (0..6)
             .map(|turn| (6_000 + 1_200 * turn, passes(turn)))
             .collect();
         day
@@ -338,17 +338,17 @@
         (day.rate, day.proxies, day.length_ms) = (200, 12, 36_000);
         (day.retry_ratio, day.retry_slack) = (0.2, 48.0);
         (day.shape.attempts, day.shape.once) = (Some(3), true);
-        day.happens = vec![
+        day.events = vec![
             (
                 3_000,
-                Happens::CutControllers {
+                Event::CutControllers {
                     machines: (6..12).collect(),
                     ms: 15_000,
                 },
             ),
             (
                 16_000,
-                Happens::BadTasks {
+                Event::BadTasks {
                     service: 0,
                     how: BadTask::Fails,
                     ms: 12_000,
@@ -387,12 +387,12 @@
     fn day(seed: u64) -> Day {
         let mut day = alike(seed);
         day.rate = 600;
-        let kill = |machine| Happens::KillOne {
+        let kill = |machine| Event::KillOne {
             machine,
             controller: false,
             down_ms: 300,
         };
-        day.happens = (0..8)
+        day.events = (0..8)
             .map(|machine| (6_000 + 110 * machine as u64, kill(machine)))
             .collect();
         day
@@ -414,9 +414,9 @@
     fn day(seed: u64) -> Day {
         let mut day = alike(seed);
         (day.rate, day.tasks, day.shape.impatient) = (250, 4, true);
-        day.happens = vec![(
+        day.events = vec![(
             6_000,
-            Happens::Burst {
+            Event::Burst {
                 times: 4,
                 ms: 1_500,
             },
@@ -451,10 +451,10 @@
     fn day(seed: u64) -> Day {
         let mut day = alike(seed);
         (day.services, day.tasks) = (3, 12);
-        let moves = || Happens::Retarget {
+        let moves = || Event::Retarget {
             kind: RouteKind::Download,
         };
-        day.happens = (0..5).map(|turn| (6_000 + 1_300 * turn, moves())).collect();
+        day.events = (0..5).map(|turn| (6_000 + 1_300 * turn, moves())).collect();
         day
     }
     fn wrong(played: &Played) -> Option<String> {
--- a/crates/rookpulley-simulator/tests/worst_days.rs
+++ b/crates/rookpulley-simulator/tests/worst_days.rs
@@ -4,7 +4,7 @@
 mod common;
 
 use common::case;
-use rookpulley_simulator::{BadTask, Closing, Day, Happens, Mutation, Played, play};
+use rookpulley_simulator::{BadTask, Closing, Day, Event, Mutation, Played, play};
 
 /// Five controllers of which two may be lost, with applications, and changes and drains all the while.
 fn five(seed: u64) -> Day {
@@ -15,17 +15,17 @@
     day
 }
 
-fn with(mut day: Day, happens: Vec<(u64, Happens)>) -> Day {
-    day.happens.extend(happens);
-    day.happens.sort_by_key(|(at, _)| *at);
+fn with(mut day: Day, events: Vec<(u64, Event)>) -> Day {
+    day.events.extend(events);
+    day.events.sort_by_key(|(at, _)| *at);
     day
 }
 
 /// The same again and again, from one moment to another.
-fn each(from_ms: u64, to_ms: u64, pause_ms: u64, happens: &Happens) -> Vec<(u64, Happens)> {
+fn each(from_ms: u64, to_ms: u64, pause_ms: u64, event: &Event) -> Vec<(u64, Event)> {
     (from_ms..to_ms)
         .step_by(pause_ms as usize)
-        .map(|at| (at, happens.clone()))
+        .map(|at| (at, event.clone()))
         .collect()
 }
 
@@ -47,15 +47,15 @@
 #[test]
 fn a_controller_cut_off_for_twenty_seconds_from_the_others_alone_answers_nothing_old() {
     fn day(seed: u64) -> Day {
-        let cut = Happens::CutCore {
+        let cut = Event::CutCore {
             machines: two(seed),
             ms: 20_000,
         };
         let day = with(five(seed), vec![(8_000, cut)]);
-        let day = with(day, each(5_000, 33_000, 1_300, &Happens::Change));
+        let day = with(day, each(5_000, 33_000, 1_300, &Event::Change));
         with(
             day,
-            each(9_500, 30_000, 6_000, &Happens::DrainTasks { share: 1 }),
+            each(9_500, 30_000, 6_000, &Event::DrainTasks { share: 1 }),
         )
     }
     fn wrong(played: &Played) -> Option<String> {
@@ -78,12 +78,12 @@
         let first = two(seed)[0];
         let mut day = five(seed);
         day.length_ms = 70_000;
-        let both = Happens::Cut {
+        let both = Event::Cut {
             machines: two(seed),
             both: true,
             ms: 20_000,
         };
-        let deaf = Happens::Deaf {
+        let deaf = Event::Deaf {
             machines: vec![first],
             ms: 4_000,
         };
@@ -93,7 +93,7 @@
                 (6_000, both),
                 (
                     29_000,
-                    Happens::Freeze {
+                    Event::Freeze {
                         machine: first,
                         ms: 20_000,
                     },
@@ -102,7 +102,7 @@
         );
         // Cut a second time before it has caught up.
         let day = with(day, vec![(49_400, deaf)]);
-        with(day, each(5_000, 54_000, 900, &Happens::Change))
+        with(day, each(5_000, 54_000, 900, &Event::Change))
     }
     fn wrong(played: &Played) -> Option<String> {
         few_calls(played, 1_000)
@@ -115,20 +115,17 @@
  {
     fn day(seed: u64) -> Day {
         let machine = two(seed)[0];
-        let day = with(five(seed), each(5_000, 36_000, 1_700, &Happens::Race));
-        let day = with(day, each(5_800, 36_000, 2_300, &Happens::Again));
-        let day = with(
-            day,
-            each(6_100, 36_000, 3_100, &Happens::Storm { count: 8 }),
-        );
-        let day = with(day, each(6_600, 36_000, 4_700, &Happens::Invalid));
+        let day = with(five(seed), each(5_000, 36_000, 1_700, &Event::Race));
+        let day = with(day, each(5_800, 36_000, 2_300, &Event::Again));
+        let day = with(day, each(6_100, 36_000, 3_100, &Event::Storm { count: 8 }));
+        let day = with(day, each(6_600, 36_000, 4_700, &Event::Invalid));
         with(
             day,
             vec![
-                (4_500, Happens::LoseAnswers { ms: 33_000 }),
+                (4_500, Event::LoseAnswers { ms: 33_000 }),
                 (
                     9_000,
-                    Happens::KillOne {
+                    Event::KillOne {
                         machine,
                         controller: true,
                         down_ms: 900,
@@ -136,14 +133,14 @@
                 ),
                 (
                     16_000,
-                    Happens::Wipe {
+                    Event::Wipe {
                         machine,
                         down_ms: 800,
                     },
                 ),
                 (
                     27_000,
-                    Happens::Herd {
+                    Event::Herd {
                         power: true,
                         down_ms: 700,
                     },
@@ -169,9 +166,9 @@
 fn routes_that_are_added_again_and_again_are_served_as_the_first_ones_are() {
     fn day(seed: u64) -> Day {
         let machine = two(seed)[0];
-        let mut day = with(five(seed), each(5_000, 36_000, 500, &Happens::Change));
+        let mut day = with(five(seed), each(5_000, 36_000, 500, &Event::Change));
         day.rate = 240;
-        let killed = Happens::KillOne {
+        let killed = Event::KillOne {
             machine,
             controller: true,
             down_ms: 900,
@@ -180,7 +177,7 @@
             day,
             vec![
                 (12_000, killed),
-                (20_000, Happens::Freeze { machine, ms: 3_000 }),
+                (20_000, Event::Freeze { machine, ms: 3_000 }),
             ],
         )
     }
@@ -197,35 +194,35 @@
         let (first, second) = (two(seed)[0], two(seed)[1]);
         let mut day = five(seed);
         day.length_ms = 80_000;
-        let day = with(day, each(5_000, 62_000, 800, &Happens::Change));
+        let day = with(day, each(5_000, 62_000, 800, &Event::Change));
         with(
             day,
             vec![
                 // Two at once, filled by those that are left; then one of those, and the first again.
                 (
                     8_000,
-                    Happens::Wipe {
+                    Event::Wipe {
                         machine: first,
                         down_ms: 600,
                     },
                 ),
                 (
                     8_100,
-                    Happens::Wipe {
+                    Event::Wipe {
                         machine: second,
                         down_ms: 900,
                     },
                 ),
                 (
                     20_000,
-                    Happens::Wipe {
+                    Event::Wipe {
                         machine: (first + 1) % 5,
                         down_ms: 600,
                     },
                 ),
                 (
                     20_200,
-                    Happens::Wipe {
+                    Event::Wipe {
                         machine: first,
                         down_ms: 600,
                     },
@@ -233,22 +230,22 @@
                 // One is replaced in order, and all lose power while another is empty.
                 (
                     32_000,
-                    Happens::Replace {
+                    Event::Replace {
                         machine: (first + 1) % 5,
                         orderly: true,
                     },
                 ),
                 (
                     44_000,
-                    Happens::Wipe {
+                    Event::Wipe {
                         machine: second,
                         down_ms: 500,
                     },
                 ),
-                (44_300, Happens::Dark { down_ms: 700 }),
+                (44_300, Event::Dark { down_ms: 700 }),
                 (
                     60_000,
-                    Happens::Closing {
+                    Event::Closing {
                         how: Closing::Disks { others: true },
                     },
                 ),
@@ -267,13 +264,13 @@
         let machine = two(seed)[0];
         let mut day = five(seed);
         (day.length_ms, day.apps) = (60_000, 24);
-        let day = with(day, each(5_000, 45_000, 160, &Happens::Storm { count: 2 }));
+        let day = with(day, each(5_000, 45_000, 160, &Event::Storm { count: 2 }));
         with(
             day,
             vec![
                 (
                     7_000,
-                    Happens::KillOne {
+                    Event::KillOne {
                         machine,
                         controller: true,
                         down_ms: 20_000,
@@ -282,13 +279,13 @@
                 // The one that is likely to fill it, amid that.
                 (
                     27_150,
-                    Happens::Kill {
+                    Event::Kill {
                         machine: (machine + 1) % 5,
                         power: true,
                         down_ms: 700,
                     },
                 ),
-                (34_000, Happens::ProxyRoster { pause_ms: 1_500 }),
+                (34_000, Event::RollingRestart { pause_ms: 1_500 }),
             ],
         )
     }
@@ -322,7 +319,7 @@
             vec![
                 (
                     5_000,
-                    Happens::BadTasks {
+                    Event::BadTasks {
                         service,
                         how: BadTask::Cuts,
                         ms,
@@ -330,37 +327,37 @@
                 ),
                 (
                     9_000,
-                    Happens::PassOn {
+                    Event::PassOn {
                         places: vec![0, 1, 2, 3],
                     },
                 ),
                 (
                     12_000,
-                    Happens::BadTasks {
+                    Event::BadTasks {
                         service,
                         how: BadTask::Garbles,
                         ms,
                     },
                 ),
-                (14_000, Happens::Reset { machine: 1 }),
+                (14_000, Event::Reset { machine: 1 }),
                 (
                     18_000,
-                    Happens::PassOn {
+                    Event::PassOn {
                         places: vec![4, 5, 6],
                     },
                 ),
                 (
                     20_000,
-                    Happens::BadTasks {
+                    Event::BadTasks {
                         service,
                         how: BadTask::Mute,
                         ms,
                     },
                 ),
-                (22_000, Happens::Reset { machine: 6 }),
+                (22_000, Event::Reset { machine: 6 }),
                 (
                     24_000,
-                    Happens::KillOne {
+                    Event::KillOne {
                         machine: 2,
                         controller: true,
                         down_ms: 700,
@@ -368,7 +365,7 @@
                 ),
                 (
                     27_000,
-                    Happens::KillOne {
+                    Event::KillOne {
                         machine: 3,
                         controller: true,
                         down_ms: 700,
@@ -376,7 +373,7 @@
                 ),
                 (
                     30_000,
-                    Happens::Herd {
+                    Event::Herd {
                         power: false,
                         down_ms: 500,
                     },
@@ -401,12 +398,12 @@
     let mut day = five(seed);
     (day.controllers, day.proxies, day.tasks, day.length_ms) = (6, 90, 40, 90_000);
     let machine = (seed % 6) as usize;
-    let lost = |by: usize| Happens::Wipe {
+    let lost = |by: usize| Event::Wipe {
         machine: (machine + by) % 6,
         down_ms: 600,
     };
-    let day = with(day, each(5_000, 72_000, 700, &Happens::Change));
-    let cut = Happens::CutCore {
+    let day = with(day, each(5_000, 72_000, 700, &Event::Change));
+    let cut = Event::CutCore {
         machines: vec![machine, (machine + 3) % 6],
         ms: 20_000,
     };
@@ -440,3 +437,36 @@
     let (from, to) = text.split_once("..").unwrap_or(("0", "4"));
     (from.parse::<u64>().unwrap()..to.parse().unwrap()).for_each(six_before_ninety);
 }
+
+#[test]
+fn the_core_cut_into_halves_and_without_power_twice_in_a_row_shows_no_older_configuration_anywhere()
+{
+    fn day(seed: u64) -> Day {
+        let halves = Event::CutCore {
+            machines: two(seed),
+            ms: 7_000,
+        };
+        let power_lost = Event::Dark { down_ms: 600 };
+        let killed = Event::Herd {
+            power: false,
+            down_ms: 300,
+        };
+        let faults = vec![
+            (8_000, halves),
+            (19_000, power_lost.clone()),
+            // Again before all are in contact, and once more by a kill.
+            (20_300, power_lost),
+            (28_000, killed.clone()),
+            (28_900, killed),
+        ];
+        let day = with(five(seed), faults);
+        let day = with(day, each(5_000, 34_000, 700, &Event::Change));
+        with(day, each(5_300, 34_000, 250, &Event::ReadEverywhere))
+    }
+    fn wrong(played: &Played) -> Option<String> {
+        let few_reads = played.configurations_read < 100;
+        let reads = || format!("{} reads show a configuration", played.configurations_read);
+        few_calls(played, 1_000).or_else(|| few_reads.then(reads))
+    }
+    case(day, wrong, &[Mutation::ReadsAlone, Mutation::SyncLeftOut]);
+}
