--- a/crates/rookpulley-proxy/tests/proxy/answers.rs
+++ b/crates/rookpulley-proxy/tests/proxy/answers.rs
@@ -37,7 +37,7 @@
     tokio::task::spawn_local(async move {
         client.say(vec![b'x'; rest]).await;
         // Its connection stays open.
-        client.is_left().await
+        client.ended().await
     });
     let mut next = scene.client().await;
     next.say(request("POST", "/m/next", "next", "")).await;
--- a/crates/rookpulley-proxy/tests/proxy/departures.rs
+++ b/crates/rookpulley-proxy/tests/proxy/departures.rs
@@ -13,7 +13,7 @@
 }
 
 async fn is_left_in_time(task: &mut Talk) -> bool {
-    let left = tokio::time::timeout(LEFT_WITHIN, task.is_left()).await;
+    let left = tokio::time::timeout(LEFT_WITHIN, task.ended()).await;
     left.is_ok()
 }
 
--- a/crates/rookpulley-proxy/tests/proxy/scene/talk.rs
+++ b/crates/rookpulley-proxy/tests/proxy/scene/talk.rs
@@ -84,10 +84,9 @@
         self.bytes.is_empty() && ended.is_ok_and(|read| read == 0)
     }
 
-    /// Whether the other side ends the connection, in order or not, whatever it says before that.
-    pub async fn is_left(&mut self) -> bool {
+    /// Waits until the other side has ended the connection, in order or not, whatever it says before that.
+    pub async fn ended(&mut self) {
         while self.more().await {}
-        true
     }
 
     /// What has come, once there is some. Waits for ever where the connection has ended.
