--- a/crates/rookpulley-store/src/database.rs
+++ b/crates/rookpulley-store/src/database.rs
@@ -37,8 +37,8 @@
     sled::Error::ReportableBug(what.into())
 }
 
-/// Syncs all files in a folder, and the folder, all at the same time: a disk takes as long for one sync as for several
-/// that wait together.
+/// Syncs all files in a folder, and the folder, all at the same time. Whoever opens a store waits for all of them, and on
+/// the bench's disks that is shorter than one after the other (`docs/results.md`).
 pub fn sync_all(folder: &Path) -> std::io::Result<()> {
     let paths = paths_below(folder)?;
     std::thread::scope(|scope| {
