--- a/review/kit/src/main.rs
+++ b/review/kit/src/main.rs
@@ -2,7 +2,6 @@
 //! It ends with 1 if the rule was broken, 0 if it held, 2 if the case could not run. `TROUBLE=0` leaves the disruption out.
 
 mod cluster;
-mod found;
 mod http;
 mod lock;
 mod sites;
@@ -35,7 +34,6 @@
     };
     record.line(format!("case {name}, disruption: {has_trouble}"));
     let outcome = match name.as_str() {
-        "found" => found::play(&record, has_trouble),
         "lock" => lock::play(&record, has_trouble),
         _ => Err(format!("no case {name:?}").into()),
     };
--- a/review/kit/src/sites.rs
+++ b/review/kit/src/sites.rs
@@ -12,3 +12,20 @@
          \"priority\":1,\"targetService\":\"lonja\",\"maxAttempts\":2}}]}}]}}"
     )
 }
+
+/// The same with tenants: `keys` are the keys of the tenants t1, t2, ...; `/open/` needs none.
+pub fn with_tenants(version: u64, keys: &[&[&str]]) -> String {
+    let tenants: Vec<String> = keys
+        .iter()
+        .enumerate()
+        .map(|(number, keys)| {
+            let keys: Vec<String> = keys.iter().map(|key| format!("\"{key}\"")).collect();
+            format!("{{\"name\":\"t{}\",\"apiKeys\":[{}]}}", number + 1, keys.join(","))
+        })
+        .collect();
+    let open = "{\"name\":\"open\",\"pathPrefix\":\"/open/\",\"routeKind\":\"read_only\",\"timeoutMs\":1500,\
+                \"targetLatencyMs\":250,\"priority\":2,\"targetService\":\"lonja\",\"maxAttempts\":2,\"publicAccess\":true}";
+    let text = configuration(version);
+    let text = text.replace("\"pathRules\":[", &format!("\"pathRules\":[{open},"));
+    format!("{},\"tenants\":[{}]}}", &text[..text.len() - 1], tenants.join(","))
+}
