--- a/review/kit/src/cluster.rs
+++ b/review/kit/src/cluster.rs
@@ -40,6 +40,8 @@
 /// What the settings of all processes have in common.
 pub struct Plan {
     pub machines: usize,
+    /// Further machines with a proxy alone. They reach controllers only through the relays at `relay_port`.
+    pub behind_relays: usize,
     /// Lines added under `[bounds]`.
     pub bounds: String,
     /// Lines added at the end of the file.
@@ -53,6 +55,7 @@
     fn default() -> Self {
         Self {
             machines: 3,
+            behind_relays: 0,
             bounds: String::new(),
             more: String::new(),
             top: String::new(),
@@ -105,8 +108,8 @@
         };
         let start = 12_000 + (pid % 500) as u16 * 24;
         let free = (0..400u16).map(|step| start + step * 24).find(|first| {
-            (0..cluster.plan.machines)
-                .all(|machine| (0..20).all(|offset| is_free(cluster.ip(machine), first + offset)))
+            (0..cluster.plan.machines + cluster.plan.behind_relays)
+                .all(|machine| (0..24).all(|offset| is_free(cluster.ip(machine), first + offset)))
         });
         cluster.port = free.ok_or_else(|| std::io::Error::other("no free ports"))?;
         Ok(cluster)
@@ -125,6 +128,16 @@
         SocketAddr::new(IpAddr::V4(self.ip(machine)), self.port + offset)
     }
 
+    /// The port that machines behind relays take for that of the controllers.
+    pub fn relay_port(&self) -> u16 {
+        self.port + 20
+    }
+
+    /// The port at which controllers listen for proxies.
+    pub fn proxy_port(&self) -> u16 {
+        self.port
+    }
+
     pub fn front(&self, machine: usize) -> SocketAddr {
         self.at(machine, 16)
     }
@@ -182,8 +195,13 @@
             Role::Proxy => String::new(),
         };
         let plan = &self.plan;
+        let port = if machine < plan.machines {
+            self.port
+        } else {
+            self.relay_port()
+        };
         format!(
-            "nodeName = \"edge-{zone}-1\"\nrole = \"{role_name}\"\nmachineClass = \"edge\"\nserves = [\"{name}\"]\n\
+            "nodeName = \"edge-{zone}-{number}\"\nrole = \"{role_name}\"\nmachineClass = \"edge\"\nserves = [\"{name}\"]\n\
              ipAddress = \"{ip}\"\nzone = \"{zone}\"\nregion = \"coast\"\ninternalPortRange = [{port},{last}]\n\
              seedNodes = [{seeds}]\nfirstStart = {first}\nlossCounted = true\n{data}\
              discoverySource = \"self_registration\"\nentryMode = \"virtual_ip\"\nheartbeatMs = {beat}\n\
@@ -197,8 +215,9 @@
              historyRetentionS = 20\nreleaseMs = 1500\n{bounds}{more}",
             ip = self.ip(machine),
             zone = zones[machine % 3],
-            port = self.port,
-            last = self.port + 15,
+            number = machine / 3 + 1,
+            port = port,
+            last = port + (if machine < plan.machines { 15 } else { 2 }),
             seeds = seeds.join(","),
             beat = plan.heartbeat_ms,
             top = plan.top,
@@ -241,7 +260,7 @@
         for machine in 0..self.plan.machines {
             self.start(Role::Controller, machine, true)?;
         }
-        for machine in 0..self.plan.machines {
+        for machine in 0..self.plan.machines + self.plan.behind_relays {
             self.start(Role::Proxy, machine, true)?;
         }
         Ok(())
--- a/review/kit/src/main.rs
+++ b/review/kit/src/main.rs
@@ -1,9 +1,12 @@
 //! The scripts of the review. `review-case NAME FOLDER` plays a case and writes `FOLDER/record.txt`.
 //! It ends with 1 if the rule was broken, 0 if it held, 2 if the case could not run. `TROUBLE=0` leaves the disruption out.
 
+mod behind;
 mod cluster;
 mod http;
+mod keys;
 mod lock;
+mod relay;
 mod sites;
 mod task;
 
@@ -34,6 +37,8 @@
     };
     record.line(format!("case {name}, disruption: {has_trouble}"));
     let outcome = match name.as_str() {
+        "behind" => behind::play(&record, has_trouble),
+        "keys" => keys::play(&record, has_trouble),
         "lock" => lock::play(&record, has_trouble),
         _ => Err(format!("no case {name:?}").into()),
     };
--- a/review/kit/src/sites.rs
+++ b/review/kit/src/sites.rs
@@ -20,12 +20,27 @@
         .enumerate()
         .map(|(number, keys)| {
             let keys: Vec<String> = keys.iter().map(|key| format!("\"{key}\"")).collect();
-            format!("{{\"name\":\"t{}\",\"apiKeys\":[{}]}}", number + 1, keys.join(","))
+            format!(
+                "{{\"name\":\"t{}\",\"apiKeys\":[{}]}}",
+                number + 1,
+                keys.join(",")
+            )
         })
         .collect();
     let open = "{\"name\":\"open\",\"pathPrefix\":\"/open/\",\"routeKind\":\"read_only\",\"timeoutMs\":1500,\
                 \"targetLatencyMs\":250,\"priority\":2,\"targetService\":\"lonja\",\"maxAttempts\":2,\"publicAccess\":true}";
     let text = configuration(version);
     let text = text.replace("\"pathRules\":[", &format!("\"pathRules\":[{open},"));
-    format!("{},\"tenants\":[{}]}}", &text[..text.len() - 1], tenants.join(","))
+    format!(
+        "{},\"tenants\":[{}]}}",
+        &text[..text.len() - 1],
+        tenants.join(",")
+    )
+}
+
+/// The same with a route for downloads.
+pub fn with_downloads(version: u64) -> String {
+    let fetch = "{\"name\":\"fetch\",\"pathPrefix\":\"/fetch/\",\"routeKind\":\"download\",\"timeoutMs\":6000,\
+                 \"targetLatencyMs\":250,\"priority\":2,\"targetService\":\"lonja\",\"maxAttempts\":2}";
+    configuration(version).replace("\"pathRules\":[", &format!("\"pathRules\":[{fetch},"))
 }
