--- a/review/kit/src/cluster.rs
+++ b/review/kit/src/cluster.rs
@@ -31,10 +31,6 @@
             _ = writeln!(file, "{seconds:9.3}  {}", text.as_ref());
         }
     }
-
-    pub fn seconds(&self) -> f64 {
-        self.started.elapsed().as_secs_f64()
-    }
 }
 
 /// What the settings of all processes have in common.
@@ -44,10 +40,8 @@
     pub behind_relays: usize,
     /// Lines added under `[bounds]`.
     pub bounds: String,
-    /// Lines added at the end of the file.
-    pub more: String,
-    /// Lines before the first table.
-    pub top: String,
+    /// Further contracts, each in quotes with a comma behind it.
+    pub contracts: String,
     pub heartbeat_ms: u64,
 }
 
@@ -57,8 +51,7 @@
             machines: 3,
             behind_relays: 0,
             bounds: String::new(),
-            more: String::new(),
-            top: String::new(),
+            contracts: String::new(),
             heartbeat_ms: 1500,
         }
     }
@@ -205,14 +198,14 @@
              ipAddress = \"{ip}\"\nzone = \"{zone}\"\nregion = \"coast\"\ninternalPortRange = [{port},{last}]\n\
              seedNodes = [{seeds}]\nfirstStart = {first}\nlossCounted = true\n{data}\
              discoverySource = \"self_registration\"\nentryMode = \"virtual_ip\"\nheartbeatMs = {beat}\n\
-             activeContracts = [\"base\",\"drain\",\"config\",\"cost\",\"retry\",\"recover\",\"coord\"]\n\
-             configMode = \"highest\"\n{top}[zones]\nnorth = \"coast\"\neast = \"coast\"\nsouth = \"coast\"\n\
+             activeContracts = [\"base\",\"drain\",\"config\",\"cost\",\"retry\",\"recover\",{contracts}\"coord\"]\n\
+             configMode = \"highest\"\n[zones]\nnorth = \"coast\"\neast = \"coast\"\nsouth = \"coast\"\n\
              [listenAddresses]\n{listen}[limits]\ncpuShare = 0.35\ncpuCores = 1\nmemoryMb = 260\nmaxOpenFiles = 4100\n\
              linkMbps = 1000.0\ndiskMb = 64\n[faultTolerance]\nmachineLosses = 1\nzones = 0\nregionLosses = 0\n\
              [bounds]\nseedLagS = 3\naddressReuseS = 2\ncontactMs = 3000\nackDeadlineMs = 5000\ncatchUpS = 4\n\
              drainMs = 2500\ngracePeriodS = 6\nlossSlackMs = 200\nconfigApplyMs = 2500\ndowngradeSlackMs = 250\n\
              maxStretchMs = 8000\nretryBudgetRatio = 0.2\nretryWindowS = 10\nretryBudgetSlack = 64\nrecoveryS = 15\n\
-             historyRetentionS = 20\nreleaseMs = 1500\n{bounds}{more}",
+             historyRetentionS = 20\nreleaseMs = 1500\n{bounds}",
             ip = self.ip(machine),
             zone = zones[machine % 3],
             number = machine / 3 + 1,
@@ -220,9 +213,8 @@
             last = port + (if machine < plan.machines { 15 } else { 2 }),
             seeds = seeds.join(","),
             beat = plan.heartbeat_ms,
-            top = plan.top,
+            contracts = plan.contracts,
             bounds = plan.bounds,
-            more = plan.more,
         )
     }
 
@@ -296,22 +288,6 @@
         }
     }
 
-    /// The names of processes that have ended by themselves.
-    pub fn ended(&mut self) -> Vec<String> {
-        let mut ended = Vec::new();
-        for (role, machine, child) in &mut self.processes {
-            if let Ok(Some(status)) = child.try_wait() {
-                let role = if *role == Role::Controller {
-                    "office"
-                } else {
-                    "courier"
-                };
-                ended.push(format!("{role}-{}: {status}", *machine + 1));
-            }
-        }
-        ended
-    }
-
     /// The machines of the chain from head to tail, if it has three. A script aims by it; nothing is judged by it.
     pub fn chain_order(&self) -> Option<Vec<usize>> {
         let second = Duration::from_secs(1);
--- a/review/kit/src/keys.rs
+++ b/review/kit/src/keys.rs
@@ -51,6 +51,7 @@
         Plan {
             behind_relays: 1,
             bounds,
+            contracts: "\"tenants\",".to_owned(),
             ..Plan::default()
         },
         record.clone(),
