state: refuse releases that may be older than the lock's reacquisition

A trace of the updates as applied shows it: acquire a1 (fence 1), release a1 fence 1 (released), acquire b2 (fence 2), within 2 ms of replicated time.

Change: a lease remembers when its holder last acquired it again; for 1,750 ms from then on a release is refused with 503 (1 s to a controller and the chain's 750 ms, tied by a compile-time assertion).

--- a/crates/rookpulley-chain/src/chain.rs
+++ b/crates/rookpulley-chain/src/chain.rs
@@ -12,7 +12,7 @@
 mod install;
 mod proposer;
 mod reconfiguration;
-mod replication;
+pub(crate) mod replication;
 mod start;
 pub mod status;
 mod views;
--- a/crates/rookpulley-chain/src/chain/replication.rs
+++ b/crates/rookpulley-chain/src/chain/replication.rs
@@ -17,7 +17,7 @@
 /// The maximum age of a request, measured with the clocks of the head and of the controller that received it. Retries
 /// do not reset the age. A request delayed by a partition is rejected, consistent with its caller's timeout of one
 /// second.
-const MAX_REQUEST_AGE_MS: u64 = 750;
+pub const MAX_REQUEST_AGE_MS: u64 = 750;
 /// A snapshot is written after this many entries, or this many bytes of entries.
 const SNAPSHOT_ENTRIES: u64 = 512;
 const SNAPSHOT_BYTES: usize = 2 << 20;
--- a/crates/rookpulley-chain/src/lib.rs
+++ b/crates/rookpulley-chain/src/lib.rs
@@ -44,6 +44,7 @@
 mod view;
 
 pub use chain::Chain;
+pub use chain::replication::MAX_REQUEST_AGE_MS;
 pub use chain::status::{
     ChainStatus, MemberReport, PeerReport, StoreStatus, StoredSnapshot, StoredUpdate,
 };
--- a/crates/rookpulley-control/src/replicated_state.rs
+++ b/crates/rookpulley-control/src/replicated_state.rs
@@ -1,6 +1,10 @@
 //! Adapter between the state machine and the chain.
 
-use rookpulley_state::StateMachine;
+use rookpulley_chain::MAX_REQUEST_AGE_MS;
+use rookpulley_state::{MAX_CHAIN_DELAY_MS, StateMachine};
+
+// The state machine refuses releases of locks that may be stale, up to the age that the chain permits.
+const _: () = assert!(MAX_REQUEST_AGE_MS <= MAX_CHAIN_DELAY_MS);
 
 /// Implements the chain's `State` trait for the state machine.
 #[derive(Default)]
--- a/crates/rookpulley-control/src/reply_kind.rs
+++ b/crates/rookpulley-control/src/reply_kind.rs
@@ -74,6 +74,10 @@
             (_, Answer::CapacityExceeded) => {
                 Reply::error(503, "there is no room for more; nothing was done")
             }
+            (_, Answer::ReleaseMayBeStale) => Reply::error(
+                503,
+                "the holder has just acquired the lock again; nothing was done",
+            ),
             (_, Answer::Configured { .. } | Answer::Malformed) => {
                 Reply::error(400, "the call does not fit what it names")
             }
--- a/crates/rookpulley-control/tests/compatibility/frames.rs
+++ b/crates/rookpulley-control/tests/compatibility/frames.rs
@@ -437,6 +437,7 @@
         ("full", Answer::CapacityExceeded),
         ("too long", Answer::TooLong),
         ("unreadable", Answer::Malformed),
+        ("release may be stale", Answer::ReleaseMayBeStale),
     ]
 }
 
--- a/crates/rookpulley-simulator/src/apps.rs
+++ b/crates/rookpulley-simulator/src/apps.rs
@@ -7,6 +7,7 @@
 use rand::RngExt;
 use rookpulley_control::{Content, Endpoint, Reply};
 use std::collections::HashMap;
+use std::ops::Range;
 use tinyjson::JsonValue;
 
 const LOCKS: u32 = 2;
@@ -22,9 +23,14 @@
     hold_ms: u64,
 }
 
+/// Time from a crash of an application until it runs again.
+const RESTART: Range<Us> = 10 * MS..250 * MS;
+
 #[derive(Default)]
 pub struct App {
     held: Option<Held>,
+    /// The lock to acquire first after a crash, and for how long.
+    lock_before_crash: Option<(String, u64)>,
     /// Under way: its number in the record.
     call: Option<usize>,
     seen: HashMap<String, u64>,
@@ -160,20 +166,19 @@
             self.record.holds[hold].until = now;
             self.apps[app].held = None;
             let body = format!("{{\"holder\":\"a{app}\",\"fence\":{fence}}}");
+            if self.day.shape.holders_crash && self.chance(2) {
+                return self.app_crashes_amid_release(app, lock, hold_ms, body);
+            }
             return self.app_calls(app, Asked::Drop, Endpoint::ReleaseLock, &lock, body);
         }
+        if let Some((lock, hold_ms)) = self.apps[app].lock_before_crash.take() {
+            return self.app_acquires(app, &lock, hold_ms);
+        }
         match self.rng.random_range(0..10u32) {
             0..=2 => {
                 let lock = format!("l{}", self.rng.random_range(0..LOCKS));
                 let hold_ms = self.rng.random_range(300..3_000u64);
-                let body = format!("{{\"holder\":\"a{app}\",\"holdMs\":{hold_ms}}}");
-                self.app_calls(
-                    app,
-                    Asked::Take { hold_ms },
-                    Endpoint::AcquireLock,
-                    &lock,
-                    body,
-                );
+                self.app_acquires(app, &lock, hold_ms);
             }
             3 | 4 => {
                 let name = format!("n{}", self.rng.random_range(0..NUMBERS));
@@ -205,6 +210,28 @@
         }
     }
 
+    fn app_acquires(&mut self, app: usize, lock: &str, hold_ms: u64) {
+        let body = format!("{{\"holder\":\"a{app}\",\"holdMs\":{hold_ms}}}");
+        let asked = Asked::Take { hold_ms };
+        self.app_calls(app, asked, Endpoint::AcquireLock, lock, body);
+    }
+
+    /// Sends a release, and crashes without waiting for the answer.
+    fn app_crashes_amid_release(&mut self, app: usize, lock: String, hold_ms: u64, body: String) {
+        let no_retry = (0, 0);
+        self.call(
+            Who::CrashedApp,
+            Endpoint::ReleaseLock,
+            &lock,
+            body,
+            Vec::new(),
+            no_retry,
+        );
+        self.apps[app].lock_before_crash = Some((lock, hold_ms));
+        let down_us = self.rng.random_range(RESTART);
+        self.after(down_us, None, What::App(app));
+    }
+
     fn cell(&mut self) -> String {
         format!(
             "g{}.k{}",
@@ -284,7 +311,12 @@
         }
         let of = &mut self.record.calls[number];
         (of.done, of.got, of.indeterminate) = (Some(now), got, call.indeterminate);
-        let us = self.rng.random_range(10..160u64) * MS;
+        let holds = self.apps[app].held.is_some();
+        let pause_ms = match self.day.shape.holders_crash && holds {
+            true => 100..1_500u64,
+            false => 10..160,
+        };
+        let us = self.rng.random_range(pause_ms) * MS;
         self.after(us, None, What::App(app));
     }
 
--- a/crates/rookpulley-simulator/src/callers.rs
+++ b/crates/rookpulley-simulator/src/callers.rs
@@ -21,6 +21,8 @@
     /// A configuration read during the run, by its index in the record.
     Read(usize),
     App(usize),
+    /// An application that has crashed since.
+    CrashedApp,
     Watcher(usize),
     /// An application call at the end of the run, by its index in the record.
     Last(usize),
@@ -185,7 +187,8 @@
 
     /// Follows the redirect of a stateless controller at once.
     pub fn redirected(&mut self, call: u64, attempt: u32, machine: usize) {
-        if let Some(of) = self.calls.get_mut(&call).filter(|of| of.attempt == attempt) {
+        let is_awaited = |of: &&mut Call| of.attempt == attempt && of.who != Who::CrashedApp;
+        if let Some(of) = self.calls.get_mut(&call).filter(is_awaited) {
             of.machine = machine;
             self.send_call(call);
         }
@@ -259,6 +262,7 @@
             Who::ReadBack => self.read_back_ended(&call, reply.as_ref()),
             Who::Read(read) => self.record.reads[read].body = configuration_of(reply.as_ref()),
             Who::App(app) => self.app_answered(app, &call, reply.as_ref()),
+            Who::CrashedApp => {}
             Who::Watcher(watcher) => self.watcher_answered(watcher, &call, reply.as_ref()),
             Who::Last(index) => self.last_answered(index, &call, reply.as_ref()),
         }
--- a/crates/rookpulley-simulator/src/day.rs
+++ b/crates/rookpulley-simulator/src/day.rs
@@ -33,6 +33,9 @@
     pub revocation_strict: bool,
     /// Usage is counted and reported to a platform.
     pub usage: bool,
+    /// Some applications crash while their release of a lock is on its way, start again under the same name and acquire
+    /// the lock at once.
+    pub holders_crash: bool,
 }
 
 /// A scenario for one simulated gateway.
--- a/crates/rookpulley-simulator/tests/worst_days.rs
+++ b/crates/rookpulley-simulator/tests/worst_days.rs
@@ -479,3 +479,28 @@
     }
     case(day, check, &[Mutation::LocalReads, Mutation::SkipSync]);
 }
+
+/// Guards against two holders: a release takes effect after its sender has died, started again and acquired the lock
+/// again, because calls wait at different controllers until the chain has a head.
+#[test]
+fn a_holder_that_crashes_amid_its_release_and_acquires_the_lock_again_is_the_only_one() {
+    fn day(seed: u64) -> Day {
+        let mut day = five_controllers(seed);
+        (day.controllers, day.losses, day.apps) = (3, 1, 8);
+        day.shape.holders_crash = true;
+        let kills = (4_000..38_000).step_by(2_500).enumerate();
+        let kills = kills.map(|(number, at_ms)| {
+            let kill = Event::KillOne {
+                machine: number % 3,
+                controller: true,
+                down_ms: 300,
+            };
+            (at_ms, kill)
+        });
+        with(day, kills.collect())
+    }
+    fn check(played: &Played) -> Option<String> {
+        check_calls(played, 1_000)
+    }
+    case(day, check, &[]);
+}
--- a/crates/rookpulley-state/src/lib.rs
+++ b/crates/rookpulley-state/src/lib.rs
@@ -25,7 +25,7 @@
 
 pub use duties::DutyLease;
 pub use key_value::{Event, WatchResult, group_of};
-pub use limits::{Limits, Usage};
+pub use limits::{Limits, MAX_CHAIN_DELAY_MS, Usage};
 pub use requests::{Answer, DecodeError, Query, Update};
 pub use snapshot::SnapshotError;
 pub use state_machine::StateMachine;
--- a/crates/rookpulley-state/src/limits.rs
+++ b/crates/rookpulley-state/src/limits.rs
@@ -25,8 +25,19 @@
     pub min_retention_ms: u64,
     /// Delay after a lease expires before another holder can acquire the lock, to tolerate clock drift.
     pub lease_grace_ms: u64,
+    /// How long after a holder has acquired its lock again its releases are refused, because they may have been sent
+    /// before: the longest time from the sending of a call until it takes effect.
+    pub release_guard_ms: u64,
 }
 
+/// The longest time that a call is taken to spend on its way to a controller: callers turn to another one after one
+/// second of silence.
+const MAX_TRANSIT_MS: u64 = 1_000;
+
+/// The longest time that a controller's request may wait in the chain before it takes effect. The chain drops older
+/// ones.
+pub const MAX_CHAIN_DELAY_MS: u64 = 750;
+
 impl Default for Limits {
     fn default() -> Self {
         Self {
@@ -41,6 +52,7 @@
             retention_ms: 120_000,
             min_retention_ms: 60_000,
             lease_grace_ms: 50,
+            release_guard_ms: MAX_TRANSIT_MS + MAX_CHAIN_DELAY_MS,
         }
     }
 }
--- a/crates/rookpulley-state/src/requests.rs
+++ b/crates/rookpulley-state/src/requests.rs
@@ -164,6 +164,9 @@
     Malformed,
     /// The update of usage or of a duty was carried out, or had been before.
     Done,
+    /// The holder has acquired the lock again so recently that the release may have been sent before; nothing was
+    /// changed (503).
+    ReleaseMayBeStale,
 }
 
 /// Error decoding a request or an answer.
--- a/crates/rookpulley-state/src/snapshot.rs
+++ b/crates/rookpulley-state/src/snapshot.rs
@@ -17,6 +17,10 @@
 /// Format of a state with usage or duties: that of format 1, then `UsageAndDuties`.
 const FORMAT_2: u8 = 2;
 
+/// Format of a state with locks that their holders acquired again lately: that of format 2, then when that was for each
+/// lock in the order of their names.
+const FORMAT_3: u8 = 3;
+
 /// Error restoring a snapshot.
 #[derive(Debug, thiserror::Error, miette::Diagnostic)]
 pub enum SnapshotError {
@@ -28,7 +32,7 @@
     Corrupted(#[from] postcard::Error),
     /// The snapshot has a different format version.
     #[error(
-        "unsupported snapshot format {0}; this build supports formats {FORMAT_1} and {FORMAT_2}"
+        "unsupported snapshot format {0}; this build supports formats {FORMAT_1} to {FORMAT_3}"
     )]
     #[diagnostic(help("run the same build on all controllers, and write a new snapshot"))]
     Format(u8),
@@ -62,12 +66,16 @@
     duties: Cow<'a, BTreeMap<String, Duty>>,
 }
 
+/// The parts of a snapshot.
+struct Parts<'a> {
+    contents: SnapshotContents<'a>,
+    more: UsageAndDuties<'a>,
+    reacquisitions: Vec<Option<u64>>,
+}
+
 /// Splits a snapshot without its format into its parts.
-fn decode(
-    format: u8,
-    bytes: &[u8],
-) -> Result<(SnapshotContents<'_>, UsageAndDuties<'_>), SnapshotError> {
-    if format != FORMAT_1 && format != FORMAT_2 {
+fn decode(format: u8, bytes: &[u8]) -> Result<Parts<'_>, SnapshotError> {
+    if !(FORMAT_1..=FORMAT_3).contains(&format) {
         return Err(SnapshotError::Format(format));
     }
     let (contents, rest) = postcard::take_from_bytes(bytes)?;
@@ -75,10 +83,18 @@
         FORMAT_1 => (UsageAndDuties::default(), rest),
         _ => postcard::take_from_bytes(rest)?,
     };
-    match rest {
-        [] => Ok((contents, more)),
-        _ => Err(SnapshotError::Trailing(rest.len())),
+    let (reacquisitions, rest) = match format {
+        FORMAT_3 => postcard::take_from_bytes(rest)?,
+        _ => (Vec::new(), rest),
+    };
+    if !rest.is_empty() {
+        return Err(SnapshotError::Trailing(rest.len()));
     }
+    Ok(Parts {
+        contents,
+        more,
+        reacquisitions,
+    })
 }
 
 impl StateMachine {
@@ -99,7 +115,8 @@
             usage.state_bytes + usage.history_bytes + usage.configuration_bytes + usage.usage_bytes;
         // Encoding into memory cannot fail; `restore` rejects the empty fallback.
         let mut bytes = Vec::with_capacity(capacity);
-        if !self.has_usage_or_duties() {
+        let reacquisitions = self.locks.reacquisitions();
+        if reacquisitions.is_empty() && !self.has_usage_or_duties() {
             bytes.push(FORMAT_1);
             return postcard::to_extend(&contents, bytes).unwrap_or_default();
         }
@@ -108,8 +125,12 @@
             last_duty_fence: self.duties.last_fence(),
             duties: Cow::Borrowed(self.duties.duties()),
         };
-        bytes.push(FORMAT_2);
-        postcard::to_extend(&(contents, more), bytes).unwrap_or_default()
+        if reacquisitions.is_empty() {
+            bytes.push(FORMAT_2);
+            return postcard::to_extend(&(contents, more), bytes).unwrap_or_default();
+        }
+        bytes.push(FORMAT_3);
+        postcard::to_extend(&(contents, more, reacquisitions), bytes).unwrap_or_default()
     }
 
     fn has_usage_or_duties(&self) -> bool {
@@ -121,8 +142,13 @@
         let Some((format, rest)) = bytes.split_first() else {
             return Err(postcard::Error::DeserializeUnexpectedEnd.into());
         };
-        let (contents, more) = decode(*format, rest)?;
-        let locks = Locks::from_leases(contents.leases.into_owned(), contents.last_fence)
+        let Parts {
+            contents,
+            more,
+            reacquisitions,
+        } = decode(*format, rest)?;
+        let leases = contents.leases.into_owned();
+        let locks = Locks::from_leases(leases, contents.last_fence, &reacquisitions)
             .ok_or(SnapshotError::Inconsistent("locks"))?;
         let keys = KeyValueStore::from_groups(contents.groups.into_owned())
             .ok_or(SnapshotError::Inconsistent("keys"))?;
--- a/crates/rookpulley-state/src/state_machine.rs
+++ b/crates/rookpulley-state/src/state_machine.rs
@@ -81,7 +81,7 @@
                 name,
                 holder,
                 fence,
-            } => self.locks.release(name, holder, *fence),
+            } => self.locks.release(now, name, holder, *fence, &limits),
             Update::NextNumber { name } => self.counters.next(name, available_bytes, &limits),
             Update::PutKey {
                 name,
@@ -198,8 +198,10 @@
     fn sweep(&mut self, now_ms: u64) {
         if now_ms.saturating_sub(self.swept_ms) >= SWEEP_INTERVAL_MS {
             self.swept_ms = now_ms;
-            self.locks.remove_expired(now_ms, self.limits.retention_ms);
-            self.keys.remove_expired(now_ms, self.limits.retention_ms);
+            let limits = self.limits;
+            self.locks
+                .remove_expired(now_ms, limits.retention_ms, &limits);
+            self.keys.remove_expired(now_ms, limits.retention_ms);
         }
     }
 
--- a/crates/rookpulley-state/tests/state_machine/lock_clients.rs
+++ b/crates/rookpulley-state/tests/state_machine/lock_clients.rs
@@ -1,11 +1,13 @@
-//! Simulated lock clients that crash, pause and retry, and measure their leases from when they sent the request.
+//! Simulated lock clients that crash, pause and retry, and measure their leases from when they sent the request. Some
+//! crash while a request is on its way, and start again under the same name before it takes effect.
 
 use super::{restored_copy, run_cases};
 use arbtest::arbitrary::{Result, Unstructured};
 use rookpulley_state::{Answer, StateMachine, Update};
 
-/// Maximum delay before a request takes effect, and how long a client waits for an answer.
-const MAX_DELAY_MS: u64 = 900;
+/// Maximum delay before a request takes effect: one second on its way to a controller, and 750 ms in the chain.
+const MAX_DELAY_MS: u64 = 1_749;
+/// How long a client waits for an answer, unless it crashes.
 const ANSWER_TIMEOUT_MS: u64 = 1_000;
 const LOCKS: [&str; 2] = ["door", "gate"];
 
@@ -140,6 +142,14 @@
             }
             false
         }
+        (RequestKind::Release(fence), Answer::ReleaseMayBeStale) => {
+            assert_eq!(
+                history.fences.last(),
+                Some(&(fence, client_index)),
+                "a release that names no lease was refused"
+            );
+            false
+        }
         (_, other) => panic!("unexpected answer {other:?}"),
     };
     if is_success {
@@ -216,8 +226,13 @@
                     continue;
                 };
                 let duration_ms = u.int_in_range(1..=3)? * 700;
-                let is_answered = u.ratio(3, 4)?;
+                let has_crashed = u.ratio(1, 8)?;
+                let is_answered = !has_crashed && u.ratio(3, 4)?;
                 client.wake_ms = now_ms + ANSWER_TIMEOUT_MS;
+                if has_crashed {
+                    client.lease = None;
+                    client.wake_ms = now_ms + u.int_in_range(0..=ANSWER_TIMEOUT_MS)?;
+                }
                 // An unanswered request may or may not take effect, but never after MAX_DELAY_MS.
                 if is_answered || u.ratio(1, 2)? {
                     let arrives_ms = now_ms + u.int_in_range(0..=MAX_DELAY_MS)?;
--- a/crates/rookpulley-state/tests/state_machine/regressions.rs
+++ b/crates/rookpulley-state/tests/state_machine/regressions.rs
@@ -75,6 +75,53 @@
     assert_eq!(acquire(&mut state, 50, "l", "b", 5_000), Answer::LockHeld);
 }
 
+/// Guards against two holders: a holder that dies while its release is on its way acquires the lock again with the same
+/// token, which the release then names as well.
+#[test]
+fn release_sent_before_the_holder_acquired_the_lock_again_does_not_free_it() {
+    let mut state = StateMachine::default();
+    acquire(&mut state, 0, "l", "a", 3_000);
+    assert_eq!(
+        acquire(&mut state, 900, "l", "a", 3_000),
+        Answer::Acquired(1)
+    );
+    assert_eq!(
+        release(&mut state, 901, "l", "a", 1),
+        Answer::ReleaseMayBeStale
+    );
+    // Whether a release is refused survives a restart and a transfer to another replica.
+    let mut state = restored_copy(&state);
+    assert_eq!(
+        release(&mut state, 2_649, "l", "a", 1),
+        Answer::ReleaseMayBeStale
+    );
+    assert_eq!(acquire(&mut state, 2_649, "l", "b", 10), Answer::LockHeld);
+    assert_eq!(release(&mut state, 2_650, "l", "a", 1), Answer::Released);
+    assert_eq!(
+        acquire(&mut state, 2_650, "l", "b", 10),
+        Answer::Acquired(2)
+    );
+}
+
+/// Guards against locks that stay held: a release that names the lease's only acquisition can't be older than it.
+#[test]
+fn lock_acquired_once_is_released_at_once() {
+    let mut state = StateMachine::default();
+    for fence in 1..=3 {
+        let now_ms = fence * 10;
+        assert_eq!(
+            acquire(&mut state, now_ms, "l", "a", 3_000),
+            Answer::Acquired(fence)
+        );
+        renew(&mut state, now_ms + 1, "l", "a", fence, 3_000);
+        assert_eq!(
+            release(&mut state, now_ms + 2, "l", "a", fence),
+            Answer::Released
+        );
+    }
+    assert_eq!(acquire(&mut state, 33, "l", "b", 10), Answer::Acquired(4));
+}
+
 #[test]
 fn tokens_and_counters_continue_after_a_restore() {
     let mut state = StateMachine::default();
--- a/crates/rookpulley-state/tests/state_machine/snapshots.rs
+++ b/crates/rookpulley-state/tests/state_machine/snapshots.rs
@@ -10,6 +10,9 @@
 /// Written by the build that added usage and duties, from the updates of `state_with_usage_and_duties`.
 const FORMAT_2: &str = include_str!("snapshot_format_2.hex");
 
+/// Written by the build that added reacquisitions of locks, from the updates of `state_with_reacquired_lock`.
+const FORMAT_3: &str = include_str!("snapshot_format_3.hex");
+
 /// A state with something in each part that format 1 has.
 fn earlier_state() -> StateMachine {
     let mut state = StateMachine::default();
@@ -53,9 +56,9 @@
 fn a_format_of_a_later_build_is_refused_and_changes_nothing() {
     let mut state = earlier_state();
     let mut bytes = state.snapshot();
-    bytes[0] = 3;
-    let error = state.restore(&bytes).expect_err("format 3");
-    let text = "unsupported snapshot format 3; this build supports formats 1 and 2";
+    bytes[0] = 4;
+    let error = state.restore(&bytes).expect_err("format 4");
+    let text = "unsupported snapshot format 4; this build supports formats 1 to 3";
     assert_eq!(error.to_string(), text);
     assert!(state == earlier_state());
 }
@@ -125,3 +128,45 @@
         super::restored_copy(&state);
     }
 }
+
+/// A state in which the holder of one of three locks has acquired it again.
+fn state_with_reacquired_lock() -> StateMachine {
+    let mut state = state_with_usage_and_duties();
+    acquire(&mut state, 13_100, "window", "d", 4_000);
+    acquire(&mut state, 13_200, "window", "d", 4_000);
+    state
+}
+
+#[test]
+fn a_snapshot_with_a_reacquired_lock_has_format_3_and_keeps_its_bytes() {
+    let state = state_with_reacquired_lock();
+    assert_eq!(hex(&state.snapshot()), FORMAT_3.trim());
+    let mut restored = StateMachine::default();
+    restored.restore(&unhex(FORMAT_3)).expect("format 3");
+    assert!(restored == state);
+}
+
+#[test]
+fn a_snapshot_returns_to_format_2_once_no_release_can_be_stale() {
+    let mut state = state_with_reacquired_lock();
+    next_number(&mut state, 25_000, "tickets");
+    assert_eq!(state.snapshot()[0], 2);
+}
+
+#[test]
+fn reacquisitions_that_do_not_match_the_locks_are_refused() {
+    let mut state = state_with_reacquired_lock();
+    let mut bytes = state.snapshot();
+    let mut without_reacquisitions = state_with_usage_and_duties();
+    acquire(&mut without_reacquisitions, 13_100, "window", "d", 4_000);
+    let length = without_reacquisitions.snapshot().len();
+    bytes.truncate(length);
+    // One entry, for three locks.
+    bytes.extend([1, 0]);
+    let error = state.restore(&bytes).expect_err("too few reacquisitions");
+    assert_eq!(
+        error.to_string(),
+        "the locks in the snapshot are inconsistent"
+    );
+    assert!(state == state_with_reacquired_lock());
+}
