proxy-core: keys need the lease also under a configuration without tenants

Cause: the lease on the key set was asked for only where the held configuration has tenants. A proxy that is cut off took "mine has no tenants" for "there are none". The controllers' answers were there and not used.

Change: with revocationStrict a request with an Authorization header gets 503 (a promise) unless a controller has verified within revokeMs that the held configuration is the newest, whatever that configuration has. Requests without the header are served and the proxy stays ready. The loss of the lease is logged without tenants, too.

Why it works: the lease counts from a question; if it is valid, the held version was the newest then, so any removal was acknowledged less than revokeMs before the request was sent.

Tests: without_a_lease_public_routes_and_configurations_without_tenants_are_ served demanded the fault in its last line; its other statements stand in a test of their own, and a_configuration_without_tenants_admits_keys_only_ under_a_lease replaces that line (red before: 200 for 503).

--- a/crates/rookpulley-proxy-core/src/authentication.rs
+++ b/crates/rookpulley-proxy-core/src/authentication.rs
@@ -36,6 +36,20 @@
         }
     }
 
+    /// Checks a request under a configuration without tenants, which names no tenant. A newer configuration may have brought
+    /// tenants and revoked the key that the request carries, so it needs the same lease as under a configuration with
+    /// tenants.
+    pub(crate) fn check_without_tenants(
+        &self,
+        now: f64,
+        credentials: Credentials,
+    ) -> Result<Option<Arc<str>>, LocalResponse> {
+        if credentials != Credentials::None && !self.may_accept_keys(now) {
+            return Err(LocalResponse::rejected(UNVERIFIED_KEYS_RETRY_MS));
+        }
+        Ok(None)
+    }
+
     /// Returns the response to a request without a known key. While a newer configuration is known to exist, its key may be a
     /// new one.
     fn reject(&mut self, cause: RejectionCause) -> LocalResponse {
--- a/crates/rookpulley-proxy-core/src/lifecycle.rs
+++ b/crates/rookpulley-proxy-core/src/lifecycle.rs
@@ -125,7 +125,7 @@
             .ok_or(LocalResponse::with_status(404))?;
         let tenant = match table.tenants() {
             Some(tenants) => self.authenticate(now, tenants, route, request.credentials)?,
-            None => None,
+            None => self.check_without_tenants(now, request.credentials)?,
         };
         let random = self.endpoints.random();
         let service = route
--- a/crates/rookpulley-proxy-core/src/revocation.rs
+++ b/crates/rookpulley-proxy-core/src/revocation.rs
@@ -1,4 +1,5 @@
-//! Revocation: whether the held API keys are known to contain no revoked one.
+//! Revocation: whether the held configuration, and so its API keys, is known to be no older than `revokeMs`. This is also
+//! needed under a configuration without tenants, since a newer one may have brought keys and revoked some.
 //!
 //! The proxy asks every connected controller about once a second for the newest acknowledged configuration version. The
 //! lease that an answer grants counts from its question (`rookpulley_tenants::KeyLease`). The answers also tell the time of
@@ -109,7 +110,7 @@
         self.lease.as_ref().is_some_and(KeyLease::awaits_newer)
     }
 
-    /// Returns a change of the lease since the last call. `is_needed`: whether requests need keys.
+    /// Returns a change of the lease since the last call. `is_needed`: whether a configuration is held.
     pub fn check(&mut self, now: f64, is_needed: bool) -> Option<LeaseChange> {
         let Some(lease) = self.lease.as_ref().filter(|_| is_needed) else {
             self.availability = Availability::NotNeeded;
--- a/crates/rookpulley-proxy-core/src/state.rs
+++ b/crates/rookpulley-proxy-core/src/state.rs
@@ -147,7 +147,8 @@
         routes.is_some_and(|routes| routes.tenants().is_some())
     }
 
-    /// Whether the keys of the configuration may be accepted now. Without it a request that needs a key must be rejected.
+    /// Whether the keys of requests may be accepted now. Otherwise a request that needs a key, or carries one, must be
+    /// rejected, also under a configuration without tenants.
     pub fn may_accept_keys(&self, now: f64) -> bool {
         let revocation = self.revocation.as_ref();
         revocation.is_none_or(|revocation| revocation.may_accept_keys(now))
@@ -285,7 +286,7 @@
     }
 
     fn log_lease_change(&mut self, now: f64) {
-        let is_needed = self.needs_keys();
+        let is_needed = self.routes.is_some();
         let revocation = self.revocation.as_mut();
         match revocation.and_then(|revocation| revocation.check(now, is_needed)) {
             Some(LeaseChange::Lost) => self.log_warning(
--- a/crates/rookpulley-proxy-core/tests/revocation.rs
+++ b/crates/rookpulley-proxy-core/tests/revocation.rs
@@ -380,13 +380,49 @@
 }
 
 #[test]
-fn without_a_lease_public_routes_and_configurations_without_tenants_are_served() {
+fn without_a_lease_public_routes_are_served_to_requests_without_a_key() {
     let mut proxy = Proxy::serving(Some(REVOKE_MS), TENANTS);
     let status = |response: LocalResponse| response.status;
     assert_eq!(proxy.request_without_key("/open/"), Ok(None));
     // The key may have been passed on to another tenant, so none can be named.
     assert_eq!(proxy.request("/open/", "key-a").map_err(status), Err(503));
     assert_eq!(proxy.request("/", "key-a").map_err(status), Err(503));
+}
+
+/// Guards against a machine that is cut off with a configuration without tenants, and runs requests with a key that newer
+/// configurations have brought and revoked (CONFIG).
+#[test]
+fn a_configuration_without_tenants_admits_keys_only_under_a_lease() {
+    let mut proxy = Proxy::serving(Some(REVOKE_MS), NO_TENANTS);
+    let status = |response: LocalResponse| response.status;
+    for path in ["/", "/open/"] {
+        assert_eq!(proxy.request(path, "key-a").map_err(status), Err(503));
+        assert_eq!(proxy.request_without_key(path), Ok(None));
+    }
+    proxy.answer(0.0, 5);
+    assert_eq!(proxy.request("/", "key-a"), Ok(None));
+    proxy.now = REVOKE_MS - MAX_MARGIN_MS;
+    assert_eq!(proxy.request("/", "key-a"), Ok(None));
+    // Nothing newer is heard.
+    for now in [REVOKE_MS, 60_000.0] {
+        proxy.now = now;
+        let response = proxy.request("/", "key-a").expect_err("no lease");
+        assert_eq!(response.status, 503);
+        assert!(response.retry_after_ms.is_some_and(|ms| ms > 0.0));
+        assert_eq!(proxy.request_without_key("/"), Ok(None));
+    }
+    // Version 6 is known to exist, and may have tenants.
+    proxy.answer(59_900.0, 6);
+    assert_eq!(proxy.request("/", "key-a").map_err(status), Err(503));
     proxy.apply(6, NO_TENANTS);
     assert_eq!(proxy.request("/", "key-a"), Ok(None));
 }
+
+/// Guards against a loss of service where keys need no lease.
+#[test]
+fn without_revocation_strict_a_configuration_without_tenants_is_served_to_all() {
+    let mut proxy = Proxy::serving(None, NO_TENANTS);
+    proxy.now = 60_000.0;
+    assert_eq!(proxy.request("/", "key-a"), Ok(None));
+    assert_eq!(proxy.request_without_key("/"), Ok(None));
+}
--- a/crates/rookpulley-simulator/src/day.rs
+++ b/crates/rookpulley-simulator/src/day.rs
@@ -29,6 +29,8 @@
     pub attempts: Option<u32>,
     /// Tenants in the configurations; without any, requests carry no key.
     pub tenants: u32,
+    /// The first configuration has no tenants yet; clients send their keys already.
+    pub tenants_come_later: bool,
     /// A key may be accepted for `revokeMs` after its revocation at most, at any machine (`revocationStrict`).
     pub revocation_strict: bool,
     /// Usage is counted and reported to a platform.
--- a/crates/rookpulley-simulator/src/operator.rs
+++ b/crates/rookpulley-simulator/src/operator.rs
@@ -195,7 +195,10 @@
     pub fn operate(&mut self, what: usize) {
         use crate::event::Event;
         let Some(index) = what.checked_sub(1) else {
-            let config = self.change();
+            let mut config = self.change();
+            if self.day.shape.tenants_come_later {
+                config.tenants.clear();
+            }
             return self.put(config, true, None);
         };
         match self.day.events.get(index).map(|(_, event)| event.clone()) {
--- a/crates/rookpulley-simulator/tests/tenants.rs
+++ b/crates/rookpulley-simulator/tests/tenants.rs
@@ -80,6 +80,15 @@
     revocations_during(seed, [Event::CutControllers { machines, ms }])
 }
 
+/// Machines are cut off with the first configuration, which has no tenants, before keys come and are revoked.
+fn cut_off_before_tenants_day(seed: u64) -> Day {
+    let (machines, ms) = (MOST_OF_A_ZONE.to_vec(), FAULT_MS);
+    let cut = Event::CutControllers { machines, ms };
+    let mut day = with(revocations_during(seed, []), [(4_500, cut)]);
+    day.shape.tenants_come_later = true;
+    day
+}
+
 fn deaf_day(seed: u64) -> Day {
     let (machines, ms) = (MOST_OF_A_ZONE.to_vec(), FAULT_MS);
     revocations_during(seed, [Event::DeafToMachines { machines, ms }])
@@ -202,6 +211,12 @@
     assert_kept(cut_off_day, 0.9);
 }
 
+// Machines that are cut off while they hold a configuration without tenants run requests with revoked keys (CONFIG).
+#[test]
+fn days_with_machines_cut_off_before_there_are_tenants_break_no_rule() {
+    assert_kept(cut_off_before_tenants_day, 0.9);
+}
+
 // Machines that send but hear nothing go on with revoked keys (CONFIG).
 #[test]
 fn days_with_machines_cut_off_one_way_break_no_rule() {
@@ -246,6 +261,11 @@
     assert_caught(cut_off_day, Mutation::IgnoreKeyLease);
 }
 
+#[test]
+fn revoked_key_on_a_machine_that_was_cut_off_before_there_were_tenants_is_caught() {
+    assert_caught(cut_off_before_tenants_day, Mutation::IgnoreKeyLease);
+}
+
 #[test]
 fn revoked_key_on_a_machine_that_is_cut_off_one_way_is_caught() {
     assert_caught(deaf_day, Mutation::IgnoreKeyLease);
