--- a/crates/rookpulley-balancer/src/retry_budget.rs
+++ b/crates/rookpulley-balancer/src/retry_budget.rs
@@ -3,7 +3,7 @@
 /// Time constant of the exponential decay of tokens above the share.
 const DECAY_MS: f64 = 2_000.0;
 /// Bucket capacity when the share is less than one token. It is above one so that a whole token is left after the decay
-/// during an attempt.
+/// during an attempt: with a capacity of one, any attempt that took time left less, and no retry was ever allowed.
 const SMALL_SHARE_CAPACITY: f64 = 2.0;
 /// Used fraction of the allowed ratio. The rest covers retries that arrive in a later window than their withdrawal.
 const RATIO_FRACTION: f64 = 0.8;
--- a/crates/rookpulley-control/src/publish_pacer.rs
+++ b/crates/rookpulley-control/src/publish_pacer.rs
@@ -1,7 +1,8 @@
 //! Rate limit for publishing configurations to proxies.
 //!
 //! An isolated change is published immediately. Of a burst, only the newest configuration of each interval is published,
-//! because a proxy's parsing time grows with the size of the configuration and competes with forwarding requests.
+//! because a proxy's parsing time grows with the size of the configuration and competes with forwarding requests: a proxy
+//! may have a tenth of a core.
 
 /// The interval after a configuration is one millisecond per this many bytes.
 const BYTES_PER_MS: f64 = 512.0;
--- a/crates/rookpulley-registry/src/heartbeat.rs
+++ b/crates/rookpulley-registry/src/heartbeat.rs
@@ -7,6 +7,7 @@
 use std::net::SocketAddrV4;
 use tinyjson::JsonValue;
 
+/// A heartbeat takes a few hundred bytes and three levels of nesting.
 const MAX_BYTES: usize = 16 << 10;
 const BOUNDS: JsonLimits = JsonLimits {
     max_bytes: MAX_BYTES,
--- a/crates/rookpulley-routes/src/json.rs
+++ b/crates/rookpulley-routes/src/json.rs
@@ -5,7 +5,7 @@
 use std::fmt::Display;
 use tinyjson::{JsonParseError, JsonValue};
 
-/// Maximum size of a configuration; fits more than 35,000 routes.
+/// Maximum size of a configuration. One of 3,000 routes takes about half a megabyte, one of 35,000 about six.
 pub const MAX_BYTES: usize = 8 << 20;
 /// Maximum nesting depth.
 pub const MAX_DEPTH: usize = 64;
--- a/crates/rookpulley-routes/src/read.rs
+++ b/crates/rookpulley-routes/src/read.rs
@@ -233,7 +233,7 @@
 #[derive(Default)]
 struct Routes {
     routes: Vec<Route>,
-    /// Position of each host and prefix, to detect duplicates.
+    /// Position of each host and prefix, to detect duplicates, which would leave open which of the two routes applies.
     seen: HashMap<(String, String), (usize, usize)>,
 }
 
--- a/crates/rookpulley-routes/src/route.rs
+++ b/crates/rookpulley-routes/src/route.rs
@@ -29,7 +29,7 @@
     pub prefix: String,
     /// How its requests may be retried.
     pub kind: RouteKind,
-    /// Request timeout, greater than 0 and at most one day.
+    /// Request timeout, greater than 0 and at most one day, so that it fits any representation of time.
     pub timeout_ms: f64,
     /// Target response time.
     pub latency_target_ms: f64,
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -195,7 +195,8 @@
                     (trial.answered, trial.from_ms) = (true, now);
                 }
             }
-            // Late reports may cover the time before a restart, so results right after it are ignored.
+            // Late reports may cover the time before a restart, so results right after it are ignored. A server whose
+            // restart fails is therefore noticed later.
             Input::ServerReport { server, .. }
                 if now < self.fleet.started_ms(server) + health::SPAN_MS => {}
             Input::ServerReport {
--- a/src/rules/gate.rs
+++ b/src/rules/gate.rs
@@ -36,7 +36,7 @@
             (false, _) if p.fresh => (Need::NoTable, 0),
             (false, Some(since)) => (Need::Drain, since),
             (false, None) => (Need::Bind, 0),
-            // A table whose servers have all left is as urgent as a missing one.
+            // A table whose servers have all left is as urgent as a missing one: the loss of a zone leaves such tables.
             _ if table.held.keys().all(left) => (Need::NoTable, 0),
             _ => match table.held.keys().filter(|s| left(s)).map(since).min() {
                 Some(since) => (Need::Drain, since),
--- a/src/rules/health.rs
+++ b/src/rules/health.rs
@@ -94,7 +94,7 @@
 const EJECTION_MS: f64 = 5_000.0;
 const MAX_EJECTION_MS: f64 = 20_000.0;
 /// A server is failing when the share of failed tries exceeds this and the excess over the fleet's average is
-/// statistically significant for the number of servers.
+/// statistically significant for the number of servers. Fixed counts ejected sound servers during overload.
 const FAIL_SHARE: f64 = 0.5;
 const FAIL_MIN_TRIES: f64 = 4.0;
 const FAIL_FACTOR: f64 = 1.5;
@@ -111,7 +111,7 @@
 
 impl Fleet {
     /// Applies a server list. With `soft`, a server missing from the list is kept while it answers successfully, which
-    /// guards against wrong lists.
+    /// guards against wrong lists. A server that is gone for good then receives requests until they are seen to fail.
     pub(super) fn apply_list(
         &mut self,
         now: f64,
--- a/src/rules/parts.rs
+++ b/src/rules/parts.rs
@@ -10,7 +10,7 @@
 const MULTIPLE_UNKNOWN: f64 = 3.0;
 
 /// Capacity multiple that a cold server needs. A controller that has too few reports assumes that the fleet may be
-/// overloaded.
+/// overloaded: controllers that had just started took it for calm and overloaded cold servers.
 pub(super) fn required_multiple(now: f64, admission: &AdmissionControl) -> f64 {
     match admission.mode {
         Mode::Open if now >= admission.stepped_ms => 0.0,
@@ -30,7 +30,8 @@
 }
 
 /// Limits cold servers to their fair share of all requests. Arcs skip unavailable servers, which would overload a cold
-/// server that follows them on the ring. The warm servers of the same tables take the difference.
+/// server that follows them on the ring: in a zone full of new, failing servers a cold one got five times its share. The
+/// warm servers of the same tables take the difference.
 pub(super) fn limit_cold_servers(
     now: f64,
     fleet: &Fleet,
@@ -63,7 +64,8 @@
             0.0
         };
     };
-    // While throttled, proxies concentrate on servers that do not fail, which would overload a cold one.
+    // While throttled, proxies concentrate on servers that do not fail, which would overload a cold one. The cost is
+    // that a zone of cold servers is used later.
     let sure = assured_share(now, server, bounds);
     if sure < 1.0 && sure * bounds.fall_multiple < sure_multiple {
         return 0.0;
--- a/src/rules/queue.rs
+++ b/src/rules/queue.rs
@@ -22,7 +22,7 @@
 }
 
 /// Backlog allowed for non-urgent updates: enough to keep the channel busy until the next round. The queue is FIFO, so
-/// a longer backlog would delay drains.
+/// a longer backlog would delay drains, as the tables of a mass join did.
 pub(super) fn room(pace: &ChannelLimits) -> f64 {
     let busy_ms = ROUND_MS + 2.0 * pace.max_transit_ms;
     pace.backlog_lines.min(pace.lines_per_s * busy_ms / 1e3)
--- a/src/rules/revisions.rs
+++ b/src/rules/revisions.rs
@@ -196,7 +196,7 @@
     }
 
     /// The usable part of earlier entries: without drained, removed, ejected or ineligible servers; ramping servers get
-    /// no more weight than in the published revision.
+    /// no more weight than in the published revision. Without a warm server nothing is usable, so there is no rollback.
     pub(super) fn usable_weights(
         &self,
         lines: &ServerWeights,
--- a/src/state.rs
+++ b/src/state.rs
@@ -267,7 +267,8 @@
     Slack,
 }
 
-/// State of admission control. Reports lag by some seconds, so limits stay briefly after an overload has ended.
+/// State of admission control. Reports lag by some seconds, so limits stay briefly after an overload has ended and reject
+/// requests that could be served.
 #[derive(Default)]
 pub struct AdmissionControl {
     pub levels: AdmissionMode,
