devcluster: a soak of locks whose holders crash amid a release

It checks that a lock has one holder at a time, that fences rise, and that each lock is acquired again after the last fault.

--- a/crates/rookpulley-devcluster/src/coordination_checks.rs
+++ b/crates/rookpulley-devcluster/src/coordination_checks.rs
@@ -33,7 +33,8 @@
     check
 }
 
-fn holds(holds: &[Hold]) -> Check {
+/// Checks the holds of one lock by any number of holders.
+pub fn exclusive_holds(holds: &[Hold]) -> Check {
     let mut check = Check::new("a lock has one holder at a time and its fences increase");
     for one in holds {
         let others = holds.iter().filter(|other| other.holder != one.holder);
@@ -46,6 +47,11 @@
             format!("{one:?} conflicts with {fault:?}")
         });
     }
+    check
+}
+
+fn holds(holds: &[Hold]) -> Check {
+    let mut check = exclusive_holds(holds);
     if holds.iter().all(|one| one.holder == 0) || holds.iter().all(|one| one.holder == 1) {
         check.add_fault(format!(
             "only one of the two clients ever held the lock, {} times",
--- a/crates/rookpulley-devcluster/src/main.rs
+++ b/crates/rookpulley-devcluster/src/main.rs
@@ -2,7 +2,7 @@
 //!
 //! `environment`, `node_settings` and `processes` start the controllers and proxies; `task` and `heartbeats` implement
 //! the tasks; `gateway_configuration` and `control_client` configure the gateway; `cluster` combines them. `trial` runs
-//! `clients` and `coordination` against the cluster; `request_checks` and `coordination_checks` verify the results.
+//! `clients` and `coordination` against the cluster, `lock_soak` holders of locks; `request_checks` and `coordination_checks` verify the results.
 
 /// Prints a line and ignores errors such as a closed pipe.
 macro_rules! print_line {
@@ -21,6 +21,7 @@
 mod errors;
 mod gateway_configuration;
 mod heartbeats;
+mod lock_soak;
 mod node_settings;
 mod processes;
 mod record;
@@ -46,6 +47,9 @@
     cmd rookpulley-devcluster {
         /// Generates load, injects failures, checks the results, prints a table, and exits with 0 or 1.
         optional --trial
+        /// Soaks the locks instead: holders crash while controllers are killed, terminated and frozen, as drawn from this
+        /// seed. It takes some 40 seconds.
+        optional --lock-soak seed: u64
         /// Stops after this many seconds; --for is an alias. A trial that has not finished by then fails.
         optional --seconds seconds: u64
         /// The machine, 1 to 3, whose controller the trial kills; 1 by default.
@@ -112,7 +116,8 @@
 async fn run(flags: RookpulleyDevcluster) -> Result<ExitCode, ClusterError> {
     let mut stop = StopSignals::listen()?;
     let mut cluster = Cluster::new(flags.keep, flags.verbose)?;
-    let limit = flags.seconds.or(flags.trial.then_some(TRIAL_S));
+    let is_trial = flags.trial || flags.lock_soak.is_some();
+    let limit = flags.seconds.or(is_trial.then_some(TRIAL_S));
     let time_limit = async {
         match limit {
             Some(seconds) => sleep(Duration::from_secs(seconds)).await,
@@ -123,7 +128,11 @@
         cluster.start().await?;
         print_addresses(&cluster);
         let machine = flags.kill.unwrap_or(1).clamp(1, MACHINE_COUNT) - 1;
-        if flags.trial {
+        if let Some(seed) = flags.lock_soak {
+            lock_soak::run(&mut cluster, seed)
+                .await
+                .map(Completion::Trial)
+        } else if flags.trial {
             trial::run(&mut cluster, machine)
                 .await
                 .map(Completion::Trial)
@@ -156,7 +165,7 @@
             print_report(&trial, &processes::warnings(cluster.environment.folder()));
             trial.passed()
         }
-        Completion::Stopped | Completion::TimeLimit if flags.trial => {
+        Completion::Stopped | Completion::TimeLimit if is_trial => {
             print_line!("trial: interrupted before it finished, so it failed");
             false
         }
--- a/crates/rookpulley-devcluster/src/processes.rs
+++ b/crates/rookpulley-devcluster/src/processes.rs
@@ -157,6 +157,20 @@
         })
     }
 
+    /// Sends a signal to a process that runs.
+    pub fn signal(&self, name: &str, signal: Signal) {
+        let child = self
+            .processes
+            .iter()
+            .find(|process| process.name == name)
+            .and_then(|process| process.child.as_ref());
+        let pid = child.and_then(Child::id);
+        if let Some(pid) = pid.and_then(|id| Pid::from_raw(id as i32)) {
+            // It may have exited meanwhile.
+            _ = kill_process(pid, signal);
+        }
+    }
+
     /// Sends SIGKILL and waits for the exit.
     pub async fn kill(&mut self, name: &str) {
         let child = self
--- a/crates/rookpulley-devcluster/src/request_checks.rs
+++ b/crates/rookpulley-devcluster/src/request_checks.rs
@@ -44,6 +44,15 @@
         }
     }
 
+    /// Adds the results of the same check of something else.
+    pub fn merge(mut self, other: Check) -> Check {
+        self.examined += other.examined;
+        self.faults += other.faults;
+        self.fault_details.extend(other.fault_details);
+        self.fault_details.truncate(MAX_FAULT_DETAILS);
+        self
+    }
+
     pub fn passed(&self) -> bool {
         self.examined > 0 && self.faults == 0
     }
--- a/crates/rookpulley-devcluster/tests/trial.rs
+++ b/crates/rookpulley-devcluster/tests/trial.rs
@@ -76,6 +76,34 @@
     );
 }
 
+/// Soaks the locks of a cluster as drawn from each seed.
+fn soak_locks(seeds: std::ops::Range<u64>) {
+    build_programs();
+    for seed in seeds {
+        let number = seed.to_string();
+        let out = cluster().args(["--lock-soak", &number]).output().unwrap();
+        let output = String::from_utf8_lossy(&out.stdout);
+        let errors = String::from_utf8_lossy(&out.stderr);
+        assert!(out.status.success(), "seed {seed}: {output}\n{errors}");
+        let results = output.lines().filter(|line| line.starts_with("seed "));
+        results.for_each(|line| println!("{line}"));
+    }
+}
+
+/// Guards against two holders of a lock: a release takes effect after its sender has crashed and acquired the lock again.
+#[test]
+fn holders_that_crash_amid_a_release_never_share_a_lock() {
+    soak_locks(4..6);
+}
+
+#[test]
+#[ignore = "long: LOCK_SOAK_SEEDS=0..56 cargo test --release -p rookpulley-devcluster --test trial -- --ignored --nocapture"]
+fn holders_that_crash_amid_a_release_never_share_a_lock_on_many_seeds() {
+    let text = std::env::var("LOCK_SOAK_SEEDS").unwrap_or_default();
+    let (from, to) = text.split_once("..").unwrap_or(("0", "56"));
+    soak_locks(from.parse().unwrap()..to.parse().unwrap());
+}
+
 #[test]
 fn serves_until_terminated_and_removes_its_folder() {
     build_programs();
