simulator: applications by concern, in the field's terms

Watches, final calls and the reading of replies have files of their own; the outcome of a call is read in one place instead of two; acquire, renew, release and crash are a function each.

--- a/crates/rookpulley-simulator/src/apps.rs
+++ b/crates/rookpulley-simulator/src/apps.rs
@@ -1,39 +1,50 @@
-//! Stand-ins for applications: locks, numbers, cells and those who watch them.
+//! Simulated applications, which use locks, number sequences and keys.
+//!
+//! `watchers` has those that watch keys, `final_calls` the calls at the end of a scenario, and `replies` reads replies.
+
+mod final_calls;
+mod replies;
+mod watchers;
 
 use crate::callers::{Call, Who};
-use crate::record::{AppCall, Asked, Got, Hold, WatchPart};
+use crate::record::{AppCall, Asked, Got, Hold};
 use crate::world::{What, World};
 use crate::{MS, S, Us};
 use rand::RngExt;
-use rookpulley_control::{Content, Endpoint, Reply};
+use replies::outcome_of;
+use rookpulley_control::{Endpoint, Reply};
 use std::collections::HashMap;
 use std::ops::Range;
-use tinyjson::JsonValue;
 
 const LOCKS: u32 = 2;
 const NUMBERS: u32 = 2;
 const GROUPS: u32 = 2;
 const KEYS: u32 = 3;
-const WITHIN: Us = 4 * S;
+/// How long a call is repeated before it counts as unanswered.
+const CALL_TIMEOUT: Us = 4 * S;
+/// Time from a crash of an application until it runs again.
+const RESTART: Range<Us> = 10 * MS..250 * MS;
 
-struct Held {
-    lock: String,
+/// A lock that an application holds.
+#[derive(Clone)]
+struct HeldLock {
+    name: String,
     fence: u64,
+    /// Index in `record.holds`.
     hold: usize,
-    hold_ms: u64,
+    lease_ms: u64,
 }
 
-/// Time from a crash of an application until it runs again.
-const RESTART: Range<Us> = 10 * MS..250 * MS;
-
 #[derive(Default)]
 pub struct App {
-    held: Option<Held>,
+    held: Option<HeldLock>,
     /// The lock to acquire first after a crash, and for how long.
     lock_before_crash: Option<(String, u64)>,
-    /// Under way: its number in the record.
+    /// The call in progress, by its index in `record.calls`.
     call: Option<usize>,
-    seen: HashMap<String, u64>,
+    /// The last seen revision of each key.
+    revisions: HashMap<String, u64>,
+    /// Number of values put, which makes each one unique.
     values: u64,
 }
 
@@ -43,53 +54,6 @@
     after: u64,
 }
 
-fn field(reply: &Reply, name: &str) -> Option<u64> {
-    match &reply.content {
-        Content::Json(JsonValue::Object(fields)) => match fields.get(name) {
-            Some(JsonValue::Number(n)) => Some(*n as u64),
-            _ => None,
-        },
-        _ => None,
-    }
-}
-
-fn value_of(reply: &Reply) -> Option<String> {
-    match &reply.content {
-        Content::Json(JsonValue::Object(fields)) => match fields.get("value") {
-            Some(JsonValue::String(text)) => Some(text.clone()),
-            _ => None,
-        },
-        _ => None,
-    }
-}
-
-fn events_of(reply: &Reply) -> Vec<(String, String, u64)> {
-    let Content::Json(JsonValue::Object(fields)) = &reply.content else {
-        return Vec::new();
-    };
-    let Some(JsonValue::Array(events)) = fields.get("events") else {
-        return Vec::new();
-    };
-    let one = |event: &JsonValue| {
-        let JsonValue::Object(fields) = event else {
-            return None;
-        };
-        match (
-            fields.get("name"),
-            fields.get("value"),
-            fields.get("revision"),
-        ) {
-            (
-                Some(JsonValue::String(n)),
-                Some(JsonValue::String(v)),
-                Some(JsonValue::Number(r)),
-            ) => Some((n.clone(), v.clone(), *r as u64)),
-            _ => None,
-        }
-    };
-    events.iter().filter_map(one).collect()
-}
-
 impl World {
     pub fn begin_apps(&mut self) {
         for app in 0..self.day.apps {
@@ -108,7 +72,8 @@
         }
     }
 
-    fn winding_up(&self) -> bool {
+    /// Whether applications begin nothing new, so that the final calls see a settled state.
+    fn apps_are_finishing(&self) -> bool {
         self.now + 4_500 * MS >= self.day.length_ms * MS
     }
 
@@ -130,109 +95,114 @@
             indeterminate: false,
         });
         self.apps[app].call = Some(number);
-        self.call(Who::App(app), endpoint, name, body, Vec::new(), (WITHIN, 0));
+        let timeouts = (CALL_TIMEOUT, 0);
+        self.call(Who::App(app), endpoint, name, body, Vec::new(), timeouts);
     }
 
     pub fn app_acts(&mut self, app: usize) {
-        if self.winding_up() && self.apps[app].held.is_none() {
-            return;
+        if let Some(held) = self.apps[app].held.clone() {
+            return self.app_uses_lock(app, held);
         }
-        let now = self.now;
-        if let Some(held) = &self.apps[app].held {
-            let (lock, fence, hold, hold_ms) =
-                (held.lock.clone(), held.fence, held.hold, held.hold_ms);
-            let until = self.record.holds[hold].until;
-            if now >= until {
-                self.apps[app].held = None;
-                return self.after(20 * MS, None, What::App(app));
-            }
-            // Some die while holding.
-            if self.chance(25) {
-                self.apps[app].held = None;
-                self.record.holds[hold].until = now;
-                return self.after(until - now, None, What::App(app));
-            }
-            if self.chance(2) {
-                let body =
-                    format!("{{\"holder\":\"a{app}\",\"fence\":{fence},\"holdMs\":{hold_ms}}}");
-                return self.app_calls(
-                    app,
-                    Asked::Renew { hold },
-                    Endpoint::RenewLock,
-                    &lock,
-                    body,
-                );
-            }
-            self.record.holds[hold].until = now;
-            self.apps[app].held = None;
-            let body = format!("{{\"holder\":\"a{app}\",\"fence\":{fence}}}");
-            if self.day.shape.holders_crash && self.chance(2) {
-                return self.app_crashes_amid_release(app, lock, hold_ms, body);
-            }
-            return self.app_calls(app, Asked::Drop, Endpoint::ReleaseLock, &lock, body);
+        if self.apps_are_finishing() {
+            return;
         }
-        if let Some((lock, hold_ms)) = self.apps[app].lock_before_crash.take() {
-            return self.app_acquires(app, &lock, hold_ms);
+        if let Some((lock, lease_ms)) = self.apps[app].lock_before_crash.take() {
+            return self.app_acquires(app, &lock, lease_ms);
         }
         match self.rng.random_range(0..10u32) {
             0..=2 => {
                 let lock = format!("l{}", self.rng.random_range(0..LOCKS));
-                let hold_ms = self.rng.random_range(300..3_000u64);
-                self.app_acquires(app, &lock, hold_ms);
+                let lease_ms = self.rng.random_range(300..3_000u64);
+                self.app_acquires(app, &lock, lease_ms);
             }
             3 | 4 => {
                 let name = format!("n{}", self.rng.random_range(0..NUMBERS));
-                self.app_calls(app, Asked::Number, Endpoint::NextNumber, &name, "{}".into());
-            }
-            5..=7 => {
-                let name = self.cell();
-                self.apps[app].values += 1;
-                let value = format!("v{app}-{}", self.apps[app].values);
-                let active = self
-                    .chance(2)
-                    .then(|| self.apps[app].seen.get(&name).copied().unwrap_or(0));
-                let body = match active {
-                    Some(active) => format!("{{\"value\":\"{value}\",\"active\":{active}}}"),
-                    None => format!("{{\"value\":\"{value}\"}}"),
-                };
-                self.app_calls(
-                    app,
-                    Asked::Put { value, active },
-                    Endpoint::PutKey,
-                    &name,
-                    body,
-                );
+                let endpoint = Endpoint::NextNumber;
+                self.app_calls(app, Asked::NextNumber, endpoint, &name, "{}".into());
             }
+            5..=7 => self.app_puts(app),
             _ => {
-                let name = self.cell();
+                let name = self.draw_key();
                 self.app_calls(app, Asked::Get, Endpoint::GetKey, &name, String::new());
             }
         }
     }
 
-    fn app_acquires(&mut self, app: usize, lock: &str, hold_ms: u64) {
-        let body = format!("{{\"holder\":\"a{app}\",\"holdMs\":{hold_ms}}}");
-        let asked = Asked::Take { hold_ms };
+    /// Lets the lease expire, dies, renews, releases, or crashes amid a release.
+    fn app_uses_lock(&mut self, app: usize, held: HeldLock) {
+        let now = self.now;
+        let until = self.record.holds[held.hold].until;
+        if now >= until {
+            self.apps[app].held = None;
+            return self.after(20 * MS, None, What::App(app));
+        }
+        // Some die while holding.
+        if self.chance(25) {
+            self.app_hold_ends(app, held.hold);
+            return self.after(until - now, None, What::App(app));
+        }
+        if self.chance(2) {
+            return self.app_renews(app, &held);
+        }
+        self.app_hold_ends(app, held.hold);
+        let body = format!("{{\"holder\":\"a{app}\",\"fence\":{}}}", held.fence);
+        if self.day.shape.holders_crash && self.chance(2) {
+            return self.app_crashes_amid_release(app, held, body);
+        }
+        let endpoint = Endpoint::ReleaseLock;
+        self.app_calls(app, Asked::Release, endpoint, &held.name, body);
+    }
+
+    fn app_hold_ends(&mut self, app: usize, hold: usize) {
+        let until = &mut self.record.holds[hold].until;
+        *until = self.now.min(*until);
+        self.apps[app].held = None;
+    }
+
+    fn app_acquires(&mut self, app: usize, lock: &str, lease_ms: u64) {
+        let body = format!("{{\"holder\":\"a{app}\",\"holdMs\":{lease_ms}}}");
+        let asked = Asked::Acquire { lease_ms };
         self.app_calls(app, asked, Endpoint::AcquireLock, lock, body);
     }
 
+    fn app_renews(&mut self, app: usize, held: &HeldLock) {
+        let HeldLock {
+            name,
+            fence,
+            hold,
+            lease_ms,
+        } = held;
+        let body = format!("{{\"holder\":\"a{app}\",\"fence\":{fence},\"holdMs\":{lease_ms}}}");
+        let asked = Asked::Renew { hold: *hold };
+        self.app_calls(app, asked, Endpoint::RenewLock, name, body);
+    }
+
     /// Sends a release, and crashes without waiting for the answer.
-    fn app_crashes_amid_release(&mut self, app: usize, lock: String, hold_ms: u64, body: String) {
-        let no_retry = (0, 0);
-        self.call(
-            Who::CrashedApp,
-            Endpoint::ReleaseLock,
-            &lock,
-            body,
-            Vec::new(),
-            no_retry,
-        );
-        self.apps[app].lock_before_crash = Some((lock, hold_ms));
+    fn app_crashes_amid_release(&mut self, app: usize, held: HeldLock, body: String) {
+        let (who, endpoint, no_retry) = (Who::CrashedApp, Endpoint::ReleaseLock, (0, 0));
+        self.call(who, endpoint, &held.name, body, Vec::new(), no_retry);
+        self.apps[app].lock_before_crash = Some((held.name, held.lease_ms));
         let down_us = self.rng.random_range(RESTART);
         self.after(down_us, None, What::App(app));
     }
 
-    fn cell(&mut self) -> String {
+    /// Puts a unique value to a random key, half of the time on the condition that it has the last seen revision.
+    fn app_puts(&mut self, app: usize) {
+        let name = self.draw_key();
+        self.apps[app].values += 1;
+        let value = format!("v{app}-{}", self.apps[app].values);
+        let is_conditional = self.chance(2);
+        let active =
+            is_conditional.then(|| self.apps[app].revisions.get(&name).copied().unwrap_or(0));
+        let body = match active {
+            Some(active) => format!("{{\"value\":\"{value}\",\"active\":{active}}}"),
+            None => format!("{{\"value\":\"{value}\"}}"),
+        };
+        let asked = Asked::Put { value, active };
+        self.app_calls(app, asked, Endpoint::PutKey, &name, body);
+    }
+
+    fn draw_key(&mut self) -> String {
         format!(
             "g{}.k{}",
             self.rng.random_range(0..GROUPS),
@@ -241,178 +211,77 @@
     }
 
     pub fn app_answered(&mut self, app: usize, call: &Call, reply: Option<&Reply>) {
-        let now = self.now;
         let Some(number) = self.apps[app].call.take() else {
             return;
         };
         let asked = self.record.calls[number].asked.clone();
-        let name = call.name.clone();
-        let got = match (reply, &asked) {
-            (None, _) => Got::Nothing,
-            (Some(reply), _) if reply.status == 412 => {
-                Got::Conflict(field(reply, "revision").unwrap_or(0))
-            }
-            (Some(reply), Asked::Get) if reply.status == 404 => Got::Read(None),
-            (Some(reply), _) if reply.status != 200 => Got::No(reply.status),
-            (Some(reply), Asked::Take { .. }) => Got::Fence(field(reply, "fence").unwrap_or(0)),
-            (Some(reply), Asked::Number) => Got::Number(field(reply, "value").unwrap_or(0)),
-            (Some(reply), Asked::Put { .. }) => {
-                Got::Revision(field(reply, "revision").unwrap_or(0))
-            }
-            (Some(reply), Asked::Get) => Got::Read(
-                value_of(reply).map(|value| (value, field(reply, "revision").unwrap_or(0))),
-            ),
-            (Some(_), _) => Got::Done,
-        };
+        let got = outcome_of(&asked, reply);
         match (&asked, &got) {
-            (Asked::Take { hold_ms }, Got::Fence(fence)) => {
-                // It counts itself holder from the answer until its time since the call is over.
-                let until = call.sent_us + hold_ms * MS;
-                if until > now {
-                    let hold = self.record.holds.len();
-                    self.record.holds.push(Hold {
-                        app,
-                        lock: name.clone(),
-                        fence: *fence,
-                        from: now,
-                        until,
-                        asked: call.first_us,
-                    });
-                    let held = Held {
-                        lock: name.clone(),
-                        fence: *fence,
-                        hold,
-                        hold_ms: *hold_ms,
-                    };
-                    self.apps[app].held = Some(held);
-                }
-            }
-            (Asked::Renew { hold }, Got::Done) => {
-                let hold_ms = self.apps[app].held.as_ref().map_or(0, |held| held.hold_ms);
-                let until = call.sent_us + hold_ms * MS;
-                let of = &mut self.record.holds[*hold];
-                if now < of.until {
-                    of.until = of.until.max(until);
-                } else {
-                    self.apps[app].held = None;
-                }
+            (Asked::Acquire { lease_ms }, Got::Fence(fence)) => {
+                self.app_acquired(app, call, *fence, *lease_ms);
             }
+            (Asked::Renew { hold }, Got::Done) => self.app_renewed(app, call, *hold),
             (Asked::Renew { hold }, Got::No(_)) => {
-                let of = &mut self.record.holds[*hold];
-                of.until = of.until.min(now);
-                self.apps[app].held = None;
+                self.app_hold_ends(app, *hold);
             }
-            (_, Got::Revision(revision)) => _ = self.apps[app].seen.insert(name.clone(), *revision),
-            (_, Got::Conflict(revision)) => _ = self.apps[app].seen.insert(name.clone(), *revision),
-            (_, Got::Read(Some((_, revision)))) => {
-                _ = self.apps[app].seen.insert(name.clone(), *revision)
+            (_, Got::Revision(revision) | Got::Conflict(revision))
+            | (_, Got::Read(Some((_, revision)))) => {
+                let revisions = &mut self.apps[app].revisions;
+                revisions.insert(call.name.clone(), *revision);
             }
             _ => {}
         }
-        let of = &mut self.record.calls[number];
-        (of.done, of.got, of.indeterminate) = (Some(now), got, call.indeterminate);
-        let holds = self.apps[app].held.is_some();
-        let pause_ms = match self.day.shape.holders_crash && holds {
-            true => 100..1_500u64,
-            false => 10..160,
-        };
-        let us = self.rng.random_range(pause_ms) * MS;
-        self.after(us, None, What::App(app));
-    }
-
-    // ---- watches ----------------------------------------------------------------------------
-
-    pub fn watcher_acts(&mut self, watcher: usize) {
-        let of = &self.watchers[watcher];
-        let (group, after) = (of.group.clone(), of.after);
-        let query = vec![("after", after.to_string()), ("waitMs", "800".to_string())];
-        self.call(
-            Who::Watcher(watcher),
-            Endpoint::Watch,
-            &group,
-            String::new(),
-            query,
-            (WITHIN, 800 * MS),
-        );
+        let call_record = &mut self.record.calls[number];
+        call_record.done = Some(self.now);
+        call_record.got = got;
+        call_record.indeterminate = call.indeterminate;
+        let pause = self.draw_app_pause(app);
+        self.after(pause, None, What::App(app));
     }
 
-    pub fn watcher_answered(&mut self, watcher: usize, call: &Call, reply: Option<&Reply>) {
-        let group = call.name.clone();
-        if let Some(reply) = reply {
-            let after = self.watchers[watcher].after;
-            let revision = field(reply, "revision").unwrap_or(0);
-            let status = reply.status;
-            let events = events_of(reply);
-            self.record.watches.push(WatchPart {
-                group,
-                after,
-                revision,
-                status,
-                events,
-                sent: call.first_us,
-            });
-            if status == 200 {
-                self.watchers[watcher].after = revision;
-            }
+    /// An application counts itself holder from the answer until its lease, counted from when it sent the call, is over.
+    fn app_acquired(&mut self, app: usize, call: &Call, fence: u64, lease_ms: u64) {
+        let until = call.sent_us + lease_ms * MS;
+        if until <= self.now {
+            return;
         }
-        self.after(5 * MS, None, What::Watch(watcher));
+        let hold = self.record.holds.len();
+        self.record.holds.push(Hold {
+            app,
+            lock: call.name.clone(),
+            fence,
+            from: self.now,
+            until,
+            asked: call.first_us,
+        });
+        self.apps[app].held = Some(HeldLock {
+            name: call.name.clone(),
+            fence,
+            hold,
+            lease_ms,
+        });
     }
 
-    // ---- the end of the day -----------------------------------------------------------------
-
-    /// Keys are read back, numbers asked for, locks too.
-    pub fn apps_end(&mut self) {
-        let mut last = |asked: Asked, endpoint: Endpoint, name: String, body: String| {
-            let number = self.record.calls.len();
-            self.record.calls.push(AppCall {
-                asked,
-                name: name.clone(),
-                sent: self.now,
-                done: None,
-                got: Got::Nothing,
-                indeterminate: false,
-            });
-            self.record.last.push(number);
-            self.call(
-                Who::Last(number),
-                endpoint,
-                &name,
-                body,
-                Vec::new(),
-                (3_300 * MS, 0),
-            );
-        };
-        for group in 0..GROUPS {
-            for key in 0..KEYS {
-                last(
-                    Asked::Get,
-                    Endpoint::GetKey,
-                    format!("g{group}.k{key}"),
-                    String::new(),
-                );
-            }
-        }
-        for number in 0..NUMBERS {
-            last(
-                Asked::Number,
-                Endpoint::NextNumber,
-                format!("n{number}"),
-                "{}".into(),
-            );
+    /// A renewal that is answered after the end of the lease counts for nothing.
+    fn app_renewed(&mut self, app: usize, call: &Call, hold: usize) {
+        let held = self.apps[app].held.as_ref();
+        let lease_ms = held.map_or(0, |held| held.lease_ms);
+        let hold = &mut self.record.holds[hold];
+        if self.now < hold.until {
+            hold.until = hold.until.max(call.sent_us + lease_ms * MS);
+        } else {
+            self.apps[app].held = None;
         }
     }
 
-    pub fn last_answered(&mut self, number: usize, call: &Call, reply: Option<&Reply>) {
-        let got = match (reply, &self.record.calls[number].asked) {
-            (Some(reply), Asked::Get) if reply.status == 404 => Got::Read(None),
-            (Some(reply), _) if reply.status != 200 => Got::No(reply.status),
-            (Some(reply), Asked::Number) => Got::Number(field(reply, "value").unwrap_or(0)),
-            (Some(reply), _) => Got::Read(
-                value_of(reply).map(|value| (value, field(reply, "revision").unwrap_or(0))),
-            ),
-            (None, _) => Got::Nothing,
+    /// Time until the next call of an application. One that may crash keeps its locks for longer.
+    fn draw_app_pause(&mut self, app: usize) -> Us {
+        let holds = self.apps[app].held.is_some();
+        let pause_ms = if self.day.shape.holders_crash && holds {
+            100..1_500u64
+        } else {
+            10..160
         };
-        let of = &mut self.record.calls[number];
-        (of.done, of.got, of.indeterminate) = (Some(self.now), got, call.indeterminate);
+        self.rng.random_range(pause_ms) * MS
     }
 }
--- a/crates/rookpulley-simulator/src/record.rs
+++ b/crates/rookpulley-simulator/src/record.rs
@@ -169,10 +169,10 @@
 
 #[derive(Clone, Debug, PartialEq)]
 pub enum Asked {
-    Take { hold_ms: u64 },
+    Acquire { lease_ms: u64 },
     Renew { hold: usize },
-    Drop,
-    Number,
+    Release,
+    NextNumber,
     Put { value: String, active: Option<u64> },
     Get,
 }
