--- a/crates/rookpulley-simulator/src/apps/watchers.rs
+++ b/crates/rookpulley-simulator/src/apps/watchers.rs
@@ -1,7 +1,7 @@
 //! Applications that watch a group of keys, again and again from where the last answer ended.
 
-use super::replies::{events_of, field};
 use super::CALL_TIMEOUT;
+use super::replies::{events_of, field};
 use crate::MS;
 use crate::callers::{Call, Who};
 use crate::record::WatchPart;
