--- a/review/stand-ins-2/src/deployment.rs
+++ b/review/stand-ins-2/src/deployment.rs
@@ -14,18 +14,23 @@
 pub const CONTROLLER: &str = "target/release/rookpulley-controller";
 pub const PROXY: &str = "target/release/rookpulley-proxy";
 const PORTS: u16 = 20;
+/// Machines at the start.
 pub const MACHINES: usize = 3;
+/// With one that may come later.
+const ALL_MACHINES: usize = 4;
 
 /// A deployment, whose processes are killed when it is dropped.
 pub struct Deployment {
     folder: PathBuf,
     base: u16,
     record: Arc<Record>,
+    /// The machines on the operator's list, for `seedNodes`.
+    pub listed: Vec<usize>,
     /// Lines at the end of each settings file, for `[bounds]` first.
     pub bounds: String,
     pub tables: String,
-    controllers: [Option<Child>; MACHINES],
-    proxies: [Option<Child>; MACHINES],
+    controllers: [Option<Child>; ALL_MACHINES],
+    proxies: [Option<Child>; ALL_MACHINES],
 }
 
 pub fn ip(machine: usize) -> Ipv4Addr {
@@ -33,7 +38,8 @@
 }
 
 fn is_free(base: u16) -> bool {
-    let ports = (base..base + PORTS).flat_map(|port| (0..MACHINES).map(move |at| (ip(at), port)));
+    let ports =
+        (base..base + PORTS).flat_map(|port| (0..ALL_MACHINES).map(move |at| (ip(at), port)));
     ports.into_iter().all(|at| TcpListener::bind(at).is_ok())
 }
 
@@ -57,10 +63,11 @@
             folder: folder.to_path_buf(),
             base: free_base()?,
             record,
+            listed: (0..MACHINES).collect(),
             bounds: String::new(),
             tables: String::new(),
-            controllers: [None, None, None],
-            proxies: [None, None, None],
+            controllers: [const { None }; ALL_MACHINES],
+            proxies: [const { None }; ALL_MACHINES],
         })
     }
 
@@ -77,7 +84,10 @@
     }
 
     pub fn controls(&self) -> Vec<SocketAddrV4> {
-        (0..MACHINES).map(|machine| self.control(machine)).collect()
+        self.listed
+            .iter()
+            .map(|machine| self.control(*machine))
+            .collect()
     }
 
     pub fn data(&self, machine: usize) -> PathBuf {
@@ -102,7 +112,7 @@
             ("edge", listen, String::new())
         };
         format!(
-            r#"nodeName = "edge-{zone}-1"
+            r#"nodeName = "edge-{zone}-{number}"
 role = "{role}"
 machineClass = "edge"
 serves = ["{serves}"]
@@ -157,7 +167,8 @@
 {bounds}
 {tables}
 "#,
-            zone = ["north", "middle", "south"][machine],
+            zone = ["north", "middle", "south", "middle"][machine],
+            number = 1 + machine / MACHINES,
             last = base + 15,
             seeds = seeds.join(", "),
             bounds = self.bounds,
@@ -209,15 +220,34 @@
         Ok(())
     }
 
-    pub fn kill_controller(&mut self, machine: usize) {
-        if let Some(mut child) = self.controllers[machine].take() {
-            self.record
-                .line(&format!("SIGKILL to office-{}", machine + 1));
-            _ = child.kill();
-            _ = child.wait();
+    /// Kills the processes of a machine.
+    pub fn kill_machine(&mut self, machine: usize) {
+        let (office, courier) = (&mut self.controllers[machine], &mut self.proxies[machine]);
+        for (role, child) in [("office", office), ("courier", courier)] {
+            if let Some(mut child) = child.take() {
+                self.record
+                    .line(&format!("SIGKILL to {role}-{}", machine + 1));
+                _ = child.kill();
+                _ = child.wait();
+            }
         }
     }
 
+    /// Sends a signal, as `STOP` or `CONT`, to the processes of a machine.
+    pub fn signal_machine(&self, machine: usize, signal: &str) -> bool {
+        let children = [&self.controllers[machine], &self.proxies[machine]];
+        let children = children.into_iter().flatten();
+        let pids: Vec<String> = children.map(|child| child.id().to_string()).collect();
+        self.record.line(&format!(
+            "SIG{signal} to the processes of machine {}",
+            machine + 1
+        ));
+        // By the shell's own `kill`.
+        let command = format!("kill -{signal} {}", pids.join(" "));
+        let sent = Command::new("sh").arg("-c").arg(command).status();
+        sent.is_ok_and(|status| status.success())
+    }
+
     /// Whether all processes that were started still run.
     pub fn all_run(&mut self) -> bool {
         let children = self.controllers.iter_mut().chain(&mut self.proxies);
