--- a/review/stand-ins-2/src/bin/lost_while_away.rs
+++ b/review/stand-ins-2/src/bin/lost_while_away.rs
@@ -117,7 +117,7 @@
     record.line("all machines are back");
     sleep(CATCH_UP + RECOVERY);
     record.line("the end: what was acknowledged is read back");
-    let (configuration, cell, later) = std::thread::scope(|scope| {
+    let (configuration, cell, later, beat) = std::thread::scope(|scope| {
         let read = |path: &'static str, part: &'static str| {
             let caller = &caller;
             scope.spawn(move || {
@@ -132,13 +132,20 @@
         let configuration = read("/rookpulley/configuration", r#""configVersion":7"#);
         let cell = read("/rookpulley/cells/g1.fee", "paid-41");
         let later = scope.spawn(|| caller.number(END));
-        (configuration.join(), cell.join(), later.join())
+        let beat = scope.spawn(|| {
+            let body = r#"{"address":"127.0.0.1:8080","nodeInfo":{"targetService":"archive","configVersion":"v1","zone":"south","capacitySlots":4},"currentStatus":{"lifecycleState":"available","callSequence":1,"coldRemainingMs":0}}"#;
+            let call = ("PUT", "/rookpulley/instances/i-new", body);
+            caller.call(END, call, |status, _| status == 200).is_some()
+        });
+        let answers = (configuration.join(), cell.join(), later.join());
+        (answers.0, answers.1, answers.2, beat.join())
     });
     let configuration = configuration.unwrap_or(false);
-    let cell = cell.unwrap_or(false);
+    let (cell, beat) = (cell.unwrap_or(false), beat.unwrap_or(false));
     let later = later.unwrap_or(None).is_some_and(|later| later > number);
     record.say(&format!(
-        "at the end, the configuration came: {configuration}, the key's value: {cell}, a next number: {later}"
+        "at the end, the configuration came: {configuration}, the key's value: {cell}, a next number: {later} (a new \
+         task was acknowledged: {beat})"
     ));
     if !deployment.all_run() {
         record.say("a process ended by itself");
