chain: silent acceptors keep their vote, so one lost disk leaves a quorum

Cause: after 4 s of silence a voter was dropped. The view of two that was left has both as its majority, so the loss of one disk stopped the chain for good, with two machines and all data running.

Change: a view has 2 x machineLosses + 1 acceptors wherever the view before had as many; silent ones fill the places however long they have been silent, and give them to controllers that answer but can't be members yet. f lost disks then leave f + 1 of 2f + 1. It costs nothing: where f or fewer acceptors are in contact, f or fewer members acknowledge nothing anyway.

--- a/crates/rookpulley-chain/src/chain/candidates.rs
+++ b/crates/rookpulley-chain/src/chain/candidates.rs
@@ -5,6 +5,7 @@
 use crate::reconfiguration_state::{StatusReplies, StatusReply};
 use crate::state::State;
 use crate::view::{Member, View};
+use std::cmp::Reverse;
 use std::collections::BTreeSet;
 
 /// The reason why no view is proposed.
@@ -70,9 +71,10 @@
         }
     }
 
-    /// Selects the voters of the next view. Acceptors that are not members remain voters if they replied, up to the
-    /// number of acceptors that tolerates the configured losses. One recently silent acceptor is also kept if it does
-    /// not increase the majority, since it is probably only stalled and may return before another one is lost.
+    /// Selects the voters of the next view: as many as bring its acceptors to the smallest number of which a majority
+    /// outlives the tolerated losses. Controllers that replied come first. Silent ones fill the remaining places, however
+    /// long they have been silent, because a smaller set of acceptors could lose its quorum for good with fewer disks
+    /// than that; but those that replied stay a majority.
     pub(super) fn choose_voters(
         &self,
         now: u64,
@@ -81,29 +83,42 @@
         replies: &StatusReplies,
     ) -> Vec<Member> {
         let lost = self.lost_disks(now);
-        let is_left_out = |acceptor: &&Member| {
-            let is_member = members.iter().any(|member| member.id == acceptor.id);
-            !is_member && !lost.contains(&acceptor.id)
+        let may_vote = |candidate: &Member| {
+            let is_member = members.iter().any(|member| member.id == candidate.id);
+            !is_member && !lost.contains(&candidate.id)
         };
-        let present = |acceptor: &Member| replies.get(&acceptor.id).map(|r| r.status.member);
-        let max_voters = (2 * self.tolerated_losses + 1).saturating_sub(members.len());
-        let mut voters: Vec<Member> = base
-            .acceptors()
-            .filter(is_left_out)
-            .filter_map(present)
-            .take(max_voters)
-            .collect();
-        if voters.len() < max_voters && (members.len() + voters.len()).is_multiple_of(2) {
-            let is_recently_silent =
-                |m: &&Member| present(m).is_none() && self.was_heard_recently(now, m.id);
-            voters.extend(
-                base.acceptors()
-                    .filter(is_left_out)
-                    .find(is_recently_silent),
-            );
-        }
+        let replied = replies.values().map(|reply| reply.status.member);
+        let (mut voters, newcomers): (Vec<Member>, Vec<Member>) = replied
+            .filter(may_vote)
+            .partition(|candidate| base.is_acceptor(candidate.id));
+        voters.extend(newcomers);
+        let vacancies = self.min_acceptors().saturating_sub(members.len());
+        voters.truncate(vacancies);
+        let max_silent = (members.len() + voters.len()).saturating_sub(1);
+        let silent = self.silent_controllers(base, replies);
+        let silent = silent.into_iter().filter(may_vote);
+        voters.extend(silent.take(max_silent.min(vacancies - voters.len())));
         voters
     }
+
+    /// The acceptors of this view and the other known controllers that did not reply, beginning with those heard last,
+    /// which are the least likely to be lost.
+    fn silent_controllers(&self, view: &View, replies: &StatusReplies) -> Vec<Member> {
+        let peers = self.peers.values().map(|peer| peer.status.member);
+        let outsiders = peers.filter(|peer| !view.is_acceptor(peer.id));
+        let known = view.acceptors().copied().chain(outsiders);
+        let mut silent: Vec<Member> = known
+            .filter(|controller| !replies.contains_key(&controller.id))
+            .collect();
+        silent.sort_by_key(|controller| Reverse(self.last_heard_ms(controller.id)));
+        silent
+    }
+
+    /// The smallest number of acceptors that has a majority left after the tolerated losses. More than these losses are
+    /// needed to stop a view of this size, and then too few members remain to acknowledge updates as well.
+    pub(super) fn min_acceptors(&self) -> usize {
+        2 * self.tolerated_losses + 1
+    }
 }
 
 /// A subset of the replying controllers in which all are in two-way contact. Repeatedly removes the one that misses the
--- a/crates/rookpulley-chain/src/chain/reconfiguration.rs
+++ b/crates/rookpulley-chain/src/chain/reconfiguration.rs
@@ -23,8 +23,8 @@
 const INITIAL_JOIN_DELAY_MS: u64 = 250;
 /// A decided view that is not active after this long is replaced.
 const INSTALL_TIMEOUT_MS: u64 = 1_300;
-/// The time for which a silent acceptor may remain a voter.
-const SILENT_VOTER_TIMEOUT_MS: u64 = 4_000;
+/// The delay before a silent voter is replaced. A new controller usually becomes a member sooner.
+const VOTER_REPLACEMENT_DELAY_MS: u64 = 1_000;
 /// The maximum wait for status replies of peers that are still in contact.
 const STATUS_TIMEOUT_MS: u64 = 350;
 /// The timeout of a proposal step in the first round; it grows linearly with the round.
@@ -143,7 +143,7 @@
         let install_failed =
             !self.is_view_active() && now >= self.view_learned_ms + INSTALL_TIMEOUT_MS;
         let has_lost_member = view.members.iter().any(|m| self.is_lost(now, m));
-        if has_lost_member || install_failed || self.needs_other_voters(now, view) {
+        if has_lost_member || install_failed {
             return Some(FAULT_CONFIRM_MS);
         }
         let slow = view.members.iter().filter(|m| self.is_slow(m.id)).count();
@@ -158,6 +158,9 @@
                 2 * FAULT_CONFIRM_MS
             });
         }
+        if self.is_view_active() && self.can_replace_voter(now, view) {
+            return Some(VOTER_REPLACEMENT_DELAY_MS);
+        }
         None
     }
 
@@ -191,17 +194,13 @@
             && !self.in_contact(now, member.id)
     }
 
-    /// Whether a silent voter must be removed, because it may be lost permanently or because it increases the majority.
-    fn needs_other_voters(&self, now: u64, view: &View) -> bool {
-        let silent: Vec<&Member> = view
-            .voters
-            .iter()
-            .filter(|m| self.is_lost(now, m))
-            .collect();
-        let others = view.members.len() + view.voters.len() - silent.len();
-        // One more acceptor besides an even number of others does not increase the majority.
-        let tolerated = usize::from(others.is_multiple_of(2));
-        silent.len() > tolerated || silent.iter().any(|m| !self.was_heard_recently(now, m.id))
+    /// Whether too few acceptors are in contact to tolerate the configured losses, and a controller outside the view can
+    /// vote in place of a silent one.
+    fn can_replace_voter(&self, now: u64, view: &View) -> bool {
+        let silent = view.voters.iter().filter(|m| self.is_lost(now, m)).count();
+        let reachable = view.acceptors().count() - silent;
+        let is_newcomer = |id: &u64| !view.is_acceptor(*id) && self.in_contact(now, *id);
+        reachable < self.min_acceptors() && self.peers.keys().any(is_newcomer)
     }
 
     /// Whether a peer that is not a member is reachable, healthy and nearly caught up.
@@ -215,10 +214,9 @@
             && is_nearly_caught_up
     }
 
-    pub(super) fn was_heard_recently(&self, now: u64, id: u64) -> bool {
-        self.peers
-            .get(&id)
-            .is_some_and(|peer| now < peer.last_heard_ms + SILENT_VOTER_TIMEOUT_MS)
+    /// When a message was last received from this peer. None: it is unknown to this process.
+    pub(super) fn last_heard_ms(&self, id: u64) -> Option<u64> {
+        self.peers.get(&id).map(|peer| peer.last_heard_ms)
     }
 
     fn is_slow(&self, id: u64) -> bool {
--- a/crates/rookpulley-chain/src/view.rs
+++ b/crates/rookpulley-chain/src/view.rs
@@ -19,8 +19,8 @@
 ///
 /// The first member is the head and the last one the tail. The head of a new view is also its source, whose log the
 /// view starts with. Members hold the state. Members and voters together are the acceptors that decide the next view.
-/// Voters are former members that are currently out of the chain because they are slow or silent; they keep the quorum
-/// large enough for a short chain to survive another loss.
+/// Voters are controllers that are currently out of the chain because they are slow, silent or not yet caught up; they
+/// keep the acceptors numerous enough for a short chain to survive further losses.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct View {
     /// Increases with each view. Views are decided in this order.
--- a/crates/rookpulley-chain/tests/model/main.rs
+++ b/crates/rookpulley-chain/tests/model/main.rs
@@ -7,7 +7,7 @@
 mod search;
 mod state;
 
-use rules::{Bounds, Coverage, Fault, Model, Violation};
+use rules::{Bounds, Coverage, Fault, Model, Violation, VoterChoice};
 use search::search;
 use std::time::Instant;
 
@@ -20,7 +20,7 @@
     crashes: 0,
     wipes: 0,
     reads: false,
-    voters: false,
+    voters: VoterChoice::None,
     one_view_per_ballot: false,
 };
 const NO_FAULTS_WITH_READS: Bounds = Bounds {
@@ -36,7 +36,7 @@
     first: 2,
     wipes: 1,
     reads: true,
-    voters: true,
+    voters: VoterChoice::Any,
     ..NO_FAULTS
 };
 /// As `LOST_DISK`, with a second disk lost once the chain has recovered.
@@ -59,6 +59,12 @@
     ballots: [3, 0],
     ..VOTES
 };
+/// Three members of which any may leave the chain for any time, and one disk is lost.
+const ABSENCES: Bounds = Bounds {
+    wipes: 1,
+    voters: VoterChoice::Filled,
+    ..NO_FAULTS
+};
 /// One controller that may not acknowledge alone.
 const SINGLE_MEMBER: Bounds = Bounds {
     first: 1,
@@ -135,6 +141,22 @@
     assert!(coverage.active_after_second_loss && coverage.third_view_holds_updates_of_first);
 }
 
+/// A view of two members without the silent third one used to stop for good with the loss of one disk.
+#[test]
+fn a_quorum_is_left_when_a_disk_is_lost_while_others_are_away() {
+    let coverage = explore_without_violation("absences and a lost disk", ABSENCES, true, 100_000);
+    assert!(coverage.lost_disk_in_a_view_with_voters && coverage.new_member_active);
+}
+
+#[test]
+fn silent_acceptors_dropped_are_detected() {
+    assert_detected(
+        Fault::SilentAcceptorsDropped,
+        ABSENCES,
+        Violation::QuorumLostForGood,
+    );
+}
+
 #[test]
 fn one_view_per_number_with_competing_ballots_a_crash_and_a_lost_disk() {
     let three = explore_without_violation("two ballots of three", VOTES, true, 80_000);
@@ -260,7 +282,7 @@
     let both = Bounds {
         wipes: 1,
         reads: true,
-        voters: true,
+        voters: VoterChoice::Any,
         ..CRASH
     };
     explore_without_violation("a crash, without canonicalization", CRASH, false, 3_000_000);
@@ -280,6 +302,7 @@
         active_after_second_loss: false,
         view_active_after_later_one: true,
         higher_ballot_bound_by_lower: true,
+        lost_disk_in_a_view_with_voters: true,
     };
     assert_eq!(all, expected);
     explore_without_violation(
--- a/crates/rookpulley-chain/tests/model/rules.rs
+++ b/crates/rookpulley-chain/tests/model/rules.rs
@@ -26,7 +26,7 @@
     Announced, Controller, IDS, MACHINES, MAX_VIEWS, Read, SLOTS, Slot, State, ViewInfo, Views,
     Vote, bit, machine_of, member,
 };
-use rookpulley_chain::View;
+use rookpulley_chain::{Member, View};
 use std::cell::{Cell, RefCell};
 
 #[derive(Clone, Copy, Debug)]
@@ -40,12 +40,23 @@
     pub crashes: u8,
     pub wipes: u8,
     pub reads: bool,
-    pub voters: bool,
+    pub voters: VoterChoice,
     /// Each ballot proposes a single view that differs from the others, since agreement does not depend on their
     /// contents.
     pub one_view_per_ballot: bool,
 }
 
+/// Which controllers outside a new chain may become its voters.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum VoterChoice {
+    None,
+    /// Any choice: none, or the acceptors left out, with or without those whose disks are lost.
+    Any,
+    /// As the code fills the vacancies up to twice the tolerated losses plus one: with the acceptors left out, whether
+    /// they are silent or not, except those whose disks are known to be lost, or with other controllers.
+    Filled,
+}
+
 /// A deliberate protocol violation that the search must detect.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Fault {
@@ -59,6 +70,7 @@
     SourceAppliesUncommitted,
     TooFewMembersAcknowledge,
     AnyGroupDecides,
+    SilentAcceptorsDropped,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -70,6 +82,7 @@
     ConflictingOrders,
     AppliedUncommitted,
     StaleRead,
+    QuorumLostForGood,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -104,6 +117,7 @@
     pub active_after_second_loss: bool,
     pub view_active_after_later_one: bool,
     pub higher_ballot_bound_by_lower: bool,
+    pub lost_disk_in_a_view_with_voters: bool,
 }
 
 pub struct Next {
@@ -265,7 +279,9 @@
     /// Adds all possible transitions to `next`.
     pub fn steps(&self, state: &State, next: &mut Vec<Next>) {
         let mut push = |step: Step, mut state: State, rule: Rule| {
-            let rule = rule.and_then(|()| self.applied_prefix_is_acknowledged(&state));
+            let rule = rule
+                .and_then(|()| self.applied_prefix_is_acknowledged(&state))
+                .and_then(|()| self.quorum_is_left(&state));
             if rule.is_ok() && self.canonicalizes {
                 self.canonicalize(&mut state);
             }
@@ -477,6 +493,27 @@
         }
     }
 
+    /// Once all controllers are back but those with lost disks, a majority of the newest view must be left, even if
+    /// nobody knows which disks are lost. Holds from a first view with enough acceptors, within the tolerated losses.
+    fn quorum_is_left(&self, state: &State) -> Rule {
+        let is_promised = self.bounds.voters == VoterChoice::Filled
+            && self.bounds.first > 2 * self.bounds.losses
+            && usize::from(state.wipes) <= self.bounds.losses;
+        let newest = state.views.iter().filter(|view| **view != 0).count() as u8;
+        let is_left = self.with_view(state, newest, |v| {
+            let gone = (v.voters & state.lost).count_ones();
+            self.record_coverage(|coverage| {
+                coverage.lost_disk_in_a_view_with_voters |= gone > 0 && !v.view.voters.is_empty();
+            });
+            v.voters.count_ones() - gone >= v.majority
+        });
+        if !is_promised || is_left != Some(false) {
+            Ok(())
+        } else {
+            Err(Violation::QuorumLostForGood)
+        }
+    }
+
     // ---- activation of a new view -----------------------------------------------------------------
 
     /// The source learns a view, leaves its previous one and installs the new one with its own log. It may have missed
@@ -691,7 +728,7 @@
         }
     }
 
-    /// Views with this source and these other members, with and without the remaining acceptors as voters.
+    /// Views with this source and these other members, for each permitted choice of voters.
     fn views_with(&self, state: &State, number: u8, source: usize, others: u8, all: &mut Vec<u16>) {
         let Some(base) = self.with_view(state, number - 1, |v| v.view.clone()) else {
             return;
@@ -714,16 +751,7 @@
         if too_few {
             return;
         }
-        let room = (2 * self.bounds.losses + 1).saturating_sub(members.len());
-        let out = there
-            .iter()
-            .filter(|m| base.is_acceptor(m.id) && !members.contains(m));
-        let voters: Vec<_> = out.take(room).copied().collect();
-        for voters in [
-            Some(Vec::new()),
-            Some(voters).filter(|v| self.bounds.voters && !v.is_empty()),
-        ] {
-            let Some(voters) = voters else { continue };
+        for voters in self.voter_choices(state, &base, &there, &members) {
             let view = View {
                 number: number.into(),
                 members: members.clone(),
@@ -733,6 +761,40 @@
         }
     }
 
+    fn voter_choices(
+        &self,
+        state: &State,
+        base: &View,
+        there: &[Member],
+        members: &[Member],
+    ) -> Vec<Vec<Member>> {
+        let vacancies = (2 * self.bounds.losses + 1).saturating_sub(members.len());
+        let left_out = |m: &Member| !members.iter().any(|member| member.id == m.id);
+        let fill = |candidates: &[Member]| -> Vec<Member> {
+            let candidates = candidates.iter().filter(|m| left_out(m));
+            candidates.take(vacancies).copied().collect()
+        };
+        let is_lost = |m: &Member| state.lost & bit(m.id as u8) != 0;
+        let current = |m: &Member| there.iter().find(|o| o.id == m.id).copied().unwrap_or(*m);
+        let acceptors: Vec<Member> = base.acceptors().map(current).collect();
+        let (lost, kept): (Vec<Member>, Vec<Member>) = acceptors.iter().partition(|m| is_lost(m));
+        let newcomers = there.iter().filter(|m| !base.is_acceptor(m.id)).copied();
+        let mut choices = match self.bounds.voters {
+            VoterChoice::None => vec![Vec::new()],
+            VoterChoice::Any => vec![Vec::new(), fill(&kept), fill(&[lost, kept].concat())],
+            VoterChoice::Filled => {
+                let present: Vec<Member> = kept.iter().copied().chain(newcomers).collect();
+                vec![fill(&kept), fill(&[lost, kept].concat()), fill(&present)]
+            }
+        };
+        if self.has(Fault::SilentAcceptorsDropped) {
+            choices.push(Vec::new());
+        }
+        choices.sort();
+        choices.dedup();
+        choices
+    }
+
     /// The identities of the selected controllers that vote on the successor of this view, as a bit mask.
     fn voters_among(&self, state: &State, number: u8, which: impl Fn(usize) -> bool) -> u8 {
         let who = (0..MACHINES).filter(|p| self.votes(state, *p, number) && which(*p));
--- a/crates/rookpulley-chain/tests/world/mod.rs
+++ b/crates/rookpulley-chain/tests/world/mod.rs
@@ -1110,6 +1110,40 @@
         }
     }
 
+    /// Wakes a frozen controller.
+    pub fn unfreeze(&mut self, at: usize) {
+        self.log_line(format!("controller {at} wakes"));
+        if self.nodes[at].frozen_until > self.now {
+            self.wake(at);
+        }
+    }
+
+    /// Ends all cuts around a controller. Messages that were sent meanwhile are lost with their connections.
+    pub fn reconnect(&mut self, at: usize) {
+        self.log_line(format!("controller {at} is reconnected"));
+        let ended: Vec<_> = self
+            .cuts
+            .extract_if(.., |(a, b)| *a == at || *b == at)
+            .collect();
+        for (a, b) in ended {
+            self.reset(a, b);
+        }
+    }
+
+    /// Ends the fault of a disk.
+    pub fn repair_disk(&mut self, at: usize) {
+        self.log_line(format!("the disk of controller {at} is repaired"));
+        self.nodes[at].disk.fault = None;
+    }
+
+    /// Restarts a lost controller at its address with an empty disk.
+    pub fn return_with_empty_disk(&mut self, at: usize) {
+        self.log_line(format!("controller {at} returns with an empty disk"));
+        self.nodes[at].lost_for_good = false;
+        self.nodes[at].disk.rows.clear();
+        self.start(at, false);
+    }
+
     pub fn check(&self) {
         if let Err(why) = history::check(&self.calls) {
             panic!("{why}");
