control: dial the voters of a view as its members

Looked through for the cause of the quorum lost with one disk: controllers dialed and kept connections to members and seeds only. A voter that was silent for over 20 s and is no seed was dialed by nobody until it came by itself.

Measured: a_silent_voter_is_dialed_however_long_it_was_away fails without the change (the voter's address is missing) and passes with it.

--- a/crates/rookpulley-control/src/controller.rs
+++ b/crates/rookpulley-control/src/controller.rs
@@ -400,13 +400,9 @@
         self.publish_configuration(now);
         self.replicate_usage(now);
         self.read_version_if_due(now);
-        let members = self.chain.view().map_or(&[][..], |view| &view.members);
-        let members: Vec<Ipv4Addr> = members.iter().map(|m| *m.address.ip()).collect();
         let in_touch = self.in_touch(now);
         self.registry.set_has_majority(now, in_touch);
-        for ip in members {
-            self.discover_peer(now, ip);
-        }
+        self.discover_acceptors(now);
         if tick.is_multiple_of(TABLE_SYNC_TICKS) {
             self.tick_registry(now);
         }
--- a/crates/rookpulley-control/src/controller/peers.rs
+++ b/crates/rookpulley-control/src/controller/peers.rs
@@ -3,12 +3,12 @@
 use super::Controller;
 use crate::effect::Effect;
 use crate::peer_message::PeerMessage;
-use rookpulley_chain::{Input, Member};
+use rookpulley_chain::{Input, Member, View};
 use rookpulley_protocol::encode_frame;
 use rookpulley_registry::InstanceUpdate;
 use std::net::{Ipv4Addr, SocketAddrV4};
 
-/// A peer not seen for this long is forgotten, unless it is a seed or a member of the view.
+/// A peer not seen for this long is forgotten, unless it is a seed or an acceptor of the view.
 const FORGET_PEER_AFTER_MS: f64 = 20_000.0;
 const MAX_PEERS: usize = 64;
 /// Query number of instance updates that need no reply.
@@ -46,6 +46,13 @@
         self.effects.push(Effect::Connect(ip));
     }
 
+    /// Adds the acceptors of the newest view to the peers. A silent voter may return and be needed for the next view.
+    pub(super) fn discover_acceptors(&mut self, now: f64) {
+        let acceptors = self.chain.view().into_iter().flat_map(View::acceptors);
+        let addresses: Vec<SocketAddrV4> = acceptors.map(|acceptor| acceptor.address).collect();
+        self.discover_peers(now, &addresses);
+    }
+
     /// Addresses of the connected controllers with a disk.
     pub(super) fn connected_peers(&self) -> impl Iterator<Item = Ipv4Addr> {
         let connected = self.peers.iter().filter(|(_, peer)| peer.is_connected);
@@ -94,16 +101,16 @@
 
     /// Whether the connection to this peer should be maintained.
     pub fn is_peer_wanted(&self, now: f64, ip: Ipv4Addr) -> bool {
-        let is_member = self.chain.view().is_some_and(|view| {
-            let mut members = view.members.iter();
-            members.any(|member| *member.address.ip() == ip)
+        let is_acceptor = self.chain.view().is_some_and(|view| {
+            let mut acceptors = view.acceptors();
+            acceptors.any(|acceptor| *acceptor.address.ip() == ip)
         });
         let is_seed = self.seeds.iter().any(|seed| *seed.ip() == ip);
         let recently_seen = self
             .peers
             .get(&ip)
             .is_some_and(|peer| now - peer.seen_ms < FORGET_PEER_AFTER_MS);
-        (is_member || is_seed || recently_seen) && !self.is_stateless(ip)
+        (is_acceptor || is_seed || recently_seen) && !self.is_stateless(ip)
     }
 
     /// Removes a peer whose connection is no longer maintained.
