--- a/crates/rookpulley-proxy/src/lib.rs
+++ b/crates/rookpulley-proxy/src/lib.rs
@@ -9,7 +9,7 @@
 //! | separate pipelined requests | `client_connection`, `head_scanner`, `body_length` |
 //! | validate, route, attempt and retry | `forward`, `request_check`, `headers`, `request_guard` |
 //! | make one attempt at one instance | `attempt`, `tracked_attempt` |
-//! | connect to the instance | `upstream_pool`, `response_filter` |
+//! | connect to the instance; discard stale responses | `upstream_pool`, `response_filter`, `response_head` |
 //! | evaluate the response | `response_check` |
 //! | transfer bodies | `body`, `request_body`, `response_body`, `memory` |
 //! | respond locally | `local_response` |
@@ -38,6 +38,7 @@
 mod response_body;
 mod response_check;
 mod response_filter;
+mod response_head;
 mod shutdown;
 mod shutdown_schedule;
 mod tracked_attempt;
--- a/crates/rookpulley-proxy/src/response_filter.rs
+++ b/crates/rookpulley-proxy/src/response_filter.rs
@@ -2,13 +2,11 @@
 //! byte of a request has been sent.
 
 use crate::body_length::BodyLength;
+use crate::response_head::{self, Classification, SentRequests};
 use bytes::{Buf, BytesMut};
-use httparse::{ParserConfig, Status};
 use hyper::header::HeaderValue;
 use std::cell::{Cell, RefCell};
-use std::collections::VecDeque;
 use std::io;
-use std::mem::MaybeUninit;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll, ready};
@@ -17,10 +15,6 @@
 
 /// A longer head is passed through, and rejected by hyper's parser.
 const MAX_HEAD_BYTES: usize = 64 << 10;
-/// The maximum number of headers, as in hyper's parser.
-const MAX_HEADERS: usize = 100;
-/// How many previous requests per connection are checked for duplicate responses.
-const MAX_PREVIOUS_REQUESTS: usize = 4;
 const READ_BYTES: usize = 4 << 10;
 
 /// State shared by a connection and its users.
@@ -37,33 +31,11 @@
     has_discarded_response: Cell<bool>,
 }
 
-/// The requests whose responses may arrive on a connection.
-#[derive(Default)]
-struct SentRequests {
-    current: Option<SentRequest>,
-    previous: VecDeque<SentRequest>,
-}
-
-/// A sent request. The response to a HEAD has no body, whatever length it states.
-struct SentRequest {
-    /// An own copy: a clone of the header value would keep the whole client head in memory.
-    id: Box<[u8]>,
-    is_head: bool,
-}
-
 impl PendingResponse {
     /// Starts a request. With `must_check_peer`, it is sent only if the instance has neither closed the
     /// connection nor sent anything.
     pub fn begin(&self, id: &HeaderValue, is_head: bool, must_check_peer: bool) {
-        let mut requests = self.requests.borrow_mut();
-        let request = SentRequest {
-            id: id.as_bytes().into(),
-            is_head,
-        };
-        if let Some(previous) = requests.current.replace(request) {
-            requests.previous.truncate(MAX_PREVIOUS_REQUESTS - 1);
-            requests.previous.push_front(previous);
-        }
+        self.requests.borrow_mut().begin(id, is_head);
         self.is_awaiting_head.set(true);
         self.bytes_sent.set(0);
         self.must_check_peer.set(must_check_peer);
@@ -94,17 +66,6 @@
     }
 }
 
-/// The classification of the next response in the stream.
-#[derive(Debug, PartialEq)]
-enum Classification {
-    /// The awaited response, or one that cannot be identified; the parser decides.
-    PassThrough,
-    /// The head is incomplete.
-    Incomplete,
-    /// A stale or interim response, with the length of its head and its body.
-    Discard(usize, BodyLength),
-}
-
 /// An upstream connection that discards stale responses.
 pub struct ResponseFilter<S = TcpStream> {
     stream: S,
@@ -129,7 +90,7 @@
 
     fn classify(&self, bytes: &[u8]) -> Classification {
         if self.pending.is_awaiting_head.get() {
-            classify(bytes, &self.pending.requests.borrow())
+            response_head::classify(bytes, &self.pending.requests.borrow())
         } else {
             Classification::PassThrough
         }
@@ -283,103 +244,5 @@
     }
 }
 
-/// The relevant parts of a response head.
-struct Head<'a> {
-    status: u16,
-    /// The length of the head.
-    bytes: usize,
-    id: Option<&'a [u8]>,
-    length: Option<&'a [u8]>,
-    encoding: Option<&'a [u8]>,
-}
-
-/// Classifies the first response in `bytes`.
-fn classify(bytes: &[u8], requests: &SentRequests) -> Classification {
-    let mut headers = [const { MaybeUninit::uninit() }; MAX_HEADERS];
-    let mut response = httparse::Response::new(&mut []);
-    let parser = ParserConfig::default();
-    let end = match parser.parse_response_with_uninit_headers(&mut response, bytes, &mut headers) {
-        Ok(Status::Complete(end)) => end,
-        Ok(Status::Partial) => return Classification::Incomplete,
-        Err(_) => return Classification::PassThrough,
-    };
-    match Head::from_response(&response, end) {
-        Some(head) => head.classify(requests),
-        None => Classification::PassThrough,
-    }
-}
-
-impl<'a> Head<'a> {
-    /// Returns `None` if a relevant header is repeated.
-    fn from_response(response: &httparse::Response<'_, 'a>, bytes: usize) -> Option<Self> {
-        let mut head = Self {
-            status: response.code.unwrap_or_default(),
-            bytes,
-            id: None,
-            length: None,
-            encoding: None,
-        };
-        for header in response.headers.iter() {
-            let field = match header.name.len() {
-                10 if header.name.eq_ignore_ascii_case("request-id") => &mut head.id,
-                14 if header.name.eq_ignore_ascii_case("content-length") => &mut head.length,
-                17 if header.name.eq_ignore_ascii_case("transfer-encoding") => &mut head.encoding,
-                _ => continue,
-            };
-            if field.replace(header.value).is_some() {
-                return None;
-            }
-        }
-        Some(head)
-    }
-
-    fn classify(&self, requests: &SentRequests) -> Classification {
-        if (100..200).contains(&self.status) {
-            // 101 switches protocols; other interim responses precede the final one.
-            return if self.status == 101 {
-                Classification::PassThrough
-            } else {
-                Classification::Discard(self.bytes, BodyLength::Bytes(0))
-            };
-        }
-        let Some(id) = self.id else {
-            return Classification::PassThrough;
-        };
-        let current = requests.current.as_ref();
-        if current.is_some_and(|request| *request.id == *id) {
-            return Classification::PassThrough;
-        }
-        let mut previous = requests.previous.iter();
-        let Some(request) = previous.find(|request| *request.id == *id) else {
-            return Classification::PassThrough;
-        };
-        match self.body_length(request) {
-            Some(body) => Classification::Discard(self.bytes, body),
-            None => Classification::PassThrough,
-        }
-    }
-
-    /// The length of the body, or `None` if it is ambiguous.
-    fn body_length(&self, request: &SentRequest) -> Option<BodyLength> {
-        if request.is_head || matches!(self.status, 204 | 304) {
-            return Some(BodyLength::Bytes(0));
-        }
-        match (self.length, self.encoding) {
-            (Some(length), None) => parse_decimal(length).map(BodyLength::Bytes),
-            (None, Some(encoding)) if encoding.eq_ignore_ascii_case(b"chunked") => {
-                Some(BodyLength::CHUNKED)
-            }
-            _ => None,
-        }
-    }
-}
-
-fn parse_decimal(digits: &[u8]) -> Option<u64> {
-    let digits = std::str::from_utf8(digits)
-        .ok()
-        .filter(|text| text.bytes().all(|byte| byte.is_ascii_digit()));
-    digits?.parse().ok()
-}
-
 #[cfg(test)]
 mod tests;
--- a/crates/rookpulley-proxy/src/response_filter/tests.rs
+++ b/crates/rookpulley-proxy/src/response_filter/tests.rs
@@ -1,4 +1,5 @@
 use super::*;
+use crate::response_head::MAX_PREVIOUS_REQUESTS;
 use arbtest::arbitrary::{Result, Unstructured};
 use rookpulley_samples::run_cases;
 use tokio::io::{AsyncReadExt, AsyncWriteExt, DuplexStream};
