proxy: a response without a length is not whole if its connection is reset

Cause, two: the write that met the reset took the socket's error, was hidden from the parser so that an earlier response could still be read, and the read after it got an end of file (strace in the postmortem).

Change: for a body that ends with the connection, and only for these, a failed write is the end; and the end of the stream is held back while a reset may still come: 5 to 100 ms by round trips from the last write, or from the first write after the end while the request is incomplete, 1 s where the client sends nothing more. Responses with a stated end, and those to requests without a body, are passed on as before.

Measured: the unit test fails before (Ok for ConnectionReset), the matrix of framings, sizes, moments and ends in early_responses.rs fails before and with the first part alone.

--- a/crates/rookpulley-proxy/src/attempt.rs
+++ b/crates/rookpulley-proxy/src/attempt.rs
@@ -134,6 +134,7 @@
                 body_copy: body.try_clone(),
                 upload: body.upload_state(),
             };
+            let sent_body = body.sent_body();
             let Some(request) = self.build_request(to, body) else {
                 return AttemptResult::unsent(in_flight.body_copy);
             };
@@ -141,7 +142,7 @@
             let is_head = self.method == Method::HEAD;
             in_flight
                 .connection
-                .begin(&self.id, is_head, self.is_idempotent());
+                .begin(&self.id, is_head, sent_body, self.is_idempotent());
             let sent = in_flight.connection.sender.try_send_request(request).await;
             let failure = match sent {
                 Ok(response) => return self.evaluate(in_flight.connection, response).await,
--- a/crates/rookpulley-proxy/src/request_body.rs
+++ b/crates/rookpulley-proxy/src/request_body.rs
@@ -1,6 +1,7 @@
 //! Request bodies sent to instances.
 
 use crate::body::{BodyError, ChunkStream, Content, poll_data};
+use crate::response_end::SentBody;
 use bytes::Bytes;
 use hyper::body::{Body, Incoming};
 use std::cell::Cell;
@@ -53,6 +54,15 @@
         }
     }
 
+    /// How this body is sent.
+    pub fn sent_body(&self) -> SentBody {
+        match self {
+            Self::Complete(bytes) if bytes.is_empty() => SentBody::Empty,
+            Self::Complete(_) => SentBody::Buffered,
+            Self::Stream(upload) => SentBody::Streamed(upload.state.clone()),
+        }
+    }
+
     /// The progress of a streamed body, or `None` if it is buffered.
     pub fn upload_state(&self) -> Option<Rc<Cell<UploadState>>> {
         match self {
@@ -79,7 +89,12 @@
                     return Poll::Ready(Some(Err(error.into())));
                 };
                 self.max_bytes = remaining;
-                UploadState::Available
+                // A body with a length is not polled again after its last byte.
+                if self.rest.is_end_stream() {
+                    UploadState::Complete
+                } else {
+                    UploadState::Available
+                }
             }
         };
         self.state.set(state);
--- a/crates/rookpulley-proxy/src/response_filter.rs
+++ b/crates/rookpulley-proxy/src/response_filter.rs
@@ -2,7 +2,8 @@
 //! byte of a request has been sent.
 
 use crate::body_length::BodyLength;
-use crate::response_head::{self, Classification, SentRequests};
+use crate::response_end::{HeldEnd, SendProgress, SentBody};
+use crate::response_head::{self, BodyEnd, Classification, SentRequests};
 use bytes::{Buf, BytesMut};
 use hyper::header::HeaderValue;
 use std::cell::{Cell, RefCell};
@@ -10,12 +11,18 @@
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll, ready};
+use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
+use tokio::time::Instant;
 
 /// A longer head is passed through, and rejected by hyper's parser.
 const MAX_HEAD_BYTES: usize = 64 << 10;
 const READ_BYTES: usize = 4 << 10;
+/// The time within which a reset answers a write, in round trips and with its bounds.
+const RESET_WAIT_ROUND_TRIPS: u32 = 4;
+const MIN_RESET_WAIT: Duration = Duration::from_millis(5);
+const MAX_RESET_WAIT: Duration = Duration::from_millis(100);
 
 /// State shared by a connection and its users.
 #[derive(Default)]
@@ -27,6 +34,7 @@
     /// Whether to check for unexpected input from the instance before the first byte is sent.
     must_check_peer: Cell<bool>,
     requests: RefCell<SentRequests>,
+    progress: SendProgress,
     /// Whether a stale or interim response was discarded; the connection must not be reused.
     has_discarded_response: Cell<bool>,
 }
@@ -34,8 +42,9 @@
 impl PendingResponse {
     /// Starts a request. With `must_check_peer`, it is sent only if the instance has neither closed the
     /// connection nor sent anything.
-    pub fn begin(&self, id: &HeaderValue, is_head: bool, must_check_peer: bool) {
+    pub fn begin(&self, id: &HeaderValue, is_head: bool, body: SentBody, must_check_peer: bool) {
         self.requests.borrow_mut().begin(id, is_head);
+        self.progress.begin(body);
         self.is_awaiting_head.set(true);
         self.bytes_sent.set(0);
         self.must_check_peer.set(must_check_peer);
@@ -56,6 +65,9 @@
 pub trait PeerProbe {
     /// Whether the peer has closed the connection or sent data. Consumes a byte of such data.
     fn has_unexpected_input(&self) -> bool;
+
+    /// The pending error of the socket, which is reported only once.
+    fn take_error(&self) -> Option<io::Error>;
 }
 
 impl PeerProbe for TcpStream {
@@ -64,6 +76,12 @@
         let read = io::Read::read(&mut &*socket, &mut [0]);
         !matches!(read, Err(error) if error.kind() == io::ErrorKind::WouldBlock)
     }
+
+    fn take_error(&self) -> Option<io::Error> {
+        socket2::SockRef::from(self)
+            .take_error()
+            .unwrap_or_else(Some)
+    }
 }
 
 /// An upstream connection that discards stale responses.
@@ -73,18 +91,28 @@
     buffered: BytesMut,
     /// The remaining body of a response that is being discarded.
     discarding: Option<BodyLength>,
-    /// Whether a write failed after part of a request was sent. The response may still be readable.
-    has_write_failed: bool,
+    /// The first failure of a write after part of a request was sent. The response may still be readable.
+    write_failure: Option<io::ErrorKind>,
+    /// How the body of the current response ends.
+    body_end: BodyEnd,
+    /// The end of the instance's data, if it was reached but may be followed by a reset.
+    held_end: Option<HeldEnd>,
+    /// The time within which a reset answers a write.
+    reset_wait: Duration,
 }
 
-impl<S: AsyncRead + Unpin> ResponseFilter<S> {
-    pub fn new(stream: S, pending: Rc<PendingResponse>) -> Self {
+impl<S: AsyncRead + PeerProbe + Unpin> ResponseFilter<S> {
+    /// `round_trip` is the time in which the instance accepted the connection.
+    pub fn new(stream: S, pending: Rc<PendingResponse>, round_trip: Duration) -> Self {
         Self {
             stream,
             pending,
             buffered: BytesMut::new(),
             discarding: None,
-            has_write_failed: false,
+            write_failure: None,
+            body_end: BodyEnd::Stated,
+            held_end: None,
+            reset_wait: (round_trip * RESET_WAIT_ROUND_TRIPS).clamp(MIN_RESET_WAIT, MAX_RESET_WAIT),
         }
     }
 
@@ -92,7 +120,7 @@
         if self.pending.is_awaiting_head.get() {
             response_head::classify(bytes, &self.pending.requests.borrow())
         } else {
-            Classification::PassThrough
+            Classification::PassThrough(self.body_end)
         }
     }
 
@@ -112,7 +140,10 @@
                 self.discarding = None;
             }
             match self.classify(&self.buffered) {
-                Classification::PassThrough => return Ok(true),
+                Classification::PassThrough(end) => {
+                    self.body_end = end;
+                    return Ok(true);
+                }
                 Classification::Incomplete => return Ok(self.buffered.len() > MAX_HEAD_BYTES),
                 Classification::Discard(head, body) => {
                     self.buffered.advance(head);
@@ -123,6 +154,39 @@
         }
     }
 
+    /// Reads from the socket.
+    fn read_socket(
+        &mut self,
+        context: &mut Context<'_>,
+        output: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let capacity = output.remaining();
+        ready!(Pin::new(&mut self.stream).poll_read(context, output))?;
+        let is_at_end = capacity > 0 && output.remaining() == capacity;
+        if is_at_end && self.body_end == BodyEnd::WithConnection {
+            return self.poll_body_end(context);
+        }
+        Poll::Ready(Ok(()))
+    }
+
+    /// Polls for the end of a body that ends with the connection. Fails if the connection was reset.
+    ///
+    /// The socket reports a reset only once. If a write has met it, reads return the end of the
+    /// stream as if the instance had ended its data.
+    fn poll_body_end(&mut self, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        let progress = &self.pending.progress;
+        if let Some(failure) = self.write_failure {
+            return Poll::Ready(Err(failure.into()));
+        }
+        if progress.has_no_body() {
+            return Poll::Ready(Ok(()));
+        }
+        let new_end = || HeldEnd::new(Instant::now(), context.waker());
+        let end = self.held_end.get_or_insert_with(new_end);
+        ready!(end.poll_wait(context, progress, self.reset_wait));
+        Poll::Ready(self.stream.take_error().map_or(Ok(()), Err))
+    }
+
     /// Reads from the connection, discarding stale responses.
     fn read(
         &mut self,
@@ -131,12 +195,17 @@
     ) -> Poll<io::Result<()>> {
         if self.buffered.is_empty() && self.discarding.is_none() {
             let before = output.filled().len();
-            ready!(Pin::new(&mut self.stream).poll_read(context, output))?;
+            ready!(self.read_socket(context, output))?;
             if !self.pending.is_awaiting_head.get() {
                 return Poll::Ready(Ok(()));
             }
             let received = output.filled().get(before..).unwrap_or_default();
-            if received.is_empty() || self.classify(received) == Classification::PassThrough {
+            if received.is_empty() {
+                self.pending.is_awaiting_head.set(false);
+                return Poll::Ready(Ok(()));
+            }
+            if let Classification::PassThrough(end) = self.classify(received) {
+                self.body_end = end;
                 self.pending.is_awaiting_head.set(false);
                 return Poll::Ready(Ok(()));
             }
@@ -146,7 +215,7 @@
         while self.pending.is_awaiting_head.get() && !self.filter_buffered()? {
             let mut buffer = [0; READ_BYTES];
             let mut received = ReadBuf::new(&mut buffer);
-            ready!(Pin::new(&mut self.stream).poll_read(context, &mut received))?;
+            ready!(self.read_socket(context, &mut received))?;
             if received.filled().is_empty() {
                 break;
             }
@@ -171,8 +240,18 @@
         Ok(())
     }
 
+    fn record_sent(&mut self, bytes: usize) {
+        let sent = &self.pending.bytes_sent;
+        sent.set(sent.get() + bytes as u64);
+        let now = Instant::now();
+        self.pending.progress.record_write(now);
+        if let Some(end) = &mut self.held_end {
+            end.record_write(now);
+        }
+    }
+
     /// Records a write. A failure after a partial write is not reported, because the instance may
-    /// have responded before it closed the connection.
+    /// have responded before it closed the connection. Reads consider it where it matters.
     fn handle_write(
         &mut self,
         written: Poll<io::Result<usize>>,
@@ -180,12 +259,14 @@
     ) -> Poll<io::Result<usize>> {
         match written {
             Poll::Ready(Ok(bytes)) => {
-                let sent = &self.pending.bytes_sent;
-                sent.set(sent.get() + bytes as u64);
+                self.record_sent(bytes);
                 Poll::Ready(Ok(bytes))
             }
-            Poll::Ready(Err(_)) if !self.pending.is_unsent() => {
-                self.has_write_failed = true;
+            Poll::Ready(Err(error)) if !self.pending.is_unsent() => {
+                self.write_failure = Some(error.kind());
+                if let Some(end) = &self.held_end {
+                    end.wake_reader();
+                }
                 Poll::Ready(Ok(length()))
             }
             other => other,
@@ -193,7 +274,7 @@
     }
 }
 
-impl<S: AsyncRead + Unpin> AsyncRead for ResponseFilter<S> {
+impl<S: AsyncRead + PeerProbe + Unpin> AsyncRead for ResponseFilter<S> {
     fn poll_read(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
@@ -209,7 +290,7 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        if self.has_write_failed {
+        if self.write_failure.is_some() {
             return Poll::Ready(Ok(bytes.len()));
         }
         self.check_peer()?;
@@ -223,7 +304,7 @@
         slices: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         let length = || slices.iter().map(|slice| slice.len()).sum();
-        if self.has_write_failed {
+        if self.write_failure.is_some() {
             return Poll::Ready(Ok(length()));
         }
         self.check_peer()?;
--- a/crates/rookpulley-proxy/src/response_filter/tests.rs
+++ b/crates/rookpulley-proxy/src/response_filter/tests.rs
@@ -9,6 +9,10 @@
     fn has_unexpected_input(&self) -> bool {
         false
     }
+
+    fn take_error(&self) -> Option<io::Error> {
+        None
+    }
 }
 
 fn run<F: Future>(test: F) -> F::Output {
@@ -54,12 +58,12 @@
     run_cases(200, 1 << 11, |u| {
         let (mut instance, proxy) = tokio::io::duplex(1 << 16);
         let pending = Rc::new(PendingResponse::default());
-        let mut filter = ResponseFilter::new(proxy, pending.clone());
+        let mut filter = ResponseFilter::new(proxy, pending.clone(), Duration::ZERO);
         let mut previous: Vec<Vec<u8>> = Vec::new();
         let mut has_discarded = false;
         for number in 0..u.int_in_range(1..=6)? {
             let (expected, head) = draw_response(u, number)?;
-            pending.begin(&id(number), head, false);
+            pending.begin(&id(number), head, SentBody::Buffered, false);
             let mut wire = Vec::new();
             if u.ratio(1, 3)? {
                 wire.extend(b"HTTP/1.1 103 Early\r\nLink: x\r\n\r\n");
@@ -118,7 +122,7 @@
                 .unwrap();
             let (mut instance, _) = listener.accept().await.unwrap();
             let pending = Rc::new(PendingResponse::default());
-            let mut filter = ResponseFilter::new(stream, pending.clone());
+            let mut filter = ResponseFilter::new(stream, pending.clone(), Duration::ZERO);
             if sends {
                 instance.write_all(b"more").await.unwrap();
             }
@@ -128,7 +132,7 @@
             if closes || sends {
                 filter.stream.readable().await.unwrap();
             }
-            pending.begin(&id(1), false, true);
+            pending.begin(&id(1), false, SentBody::Buffered, true);
             let result = filter.write(b"request").await;
             assert_eq!(
                 (result.is_err(), pending.is_unsent()),
@@ -143,8 +147,8 @@
     run(async {
         let (mut instance, proxy) = tokio::io::duplex(8);
         let pending = Rc::new(PendingResponse::default());
-        let mut filter = ResponseFilter::new(proxy, pending.clone());
-        pending.begin(&id(1), false, false);
+        let mut filter = ResponseFilter::new(proxy, pending.clone(), Duration::ZERO);
+        pending.begin(&id(1), false, SentBody::Buffered, false);
         filter.write_all(b"part").await.unwrap();
         instance.write_all(b"no more").await.unwrap();
         drop(instance);
@@ -153,9 +157,97 @@
         filter.read_to_end(&mut received).await.unwrap();
         assert_eq!(received, b"no more");
         // A failure before the first byte is reported.
-        pending.begin(&id(2), false, false);
+        pending.begin(&id(2), false, SentBody::Buffered, false);
         let (_, proxy) = tokio::io::duplex(8);
-        let mut filter = ResponseFilter::new(proxy, pending.clone());
+        let mut filter = ResponseFilter::new(proxy, pending.clone(), Duration::ZERO);
         assert!(filter.write_all(b"all").await.is_err() && pending.is_unsent());
     });
 }
+
+/// How an instance ends its connection after its response.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum End {
+    /// By a reset, as a process that ends with part of the request unread in its socket.
+    Reset,
+    /// By the end of its data and a reset, as a process that ends when it has read what had arrived.
+    ShutdownThenReset,
+    /// By the end of its data. It reads on.
+    Shutdown,
+}
+
+/// What a proxy reads that goes on with its request after the instance has responded and ended its data.
+async fn read_after_end(response: &[u8], end: End) -> (Vec<u8>, Result<usize, io::ErrorKind>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let stream = TcpStream::connect(listener.local_addr().unwrap())
+        .await
+        .unwrap();
+    let (mut instance, _) = listener.accept().await.unwrap();
+    let pending = Rc::new(PendingResponse::default());
+    let mut filter = ResponseFilter::new(stream, pending.clone(), Duration::ZERO);
+    pending.begin(&id(1), false, SentBody::Buffered, false);
+    filter.write_all(b"part").await.unwrap();
+    instance.write_all(response).await.unwrap();
+    if end != End::Reset {
+        instance.shutdown().await.unwrap();
+    }
+    let kept = if end == End::Shutdown {
+        Some(instance)
+    } else {
+        let socket = socket2::SockRef::from(&instance);
+        socket.set_linger(Some(Duration::ZERO)).unwrap();
+        drop(instance);
+        None
+    };
+    // The first write meets the reset, if there is one.
+    filter.write_all(&[b'x'; 1_000]).await.unwrap();
+    filter.write_all(&[b'x'; 1_000]).await.unwrap();
+    let mut received = Vec::new();
+    let ended = filter.read_to_end(&mut received).await;
+    drop(kept);
+    (received, ended.map_err(|error| error.kind()))
+}
+
+/// A write used to consume the error of a reset, so that a response without a length looked complete.
+#[test]
+fn a_response_without_a_length_is_incomplete_if_a_write_met_a_reset() {
+    run(async {
+        let response = b"HTTP/1.1 200 OK\r\n\r\npart";
+        for (end, failure) in [
+            (End::Reset, io::ErrorKind::ConnectionReset),
+            (End::ShutdownThenReset, io::ErrorKind::BrokenPipe),
+        ] {
+            let (received, ended) = read_after_end(response, end).await;
+            assert_eq!(
+                (received.as_slice(), ended),
+                (&response[..], Err(failure)),
+                "{end:?}"
+            );
+        }
+    });
+}
+
+#[test]
+fn a_response_without_a_length_is_complete_if_the_instance_reads_on() {
+    run(async {
+        let response = b"HTTP/1.1 200 OK\r\n\r\nwhole";
+        let (received, ended) = read_after_end(response, End::Shutdown).await;
+        assert_eq!(received, response);
+        assert_eq!(ended, Ok(response.len()));
+    });
+}
+
+#[test]
+fn a_response_with_a_stated_end_is_read_whole_before_a_reset() {
+    run(async {
+        for framing in [
+            "Content-Length: 5\r\n\r\nwhole",
+            "Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n",
+        ] {
+            let response = format!("HTTP/1.1 200 OK\r\n{framing}");
+            for end in [End::Reset, End::ShutdownThenReset, End::Shutdown] {
+                let (received, _) = read_after_end(response.as_bytes(), end).await;
+                assert_eq!(received, response.as_bytes(), "{framing} {end:?}");
+            }
+        }
+    });
+}
--- a/crates/rookpulley-proxy/src/response_head.rs
+++ b/crates/rookpulley-proxy/src/response_head.rs
@@ -39,11 +39,20 @@
     }
 }
 
+/// Where the body of a response ends.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum BodyEnd {
+    /// Where its head or its encoding says, or there is no body.
+    Stated,
+    /// Where the connection ends, or the head is ambiguous.
+    WithConnection,
+}
+
 /// The classification of the next response in the stream.
 #[derive(Debug, PartialEq)]
 pub enum Classification {
     /// The awaited response, or one that cannot be identified; the parser decides.
-    PassThrough,
+    PassThrough(BodyEnd),
     /// The head is incomplete.
     Incomplete,
     /// A stale or interim response, with the length of its head and its body.
@@ -68,11 +77,12 @@
     let end = match parser.parse_response_with_uninit_headers(&mut response, bytes, &mut headers) {
         Ok(Status::Complete(end)) => end,
         Ok(Status::Partial) => return Classification::Incomplete,
-        Err(_) => return Classification::PassThrough,
+        // The parser rejects it.
+        Err(_) => return Classification::PassThrough(BodyEnd::Stated),
     };
     match Head::from_response(&response, end) {
         Some(head) => head.classify(requests),
-        None => Classification::PassThrough,
+        None => Classification::PassThrough(BodyEnd::WithConnection),
     }
 }
 
@@ -104,25 +114,43 @@
         if (100..200).contains(&self.status) {
             // 101 switches protocols; other interim responses precede the final one.
             return if self.status == 101 {
-                Classification::PassThrough
+                Classification::PassThrough(BodyEnd::Stated)
             } else {
                 Classification::Discard(self.bytes, BodyLength::Bytes(0))
             };
         }
+        let current = requests.current.as_ref();
+        let passed_through = Classification::PassThrough(self.body_end(current));
         let Some(id) = self.id else {
-            return Classification::PassThrough;
+            return passed_through;
         };
-        let current = requests.current.as_ref();
         if current.is_some_and(|request| *request.id == *id) {
-            return Classification::PassThrough;
+            return passed_through;
         }
         let mut previous = requests.previous.iter();
         let Some(request) = previous.find(|request| *request.id == *id) else {
-            return Classification::PassThrough;
+            return passed_through;
         };
         match self.body_length(request) {
             Some(body) => Classification::Discard(self.bytes, body),
-            None => Classification::PassThrough,
+            None => passed_through,
+        }
+    }
+
+    /// Where the body of the response to this request ends.
+    fn body_end(&self, request: Option<&SentRequest>) -> BodyEnd {
+        let is_to_head = request.is_some_and(|request| request.is_head);
+        if is_to_head || matches!(self.status, 204 | 304) {
+            return BodyEnd::Stated;
+        }
+        let is_stated = match self.encoding {
+            Some(encoding) => is_last_coding_chunked(encoding),
+            None => self.length.is_some(),
+        };
+        if is_stated {
+            BodyEnd::Stated
+        } else {
+            BodyEnd::WithConnection
         }
     }
 
@@ -141,6 +169,11 @@
     }
 }
 
+fn is_last_coding_chunked(encoding: &[u8]) -> bool {
+    let last = encoding.rsplit(|byte| *byte == b',').next();
+    last.is_some_and(|coding| coding.trim_ascii().eq_ignore_ascii_case(b"chunked"))
+}
+
 fn parse_decimal(digits: &[u8]) -> Option<u64> {
     let digits = std::str::from_utf8(digits)
         .ok()
--- a/crates/rookpulley-proxy/src/upstream_pool.rs
+++ b/crates/rookpulley-proxy/src/upstream_pool.rs
@@ -5,6 +5,7 @@
 //! is known.
 
 use crate::request_body::RequestBody;
+use crate::response_end::SentBody;
 use crate::response_filter::{PendingResponse, ResponseFilter};
 use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper::header::{CONNECTION, HeaderMap, HeaderValue};
@@ -154,7 +155,7 @@
             return Err(ConnectError::Unreachable);
         };
         let round_trip = started.elapsed();
-        let connection = UpstreamConnection::new(stream, pool, count).await?;
+        let connection = UpstreamConnection::new(stream, pool, count, round_trip).await?;
         if !is_idempotent {
             tokio::time::sleep((round_trip * 2).clamp(MIN_SETTLE_DELAY, MAX_SETTLE_DELAY)).await;
             if connection.sender.is_closed() {
@@ -246,10 +247,12 @@
         stream: TcpStream,
         pool: Rc<Pool>,
         count: ConnectionCount,
+        round_trip: Duration,
     ) -> Result<Self, ConnectError> {
         connection::configure(&stream, connection::USER_TIMEOUT);
         let pending = Rc::new(PendingResponse::default());
-        let filter = TokioIo::new(ResponseFilter::new(stream, pending.clone()));
+        let filter = ResponseFilter::new(stream, pending.clone(), round_trip);
+        let filter = TokioIo::new(filter);
         let handshake = Builder::new()
             .max_buf_size(MAX_PARSER_BYTES)
             .handshake(filter);
@@ -282,9 +285,9 @@
     }
 
     /// Records the start of a request on this connection.
-    pub fn begin(&self, id: &HeaderValue, is_head: bool, is_idempotent: bool) {
+    pub fn begin(&self, id: &HeaderValue, is_head: bool, body: SentBody, is_idempotent: bool) {
         let must_check_peer = !is_idempotent || self.released.elapsed() > CHECK_AFTER_IDLE;
-        self.pending.begin(id, is_head, must_check_peer);
+        self.pending.begin(id, is_head, body, must_check_peer);
     }
 
     /// Whether no byte of the request has been sent.
--- a/crates/rookpulley-proxy/src/upstream_pool/tests.rs
+++ b/crates/rookpulley-proxy/src/upstream_pool/tests.rs
@@ -94,7 +94,12 @@
             let Ok(mut connection) = pools.connect(&entry, options(3, false, false)).await else {
                 continue;
             };
-            connection.begin(&HeaderValue::from_static("q"), false, false);
+            connection.begin(
+                &HeaderValue::from_static("q"),
+                false,
+                SentBody::Empty,
+                false,
+            );
             let request = Request::new(RequestBody::Complete(Bytes::new()));
             assert!(
                 connection.sender.try_send_request(request).await.is_err()
--- a/crates/rookpulley-proxy/tests/proxy/harness/peer_connection.rs
+++ b/crates/rookpulley-proxy/tests/proxy/harness/peer_connection.rs
@@ -1,13 +1,14 @@
 //! A raw connection that sends bytes and receives complete messages.
 
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
 /// The minimum buffer space per read.
 const READ_BYTES: usize = 16 << 10;
 
-pub struct PeerConnection {
-    pub stream: TcpStream,
+/// A connection, or one half of it.
+pub struct PeerConnection<S = TcpStream> {
+    pub stream: S,
     bytes: Vec<u8>,
 }
 
@@ -45,10 +46,7 @@
 impl PeerConnection {
     pub fn new(stream: TcpStream) -> PeerConnection {
         stream.set_nodelay(true).unwrap();
-        PeerConnection {
-            stream,
-            bytes: Vec::new(),
-        }
+        PeerConnection::from_reader(stream)
     }
 
     /// Sends bytes. Returns false if the peer closed the connection before accepting all of them.
@@ -56,6 +54,21 @@
         self.stream.write_all(bytes.as_ref()).await.is_ok()
     }
 
+    pub fn reset(self) {
+        let socket = socket2::SockRef::from(&self.stream);
+        socket.set_linger(Some(std::time::Duration::ZERO)).unwrap();
+    }
+}
+
+impl<S: AsyncRead + Unpin> PeerConnection<S> {
+    /// The reading half of a connection.
+    pub fn from_reader(stream: S) -> PeerConnection<S> {
+        PeerConnection {
+            stream,
+            bytes: Vec::new(),
+        }
+    }
+
     /// Reads the next head, or returns `None` if the connection ends before.
     pub async fn read_head(&mut self) -> Option<String> {
         loop {
@@ -98,11 +111,6 @@
         std::mem::take(&mut self.bytes)
     }
 
-    pub fn reset(self) {
-        let socket = socket2::SockRef::from(&self.stream);
-        socket.set_linger(Some(std::time::Duration::ZERO)).unwrap();
-    }
-
     async fn read_chunked_body(&mut self) -> Option<Vec<u8>> {
         let mut body = Vec::new();
         loop {
--- a/crates/rookpulley-proxy/tests/proxy/main.rs
+++ b/crates/rookpulley-proxy/tests/proxy/main.rs
@@ -5,6 +5,7 @@
 mod clients;
 mod controllers;
 mod deadlines;
+mod early_responses;
 mod harness;
 mod instances;
 mod randomized;
