--- a/crates/rookpulley-chain/tests/model/main.rs
+++ b/crates/rookpulley-chain/tests/model/main.rs
@@ -3,6 +3,11 @@
 //!
 //! `cargo test --release -p rookpulley-chain --test model -- --ignored --nocapture` runs the wide bounds.
 
+mod activation;
+mod agreement;
+mod canonicalization;
+mod failures;
+mod replication;
 mod rules;
 mod search;
 mod state;
