controller tests: stores on a tmpfs, as calls have deadlines in real time

Change: the folders of these tests are on a tmpfs where there is one, as in the tests of devcluster; what they check is the same.

--- a/crates/rookpulley-controller/src/inspect/tests.rs
+++ b/crates/rookpulley-controller/src/inspect/tests.rs
@@ -55,9 +55,22 @@
     String::from_utf8(reply.body).unwrap()
 }
 
+/// A folder for a store, on a tmpfs if there is one: calls have deadlines in real time, and the result must not depend on
+/// how long the disk takes to sync beside other work.
+pub fn store_folder() -> tempfile::TempDir {
+    let mounts = std::fs::read_to_string("/proc/self/mounts").unwrap_or_default();
+    let mut in_memory = mounts.lines().filter_map(|line| {
+        let mut words = line.split(' ');
+        let (folder, kind) = (words.nth(1)?, words.next()?);
+        (kind == "tmpfs").then_some(folder)
+    });
+    let folder = in_memory.find_map(|folder| tempfile::tempdir_in(folder).ok());
+    folder.unwrap_or_else(|| tempfile::tempdir().unwrap())
+}
+
 /// Runs a scenario against a single controller with one instance, a configuration and a proxy that has it as primary.
 pub fn with_controller<F: Future<Output = ()>>(scenario: impl FnOnce(Rc<Api>) -> F) {
-    let folder = tempfile::tempdir().unwrap();
+    let folder = store_folder();
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
--- a/crates/rookpulley-controller/src/standby/tests.rs
+++ b/crates/rookpulley-controller/src/standby/tests.rs
@@ -55,7 +55,7 @@
 
 #[test]
 fn a_controller_redirects_calls_until_its_store_can_be_opened() {
-    let base = tempfile::tempdir().unwrap();
+    let base = crate::inspect::tests::store_folder();
     let blocked = base.path().join("disk");
     // A file in place of the parent folder makes every operation below it fail.
     std::fs::write(&blocked, "").unwrap();
@@ -94,7 +94,7 @@
 
 #[test]
 fn connections_are_accepted_while_the_store_is_opened() {
-    let base = tempfile::tempdir().unwrap();
+    let base = crate::inspect::tests::store_folder();
     let data = base.path().join("data");
     std::fs::create_dir_all(&data).unwrap();
     // The store is locked, so that opening it is retried for a second.
--- a/crates/rookpulley-controller/src/stateless/tests.rs
+++ b/crates/rookpulley-controller/src/stateless/tests.rs
@@ -31,7 +31,7 @@
     let (end, ended) = oneshot::channel::<()>();
     let node = settings(ip, zone, port);
     let run = move || {
-        let folder = tempfile::tempdir().unwrap();
+        let folder = crate::inspect::tests::store_folder();
         let runtime = tokio::runtime::Builder::new_current_thread()
             .enable_all()
             .build()
