--- a/crates/rookpulley-chain/tests/model/main.rs
+++ b/crates/rookpulley-chain/tests/model/main.rs
@@ -146,7 +146,7 @@
     assert!(coverage.active_after_second_loss && coverage.third_view_holds_updates_of_first);
 }
 
-/// A view of two members without the silent third one used to stop for good with the loss of one disk.
+/// Guards against a view without its silent acceptors, which fewer lost disks than tolerated stop for good.
 #[test]
 fn a_quorum_is_left_when_a_disk_is_lost_while_others_are_away() {
     let coverage = explore_without_violation("absences and a lost disk", ABSENCES, true, 100_000);
--- a/crates/rookpulley-chain/tests/recovery.rs
+++ b/crates/rookpulley-chain/tests/recovery.rs
@@ -67,7 +67,7 @@
     all[world.rng.random_range(0..all.len())]
 }
 
-/// From 10 ms to 60 s. Half of them are of 3 to 10 s, around the time after which a controller is no longer expected.
+/// From 10 ms to 60 s. Half of them are of 3 to 10 s, the lengths that the users' sites name for a freeze and more.
 fn absence_ms(world: &mut World) -> u64 {
     if world.rng.random() {
         world.rng.random_range(3_000..10_000)
@@ -226,8 +226,8 @@
     (world, losses)
 }
 
-/// One of three controllers freezes, and shortly before it wakes another one is lost for good and replaced at another
-/// address. The silent one used to lose its vote after 4 s, and the chain stopped for good.
+/// Guards against a chain that stops for good because a silent controller lost its vote: one of three freezes, and shortly
+/// before it wakes another one is lost for good and replaced at another address.
 #[test]
 fn a_disk_lost_at_the_end_of_a_long_absence_does_not_stop_the_chain() {
     for (case, absent_ms) in [500, 1_200, 3_000, 4_200, 5_000, 12_000, 40_000]
--- a/crates/rookpulley-control/tests/peers.rs
+++ b/crates/rookpulley-control/tests/peers.rs
@@ -54,7 +54,7 @@
     addresses.collect()
 }
 
-/// A voter that was away for long may be needed for a quorum. It used to be dialed by nobody once it was forgotten.
+/// Guards against a voter that nobody dials after a long absence, though a quorum may need it.
 #[test]
 fn a_silent_voter_is_dialed_however_long_it_was_away() {
     let mut controller = restarted_member();
--- a/crates/rookpulley-proxy/src/response_filter/tests.rs
+++ b/crates/rookpulley-proxy/src/response_filter/tests.rs
@@ -207,7 +207,7 @@
     (received, ended.map_err(|error| error.kind()))
 }
 
-/// A write used to consume the error of a reset, so that a response without a length looked complete.
+/// Guards against a response without a length that looks complete because a write consumed the error of the reset.
 #[test]
 fn a_response_without_a_length_is_incomplete_if_a_write_met_a_reset() {
     run(async {
--- a/crates/rookpulley-proxy/tests/proxy/early_responses.rs
+++ b/crates/rookpulley-proxy/tests/proxy/early_responses.rs
@@ -211,7 +211,7 @@
     }
 }
 
-/// A response without a length used to look complete if a write of the request met the reset first.
+/// Guards against a part of a response without a length that looks complete because a write of the request met the reset.
 #[test]
 fn early_response_cut_off_by_a_reset_does_not_look_complete() {
     play_all(End::HalfThenReset, &SHORT_RESPONSE_BYTES);
