store: an inspection waits for the lock of a store that was just closed

An operator, or a test, that inspected a store just after its controller had ended could be told that it is in use. sled releases its lock shortly after the store was closed; opening and replacing a store wait for that, `inspect` tried once.

`inspect` takes the lock by the same function as `replace`, which waits for a second and has a module of its own. The loops in two test files that waited in place of the product are gone, so these tests demand more than before.

--- a/crates/rookpulley-store/src/inspect.rs
+++ b/crates/rookpulley-store/src/inspect.rs
@@ -3,9 +3,9 @@
 use crate::database::{
     CHAIN, FOLDER, INSTANCES, PAGES, catch_panic, identity, is_in_use, open_at, sync_all,
 };
+use crate::lock::{LockError, lock};
 use crate::placement::finish_replacement;
 use crate::rows::{RowWriter, Rows};
-use std::fs::{File, TryLockError};
 use std::path::{Path, PathBuf};
 
 /// Why a store can't be inspected or replaced.
@@ -66,12 +66,10 @@
         return Err(InspectError::NotFound(folder.into()));
     }
     // Checks the lock first, as `sled` writes before it takes the lock.
-    let file = File::options().read(true).write(true).open(pages);
-    let file = file.map_err(io_error)?;
-    match file.try_lock() {
-        Ok(()) => drop(file),
-        Err(TryLockError::WouldBlock) => return Err(InspectError::InUse(at)),
-        Err(TryLockError::Error(error)) => return Err(io_error(error)),
+    match lock(&pages) {
+        Ok(lock) => drop(lock),
+        Err(LockError::Held) => return Err(InspectError::InUse(at)),
+        Err(LockError::Io(error)) => return Err(io_error(error)),
     }
     let db = open_at(&at).map_err(|error| match error {
         error if is_in_use(&error) => InspectError::InUse(at.clone()),
--- a/crates/rookpulley-store/src/inspect/tests.rs
+++ b/crates/rookpulley-store/src/inspect/tests.rs
@@ -2,16 +2,6 @@
 use crate::{Store, StoreTree};
 use rookpulley_chain::Record;
 
-/// Inspects a store once `sled` has released its lock, which may be shortly after the store was closed.
-fn inspect_closed(folder: &Path) -> Contents {
-    loop {
-        match inspect(folder) {
-            Err(InspectError::InUse(_)) => std::thread::yield_now(),
-            result => return result.unwrap(),
-        }
-    }
-}
-
 #[test]
 fn inspect_returns_the_rows_and_leaves_them_unchanged() {
     let folder = tempfile::tempdir().unwrap();
@@ -30,7 +20,7 @@
     assert!(store.write(StoreTree::Instances, 1, vec![put("i-1")]));
     drop(store);
     while events.blocking_recv().is_some() {}
-    let contents = inspect_closed(folder.path());
+    let contents = inspect(folder.path()).unwrap();
     assert_eq!(
         (
             contents.identity,
@@ -39,7 +29,7 @@
         ),
         (Some(7), 2, 1)
     );
-    assert_eq!(inspect_closed(folder.path()), contents);
+    assert_eq!(inspect(folder.path()).unwrap(), contents);
     let (sender, _events) = tokio::sync::mpsc::unbounded_channel();
     let reopened = Store::open(folder.path(), 8, None, sender).unwrap();
     assert_eq!(
@@ -60,3 +50,19 @@
     ));
     assert!(folder.path().join("store/db").is_file());
 }
+
+/// A store that has just been closed was reported as in use, because `sled` had not yet released its lock.
+#[test]
+fn inspect_waits_for_a_lock_that_is_released_shortly_after() {
+    let folder = tempfile::tempdir().unwrap();
+    let (sender, mut events) = tokio::sync::mpsc::unbounded_channel();
+    drop(Store::open(folder.path(), 7, None, sender).unwrap());
+    while events.blocking_recv().is_some() {}
+    let held = lock(&folder.path().join(FOLDER).join(PAGES)).unwrap();
+    std::thread::scope(|scope| {
+        let inspected = scope.spawn(|| inspect(folder.path()));
+        std::thread::sleep(std::time::Duration::from_millis(100));
+        drop(held);
+        assert_eq!(inspected.join().unwrap().unwrap().identity, Some(7));
+    });
+}
--- a/crates/rookpulley-store/src/lib.rs
+++ b/crates/rookpulley-store/src/lib.rs
@@ -6,6 +6,7 @@
 //! | `writer` | the background thread that writes and syncs batches |
 //! | `rows`, `chunks` | splitting of long rows into short ones, and deduplication of their content |
 //! | `inspect`, `replace` | offline inspection and replacement of a store |
+//! | `lock` | the lock of a store's files against other processes |
 //! | `placement` | the directories of the current, the next and the replaced store |
 //! | `database` | file names, tree names and the configuration of `sled` |
 //!
@@ -16,6 +17,7 @@
 mod chunks;
 mod database;
 mod inspect;
+mod lock;
 mod placement;
 mod replace;
 mod rows;
--- a/crates/rookpulley-store/src/replace.rs
+++ b/crates/rookpulley-store/src/replace.rs
@@ -3,36 +3,18 @@
 //! Invariant: the new store is written to a temporary directory, synced and renamed to `store.next` in one step. A crash
 //! before the rename leaves the old store in effect, a crash after it the new one, whichever is at the final path.
 
-use crate::database::{
-    CHAIN, FOLDER, IDENTITY, INSTANCES, PAGES, RETRY, open_at, sync_all, sync_folder,
-};
+use crate::database::{CHAIN, FOLDER, IDENTITY, INSTANCES, PAGES, open_at, sync_all, sync_folder};
 use crate::inspect::{Contents, InspectError};
+use crate::lock::{LockError, lock};
 use crate::placement::{NEXT, finish_replacement, replaced_store};
 use crate::rows::RowWriter;
 use rookpulley_chain::Record;
-use std::fs::{File, TryLockError, remove_dir_all, rename};
+use std::fs::{remove_dir_all, rename};
 use std::io::{Error, ErrorKind};
 use std::path::Path;
 
 /// Temporary directory of a store that is being written.
 const TEMPORARY: &str = "store.making";
-/// Maximum number of attempts to take the lock, a tenth of `RETRY` apart.
-const LOCK_RETRIES: u32 = 100;
-
-/// Locks the store against other processes while the returned file is open. Retries, as `sled` may release its lock
-/// shortly after the store was closed.
-fn lock(pages: &Path) -> Result<File, Error> {
-    let file = File::options().read(true).write(true).open(pages)?;
-    for _ in 0..LOCK_RETRIES {
-        match file.try_lock() {
-            Ok(()) => return Ok(file),
-            Err(TryLockError::WouldBlock) => std::thread::sleep(RETRY / 10),
-            Err(TryLockError::Error(error)) => return Err(error),
-        }
-    }
-    Err(ErrorKind::WouldBlock.into())
-}
-
 /// Replaces the store in this folder by one with another identity and other chain rows. The instance rows are copied from
 /// `old`, the result of `inspect`. The previous store is kept at `replaced_store`.
 pub fn replace(
@@ -47,9 +29,9 @@
     if replaced.exists() {
         return Err(InspectError::ReplacedStoreExists(replaced));
     }
-    let _lock = lock(&at.join(PAGES)).map_err(|error| match error.kind() {
-        ErrorKind::WouldBlock => InspectError::InUse(at.clone()),
-        _ => failed(error),
+    let _lock = lock(&at.join(PAGES)).map_err(|error| match error {
+        LockError::Held => InspectError::InUse(at.clone()),
+        LockError::Io(error) => failed(error),
     })?;
     write_next(folder, old, identity, chain).map_err(failed)?;
     finish_replacement(folder).map_err(failed)
@@ -62,7 +44,10 @@
         remove_dir_all(&temporary)?;
     }
     write_store(&temporary, old, identity, chain)?;
-    let _lock = lock(&temporary.join(PAGES))?;
+    let _lock = lock(&temporary.join(PAGES)).map_err(|error| match error {
+        LockError::Held => ErrorKind::WouldBlock.into(),
+        LockError::Io(error) => error,
+    })?;
     sync_all(&temporary)?;
     rename(&temporary, folder.join(NEXT))?;
     sync_folder(folder)
--- a/crates/rookpulley-store/src/replace/tests.rs
+++ b/crates/rookpulley-store/src/replace/tests.rs
@@ -9,16 +9,6 @@
     }
 }
 
-/// Inspects a store once `sled` has released its lock, which may be shortly after the store was closed.
-fn inspect_closed(folder: &Path) -> Contents {
-    loop {
-        match inspect(folder) {
-            Err(InspectError::InUse(_)) => std::thread::yield_now(),
-            result => return result.unwrap(),
-        }
-    }
-}
-
 fn create_store() -> (tempfile::TempDir, Contents) {
     let folder = tempfile::tempdir().unwrap();
     let (sender, mut events) = tokio::sync::mpsc::unbounded_channel();
@@ -27,7 +17,7 @@
     assert!(store.write(StoreTree::Instances, 1, vec![put("i-1")]));
     drop(store);
     while events.blocking_recv().is_some() {}
-    let old = inspect_closed(folder.path());
+    let old = inspect(folder.path()).unwrap();
     (folder, old)
 }
 
@@ -78,13 +68,13 @@
         drop(store);
         while events.blocking_recv().is_some() {}
         assert_eq!(
-            identity_and_keys(&inspect_closed(folder.path())),
+            identity_and_keys(&inspect(folder.path()).unwrap()),
             expected,
             "step {step}"
         );
         if step == 0 {
             replace(folder.path(), &old, 9, &[put("c")]).unwrap();
-            assert_eq!(identity_and_keys(&inspect_closed(folder.path())), new);
+            assert_eq!(identity_and_keys(&inspect(folder.path()).unwrap()), new);
         }
         assert!(path("store.before/db").is_file());
         let second = replace(folder.path(), &old, 10, &[put("d")]);
