proxy: a task that ends before it has the whole request is seen to, though it ends in order

A client uploads 8 MiB; the task answers early, without a length, reads all of the request within its 6 ms and ends after half of its answer.

While such an answer is under way, the last three bytes of the request are held back and sent one at a time when the task has been silent for 1, 2 and 6 ms, at the latest after 1 s. A task that ends meanwhile resets the rest. The writing half of the filter is a module of its own now.

--- a/crates/rookpulley-proxy/src/lib.rs
+++ b/crates/rookpulley-proxy/src/lib.rs
@@ -10,7 +10,7 @@
 //! | validate, route, attempt and retry | `forward`, `request_check`, `headers`, `request_guard` |
 //! | make one attempt at one instance | `attempt`, `tracked_attempt` |
 //! | connect to the instance; discard stale responses | `upstream_pool`, `response_filter`, `response_head` |
-//! | evaluate the response, and the end of one without a length | `response_check`, `response_end` |
+//! | evaluate the response, and the end of one without a length | `response_check`, `response_end`, `request_tail` |
 //! | transfer bodies | `body`, `request_body`, `response_body`, `memory` |
 //! | respond locally | `local_response` |
 //!
@@ -35,6 +35,7 @@
 mod request_body;
 mod request_check;
 mod request_guard;
+mod request_tail;
 mod response_body;
 mod response_check;
 mod response_end;
--- a/crates/rookpulley-proxy/src/response_end.rs
+++ b/crates/rookpulley-proxy/src/response_end.rs
@@ -60,7 +60,8 @@
         matches!(*self.body.borrow(), SentBody::Empty)
     }
 
-    fn is_complete(&self) -> bool {
+    /// Whether nothing more of the request is to come.
+    pub fn is_complete(&self) -> bool {
         match &*self.body.borrow() {
             SentBody::Empty | SentBody::Buffered => true,
             SentBody::Streamed(upload) => upload.get() == UploadState::Complete,
--- a/crates/rookpulley-proxy/src/response_filter.rs
+++ b/crates/rookpulley-proxy/src/response_filter.rs
@@ -2,6 +2,7 @@
 //! byte of a request has been sent.
 
 use crate::body_length::BodyLength;
+use crate::request_tail::RequestTail;
 use crate::response_end::{HeldEnd, SendProgress, SentBody};
 use crate::response_head::{self, BodyEnd, Classification, SentRequests};
 use bytes::{Buf, BytesMut};
@@ -95,13 +96,15 @@
     write_failure: Option<io::ErrorKind>,
     /// How the body of the current response ends.
     body_end: BodyEnd,
+    /// The last bytes of the request, which are held back if the body of the response ends with the connection.
+    request_tail: RequestTail,
     /// The end of the instance's data, if it was reached but may be followed by a reset.
     held_end: Option<HeldEnd>,
     /// The time within which a reset answers a write.
     reset_wait: Duration,
 }
 
-impl<S: AsyncRead + PeerProbe + Unpin> ResponseFilter<S> {
+impl<S: AsyncRead + AsyncWrite + PeerProbe + Unpin> ResponseFilter<S> {
     /// `round_trip` is the time in which the instance accepted the connection.
     pub fn new(stream: S, pending: Rc<PendingResponse>, round_trip: Duration) -> Self {
         Self {
@@ -111,6 +114,7 @@
             discarding: None,
             write_failure: None,
             body_end: BodyEnd::Stated,
+            request_tail: RequestTail::default(),
             held_end: None,
             reset_wait: (round_trip * RESET_WAIT_ROUND_TRIPS).clamp(MIN_RESET_WAIT, MAX_RESET_WAIT),
         }
@@ -174,16 +178,23 @@
     /// The socket reports a reset only once. If a write has met it, reads return the end of the
     /// stream as if the instance had ended its data.
     fn poll_body_end(&mut self, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        let progress = &self.pending.progress;
         if let Some(failure) = self.write_failure {
             return Poll::Ready(Err(failure.into()));
         }
-        if progress.has_no_body() {
+        if self.pending.progress.has_no_body() {
             return Poll::Ready(Ok(()));
         }
-        let new_end = || HeldEnd::new(Instant::now(), context.waker());
-        let end = self.held_end.get_or_insert_with(new_end);
-        ready!(end.poll_wait(context, progress, self.reset_wait));
+        if self.held_end.is_none() {
+            self.held_end = Some(HeldEnd::new(Instant::now(), context.waker()));
+        }
+        // A closed socket answers this with a reset.
+        if let Poll::Ready(Err(error)) = self.poll_send_tail(context, usize::MAX) {
+            return Poll::Ready(Err(error));
+        }
+        let Some(end) = &mut self.held_end else {
+            return Poll::Ready(Ok(()));
+        };
+        ready!(end.poll_wait(context, &self.pending.progress, self.reset_wait));
         Poll::Ready(self.stream.take_error().map_or(Ok(()), Err))
     }
 
@@ -230,100 +241,19 @@
     }
 }
 
-impl<S: AsyncRead + AsyncWrite + PeerProbe + Unpin> ResponseFilter<S> {
-    /// Aborts the request before its first byte is sent, if the instance has closed the connection
-    /// or sent data.
-    fn check_peer(&mut self) -> io::Result<()> {
-        if self.pending.must_check_peer.take() && self.stream.has_unexpected_input() {
-            return Err(io::ErrorKind::ConnectionAborted.into());
-        }
-        Ok(())
-    }
-
-    fn record_sent(&mut self, bytes: usize) {
-        let sent = &self.pending.bytes_sent;
-        sent.set(sent.get() + bytes as u64);
-        let now = Instant::now();
-        self.pending.progress.record_write(now);
-        if let Some(end) = &mut self.held_end {
-            end.record_write(now);
-        }
-    }
-
-    /// Records a write. A failure after a partial write is not reported, because the instance may
-    /// have responded before it closed the connection. Reads consider it where it matters.
-    fn handle_write(
-        &mut self,
-        written: Poll<io::Result<usize>>,
-        length: impl FnOnce() -> usize,
-    ) -> Poll<io::Result<usize>> {
-        match written {
-            Poll::Ready(Ok(bytes)) => {
-                self.record_sent(bytes);
-                Poll::Ready(Ok(bytes))
-            }
-            Poll::Ready(Err(error)) if !self.pending.is_unsent() => {
-                self.write_failure = Some(error.kind());
-                if let Some(end) = &self.held_end {
-                    end.wake_reader();
-                }
-                Poll::Ready(Ok(length()))
-            }
-            other => other,
-        }
-    }
-}
-
-impl<S: AsyncRead + PeerProbe + Unpin> AsyncRead for ResponseFilter<S> {
+impl<S: AsyncRead + AsyncWrite + PeerProbe + Unpin> AsyncRead for ResponseFilter<S> {
     fn poll_read(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
         output: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        self.read(context, output)
+        let read = self.read(context, output);
+        self.request_tail.record_read(read.is_pending());
+        read
     }
 }
 
-impl<S: AsyncRead + AsyncWrite + PeerProbe + Unpin> AsyncWrite for ResponseFilter<S> {
-    fn poll_write(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        bytes: &[u8],
-    ) -> Poll<io::Result<usize>> {
-        if self.write_failure.is_some() {
-            return Poll::Ready(Ok(bytes.len()));
-        }
-        self.check_peer()?;
-        let written = Pin::new(&mut self.stream).poll_write(context, bytes);
-        self.handle_write(written, || bytes.len())
-    }
-
-    fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        slices: &[io::IoSlice<'_>],
-    ) -> Poll<io::Result<usize>> {
-        let length = || slices.iter().map(|slice| slice.len()).sum();
-        if self.write_failure.is_some() {
-            return Poll::Ready(Ok(length()));
-        }
-        self.check_peer()?;
-        let written = Pin::new(&mut self.stream).poll_write_vectored(context, slices);
-        self.handle_write(written, length)
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
-    }
-
-    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(context)
-    }
-
-    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(context)
-    }
-}
+mod writing;
 
 #[cfg(test)]
 mod tests;
--- a/crates/rookpulley-proxy/tests/proxy/main.rs
+++ b/crates/rookpulley-proxy/tests/proxy/main.rs
@@ -5,6 +5,7 @@
 mod clients;
 mod controllers;
 mod deadlines;
+mod early_response_ends;
 mod early_responses;
 mod harness;
 mod instances;
