proxy soak: long uploads whose tasks answer early, some of which break off

Clients upload 0.1 to 3 MB in parts; tasks answer before they have read them, with a length, in chunks or until the connection ends, and three of seven break the answer off by an end in order, an end with bytes unread or a reset, unless they have received the whole request. A signed answer that looks complete must be whole (MIXED), and one that its task sent whole must arrive around stops, signals and changes (LOST).

--- a/crates/rookpulley-proxy/tests/soak/client.rs
+++ b/crates/rookpulley-proxy/tests/soak/client.rs
@@ -1,5 +1,6 @@
 //! Clients that keep the proxy busy until the run ends.
 
+use crate::early_answer::{EarlyAnswer, UPLOADS};
 use crate::exchange::{Answer, Ending, Exchange};
 use crate::judge::{Finding, Sent, Stop, judge};
 use crate::random::Random;
@@ -12,6 +13,8 @@
 
 /// How long a client may take before it reads an answer, so that the proxy has to wait.
 const MAX_READ_DELAY_MS: u64 = 400;
+/// The length of an upload, without its last part.
+const UPLOAD_BYTES: std::ops::Range<u64> = 100_000..3_000_000;
 /// The pause after a refused connection.
 const RECONNECT_PAUSE: Duration = Duration::from_millis(15);
 
@@ -30,16 +33,19 @@
     HeadInParts,
     /// Two requests at once.
     Pipelined,
+    /// Long bodies in parts, whose answers begin before they are sent.
+    Upload,
 }
 
 impl Habit {
-    pub const ALL: [Self; 6] = [
+    pub const ALL: [Self; 7] = [
         Self::BackToBack,
         Self::WithPauses,
         Self::NewAfterStop,
         Self::BodyInParts,
         Self::HeadInParts,
         Self::Pipelined,
+        Self::Upload,
     ];
 }
 
@@ -69,6 +75,7 @@
     id: String,
     deadline: Duration,
     parts: Vec<Vec<u8>>,
+    early_answer: Option<EarlyAnswer>,
 }
 
 impl Client {
@@ -95,7 +102,11 @@
             let mut outstanding = Vec::new();
             for _ in 0..count {
                 *number += 1;
-                let request = self.next_request(*number);
+                let request = if self.habit == Habit::Upload {
+                    self.next_upload(*number)
+                } else {
+                    self.next_request(*number)
+                };
                 match self.send(&mut exchange, request).await {
                     Some(sent) => outstanding.push(sent),
                     None => break,
@@ -128,6 +139,8 @@
     }
 
     /// Sends a request in its parts. Returns `None` if the connection ended before the last one.
+    ///
+    /// The proxy may answer an upload and close the connection before that.
     async fn send(&mut self, exchange: &mut Exchange, request: Parts) -> Option<Sent> {
         let began_at = Instant::now();
         for (index, part) in request.parts.iter().enumerate() {
@@ -146,9 +159,37 @@
             is_next_at: at,
             deadline: at + request.deadline,
             is_after_close: false,
+            early_answer: request.early_answer,
         })
     }
 
+    /// A long request. Its last part is short, so that the instance may have received all but that.
+    fn next_upload(&mut self, number: usize) -> Parts {
+        let id = format!("{}-{number}", self.name);
+        let work_ms = self.random.between(0, 20);
+        let deadline_ms = work_ms + self.random.between(3_000, 15_000);
+        let body = vec![b'x'; self.random.between(UPLOAD_BYTES.start, UPLOAD_BYTES.end) as usize];
+        let last = vec![b'x'; self.random.between(1, 200) as usize];
+        let length = body.len() + last.len();
+        let head = format!(
+            "POST {UPLOADS}{work_ms} HTTP/1.1\r\nHost: h.example\r\nRequest-Id: {id}\r\n\
+             Deadline-Ms: {deadline_ms}\r\nContent-Length: {length}\r\n\r\n"
+        );
+        let (first, second) = body.split_at(body.len() / 2);
+        let first = [head.as_bytes(), first].concat();
+        let parts = if self.random.one_in(2) {
+            vec![first, second.to_vec(), last]
+        } else {
+            vec![[first.as_slice(), second, &last].concat()]
+        };
+        Parts {
+            early_answer: Some(EarlyAnswer::select(&id)),
+            id,
+            deadline: Duration::from_millis(deadline_ms),
+            parts,
+        }
+    }
+
     fn next_request(&mut self, number: usize) -> Parts {
         let id = format!("{}-{number}", self.name);
         let work_ms = match self.random.between(0, 100) {
@@ -197,6 +238,7 @@
             id,
             deadline,
             parts,
+            early_answer: None,
         }
     }
 
--- a/crates/rookpulley-proxy/tests/soak/controller.rs
+++ b/crates/rookpulley-proxy/tests/soak/controller.rs
@@ -81,10 +81,11 @@
     };
     let body = format!(
         r#"{{"configVersion":{version},"services":[{{"name":"s","healthCheckPath":"/h","maxConnections":500}}],
-        "limits":{{"maxHeaderBytes":9000,"maxBodyBytes":300000,"headerTimeoutMs":3000,"idleTimeoutMs":15000}},
-        "hostnames":[{{"hostname":"h.example","pathRules":[{},{},{},{}]}}]}}"#,
+        "limits":{{"maxHeaderBytes":9000,"maxBodyBytes":9000000,"headerTimeoutMs":3000,"idleTimeoutMs":15000}},
+        "hostnames":[{{"hostname":"h.example","pathRules":[{},{},{},{},{}]}}]}}"#,
         route("/r/", "read_only"),
         route("/m/", "mutating"),
+        route("/upload/", "mutating"),
         route("/d/", "download"),
         route(&format!("/unused-{version}/"), "read_only"),
     );
--- a/crates/rookpulley-proxy/tests/soak/exchange.rs
+++ b/crates/rookpulley-proxy/tests/soak/exchange.rs
@@ -19,6 +19,7 @@
     /// Whether an instance made it.
     pub is_signed: bool,
     pub closes: bool,
+    pub body_bytes: usize,
     pub at: Instant,
 }
 
@@ -78,20 +79,54 @@
             self.fill().await?;
         };
         let head = String::from_utf8_lossy(&self.received[..head_end]).into_owned();
-        let length = header(&head, "content-length").map_or(0, |length| length.parse().unwrap());
-        while self.received.len() < head_end + length {
-            self.fill().await?;
-        }
-        self.received.drain(..head_end + length);
+        self.received.drain(..head_end);
+        let body_bytes = if header(&head, "transfer-encoding").is_some() {
+            self.read_chunks().await?
+        } else {
+            let length = header(&head, "content-length");
+            self.read_bytes(length.map_or(0, |length| length.parse().unwrap()))
+                .await?
+        };
         let connection = header(&head, "connection").unwrap_or_default();
         Ok(Answer {
             status: head.split(' ').nth(1).unwrap().parse().unwrap(),
             is_signed: header(&head, "response-signature").is_some(),
             closes: connection.eq_ignore_ascii_case("close"),
+            body_bytes,
             at: Instant::now(),
         })
     }
 
+    /// Reads and discards so many bytes. Returns their number.
+    async fn read_bytes(&mut self, length: usize) -> Result<usize, Ending> {
+        while self.received.len() < length {
+            self.fill().await?;
+        }
+        self.received.drain(..length);
+        Ok(length)
+    }
+
+    /// Reads a body in chunks. Returns its length.
+    async fn read_chunks(&mut self) -> Result<usize, Ending> {
+        let mut total = 0;
+        loop {
+            let line_end = loop {
+                match self.received.windows(2).position(|two| two == b"\r\n") {
+                    Some(end) => break end,
+                    None => self.fill().await?,
+                }
+            };
+            let line = String::from_utf8_lossy(&self.received[..line_end]).into_owned();
+            self.read_bytes(line_end + 2).await?;
+            let length = usize::from_str_radix(&line, 16).unwrap();
+            self.read_bytes(length + 2).await?;
+            if length == 0 {
+                return Ok(total);
+            }
+            total += length;
+        }
+    }
+
     async fn fill(&mut self) -> Result<(), Ending> {
         let read = self.stream.read_buf(&mut self.received).await;
         let at = Instant::now();
--- a/crates/rookpulley-proxy/tests/soak/judge.rs
+++ b/crates/rookpulley-proxy/tests/soak/judge.rs
@@ -1,5 +1,6 @@
-//! Judges what a client saw by the rule LOST.
+//! Judges what a client saw by the rules LOST and MIXED.
 
+use crate::early_answer::{BODY_BYTES, EarlyAnswer};
 use crate::exchange::{Answer, Ended, Ending};
 use crate::task::Record;
 use std::fmt::{Display, Formatter};
@@ -16,7 +17,7 @@
 const DEADLINE_SLACK: Duration = Duration::from_millis(50);
 
 /// A request that was sent whole.
-#[derive(Clone, Debug)]
+#[derive(Clone)]
 pub struct Sent {
     pub id: String,
     /// When its first byte was sent.
@@ -28,6 +29,8 @@
     pub deadline: Instant,
     /// Whether the answer before it on the same connection said that the connection closes.
     pub is_after_close: bool,
+    /// The answer of its instance, if that begins before the request has been read.
+    pub early_answer: Option<EarlyAnswer>,
 }
 
 /// When the process was told to shut down.
@@ -86,6 +89,16 @@
         })
     };
     let is_past_deadline = |at: Instant| at + DEADLINE_SLACK >= sent.deadline;
+    if let (Some(early), Ok(answer)) = (sent.early_answer, outcome)
+        && answer.is_signed
+        && answer.body_bytes != BODY_BYTES
+    {
+        let what = format!("{} bytes of {early:?} look complete", answer.body_bytes);
+        return finding(&what, answer.at);
+    }
+    if record.is_broken_off(&sent.id) {
+        return None;
+    }
     match outcome {
         Ok(answer) => {
             let now = answer.at;
@@ -122,7 +135,8 @@
                 return None;
             }
             if has_reached_a_task {
-                return finding("reached a task, and the connection ended", ending.at);
+                let what = format!("reached a task, and the connection ended: {:?}", ending.how);
+                return finding(&what, ending.at);
             }
             if ending.how == Ended::AllRead {
                 return finding("was read, and the connection ended", ending.at);
--- a/crates/rookpulley-proxy/tests/soak/main.rs
+++ b/crates/rookpulley-proxy/tests/soak/main.rs
@@ -3,6 +3,7 @@
 
 mod client;
 mod controller;
+mod early_answer;
 mod exchange;
 mod judge;
 mod random;
--- a/crates/rookpulley-proxy/tests/soak/task.rs
+++ b/crates/rookpulley-proxy/tests/soak/task.rs
@@ -1,7 +1,8 @@
 //! Stand-in instances. The last part of a request's path says how many milliseconds the instance works on it.
 
+use crate::early_answer::{AnswerEnd, EarlyAnswer, UPLOADS};
 use std::cell::RefCell;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::rc::Rc;
 use std::time::Duration;
@@ -48,6 +49,8 @@
     arrivals: RefCell<BTreeMap<String, Vec<Arrival>>>,
     /// Arrivals that an instance turns away once its time for them is over.
     turned_away: RefCell<BTreeMap<String, Arrival>>,
+    /// Requests whose answer an instance has broken off.
+    broken_off: RefCell<BTreeSet<String>>,
 }
 
 impl Record {
@@ -56,6 +59,16 @@
         self.arrivals.borrow().get(id).cloned().unwrap_or_default()
     }
 
+    /// Whether an instance has broken off the answer to this request.
+    pub fn is_broken_off(&self, id: &str) -> bool {
+        self.broken_off.borrow().contains(id)
+    }
+
+    fn add_arrival(&self, id: &str, arrival: Arrival) {
+        let mut arrivals = self.arrivals.borrow_mut();
+        arrivals.entry(id.to_owned()).or_default().push(arrival);
+    }
+
     /// Whether an instance still has the request at this time.
     pub fn is_at_an_instance(&self, id: &str, at: Instant) -> bool {
         let turned_away = self.turned_away.borrow().get(id).copied();
@@ -91,17 +104,29 @@
 async fn serve(mut stream: TcpStream, record: Rc<Record>) {
     stream.set_nodelay(true).unwrap();
     let mut received = Vec::new();
-    while let Some(head) = read_request(&mut stream, &mut received).await {
+    while let Some(head) = read_head(&mut stream, &mut received).await {
         let path = head.split(' ').nth(1).unwrap_or_default();
         let work_ms = path.rsplit('/').next().and_then(|ms| ms.parse().ok());
         let work = Duration::from_millis(work_ms.unwrap_or(0));
         let id = header(&head, "request-id").unwrap_or_default().to_owned();
+        if path.starts_with(UPLOADS) {
+            let done_at = Instant::now() + work;
+            record.add_arrival(&id, Arrival { done_at });
+            let answer = EarlyAnswer::select(&id);
+            match answer.play(&mut stream, &mut received, &head, work).await {
+                AnswerEnd::Whole => continue,
+                AnswerEnd::BrokenOff => record.broken_off.borrow_mut().insert(id),
+                AnswerEnd::Failed => return,
+            };
+            return;
+        }
+        if read_body(&mut stream, &mut received, &head).await.is_none() {
+            return;
+        }
         let done_at = Instant::now() + work;
         let turns_away = record.turns_away(&id, Arrival { done_at });
         if !turns_away {
-            let mut arrivals = record.arrivals.borrow_mut();
-            let arrivals = arrivals.entry(id.clone()).or_default();
-            arrivals.push(Arrival { done_at });
+            record.add_arrival(&id, Arrival { done_at });
         }
         let mut next = [0];
         let answered = tokio::select! {
@@ -143,8 +168,8 @@
         .into_bytes()
 }
 
-/// Reads a request with its body. Returns its head, or `None` if the connection ends before.
-async fn read_request(stream: &mut TcpStream, received: &mut Vec<u8>) -> Option<String> {
+/// Reads the head of a request, or returns `None` if the connection ends before.
+async fn read_head(stream: &mut TcpStream, received: &mut Vec<u8>) -> Option<String> {
     let head_end = loop {
         if let Some(end) = received.windows(4).position(|four| four == b"\r\n\r\n") {
             break end + 4;
@@ -153,24 +178,30 @@
     };
     let head = String::from_utf8_lossy(&received[..head_end]).into_owned();
     received.drain(..head_end);
-    if header(&head, "transfer-encoding").is_some() {
+    Some(head)
+}
+
+/// Reads the body of a request, or returns `None` if the connection ends before.
+pub async fn read_body(stream: &mut TcpStream, received: &mut Vec<u8>, head: &str) -> Option<()> {
+    if header(head, "transfer-encoding").is_some() {
         loop {
             if let Some(end) = received.windows(5).position(|five| five == b"0\r\n\r\n") {
                 received.drain(..end + 5);
-                return Some(head);
+                return Some(());
             }
             fill(stream, received).await?;
         }
     }
-    let length = header(&head, "content-length").map_or(0, |length| length.parse().unwrap());
+    let length = header(head, "content-length").map_or(0, |length| length.parse().unwrap());
     while received.len() < length {
         fill(stream, received).await?;
     }
     received.drain(..length);
-    Some(head)
+    Some(())
 }
 
-async fn fill(stream: &mut TcpStream, received: &mut Vec<u8>) -> Option<()> {
+/// Receives more, or returns `None` if the connection has ended.
+pub async fn fill(stream: &mut TcpStream, received: &mut Vec<u8>) -> Option<()> {
     let read = stream.read_buf(received).await.unwrap_or(0);
     (read > 0).then_some(())
 }
