proxy: the last bytes of a request wait for 20 ms of silence, not for 9 ms after the rest

A pause after each byte also made slow uploads slower, which need no hold.

Now each of six bytes has a silence of the task, 2 to 20 ms, after which it is sent, counted from the task's last data, and bytes are 1 ms apart.

--- a/crates/rookpulley-proxy/src/request_tail.rs
+++ b/crates/rookpulley-proxy/src/request_tail.rs
@@ -11,12 +11,17 @@
 use std::time::Duration;
 use tokio::time::{Instant, Sleep};
 
-/// How long the instance must be silent before it is sent each of the last bytes.
-const RELEASE_PAUSES: [Duration; 3] = [
-    Duration::from_millis(1),
+/// How long the instance must have been silent when it is sent each of the last bytes.
+const SILENCE_BEFORE_RELEASE: [Duration; 6] = [
     Duration::from_millis(2),
-    Duration::from_millis(6),
+    Duration::from_millis(4),
+    Duration::from_millis(8),
+    Duration::from_millis(12),
+    Duration::from_millis(16),
+    Duration::from_millis(20),
 ];
+/// The shortest time between two of them, in which a reset may answer the first one.
+const MIN_RELEASE_INTERVAL: Duration = Duration::from_millis(1);
 /// The longest time for which a request is held back, even if the instance is never silent.
 const MAX_HOLD: Duration = Duration::from_secs(1);
 
@@ -24,15 +29,15 @@
 #[derive(Default)]
 pub struct RequestTail {
     bytes: Bytes,
-    /// Whether all data of the instance has been read, so that it is known to be silent.
-    is_instance_silent: bool,
+    /// Since when all data of the instance has been read, if that is so.
+    silent_since: Option<Instant>,
     hold: Option<Hold>,
 }
 
 /// The time of bytes that are held back.
 struct Hold {
-    /// When a byte was last held back or released, or when the instance was last heard of.
-    last_activity: Instant,
+    /// When the next byte may be released at the earliest.
+    next_release: Instant,
     /// When bytes are no longer held back.
     expires: Instant,
     timer: Pin<Box<Sleep>>,
@@ -41,7 +46,7 @@
 impl Hold {
     fn new(now: Instant) -> Self {
         Self {
-            last_activity: now,
+            next_release: now,
             expires: now + MAX_HOLD,
             timer: Box::pin(tokio::time::sleep_until(now)),
         }
@@ -59,7 +64,7 @@
         let now = Instant::now();
         let hold = self.hold.get_or_insert_with(|| Hold::new(now));
         if now < hold.expires {
-            length.min(RELEASE_PAUSES.len())
+            length.min(SILENCE_BEFORE_RELEASE.len())
         } else {
             0
         }
@@ -68,42 +73,42 @@
     /// Holds bytes back. All earlier ones must have been sent.
     pub fn hold(&mut self, bytes: &[u8]) {
         self.bytes = Bytes::copy_from_slice(bytes);
-        self.record_activity();
+        self.delay_release();
     }
 
     /// Records that bytes from the start of the tail were sent.
     pub fn record_sent(&mut self, bytes: usize) {
         self.bytes.advance(bytes);
-        self.record_activity();
+        self.delay_release();
     }
 
-    /// Records whether a read found no more data of the instance.
-    pub fn record_read(&mut self, is_silent: bool) {
-        if is_silent != self.is_instance_silent {
-            self.is_instance_silent = is_silent;
-            self.record_activity();
+    fn delay_release(&mut self) {
+        if let Some(hold) = &mut self.hold {
+            hold.next_release = Instant::now() + MIN_RELEASE_INTERVAL;
         }
     }
 
-    fn record_activity(&mut self) {
-        if let Some(hold) = &mut self.hold {
-            hold.last_activity = Instant::now();
+    /// Records whether a read found no more data of the instance.
+    pub fn record_read(&mut self, is_silent: bool) {
+        if !is_silent {
+            self.silent_since = None;
+        } else if self.silent_since.is_none() {
+            self.silent_since = Some(Instant::now());
         }
     }
 
     /// Waits until bytes of the tail are to be sent, and returns how many. Pending if there are none.
     pub fn poll_release(&mut self, context: &mut Context<'_>) -> Poll<usize> {
-        let pause = match self.bytes.len() {
+        let silence = match self.bytes.len() {
             0 => None,
-            held => RELEASE_PAUSES.iter().rev().nth(held - 1),
+            held => SILENCE_BEFORE_RELEASE.iter().rev().nth(held - 1),
         };
-        let (Some(hold), Some(pause)) = (&mut self.hold, pause) else {
+        let (Some(hold), Some(silence)) = (&mut self.hold, silence) else {
             return Poll::Pending;
         };
-        let release = if self.is_instance_silent {
-            hold.expires.min(hold.last_activity + *pause)
-        } else {
-            hold.expires
+        let release = match self.silent_since {
+            Some(since) => hold.next_release.max(since + *silence).min(hold.expires),
+            None => hold.expires,
         };
         if hold.timer.deadline() != release {
             hold.timer.as_mut().reset(release);
@@ -113,5 +118,6 @@
         Poll::Ready(if is_expired { self.bytes.len() } else { 1 })
     }
 }
+
 #[cfg(test)]
 mod tests;
