proxy: what waits in the system's buffers is no part of a request that was sent

The soak with 120 proxies at once still found parts of answers without a length that looked complete. Trace of one: the system had accepted all 2,444,590 bytes of the request, the task had received 754,411 when it ended in order, and 6 ms after the end no reset had come. The wait was counted from the last write, and the silence before the last bytes began while megabytes lay in the send buffer.

From the head of such an answer on, the system accepts more of the request only once all earlier data has been transmitted; the wait counts from the end of the task's data; and a write that waits for the system means that the request isn't sent yet.

--- a/crates/rookpulley-proxy/src/response_end.rs
+++ b/crates/rookpulley-proxy/src/response_end.rs
@@ -31,7 +31,8 @@
 #[derive(Default)]
 pub struct SendProgress {
     body: RefCell<SentBody>,
-    last_write: Cell<Option<Instant>>,
+    /// Whether the socket has not accepted all that was written to it.
+    is_blocked: Cell<bool>,
 }
 
 /// The end of an instance's data, while it is held back.
@@ -47,12 +48,17 @@
     /// Starts a request.
     pub fn begin(&self, body: SentBody) {
         *self.body.borrow_mut() = body;
-        self.last_write.set(None);
+        self.is_blocked.set(false);
     }
 
     /// Records that the socket accepted a part of the request.
-    pub fn record_write(&self, now: Instant) {
-        self.last_write.set(Some(now));
+    pub fn record_write(&self) {
+        self.is_blocked.set(false);
+    }
+
+    /// Records that the socket accepted nothing, since the instance hasn't read what was sent before.
+    pub fn record_blocked_write(&self) {
+        self.is_blocked.set(true);
     }
 
     /// Whether the request has no body, so that it had arrived whole before the instance responded.
@@ -112,9 +118,11 @@
         if let Some(first_write) = self.first_write {
             return first_write + reset_wait;
         }
-        match progress.last_write.get() {
-            Some(last_write) if progress.is_complete() => last_write + reset_wait,
-            _ => self.seen + MAX_HOLD,
+        // Data in the system's buffers may be on its way for longer than since the last write.
+        if progress.is_complete() && !progress.is_blocked.get() {
+            self.seen + reset_wait
+        } else {
+            self.seen + MAX_HOLD
         }
     }
 }
--- a/crates/rookpulley-proxy/src/response_filter.rs
+++ b/crates/rookpulley-proxy/src/response_filter.rs
@@ -69,6 +69,9 @@
 
     /// The pending error of the socket, which is reported only once.
     fn take_error(&self) -> Option<io::Error>;
+
+    /// Makes the socket accept data only once all earlier data has been transmitted.
+    fn limit_unsent(&self);
 }
 
 impl PeerProbe for TcpStream {
@@ -83,6 +86,14 @@
             .take_error()
             .unwrap_or_else(Some)
     }
+
+    fn limit_unsent(&self) {
+        // Without this, the end of a response that is cut off may be seen too late, as under other systems.
+        #[cfg(target_os = "linux")]
+        {
+            _ = socket2::SockRef::from(self).set_tcp_notsent_lowat(1);
+        }
+    }
 }
 
 /// An upstream connection that discards stale responses.
@@ -98,6 +109,8 @@
     body_end: BodyEnd,
     /// The last bytes of the request, which are held back if the body of the response ends with the connection.
     request_tail: RequestTail,
+    /// Whether the socket accepts data only once all earlier data has been transmitted.
+    is_unsent_limited: bool,
     /// The end of the instance's data, if it was reached but may be followed by a reset.
     held_end: Option<HeldEnd>,
     /// The time within which a reset answers a write.
@@ -115,6 +128,7 @@
             write_failure: None,
             body_end: BodyEnd::Stated,
             request_tail: RequestTail::default(),
+            is_unsent_limited: false,
             held_end: None,
             reset_wait: (round_trip * RESET_WAIT_ROUND_TRIPS).clamp(MIN_RESET_WAIT, MAX_RESET_WAIT),
         }
--- a/crates/rookpulley-proxy/src/response_filter/tests.rs
+++ b/crates/rookpulley-proxy/src/response_filter/tests.rs
@@ -13,6 +13,8 @@
     fn take_error(&self) -> Option<io::Error> {
         None
     }
+
+    fn limit_unsent(&self) {}
 }
 
 fn run<F: Future>(test: F) -> F::Output {
--- a/crates/rookpulley-proxy/src/response_filter/writing.rs
+++ b/crates/rookpulley-proxy/src/response_filter/writing.rs
@@ -19,13 +19,22 @@
         Ok(())
     }
 
+    /// Records what the socket did with a write.
+    fn record_write(&mut self, written: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
+        match &written {
+            Poll::Ready(Ok(bytes)) => self.record_sent(*bytes),
+            Poll::Ready(Err(_)) => {}
+            Poll::Pending => self.pending.progress.record_blocked_write(),
+        }
+        written
+    }
+
     fn record_sent(&mut self, bytes: usize) {
         let sent = &self.pending.bytes_sent;
         sent.set(sent.get() + bytes as u64);
-        let now = Instant::now();
-        self.pending.progress.record_write(now);
+        self.pending.progress.record_write();
         if let Some(end) = &mut self.held_end {
-            end.record_write(now);
+            end.record_write(Instant::now());
         }
     }
 
@@ -40,6 +49,7 @@
             return Poll::Ready(Ok(length()));
         }
         self.check_peer()?;
+        self.limit_unsent();
         match send(self) {
             Poll::Ready(Err(error)) if !self.pending.is_unsent() => {
                 self.record_write_failure(&error);
@@ -49,6 +59,15 @@
         }
     }
 
+    /// Keeps the rest of a request out of the system's buffers while a response that ends with the connection is under
+    /// way: what waits there counts as sent, though a reset may answer it much later.
+    fn limit_unsent(&mut self) {
+        if self.body_end == BodyEnd::WithConnection && !self.is_unsent_limited {
+            self.is_unsent_limited = true;
+            self.stream.limit_unsent();
+        }
+    }
+
     fn record_write_failure(&mut self, error: &io::Error) {
         self.write_failure = Some(error.kind());
         if let Some(end) = &self.held_end {
@@ -86,9 +105,8 @@
             let first = slices.iter().find(|slice| !slice.is_empty());
             return self.poll_send(context, first.map_or(&[], |slice| slice));
         }
-        let sent = ready!(Pin::new(&mut self.stream).poll_write_vectored(context, slices))?;
-        self.record_sent(sent);
-        Poll::Ready(Ok(sent))
+        let written = Pin::new(&mut self.stream).poll_write_vectored(context, slices);
+        self.record_write(written)
     }
 
     /// Whether the last of the bytes that follow are to be held back: they end the request, and the response is under way.
@@ -119,9 +137,8 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        let sent = ready!(Pin::new(&mut self.stream).poll_write(context, bytes))?;
-        self.record_sent(sent);
-        Poll::Ready(Ok(sent))
+        let written = Pin::new(&mut self.stream).poll_write(context, bytes);
+        self.record_write(written)
     }
 
     /// Sends the bytes that are no longer held back.
