proxy tests: a response that ends while the socket takes no more of the request

Guards the point of that a write which waits for the system means that the request isn't sent yet. The test fails without that condition (the part is read as whole at once) and passes with it.

--- a/crates/rookpulley-proxy/src/response_filter/tests.rs
+++ b/crates/rookpulley-proxy/src/response_filter/tests.rs
@@ -253,3 +253,35 @@
         }
     });
 }
+
+/// Guards against a part of a response that looks complete while the system still holds much of the request, so that the
+/// reset that answers it comes late.
+#[test]
+fn a_response_without_a_length_is_incomplete_if_the_socket_took_no_more_of_the_request() {
+    run(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let stream = TcpStream::connect(listener.local_addr().unwrap())
+            .await
+            .unwrap();
+        let (mut instance, _) = listener.accept().await.unwrap();
+        let pending = Rc::new(PendingResponse::default());
+        let mut filter = ResponseFilter::new(stream, pending.clone(), Duration::ZERO);
+        pending.begin(&id(1), false, SentBody::Buffered, false);
+        filter.write_all(b"part").await.unwrap();
+        let response = b"HTTP/1.1 200 OK\r\n\r\npart";
+        instance.write_all(response).await.unwrap();
+        let mut received = vec![0; response.len()];
+        filter.read_exact(&mut received).await.unwrap();
+        let blocked_after = Duration::from_millis(50);
+        while tokio::time::timeout(blocked_after, filter.write(&[b'x'; 64 << 10]))
+            .await
+            .is_ok()
+        {}
+        instance.shutdown().await.unwrap();
+        tokio::task::spawn_local(async move {
+            tokio::time::sleep(MAX_RESET_WAIT).await;
+            drop(instance);
+        });
+        assert!(filter.read_to_end(&mut received).await.is_err());
+    });
+}
