proxy: how a request body is sent belongs to the module of request bodies

`response_end` and `request_body` imported each other. The type moves, its question whether more is to come becomes a method; behaviour unchanged.

--- a/crates/rookpulley-devcluster/src/main.rs
+++ b/crates/rookpulley-devcluster/src/main.rs
@@ -2,7 +2,8 @@
 //!
 //! `environment`, `node_settings` and `processes` start the controllers and proxies; `task` and `heartbeats` implement
 //! the tasks; `gateway_configuration` and `control_client` configure the gateway; `cluster` combines them. `trial` runs
-//! `clients` and `coordination` against the cluster, `lock_soak` holders of locks and `recovery_soak` writers while a disk is lost, both on `kept_connections`; `request_checks` and `coordination_checks` verify the results.
+//! `clients` and `coordination` against the cluster, `lock_soak` holders of locks and `recovery_soak` writers while a disk
+//! is lost, both on `kept_connections`; `request_checks` and `coordination_checks` verify the results.
 
 /// Prints a line and ignores errors such as a closed pipe.
 macro_rules! print_line {
--- a/crates/rookpulley-proxy/src/request_body.rs
+++ b/crates/rookpulley-proxy/src/request_body.rs
@@ -1,7 +1,6 @@
 //! Request bodies sent to instances.
 
 use crate::body::{BodyError, ChunkStream, Content, poll_data};
-use crate::response_end::SentBody;
 use bytes::Bytes;
 use hyper::body::{Body, Incoming};
 use std::cell::Cell;
@@ -22,6 +21,28 @@
     Failed(u16),
 }
 
+/// How the body of a request is sent.
+#[derive(Default)]
+pub enum SentBody {
+    /// There is none.
+    #[default]
+    Empty,
+    /// All of it was passed on with the head.
+    Buffered,
+    /// It is passed on as the client sends it.
+    Streamed(Rc<Cell<UploadState>>),
+}
+
+impl SentBody {
+    /// Whether nothing more of it is to come.
+    pub fn is_complete(&self) -> bool {
+        match self {
+            Self::Empty | Self::Buffered => true,
+            Self::Streamed(upload) => upload.get() == UploadState::Complete,
+        }
+    }
+}
+
 /// The body of a request. A buffered body can be sent again.
 pub type RequestBody = Content<Upload>;
 
--- a/crates/rookpulley-proxy/src/response_end.rs
+++ b/crates/rookpulley-proxy/src/response_end.rs
@@ -4,10 +4,9 @@
 //! request, its system closes the connection in order, and resets it only when more of the request arrives. So the end
 //! is held back while parts of the request may still be answered by a reset.
 
-use crate::request_body::UploadState;
+use crate::request_body::SentBody;
 use std::cell::{Cell, RefCell};
 use std::pin::Pin;
-use std::rc::Rc;
 use std::task::{Context, Poll, Waker};
 use std::time::Duration;
 use tokio::time::{Instant, Sleep};
@@ -15,18 +14,6 @@
 /// How long the end is held back if the client sends no more of an incomplete request.
 const MAX_HOLD: Duration = Duration::from_secs(1);
 
-/// How the body of a request is sent.
-#[derive(Default)]
-pub enum SentBody {
-    /// There is none.
-    #[default]
-    Empty,
-    /// All of it was passed on with the head.
-    Buffered,
-    /// It is passed on as the client sends it.
-    Streamed(Rc<Cell<UploadState>>),
-}
-
 /// What has been sent of the current request.
 #[derive(Default)]
 pub struct SendProgress {
@@ -68,10 +55,7 @@
 
     /// Whether nothing more of the request is to come.
     pub fn is_complete(&self) -> bool {
-        match &*self.body.borrow() {
-            SentBody::Empty | SentBody::Buffered => true,
-            SentBody::Streamed(upload) => upload.get() == UploadState::Complete,
-        }
+        self.body.borrow().is_complete()
     }
 }
 
--- a/crates/rookpulley-proxy/src/response_filter.rs
+++ b/crates/rookpulley-proxy/src/response_filter.rs
@@ -2,8 +2,9 @@
 //! byte of a request has been sent.
 
 use crate::body_length::BodyLength;
+use crate::request_body::SentBody;
 use crate::request_tail::RequestTail;
-use crate::response_end::{HeldEnd, SendProgress, SentBody};
+use crate::response_end::{HeldEnd, SendProgress};
 use crate::response_head::{self, BodyEnd, Classification, SentRequests};
 use bytes::{Buf, BytesMut};
 use hyper::header::HeaderValue;
@@ -88,7 +89,7 @@
     }
 
     fn limit_unsent(&self) {
-        // Without this, the end of a response that is cut off may be seen too late, as under other systems.
+        // Best effort: other systems lack the option, and there a reset may come too late to be seen.
         #[cfg(target_os = "linux")]
         {
             _ = socket2::SockRef::from(self).set_tcp_notsent_lowat(1);
--- a/crates/rookpulley-proxy/src/upstream_pool.rs
+++ b/crates/rookpulley-proxy/src/upstream_pool.rs
@@ -4,8 +4,7 @@
 //! new one that stayed open for a settling delay, a recently used one, or one whose keep-alive time
 //! is known.
 
-use crate::request_body::RequestBody;
-use crate::response_end::SentBody;
+use crate::request_body::{RequestBody, SentBody};
 use crate::response_filter::{PendingResponse, ResponseFilter};
 use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper::header::{CONNECTION, HeaderMap, HeaderValue};
