--- a/crates/rookpulley-proxy/src/response_end.rs
+++ b/crates/rookpulley-proxy/src/response_end.rs
@@ -110,3 +110,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/rookpulley-proxy/src/response_filter/tests.rs
+++ b/crates/rookpulley-proxy/src/response_filter/tests.rs
@@ -285,3 +285,44 @@
         assert!(filter.read_to_end(&mut received).await.is_err());
     });
 }
+
+/// Guards against a request that waits in the system's buffers, where it counts as sent, while its response is under way.
+#[cfg(target_os = "linux")]
+#[test]
+fn the_system_holds_little_of_a_request_whose_response_may_be_cut_off() {
+    run(async {
+        let accepted = accepted_bytes(b"HTTP/1.1 200 OK\r\n\r\npart").await;
+        let response = b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\npart";
+        let accepted_before_a_stated_end = accepted_bytes(response).await;
+        assert!(
+            accepted * 4 < accepted_before_a_stated_end,
+            "{accepted} {accepted_before_a_stated_end}"
+        );
+    });
+}
+
+/// How much of a request the system accepts after the response has begun, from an instance that reads nothing.
+async fn accepted_bytes(response: &[u8]) -> usize {
+    let listener = tokio::net::TcpSocket::new_v4().unwrap();
+    listener.set_recv_buffer_size(8 << 10).unwrap();
+    listener.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+    let listener = listener.listen(1).unwrap();
+    let stream = TcpStream::connect(listener.local_addr().unwrap())
+        .await
+        .unwrap();
+    let (mut instance, _) = listener.accept().await.unwrap();
+    let pending = Rc::new(PendingResponse::default());
+    let mut filter = ResponseFilter::new(stream, pending.clone(), Duration::ZERO);
+    pending.begin(&id(1), false, SentBody::Buffered, false);
+    filter.write_all(b"part").await.unwrap();
+    instance.write_all(response).await.unwrap();
+    let mut received = vec![0; response.len()];
+    filter.read_exact(&mut received).await.unwrap();
+    let blocked_after = Duration::from_millis(50);
+    let chunk = vec![b'x'; 64 << 10];
+    let mut accepted = 0;
+    while let Ok(written) = tokio::time::timeout(blocked_after, filter.write(&chunk)).await {
+        accepted += written.unwrap();
+    }
+    accepted
+}
--- a/crates/rookpulley-proxy/tests/soak/task.rs
+++ b/crates/rookpulley-proxy/tests/soak/task.rs
@@ -39,41 +39,8 @@
 /// One arrival of a request at an instance.
 #[derive(Clone, Copy, Debug)]
 pub struct Arrival {
-    /// When the instance finishes if nothing breaks off its work or delays it.
+    /// When the instance finishes if nothing breaks off its work.
     pub done_at: Instant,
-    /// When it had sent its answer or had seen the end of the connection.
-    pub ended_at: Option<Instant>,
-}
-
-impl Arrival {
-    fn new(done_at: Instant) -> Self {
-        Self {
-            done_at,
-            ended_at: None,
-        }
-    }
-
-    fn is_at_work(&self, at: Instant) -> bool {
-        self.done_at >= at || self.ended_at.is_none_or(|ended_at| ended_at >= at)
-    }
-}
-
-/// The work on an arrival, which ends when this is dropped.
-struct Work<'a> {
-    record: &'a Record,
-    id: String,
-    /// Which arrival of this id it is.
-    number: usize,
-}
-
-impl Drop for Work<'_> {
-    fn drop(&mut self) {
-        let mut arrivals = self.record.arrivals.borrow_mut();
-        let of_request = arrivals.get_mut(&self.id);
-        if let Some(arrival) = of_request.and_then(|arrivals| arrivals.get_mut(self.number)) {
-            arrival.ended_at = Some(Instant::now());
-        }
-    }
 }
 
 /// What all instances have received, by `Request-Id`.
@@ -97,23 +64,16 @@
         self.broken_off.borrow().contains(id)
     }
 
-    /// Records an arrival that an instance works on.
-    fn begin_work(&self, id: &str, arrival: Arrival) -> Work<'_> {
+    fn add_arrival(&self, id: &str, arrival: Arrival) {
         let mut arrivals = self.arrivals.borrow_mut();
-        let arrivals = arrivals.entry(id.to_owned()).or_default();
-        arrivals.push(arrival);
-        Work {
-            record: self,
-            id: id.to_owned(),
-            number: arrivals.len() - 1,
-        }
+        arrivals.entry(id.to_owned()).or_default().push(arrival);
     }
 
     /// Whether an instance still has the request at this time.
     pub fn is_at_an_instance(&self, id: &str, at: Instant) -> bool {
         let turned_away = self.turned_away.borrow().get(id).copied();
         let mut arrivals = self.arrivals(id).into_iter().chain(turned_away);
-        arrivals.any(|arrival| arrival.is_at_work(at))
+        arrivals.any(|arrival| arrival.done_at >= at)
     }
 
     /// Whether an instance turns this arrival away: the first one of one request in ten.
@@ -121,14 +81,7 @@
         let mut turned_away = self.turned_away.borrow_mut();
         let turns_away = id.ends_with('7') && !turned_away.contains_key(id);
         if turns_away {
-            let ended_at = Some(arrival.done_at);
-            turned_away.insert(
-                id.to_owned(),
-                Arrival {
-                    ended_at,
-                    ..arrival
-                },
-            );
+            turned_away.insert(id.to_owned(), arrival);
         }
         turns_away
     }
@@ -157,7 +110,8 @@
         let work = Duration::from_millis(work_ms.unwrap_or(0));
         let id = header(&head, "request-id").unwrap_or_default().to_owned();
         if path.starts_with(UPLOADS) {
-            let _work = record.begin_work(&id, Arrival::new(Instant::now() + work));
+            let done_at = Instant::now() + work;
+            record.add_arrival(&id, Arrival { done_at });
             let answer = EarlyAnswer::select(&id);
             match answer.play(&mut stream, &mut received, &head, work).await {
                 AnswerEnd::Whole => continue,
@@ -169,9 +123,11 @@
         if read_body(&mut stream, &mut received, &head).await.is_none() {
             return;
         }
-        let arrival = Arrival::new(Instant::now() + work);
-        let turns_away = record.turns_away(&id, arrival);
-        let _work = (!turns_away).then(|| record.begin_work(&id, arrival));
+        let done_at = Instant::now() + work;
+        let turns_away = record.turns_away(&id, Arrival { done_at });
+        if !turns_away {
+            record.add_arrival(&id, Arrival { done_at });
+        }
         let mut next = [0];
         let answered = tokio::select! {
             answered = answer(work, path.starts_with("/d/"), &id), if !turns_away => answered,
